--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Load tool and policy experiments. */
+package org.elmline.bench;
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The elmline program. */
+package org.elmline.cli;
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/backend/BackendKind.java
@@ -0,0 +1,11 @@
+package org.elmline.core.backend;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/** The two kinds of backend server. */
+public enum BackendKind {
+    @JsonProperty("engine")
+    ENGINE,
+    @JsonProperty("service")
+    SERVICE
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Announcements and membership of backend servers. */
+package org.elmline.core.backend;
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/common/AttemptId.java
@@ -0,0 +1,26 @@
+package org.elmline.core.common;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Identity of one try of a request on one backend server; pieces carry it so that a late piece of another attempt is dropped. */
+public record AttemptId(@JsonValue String value) implements Comparable<AttemptId> {
+    public AttemptId {
+        Names.requireName("attempt id", value);
+    }
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static AttemptId of(String value) {
+        return new AttemptId(value);
+    }
+
+    @Override
+    public int compareTo(AttemptId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/common/BackendServerId.java
@@ -0,0 +1,26 @@
+package org.elmline.core.common;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Name a backend server announces itself under; a restart keeps it, see its incarnation. */
+public record BackendServerId(@JsonValue String value) implements Comparable<BackendServerId> {
+    public BackendServerId {
+        Names.requireName("backend server id", value);
+    }
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static BackendServerId of(String value) {
+        return new BackendServerId(value);
+    }
+
+    @Override
+    public int compareTo(BackendServerId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/common/FailureDomain.java
@@ -0,0 +1,26 @@
+package org.elmline.core.common;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Name of a set of hosts that can be lost together (power, switch, building). */
+public record FailureDomain(@JsonValue String value) implements Comparable<FailureDomain> {
+    public FailureDomain {
+        Names.requireName("failure domain", value);
+    }
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static FailureDomain of(String value) {
+        return new FailureDomain(value);
+    }
+
+    @Override
+    public int compareTo(FailureDomain other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/common/HostId.java
@@ -0,0 +1,26 @@
+package org.elmline.core.common;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Name of one host that runs an elmline process; unique in a deployment, taken from its settings. */
+public record HostId(@JsonValue String value) implements Comparable<HostId> {
+    public HostId {
+        Names.requireName("host id", value);
+    }
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static HostId of(String value) {
+        return new HostId(value);
+    }
+
+    @Override
+    public int compareTo(HostId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/common/Incarnation.java
@@ -0,0 +1,28 @@
+package org.elmline.core.common;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Counts the starts of a host or backend server under one id; a higher one replaces a lower one. */
+public record Incarnation(@JsonValue long value) implements Comparable<Incarnation> {
+    public Incarnation {
+        if (value < 0) {
+            throw new IllegalArgumentException("incarnation must not be negative: " + value);
+        }
+    }
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static Incarnation of(long value) {
+        return new Incarnation(value);
+    }
+
+    @Override
+    public int compareTo(Incarnation other) {
+        return Long.compare(value, other.value);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toString(value);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/common/LengthClass.java
@@ -0,0 +1,29 @@
+package org.elmline.core.common;
+
+/** Prompt lengths in tokens, as users report time to first token by them. */
+public enum LengthClass {
+    SHORT(4_000),
+    MEDIUM(32_000),
+    LONG(128_000),
+    HUGE(Integer.MAX_VALUE);
+
+    private final int maxTokens;
+
+    LengthClass(int maxTokens) {
+        this.maxTokens = maxTokens;
+    }
+
+    /** Longest prompt of this class, in tokens. */
+    public int maxTokens() {
+        return maxTokens;
+    }
+
+    public static LengthClass of(int promptTokens) {
+        for (LengthClass each : values()) {
+            if (promptTokens <= each.maxTokens) {
+                return each;
+            }
+        }
+        return HUGE;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/common/MonotonicClock.java
@@ -0,0 +1,16 @@
+package org.elmline.core.common;
+
+/**
+ * Time that never steps back and is not related to the wall clock. All leases, deadlines and timeouts are counted on
+ * it, so that a corrected wall clock can neither extend nor end one.
+ */
+@FunctionalInterface
+public interface MonotonicClock {
+    /** Nanoseconds since a fixed but arbitrary start. */
+    long nanos();
+
+    /** Milliseconds since a fixed but arbitrary start. */
+    default long millis() {
+        return nanos() / 1_000_000L;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/common/Region.java
@@ -0,0 +1,26 @@
+package org.elmline.core.common;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Name of a group of failure domains that are near each other. */
+public record Region(@JsonValue String value) implements Comparable<Region> {
+    public Region {
+        Names.requireName("region", value);
+    }
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static Region of(String value) {
+        return new Region(value);
+    }
+
+    @Override
+    public int compareTo(Region other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/common/ServiceName.java
@@ -0,0 +1,26 @@
+package org.elmline.core.common;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Name of a plain service that elmline passes calls on to. */
+public record ServiceName(@JsonValue String value) implements Comparable<ServiceName> {
+    public ServiceName {
+        Names.requireName("service name", value);
+    }
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static ServiceName of(String value) {
+        return new ServiceName(value);
+    }
+
+    @Override
+    public int compareTo(ServiceName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/HostRecord.java
@@ -0,0 +1,25 @@
+package org.elmline.core.control;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.Region;
+
+/**
+ * One live entry as every process knows it.
+ *
+ * @param callers where callers connect
+ * @param peers where elmline's own processes connect
+ * @param operators where operators connect
+ * @param leaving true once it is stopping and must not be offered to callers or own backend servers
+ */
+public record HostRecord(
+        HostId id,
+        Incarnation incarnation,
+        FailureDomain failureDomain,
+        Region region,
+        Address callers,
+        Address peers,
+        Address operators,
+        boolean leaving) {}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/package-info.java
@@ -0,0 +1,2 @@
+/** Replicated state of the control hosts: tickets, host leases, claims, fencing numbers and engine orders. */
+package org.elmline.core.control;
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/engine/FinishReason.java
@@ -0,0 +1,15 @@
+package org.elmline.core.engine;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/** Why a whole answer ended, in the words of the OpenAI API. */
+public enum FinishReason {
+    @JsonProperty("stop")
+    STOP,
+    @JsonProperty("length")
+    LENGTH;
+
+    public String text() {
+        return name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/package-info.java
@@ -0,0 +1,2 @@
+/** Shares tokens between organisations. */
+package org.elmline.core.fairness;
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/group/package-info.java
@@ -0,0 +1,2 @@
+/** Prompts larger than one engine: groups of engines reserved all or nothing. */
+package org.elmline.core.group;
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Typed calls between elmline processes. */
+package org.elmline.core.peer;
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/raft/package-info.java
@@ -0,0 +1,2 @@
+/** Replicated log as a pure state machine. */
+package org.elmline.core.raft;
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Pieces of answers: order, completeness, resume and continuation. */
+package org.elmline.core.stream;
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The entry and control roles as a library. */
+package org.elmline.daemon;
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack framing over TCP and JSON adapters. */
+package org.elmline.wire;
