Read a process's settings, checked whole before anything opens

Cause: a process that starts with a wrong unit or an impossible pair of times fails later and elsewhere. Settings are one JSON file; a JSON Schema (json-schema-validator) finds unknown keys, wrong types and ranges, and rules over several fields find what a schema can't state. Both run on every file, so that all problems are named at once, each by path with what would be right.

Ruled out: defaults in the schema, since builders need them too; the builders hold them and a file is laid on top.

--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/ControlAddresses.java
@@ -0,0 +1,14 @@
+package org.elmline.daemon.settings;
+
+/**
+ * Where a control host listens.
+ *
+ * @param operators HTTP for operators: state, events and metrics
+ * @param peers TCP for elmline's own processes
+ */
+public record ControlAddresses(ListenAddress operators, ListenAddress peers) {
+    /** Free ports of the loopback address. */
+    public static ControlAddresses anyLoopback() {
+        return new ControlAddresses(ListenAddress.anyLoopback(), ListenAddress.anyLoopback());
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/ControlSettings.java
@@ -0,0 +1,154 @@
+package org.elmline.daemon.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Region;
+
+/**
+ * Settings of a control host, which holds a replica of the accepted tickets, leases and claims on its disk.
+ *
+ * @param dataFolder the one folder that holds all its files; never shared by two processes
+ * @param control the initial control hosts, this one included
+ */
+public record ControlSettings(
+        HostId host,
+        Region region,
+        FailureDomain failureDomain,
+        Path dataFolder,
+        ControlAddresses addresses,
+        List<ControlHost> control,
+        ControlKeys keys,
+        LeaseSettings lease,
+        RaftSettings raft,
+        RetentionSettings retention,
+        TimelineSettings timeline,
+        LogSettings log)
+        implements Settings {
+    public ControlSettings {
+        control = control == null ? List.of() : List.copyOf(control);
+    }
+
+    @Override
+    public Role role() {
+        return Role.CONTROL;
+    }
+
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** A builder that starts from these settings. */
+    public Builder toBuilder() {
+        Builder builder = new Builder();
+        builder.host = host;
+        builder.region = region;
+        builder.failureDomain = failureDomain;
+        builder.dataFolder = dataFolder;
+        builder.addresses = addresses;
+        builder.control = control;
+        builder.keys = keys;
+        builder.lease = lease;
+        builder.raft = raft;
+        builder.retention = retention;
+        builder.timeline = timeline;
+        builder.log = log;
+        return builder;
+    }
+
+    /** Gathers the settings; what is not given keeps its default. */
+    public static final class Builder {
+        private HostId host;
+        private Region region;
+        private FailureDomain failureDomain;
+        private Path dataFolder;
+        private ControlAddresses addresses;
+        private List<ControlHost> control;
+        private ControlKeys keys;
+        private LeaseSettings lease = LeaseSettings.DEFAULT;
+        private RaftSettings raft = RaftSettings.DEFAULT;
+        private RetentionSettings retention = RetentionSettings.DEFAULT;
+        private TimelineSettings timeline = TimelineSettings.DEFAULT;
+        private LogSettings log = LogSettings.DEFAULT;
+
+        private Builder() {}
+
+        public Builder host(HostId value) {
+            this.host = value;
+            return this;
+        }
+
+        public Builder region(Region value) {
+            this.region = value;
+            return this;
+        }
+
+        public Builder failureDomain(FailureDomain value) {
+            this.failureDomain = value;
+            return this;
+        }
+
+        public Builder dataFolder(Path value) {
+            this.dataFolder = value;
+            return this;
+        }
+
+        public Builder addresses(ControlAddresses value) {
+            this.addresses = value;
+            return this;
+        }
+
+        public Builder control(List<ControlHost> value) {
+            this.control = value;
+            return this;
+        }
+
+        public Builder keys(ControlKeys value) {
+            this.keys = value;
+            return this;
+        }
+
+        public Builder lease(LeaseSettings value) {
+            this.lease = value;
+            return this;
+        }
+
+        public Builder raft(RaftSettings value) {
+            this.raft = value;
+            return this;
+        }
+
+        public Builder retention(RetentionSettings value) {
+            this.retention = value;
+            return this;
+        }
+
+        public Builder timeline(TimelineSettings value) {
+            this.timeline = value;
+            return this;
+        }
+
+        public Builder log(LogSettings value) {
+            this.log = value;
+            return this;
+        }
+
+        public ControlSettings build() {
+            return new ControlSettings(
+                    host,
+                    region,
+                    failureDomain,
+                    dataFolder,
+                    addresses,
+                    control,
+                    keys,
+                    lease,
+                    raft,
+                    retention,
+                    timeline,
+                    log);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/Defaults.java
@@ -0,0 +1,45 @@
+package org.elmline.daemon.settings;
+
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** Completes what a settings file leaves out, from the builders' defaults, so that each default stands in one place. */
+final class Defaults {
+    private Defaults() {}
+
+    /** A copy of {@code given} on top of the role's defaults. */
+    static ObjectNode complete(ObjectMapper mapper, ObjectNode given, Role role) {
+        ObjectNode full = mapper.valueToTree(builtFromNothing(role));
+        removeNulls(full);
+        merge(full, given);
+        return full;
+    }
+
+    private static Settings builtFromNothing(Role role) {
+        return switch (role) {
+            case ENTRY -> EntrySettings.builder().build();
+            case CONTROL -> ControlSettings.builder().build();
+            case STANDIN_ENGINE -> StandinEngineSettings.builder().build();
+            case STANDIN_SERVICE -> StandinServiceSettings.builder().build();
+            default -> throw new IllegalStateException("no defaults for " + role);
+        };
+    }
+
+    private static void removeNulls(ObjectNode node) {
+        node.properties().removeIf(field -> field.getValue().isNull());
+    }
+
+    private static void merge(ObjectNode onto, ObjectNode given) {
+        for (Map.Entry<String, JsonNode> field : given.properties()) {
+            JsonNode under = onto.get(field.getKey());
+            if (under instanceof ObjectNode group && field.getValue() instanceof ObjectNode givenGroup) {
+                merge(group, givenGroup);
+            } else {
+                onto.set(field.getKey(), field.getValue().deepCopy());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/EntryAddresses.java
@@ -0,0 +1,16 @@
+package org.elmline.daemon.settings;
+
+/**
+ * Where an entry listens, one address for each kind of client.
+ *
+ * @param callers HTTP for callers and for backend servers that announce themselves
+ * @param operators HTTP for operators
+ * @param peers TCP for elmline's own processes
+ */
+public record EntryAddresses(ListenAddress callers, ListenAddress operators, ListenAddress peers) {
+    /** Free ports of the loopback address. */
+    public static EntryAddresses anyLoopback() {
+        return new EntryAddresses(
+                ListenAddress.anyLoopback(), ListenAddress.anyLoopback(), ListenAddress.anyLoopback());
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/LeaseSettings.java
@@ -0,0 +1,11 @@
+package org.elmline.daemon.settings;
+
+/**
+ * The lease under which an entry serves.
+ *
+ * @param leaseMillis how long a lease runs from the moment the entry asked, in milliseconds
+ * @param renewMillis how often an entry renews it, in milliseconds; well under {@code leaseMillis}
+ */
+public record LeaseSettings(long leaseMillis, long renewMillis) {
+    public static final LeaseSettings DEFAULT = new LeaseSettings(3_000, 1_000);
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/LogLevel.java
@@ -0,0 +1,9 @@
+package org.elmline.daemon.settings;
+
+/** Least severe level that is written; INFO has one line for each change of state. */
+public enum LogLevel {
+    ERROR,
+    WARN,
+    INFO,
+    DEBUG
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/OwnControlHostCheck.java
@@ -0,0 +1,40 @@
+package org.elmline.daemon.settings;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * A control host that stands in the list of initial control hosts stands there as it is: same address, same failure
+ * domain. One that is not in the list joins later, as a replacement.
+ */
+final class OwnControlHostCheck implements CombinationCheck {
+    @Override
+    public void check(ObjectNode settings, Consumer<Problem> problems) {
+        if (!settings.path("role").asText().equals(Role.CONTROL.word())) {
+            return;
+        }
+        JsonNode hosts = settings.path("control");
+        for (int i = 0; i < hosts.size(); i++) {
+            if (hosts.path(i).path("host").asText().equals(settings.path("host").asText())) {
+                compare(hosts.path(i), "/control/" + i, settings).ifPresent(problems);
+            }
+        }
+    }
+
+    private static Optional<Problem> compare(JsonNode listed, String path, ObjectNode settings) {
+        String domain = settings.path("failureDomain").asText();
+        if (!listed.path("failureDomain").asText().equals(domain)) {
+            return Optional.of(new Problem(
+                    path + "/failureDomain", "must be " + domain + " as in /failureDomain: this is the same host"));
+        }
+        String peers = settings.at("/addresses/peers").asText();
+        if (!peers.endsWith(":0") && !listed.path("peers").asText().equals(peers)) {
+            return Optional.of(new Problem(
+                    path + "/peers", "must be " + peers + " as in /addresses/peers: this is the same host"));
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/RaftSettings.java
@@ -0,0 +1,12 @@
+package org.elmline.daemon.settings;
+
+/**
+ * Timing and storage of the control hosts' replicated log (Raft).
+ *
+ * @param electionMillis shortest election timeout in milliseconds; each is drawn from this up to twice this
+ * @param heartbeatMillis time between a leader's heartbeats, in milliseconds
+ * @param snapshotEntries entries after which the log is compacted into a snapshot
+ */
+public record RaftSettings(long electionMillis, long heartbeatMillis, int snapshotEntries) {
+    public static final RaftSettings DEFAULT = new RaftSettings(1_000, 150, 4_096);
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/Settings.java
@@ -0,0 +1,8 @@
+package org.elmline.daemon.settings;
+
+/** The settings of one process, complete and checked. */
+public sealed interface Settings permits EntrySettings, ControlSettings, StandinEngineSettings, StandinServiceSettings {
+    Role role();
+
+    LogSettings log();
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/SettingsSchema.java
@@ -0,0 +1,91 @@
+package org.elmline.daemon.settings;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.networknt.schema.Error;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaLocation;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+import com.networknt.schema.path.NodePath;
+
+/** The JSON Schema of the settings, and the words for what it finds. */
+final class SettingsSchema {
+    private static final String RESOURCE = "settings.schema.json";
+    private static final String ID = "https://elmline.org/" + RESOURCE;
+
+    private final JsonNode document;
+    private final Map<Role, Schema> schemas = new EnumMap<>(Role.class);
+
+    SettingsSchema(ObjectMapper mapper) {
+        try (InputStream in = SettingsSchema.class.getResourceAsStream(RESOURCE)) {
+            document = mapper.readTree(in);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        SchemaRegistry registry = SchemaRegistry.withDefaultDialect(
+                SpecificationVersion.DRAFT_2020_12, builder -> builder.schemas(Map.of(ID, document.toString())));
+        for (Role role : Role.values()) {
+            schemas.put(role, registry.getSchema(SchemaLocation.of(ID + "#/$defs/" + role.word())));
+        }
+    }
+
+    List<Problem> check(JsonNode settings, Role role) {
+        List<Problem> problems = new ArrayList<>();
+        for (Error error : schemas.get(role).validate(settings)) {
+            problems.add(problem(error));
+        }
+        return problems;
+    }
+
+    private Problem problem(Error error) {
+        String path = pointer(error.getInstanceLocation());
+        return switch (error.getKeyword()) {
+            case "additionalProperties" -> new Problem(
+                    path + "/" + error.getProperty(), UnknownKey.describe(error.getProperty(), knownKeys(error)));
+            case "required" -> new Problem(path + "/" + error.getProperty(), "missing, but this role needs it");
+            case "pattern" -> new Problem(path, error.getInstanceNode() + " does not fit: " + description(error));
+            case "type" -> new Problem(path, error.getMessage() + described(error));
+            default -> new Problem(path, error.getMessage() + described(error));
+        };
+    }
+
+    private String described(Error error) {
+        String description = description(error);
+        return description.isEmpty() ? "" : "; it is " + description;
+    }
+
+    private String description(Error error) {
+        return owner(error).path("description").asText();
+    }
+
+    private Set<String> knownKeys(Error error) {
+        Set<String> keys = new LinkedHashSet<>();
+        owner(error).path("properties").fieldNames().forEachRemaining(keys::add);
+        return keys;
+    }
+
+    /** The schema object that holds the keyword an error is about. */
+    private JsonNode owner(Error error) {
+        NodePath keyword = error.getSchemaLocation().getFragment();
+        return document.at(pointer(keyword.getParent()));
+    }
+
+    private static String pointer(NodePath path) {
+        StringBuilder pointer = new StringBuilder();
+        for (int i = 0; i < path.getNameCount(); i++) {
+            pointer.append('/').append(path.getName(i).replace("~", "~0").replace("/", "~1"));
+        }
+        return pointer.toString();
+    }
+}
