Carry typed calls between processes over TCP with MessagePack

Cause: the processes need one authenticated, bounded way to call each other. Change: length-prefixed frames on the JDK's asynchronous sockets, mutual proof of the peer key over fresh nonces, a version range in the hello, bounded frames, queues and unanswered calls; a call ends as answered, not sent or unknown.

--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/Codecs.java
@@ -0,0 +1,62 @@
+package org.elmline.wire.codec;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/** The codecs elmline uses. Each is safe for use by many threads. */
+public final class Codecs {
+    /** Longest single string read, in characters: a prompt of a million tokens with room to spare. */
+    public static final int MAX_STRING = 64 * 1024 * 1024;
+
+    /**
+     * Between elmline processes. Unknown fields are passed over, so that two releases can run side by side during a
+     * rolling upgrade.
+     */
+    public static final Codec MESSAGE_PACK = new JacksonCodec(lenient(new ObjectMapper(messagePackFactory())));
+
+    /** For what people write (settings, tickets): an unknown field is an error, since it is most likely a typing slip. */
+    public static final Codec STRICT_JSON = new JacksonCodec(strictMapper());
+
+    /** For JSON that other programs send: unknown fields are passed over. */
+    public static final Codec JSON = new JacksonCodec(jsonMapper());
+
+    private Codecs() {}
+
+    /** A mapper for trees and OpenAI bodies, set up like {@link #JSON}. */
+    public static ObjectMapper jsonMapper() {
+        return lenient(JsonMapper.builder().build());
+    }
+
+    private static ObjectMapper strictMapper() {
+        return common(JsonMapper.builder().build())
+                .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    }
+
+    private static ObjectMapper lenient(ObjectMapper mapper) {
+        return common(mapper).disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    }
+
+    private static ObjectMapper common(ObjectMapper mapper) {
+        mapper.getFactory()
+                .setStreamReadConstraints(StreamReadConstraints.builder()
+                        .maxStringLength(MAX_STRING)
+                        .build());
+        mapper.setAnnotationIntrospector(new SealedTypeIntrospector());
+        mapper.setSerializationInclusion(JsonInclude.Include.NON_NULL);
+        mapper.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
+        mapper.configure(MapperFeature.ALLOW_COERCION_OF_SCALARS, false);
+        return mapper;
+    }
+
+    private static MessagePackFactory messagePackFactory() {
+        return new MessagePackFactory().setReuseResourceInParser(false).setReuseResourceInGenerator(false);
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/JacksonCodec.java
@@ -0,0 +1,36 @@
+package org.elmline.wire.codec;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** What the two codecs share: Jackson, set up alike but for the format and the treatment of unknown fields. */
+final class JacksonCodec implements Codec {
+    private final ObjectMapper mapper;
+
+    JacksonCodec(ObjectMapper mapper) {
+        this.mapper = mapper;
+    }
+
+    @Override
+    public byte[] encode(Object value) {
+        try {
+            return mapper.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a message type that can't be written: " + value.getClass(), e);
+        }
+    }
+
+    @Override
+    public <T> Decoded<T> decode(byte[] bytes, Class<T> type) {
+        try {
+            T value = mapper.readValue(bytes, type);
+            return value == null ? new Decoded.Malformed<>("empty") : new Decoded.Value<>(value);
+        } catch (JsonProcessingException e) {
+            return new Decoded.Malformed<>(Problems.describe(e));
+        } catch (IOException | IllegalArgumentException e) {
+            return new Decoded.Malformed<>(String.valueOf(e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Turns typed messages into bytes: MessagePack between elmline processes, JSON towards everyone else. */
+package org.elmline.wire.codec;
--- a/elmline-wire/src/main/java/org/elmline/wire/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** MessagePack framing over TCP and JSON adapters. */
-package org.elmline.wire;
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/Connection.java
@@ -0,0 +1,161 @@
+package org.elmline.wire.tcp;
+
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import org.elmline.core.common.CallResult;
+import org.elmline.wire.codec.Codecs;
+import org.elmline.wire.codec.Decoded;
+
+/** One authenticated connection. Calls flow from the side that opened it; answers flow back in any order. */
+final class Connection {
+    private final FrameChannel frames;
+    private final Handshake handshake;
+    private final Handlers handlers;
+    private final PeerLimits limits;
+    private final Consumer<Connection> onClose;
+    private final AtomicLong nextCall = new AtomicLong();
+    private final AtomicInteger handling = new AtomicInteger();
+    private final Map<Long, CompletableFuture<CallResult<byte[]>>> unanswered = new ConcurrentHashMap<>();
+    private final CompletableFuture<Boolean> ready = new CompletableFuture<>();
+    private volatile boolean closed;
+
+    Connection(
+            AsynchronousSocketChannel socket,
+            PeerKey key,
+            Handshake.Role role,
+            Handlers handlers,
+            PeerLimits limits,
+            Consumer<Connection> onClose) {
+        this.handshake = new Handshake(key, role);
+        this.handlers = handlers;
+        this.limits = limits;
+        this.onClose = onClose;
+        this.frames = new FrameChannel(socket, limits, this::receive, this::ended);
+    }
+
+    void start() {
+        // The hello is queued before anything is read: a proof must never overtake it.
+        frames.send(handshake.hello());
+        frames.start();
+    }
+
+    /** Completes with true once both sides are proven, with false when the connection ends before. */
+    CompletableFuture<Boolean> ready() {
+        return ready;
+    }
+
+    boolean closed() {
+        return closed;
+    }
+
+    void close(String why) {
+        frames.close(why);
+    }
+
+    /** Sends a call; the result completes when the answer arrives or the connection ends. */
+    PendingCall call(String channel, byte[] body) {
+        long number = nextCall.incrementAndGet();
+        CompletableFuture<CallResult<byte[]>> result = new CompletableFuture<>();
+        if (unanswered.size() >= limits.maxCallsInFlight()) {
+            result.complete(new CallResult.NotSent<>("too many unanswered calls"));
+            return new PendingCall(result, () -> {});
+        }
+        unanswered.put(number, result);
+        byte[] frame = Codecs.MESSAGE_PACK.encode(new Envelope(number, Envelope.Kind.CALL, channel, body));
+        if (!frames.send(frame)) {
+            unanswered.remove(number);
+            result.complete(new CallResult.NotSent<>("the connection is closed or its queue is full"));
+        } else if (closed && unanswered.remove(number) != null) {
+            result.complete(new CallResult.Unknown<>("the connection closed"));
+        }
+        return new PendingCall(result, () -> unanswered.remove(number));
+    }
+
+    /** A call on its way; {@code forget} drops its place so that a late answer is ignored. */
+    record PendingCall(CompletableFuture<CallResult<byte[]>> result, Runnable forget) {}
+
+    private void receive(byte[] frame) {
+        if (!handshake.proven()) {
+            shakeHands(frame);
+            return;
+        }
+        if (!(Codecs.MESSAGE_PACK.decode(frame, Envelope.class) instanceof Decoded.Value<Envelope> envelope)
+                || envelope.value().kind() == null) {
+            close("malformed envelope");
+            return;
+        }
+        dispatch(envelope.value());
+    }
+
+    private void shakeHands(byte[] frame) {
+        Handshake.Step step = handshake.receive(frame);
+        if (step instanceof Handshake.Step.Send send) {
+            frames.send(send.frame());
+        } else if (step instanceof Handshake.Step.Fail fail) {
+            close(fail.why());
+        } else {
+            ready.complete(true);
+        }
+    }
+
+    private void dispatch(Envelope envelope) {
+        switch (envelope.kind()) {
+            case CALL -> handle(envelope);
+            case ANSWER -> complete(envelope, new CallResult.Answered<>(envelope.body()));
+            case REFUSED -> complete(envelope, new CallResult.NotSent<>(envelope.channel()));
+            case FAILED -> complete(envelope, new CallResult.Unknown<>(envelope.channel()));
+            default -> close("unknown kind of frame");
+        }
+    }
+
+    private void complete(Envelope envelope, CallResult<byte[]> result) {
+        CompletableFuture<CallResult<byte[]>> waiting = unanswered.remove(envelope.call());
+        if (waiting != null) {
+            waiting.complete(result);
+        }
+    }
+
+    private void handle(Envelope call) {
+        if (handling.incrementAndGet() > limits.maxCallsInFlight()) {
+            handling.decrementAndGet();
+            reply(call, Envelope.Kind.REFUSED, "too many calls at once", new byte[0]);
+            return;
+        }
+        handlers.handle(call.channel(), call.body()).whenComplete((answer, failure) -> {
+            handling.decrementAndGet();
+            if (failure != null) {
+                reply(call, Envelope.Kind.FAILED, "the handler failed", new byte[0]);
+            } else if (answer instanceof Handlers.Answer.Refused refused) {
+                reply(call, Envelope.Kind.REFUSED, refused.why(), new byte[0]);
+            } else if (answer instanceof Handlers.Answer.Body body) {
+                reply(call, Envelope.Kind.ANSWER, "", body.bytes());
+            }
+        });
+    }
+
+    private void reply(Envelope call, Envelope.Kind kind, String why, byte[] body) {
+        boolean sent = frames.send(Codecs.MESSAGE_PACK.encode(new Envelope(call.call(), kind, why, body)));
+        if (!sent) {
+            // A peer that doesn't read its answers would otherwise wait for one that never comes.
+            close("answer could not be queued");
+        }
+    }
+
+    private void ended(String why) {
+        closed = true;
+        ready.complete(false);
+        for (Long number : unanswered.keySet()) {
+            CompletableFuture<CallResult<byte[]>> waiting = unanswered.remove(number);
+            if (waiting != null) {
+                waiting.complete(new CallResult.Unknown<>("the connection closed: " + why));
+            }
+        }
+        onClose.accept(this);
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/Envelope.java
@@ -0,0 +1,20 @@
+package org.elmline.wire.tcp;
+
+/**
+ * What one frame carries.
+ *
+ * @param call number of the call on its connection; an answer carries its call's number
+ * @param channel name of the channel; empty in answers
+ * @param body the message, in MessagePack
+ */
+record Envelope(long call, Kind kind, String channel, byte[] body) {
+    /** What the receiver does with a frame. */
+    enum Kind {
+        CALL,
+        ANSWER,
+        /** The call was not handled: its channel is unknown, its body malformed or the process is too busy. */
+        REFUSED,
+        /** The handler failed after it began; whether the call had effect is not known. */
+        FAILED
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/Handlers.java
@@ -0,0 +1,64 @@
+package org.elmline.wire.tcp;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+
+import org.elmline.core.peer.Channel;
+import org.elmline.core.peer.HandlerRegistry;
+import org.elmline.core.peer.PeerHandler;
+import org.elmline.wire.codec.Codecs;
+import org.elmline.wire.codec.Decoded;
+
+/** The channels a process serves, and the workers that run their handlers. */
+public final class Handlers implements HandlerRegistry {
+    private final Map<String, Entry<?, ?>> entries = new ConcurrentHashMap<>();
+    private final Executor workers;
+
+    public Handlers(Executor workers) {
+        this.workers = workers;
+    }
+
+    @Override
+    public <Q, R> void register(Channel<Q, R> channel, PeerHandler<Q, R> handler) {
+        if (entries.putIfAbsent(channel.name(), new Entry<>(channel, handler)) != null) {
+            throw new IllegalStateException("channel " + channel.name() + " is registered twice");
+        }
+    }
+
+    CompletableFuture<Answer> handle(String channel, byte[] body) {
+        Entry<?, ?> entry = channel == null ? null : entries.get(channel);
+        if (entry == null) {
+            return CompletableFuture.completedFuture(new Answer.Refused("unknown channel " + channel));
+        }
+        try {
+            return CompletableFuture.supplyAsync(() -> entry.run(body), workers).thenCompose(stage -> stage);
+        } catch (RejectedExecutionException e) {
+            return CompletableFuture.completedFuture(new Answer.Refused("too busy"));
+        }
+    }
+
+    /** What goes back for one call. */
+    sealed interface Answer {
+        /** The handler's answer, encoded. */
+        record Body(byte[] bytes) implements Answer {}
+
+        /** The call was not handled at all. */
+        record Refused(String why) implements Answer {}
+    }
+
+    private record Entry<Q, R>(Channel<Q, R> channel, PeerHandler<Q, R> handler) {
+        CompletionStage<Answer> run(byte[] body) {
+            Decoded<Q> decoded = Codecs.MESSAGE_PACK.decode(body, channel.request());
+            if (decoded instanceof Decoded.Value<Q> request) {
+                return handler.handle(request.value())
+                        .thenApply(answer -> new Answer.Body(Codecs.MESSAGE_PACK.encode(answer)));
+            }
+            String why = ((Decoded.Malformed<Q>) decoded).why();
+            return CompletableFuture.completedFuture(new Answer.Refused("malformed " + channel.name() + ": " + why));
+        }
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
@@ -0,0 +1,265 @@
+package org.elmline.wire.tcp;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.peer.Channel;
+import org.elmline.core.peer.PeerNetwork;
+import org.elmline.wire.codec.Codecs;
+import org.elmline.wire.codec.Decoded;
+
+/**
+ * Calls other elmline processes, over one connection per address that is opened on first use and again after a loss.
+ *
+ * <p>Every call is bounded by its timeout from the moment it is made, the time to connect included, so a peer that is
+ * cut off silently costs its callers no more than that.
+ */
+public final class TcpPeerNetwork implements PeerNetwork, AutoCloseable {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
+    private final PeerKey key;
+    private final PeerLimits limits;
+    private final AsynchronousChannelGroup group;
+    private final ScheduledExecutorService timer;
+    private final Executor workers;
+    private final Handlers noHandlers;
+    private final Map<Address, Link> links = new ConcurrentHashMap<>();
+    private volatile boolean closed;
+
+    public TcpPeerNetwork(
+            PeerKey key,
+            PeerLimits limits,
+            AsynchronousChannelGroup group,
+            ScheduledExecutorService timer,
+            Executor workers) {
+        this.key = key;
+        this.limits = limits;
+        this.group = group;
+        this.timer = timer;
+        this.workers = workers;
+        this.noHandlers = new Handlers(workers);
+    }
+
+    @Override
+    public <Q, R> CompletableFuture<CallResult<R>> call(
+            Address to, Channel<Q, R> channel, Q request, Duration timeout) {
+        CompletableFuture<CallResult<R>> result = new CompletableFuture<>();
+        if (closed) {
+            result.complete(new CallResult.NotSent<>("stopping"));
+            return result;
+        }
+        byte[] body = Codecs.MESSAGE_PACK.encode(request);
+        Sending<R> sending = new Sending<>(channel.response(), result);
+        if (!sending.expireAfter(timeout)) {
+            return result;
+        }
+        links.computeIfAbsent(to, Link::new)
+                .connection()
+                .whenComplete((connection, failure) -> sending.send(connection, channel.name(), body));
+        return result;
+    }
+
+    /** Closes the connection to an address that has left, so that its place is freed. */
+    public void forget(Address address) {
+        Link link = links.remove(address);
+        if (link != null) {
+            link.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        links.values().forEach(Link::close);
+        links.clear();
+    }
+
+    /** One call from its start to its single completion. */
+    private final class Sending<R> {
+        private final Class<R> type;
+        private final CompletableFuture<CallResult<R>> result;
+        private ScheduledFuture<?> expiry;
+        private boolean sent;
+        private boolean over;
+        private Runnable forget = () -> {};
+
+        Sending(Class<R> type, CompletableFuture<CallResult<R>> result) {
+            this.type = type;
+            this.result = result;
+        }
+
+        /** False when this process is stopping; the call has its result then. */
+        boolean expireAfter(Duration timeout) {
+            try {
+                ScheduledFuture<?> scheduled = timer.schedule(this::expire, timeout.toMillis(), TimeUnit.MILLISECONDS);
+                synchronized (this) {
+                    expiry = scheduled;
+                }
+                return true;
+            } catch (RejectedExecutionException e) {
+                complete(new CallResult.NotSent<>("stopping"));
+                return false;
+            }
+        }
+
+        void send(Connection connection, String channel, byte[] body) {
+            synchronized (this) {
+                if (over) {
+                    return;
+                }
+                sent = connection != null;
+            }
+            if (connection == null) {
+                complete(new CallResult.NotSent<>("no connection"));
+                return;
+            }
+            Connection.PendingCall pending = connection.call(channel, body);
+            boolean late;
+            synchronized (this) {
+                forget = pending.forget();
+                late = over;
+            }
+            if (late) {
+                pending.forget().run();
+                return;
+            }
+            pending.result().whenCompleteAsync((answer, failure) -> complete(decode(answer)), workers);
+        }
+
+        void expire() {
+            boolean wasSent;
+            synchronized (this) {
+                wasSent = sent;
+            }
+            complete(
+                    wasSent ? new CallResult.Unknown<>("timed out") : new CallResult.NotSent<>("timed out connecting"));
+        }
+
+        private void complete(CallResult<R> outcome) {
+            Runnable cleanUp;
+            ScheduledFuture<?> scheduled;
+            synchronized (this) {
+                if (over) {
+                    return;
+                }
+                over = true;
+                cleanUp = forget;
+                scheduled = expiry;
+            }
+            if (scheduled != null) {
+                scheduled.cancel(false);
+            }
+            cleanUp.run();
+            result.complete(outcome);
+        }
+
+        private CallResult<R> decode(CallResult<byte[]> answer) {
+            if (answer instanceof CallResult.NotSent<byte[]> not) {
+                return new CallResult.NotSent<>(not.why());
+            }
+            if (answer instanceof CallResult.Unknown<byte[]> unknown) {
+                return new CallResult.Unknown<>(unknown.why());
+            }
+            byte[] body = ((CallResult.Answered<byte[]>) answer).value();
+            Decoded<R> decoded = Codecs.MESSAGE_PACK.decode(body, type);
+            return decoded instanceof Decoded.Value<R> value
+                    ? new CallResult.Answered<>(value.value())
+                    : new CallResult.Unknown<>("malformed answer: " + ((Decoded.Malformed<R>) decoded).why());
+        }
+    }
+
+    /** The connection to one address, opened when it is needed and there is none. */
+    private final class Link {
+        private final Address address;
+        private CompletableFuture<Connection> current;
+
+        Link(Address address) {
+            this.address = address;
+        }
+
+        synchronized CompletableFuture<Connection> connection() {
+            if (current != null && !stale(current)) {
+                return current;
+            }
+            current = open();
+            return current;
+        }
+
+        synchronized void close() {
+            if (current != null) {
+                current.thenAccept(each -> {
+                    if (each != null) {
+                        each.close("stopping");
+                    }
+                });
+            }
+        }
+
+        private boolean stale(CompletableFuture<Connection> future) {
+            if (!future.isDone()) {
+                return false;
+            }
+            Connection connection = future.getNow(null);
+            return connection == null || connection.closed();
+        }
+
+        /** Completes with null when the other side can't be reached. */
+        private CompletableFuture<Connection> open() {
+            CompletableFuture<Connection> opened = new CompletableFuture<>();
+            AsynchronousSocketChannel socket;
+            try {
+                socket = AsynchronousSocketChannel.open(group);
+            } catch (IOException e) {
+                opened.complete(null);
+                return opened;
+            }
+            SocketOptions.apply(socket);
+            timer.schedule(() -> giveUp(socket, opened), CONNECT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            connect(socket, opened);
+            return opened;
+        }
+
+        private void connect(AsynchronousSocketChannel socket, CompletableFuture<Connection> opened) {
+            InetSocketAddress target = new InetSocketAddress(address.ip(), address.port());
+            socket.connect(target, null, new CompletionHandler<Void, Void>() {
+                @Override
+                public void completed(Void done, Void nothing) {
+                    Connection connection =
+                            new Connection(socket, key, Handshake.Role.CLIENT, noHandlers, limits, each -> {});
+                    connection.ready().thenAccept(proven -> opened.complete(proven ? connection : null));
+                    connection.start();
+                }
+
+                @Override
+                public void failed(Throwable e, Void nothing) {
+                    giveUp(socket, opened);
+                }
+            });
+        }
+
+        private void giveUp(AsynchronousSocketChannel socket, CompletableFuture<Connection> opened) {
+            if (!opened.complete(null)) {
+                return;
+            }
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // Given up either way.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerServer.java
@@ -0,0 +1,143 @@
+package org.elmline.wire.tcp;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.elmline.core.common.Address;
+
+/** Accepts connections of other elmline processes and answers their calls. */
+public final class TcpPeerServer implements AutoCloseable {
+    private final AsynchronousServerSocketChannel server;
+    private final Handlers handlers;
+    private final PeerKey key;
+    private final PeerLimits limits;
+    private final ScheduledExecutorService timer;
+    private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
+
+    private TcpPeerServer(
+            AsynchronousServerSocketChannel server,
+            Handlers handlers,
+            PeerKey key,
+            PeerLimits limits,
+            ScheduledExecutorService timer) {
+        this.server = server;
+        this.handlers = handlers;
+        this.key = key;
+        this.limits = limits;
+        this.timer = timer;
+    }
+
+    /** Binds and begins to accept; port 0 takes a free port, see {@link #port()}. */
+    public static TcpPeerServer start(
+            InetSocketAddress bind,
+            Handlers handlers,
+            PeerKey key,
+            PeerLimits limits,
+            AsynchronousChannelGroup group,
+            ScheduledExecutorService timer)
+            throws IOException {
+        AsynchronousServerSocketChannel socket = AsynchronousServerSocketChannel.open(group);
+        try {
+            socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            socket.bind(bind);
+        } catch (IOException e) {
+            socket.close();
+            throw new IOException("can't listen on " + bind + ": " + e.getMessage(), e);
+        }
+        TcpPeerServer server = new TcpPeerServer(socket, handlers, key, limits, timer);
+        server.accept();
+        return server;
+    }
+
+    public int port() {
+        try {
+            return ((InetSocketAddress) server.getLocalAddress()).getPort();
+        } catch (IOException e) {
+            throw new IllegalStateException("the listening socket is closed", e);
+        }
+    }
+
+    /** This server's address under the given IP. */
+    public Address address(String ip) {
+        return new Address(ip, port());
+    }
+
+    int connections() {
+        return connections.size();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        try {
+            server.close();
+        } catch (IOException e) {
+            // Nothing more can arrive either way.
+        }
+        connections.forEach(each -> each.close("stopping"));
+    }
+
+    private void accept() {
+        if (closed) {
+            return;
+        }
+        server.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+            @Override
+            public void completed(AsynchronousSocketChannel socket, Void nothing) {
+                serve(socket);
+                accept();
+            }
+
+            @Override
+            public void failed(Throwable e, Void nothing) {
+                if (!closed) {
+                    // Out of file descriptors, most likely: try again a little later.
+                    timer.schedule(TcpPeerServer.this::accept, PAUSE.toMillis(), TimeUnit.MILLISECONDS);
+                }
+            }
+        });
+    }
+
+    private static final Duration PAUSE = Duration.ofMillis(100);
+    private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(5);
+
+    private void serve(AsynchronousSocketChannel socket) {
+        if (connections.size() >= limits.maxConnections() || closed) {
+            closeQuietly(socket);
+            return;
+        }
+        SocketOptions.apply(socket);
+        Connection connection =
+                new Connection(socket, key, Handshake.Role.SERVER, handlers, limits, connections::remove);
+        connections.add(connection);
+        connection.start();
+        // A peer that connects and says nothing would otherwise hold its place for ever.
+        timer.schedule(
+                () -> {
+                    if (!connection.ready().isDone()) {
+                        connection.close("handshake timed out");
+                    }
+                },
+                HANDSHAKE_TIMEOUT.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private static void closeQuietly(AsynchronousSocketChannel socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // Refused either way.
+        }
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/HandshakeTest.java
@@ -0,0 +1,49 @@
+package org.elmline.wire.tcp;
+
+import org.elmline.wire.codec.Codecs;
+import org.elmline.wire.codec.Decoded;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+class HandshakeTest {
+    private static final PeerKey KEY = new PeerKey("a peer key of tests");
+
+    @Test
+    void bothSidesProveTheKey() {
+        Handshake client = new Handshake(KEY, Handshake.Role.CLIENT);
+        Handshake server = new Handshake(KEY, Handshake.Role.SERVER);
+        assertInstanceOf(Decoded.Value.class, Codecs.MESSAGE_PACK.decode(client.hello(), Hello.class));
+        Handshake.Step fromServer = server.receive(client.hello());
+        Handshake.Step fromClient = client.receive(server.hello());
+        assertEquals(
+                new Handshake.Step.Done(),
+                server.receive(
+                        assertInstanceOf(Handshake.Step.Send.class, fromClient).frame()));
+        assertEquals(
+                new Handshake.Step.Done(),
+                client.receive(
+                        assertInstanceOf(Handshake.Step.Send.class, fromServer).frame()));
+    }
+
+    /** A host without the key sends back the very proof it was given. It must not pass for a holder of the key. */
+    @Test
+    void aReflectedProofIsRefused() {
+        Handshake server = new Handshake(KEY, Handshake.Role.SERVER);
+        Handshake.Step proof = server.receive(server.hello());
+        Handshake.Step answer = server.receive(
+                assertInstanceOf(Handshake.Step.Send.class, proof).frame());
+        assertEquals(new Handshake.Step.Fail("wrong peer key"), answer);
+    }
+
+    @Test
+    void anotherVersionIsRefusedByName() {
+        Handshake server = new Handshake(KEY, Handshake.Role.SERVER);
+        Hello later = new Hello(Hello.MAGIC, 7, 9, new byte[Hello.NONCE_BYTES]);
+        Handshake.Step step = server.receive(Codecs.MESSAGE_PACK.encode(later));
+        assertEquals(
+                new Handshake.Step.Fail("no protocol version in common: this side speaks 1 to 1, the other 7 to 9"),
+                step);
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -0,0 +1,227 @@
+package org.elmline.wire.tcp;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.Closer;
+import org.elmline.core.peer.Channel;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class TcpPeerNetworkTest {
+    private static final Duration LONG = Duration.ofSeconds(20);
+    private static final Duration SHORT = Duration.ofMillis(300);
+    private static final String SECRET = "a peer key of tests";
+
+    record Ask(String text) {}
+
+    record Reply(String text) {}
+
+    private static final Channel<Ask, Reply> ECHO = new Channel<>("test.echo", Ask.class, Reply.class);
+    private static final Channel<Ask, Reply> SILENT = new Channel<>("test.silent", Ask.class, Reply.class);
+    private static final Channel<Ask, Reply> THROWS = new Channel<>("test.throws", Ask.class, Reply.class);
+    private static final Channel<Ask, Reply> ABSENT = new Channel<>("test.absent", Ask.class, Reply.class);
+
+    private final Closer closer = new Closer();
+    private AsynchronousChannelGroup group;
+    private ScheduledExecutorService timer;
+    private ExecutorService workers;
+    private TcpPeerServer server;
+    private Address address;
+
+    @BeforeEach
+    void start() throws IOException {
+        workers = Executors.newFixedThreadPool(4);
+        timer = Executors.newScheduledThreadPool(1);
+        group = AsynchronousChannelGroup.withFixedThreadPool(2, Thread::new);
+        closer.register(group::shutdownNow);
+        closer.register(timer::shutdownNow);
+        closer.register(workers::shutdownNow);
+        Handlers handlers = new Handlers(workers);
+        handlers.register(ECHO, ask -> CompletableFuture.completedFuture(new Reply(ask.text())));
+        handlers.register(SILENT, ask -> new CompletableFuture<>());
+        handlers.register(THROWS, ask -> {
+            throw new IllegalStateException("broken on purpose");
+        });
+        server = closer.register(
+                TcpPeerServer.start(loopback(), handlers, new PeerKey(SECRET), PeerLimits.DEFAULT, group, timer));
+        address = server.address("127.0.0.1");
+    }
+
+    @AfterEach
+    void stop() {
+        closer.close();
+    }
+
+    @Test
+    void answersManyCallsAtOnce() throws Exception {
+        TcpPeerNetwork network = network(SECRET, PeerLimits.DEFAULT);
+        List<CompletableFuture<CallResult<Reply>>> results = new ArrayList<>();
+        for (int i = 0; i < 500; i++) {
+            results.add(network.call(address, ECHO, new Ask("n" + i), LONG));
+        }
+        for (int i = 0; i < 500; i++) {
+            assertEquals(new CallResult.Answered<>(new Reply("n" + i)), await(results.get(i)));
+        }
+    }
+
+    @Test
+    void saysNotSentWhenNothingListens() throws Exception {
+        Address nobody;
+        try (ServerSocket free = new ServerSocket(0)) {
+            nobody = new Address("127.0.0.1", free.getLocalPort());
+        }
+        assertInstanceOf(
+                CallResult.NotSent.class,
+                await(network(SECRET, PeerLimits.DEFAULT).call(nobody, ECHO, new Ask("x"), LONG)));
+    }
+
+    @Test
+    void saysNotSentUnderAWrongKey() throws Exception {
+        TcpPeerNetwork network = network("another key of tests", PeerLimits.DEFAULT);
+        assertInstanceOf(CallResult.NotSent.class, await(network.call(address, ECHO, new Ask("x"), LONG)));
+    }
+
+    @Test
+    void saysNotSentForAnUnknownChannel() throws Exception {
+        CallResult<Reply> result = await(network(SECRET, PeerLimits.DEFAULT).call(address, ABSENT, new Ask("x"), LONG));
+        assertEquals(new CallResult.NotSent<>("unknown channel test.absent"), result);
+    }
+
+    @Test
+    void saysUnknownWhenTheHandlerFails() throws Exception {
+        assertInstanceOf(
+                CallResult.Unknown.class,
+                await(network(SECRET, PeerLimits.DEFAULT).call(address, THROWS, new Ask("x"), LONG)));
+    }
+
+    @Test
+    void saysUnknownWhenNoAnswerComesInTime() throws Exception {
+        assertInstanceOf(
+                CallResult.Unknown.class,
+                await(network(SECRET, PeerLimits.DEFAULT).call(address, SILENT, new Ask("x"), SHORT)));
+    }
+
+    /**
+     * A caller waits on a call whose process stops before it answers. The connection closes, and the caller must learn
+     * at once that the call may have run, not wait its timeout out nor be told that it did not run.
+     */
+    @Test
+    void saysUnknownWhenTheConnectionCloses() throws Exception {
+        CompletableFuture<CallResult<Reply>> pending =
+                network(SECRET, PeerLimits.DEFAULT).call(address, SILENT, new Ask("x"), LONG);
+        await(network(SECRET, PeerLimits.DEFAULT).call(address, ECHO, new Ask("x"), LONG));
+        server.close();
+        assertInstanceOf(CallResult.Unknown.class, await(pending));
+    }
+
+    @Test
+    void refusesAFrameOverTheLimitUnsent() throws Exception {
+        PeerLimits small = new PeerLimits(1024, 4096, 10, 10);
+        CallResult<Reply> result = await(network(SECRET, small).call(address, ECHO, new Ask("x".repeat(2000)), LONG));
+        assertInstanceOf(CallResult.NotSent.class, result);
+    }
+
+    @Test
+    void boundsUnansweredCalls() throws Exception {
+        TcpPeerNetwork network = network(SECRET, new PeerLimits(1024, 4096, 2, 10));
+        await(network.call(address, ECHO, new Ask("connect first"), LONG));
+        network.call(address, SILENT, new Ask("1"), LONG);
+        network.call(address, SILENT, new Ask("2"), LONG);
+        assertEquals(
+                new CallResult.NotSent<>("too many unanswered calls"),
+                await(network.call(address, ECHO, new Ask("3"), LONG)));
+    }
+
+    @Test
+    void connectsAgainAfterALoss() throws Exception {
+        TcpPeerNetwork network = network(SECRET, PeerLimits.DEFAULT);
+        await(network.call(address, ECHO, new Ask("x"), LONG));
+        network.forget(address);
+        assertInstanceOf(CallResult.Answered.class, await(network.call(address, ECHO, new Ask("y"), LONG)));
+    }
+
+    /**
+     * Something that is no elmline process connects and sends bytes that read as a frame of two gigabytes, or garbage.
+     * The server must close that connection without taking the memory, and go on serving others.
+     */
+    @Test
+    void closesOnBytesThatAreNoFrames() throws Exception {
+        byte[][] inputs = {
+            ByteBuffer.allocate(4).putInt(Integer.MAX_VALUE).array(),
+            ByteBuffer.allocate(4).putInt(-1).array(),
+            ByteBuffer.allocate(4).putInt(0).array(),
+            {0, 0, 0, 3, 1, 2, 3},
+            "GET / HTTP/1.1\r\n\r\n".getBytes()
+        };
+        int closed = 0;
+        for (byte[] input : inputs) {
+            try (Socket socket = new Socket("127.0.0.1", address.port())) {
+                socket.setSoTimeout((int) LONG.toMillis());
+                socket.getOutputStream().write(input);
+                socket.getOutputStream().flush();
+                readToEnd(socket);
+                closed++;
+            }
+        }
+        assertEquals(5, closed);
+        assertInstanceOf(
+                CallResult.Answered.class,
+                await(network(SECRET, PeerLimits.DEFAULT).call(address, ECHO, new Ask("x"), LONG)));
+    }
+
+    @Test
+    void findsTheHighestCommonVersion() {
+        byte[] nonce = new byte[Hello.NONCE_BYTES];
+        Hello oldRelease = new Hello(Hello.MAGIC, 1, 2, nonce);
+        Hello newRelease = new Hello(Hello.MAGIC, 2, 3, nonce);
+        Hello nextRelease = new Hello(Hello.MAGIC, 3, 4, nonce);
+        assertEquals(2, Hello.common(oldRelease, newRelease));
+        assertEquals(3, Hello.common(newRelease, nextRelease));
+        assertEquals(0, Hello.common(oldRelease, nextRelease));
+        assertTrue(Hello.MIN_VERSION <= Hello.MAX_VERSION);
+    }
+
+    /** Returns when the other side has closed; a read that times out fails the test. */
+    private static void readToEnd(Socket socket) throws IOException {
+        try {
+            while (socket.getInputStream().read() >= 0) {
+                // The server's own hello comes first.
+            }
+        } catch (SocketException e) {
+            // A reset is the kernel's way to close with bytes unread.
+        }
+    }
+
+    private TcpPeerNetwork network(String secret, PeerLimits limits) {
+        return closer.register(new TcpPeerNetwork(new PeerKey(secret), limits, group, timer, workers));
+    }
+
+    private static InetSocketAddress loopback() {
+        return new InetSocketAddress("127.0.0.1", 0);
+    }
+
+    private static <T> T await(CompletableFuture<T> future) throws Exception {
+        return future.get(LONG.toSeconds(), TimeUnit.SECONDS);
+    }
+}
