Name the calls between gateway and owner

Cause: the gateway and the daemon need the messages' names before the owner is whole. Change: records and channels for placing, releasing, summaries, announcements and re-registration; ownership by rendezvous hashing over the live entries.

--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/route/ModelSummary.java
@@ -0,0 +1,35 @@
+package org.elmline.core.route;
+
+import java.util.List;
+
+import org.elmline.core.common.LengthClass;
+import org.elmline.core.common.ModelName;
+
+/**
+ * What an owner says of its engines of one model.
+ *
+ * @param readyReplicas engines that take new work
+ * @param waitMillis milliseconds until the best engine would begin to read a prompt, one for each {@link LengthClass} in
+ *     its order
+ * @param prefillTokensPerSecond measured speed of a typical engine
+ * @param freeKvTokens largest free memory on any one engine, in tokens
+ * @param groupKvTokens free memory of all its engines together, in tokens
+ * @param prefixes first-block hashes believed cached on some engine, shortened to 32 bits
+ */
+public record ModelSummary(
+        ModelName model,
+        int readyReplicas,
+        List<Integer> waitMillis,
+        int prefillTokensPerSecond,
+        long freeKvTokens,
+        long groupKvTokens,
+        List<Integer> prefixes) {
+    public ModelSummary {
+        waitMillis = List.copyOf(waitMillis);
+        prefixes = List.copyOf(prefixes);
+    }
+
+    public int waitMillis(LengthClass lengthClass) {
+        return waitMillis.get(lengthClass.ordinal());
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/route/Ownership.java
@@ -0,0 +1,133 @@
+package org.elmline.core.route;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.Region;
+import org.elmline.core.control.HostRecord;
+
+/**
+ * Which entry owns a backend server: rendezvous hashing ("highest random weight", Thaler and Ravishankar, 1998) over the
+ * live entries that are not leaving; those of the server's failure domain come first, then its region's, then all
+ * others. The order depends on the members alone, so each host computes the same one. A candidate that already owns its
+ * bound of servers passes a new one to the next candidate, see {@link #bound}.
+ */
+public final class Ownership {
+    /** No owner holds more than this multiple of the mean; 1.25 moves about one server in twenty off its first choice. */
+    private static final double LOAD_FACTOR = 1.25;
+
+    private static final long MULTIPLIER_1 = 0xbf58476d1ce4e5b9L;
+    private static final long MULTIPLIER_2 = 0x94d049bb133111ebL;
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private final List<Candidate> candidates;
+
+    public Ownership(Collection<HostRecord> members) {
+        List<Candidate> found = new ArrayList<>();
+        for (HostRecord each : members) {
+            if (!each.leaving()) {
+                found.add(new Candidate(each, hash(each.id().value())));
+            }
+        }
+        candidates = List.copyOf(found);
+    }
+
+    /** The first choice of a server that announced itself; empty when no entry is live. */
+    public Optional<HostRecord> owner(Announcement server) {
+        return owner(server.id(), server.failureDomain(), server.region());
+    }
+
+    public Optional<HostRecord> owner(BackendServerId server, FailureDomain domain, Region region) {
+        long key = hash(server.value());
+        Candidate best = null;
+        int bestDistance = 0;
+        long bestWeight = 0;
+        for (Candidate each : candidates) {
+            int distance = each.distance(domain, region);
+            long weight = each.weight(key);
+            if (best == null || comesFirst(distance, weight, each, bestDistance, bestWeight, best)) {
+                best = each;
+                bestDistance = distance;
+                bestWeight = weight;
+            }
+        }
+        return Optional.ofNullable(best).map(Candidate::host);
+    }
+
+    /** All live entries in the order in which they should own the server. */
+    public List<HostRecord> candidates(Announcement server) {
+        return candidates(server.id(), server.failureDomain(), server.region());
+    }
+
+    public List<HostRecord> candidates(BackendServerId server, FailureDomain domain, Region region) {
+        long key = hash(server.value());
+        Comparator<Ranked> order = Comparator.comparingInt(Ranked::distance)
+                .thenComparing(Comparator.comparingLong(Ranked::weight).reversed())
+                .thenComparing(ranked -> ranked.host().id());
+        List<Ranked> ranked = new ArrayList<>(candidates.size());
+        for (Candidate each : candidates) {
+            ranked.add(new Ranked(each.host(), each.distance(domain, region), each.weight(key)));
+        }
+        ranked.sort(order);
+        return ranked.stream().map(Ranked::host).toList();
+    }
+
+    /** Most servers that one of {@code owners} entries may own out of {@code servers}. */
+    public static int bound(int servers, int owners) {
+        return owners == 0 ? 0 : (int) Math.ceil(LOAD_FACTOR * servers / owners);
+    }
+
+    /** The 32 bits that stand for a backend server in an {@link OwnerSummary}. */
+    public static int shortHash(BackendServerId server) {
+        return (int) (hash(server.value()) >>> Integer.SIZE);
+    }
+
+    private static boolean comesFirst(
+            int distance, long weight, Candidate candidate, int bestDistance, long bestWeight, Candidate best) {
+        if (distance != bestDistance) {
+            return distance < bestDistance;
+        }
+        if (weight != bestWeight) {
+            return weight > bestWeight;
+        }
+        return candidate.host().id().compareTo(best.host().id()) < 0;
+    }
+
+    private static long hash(String text) {
+        long hash = FNV_OFFSET;
+        for (byte each : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (each & 0xff)) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
+    /** The finaliser of SplitMix64 (Steele, Lea, Flood, 2014). */
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 30)) * MULTIPLIER_1;
+        mixed = (mixed ^ (mixed >>> 27)) * MULTIPLIER_2;
+        return mixed ^ (mixed >>> 31);
+    }
+
+    private record Candidate(HostRecord host, long hash) {
+        long weight(long key) {
+            return mix(hash ^ key);
+        }
+
+        int distance(FailureDomain domain, Region region) {
+            if (host.failureDomain().equals(domain)) {
+                return 0;
+            }
+            return host.region().equals(region) ? 1 : 2;
+        }
+    }
+
+    private record Ranked(HostRecord host, int distance, long weight) {}
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/route/ReleaseCause.java
@@ -0,0 +1,30 @@
+package org.elmline.core.route;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/** Why an entry gives a grant back. Sent only once the engine holds nothing for the attempt any more. */
+public enum ReleaseCause {
+    /** The engine sent the whole answer. */
+    @JsonProperty("finished")
+    FINISHED(false),
+    /** The engine acknowledged the cancel. */
+    @JsonProperty("cancelled")
+    CANCELLED(false),
+    /** The engine was never asked, or refused before it ran. */
+    @JsonProperty("not-started")
+    NOT_STARTED(false),
+    /** The engine broke off or could not be reached. */
+    @JsonProperty("engine-failed")
+    ENGINE_FAILED(true);
+
+    private final boolean engineFault;
+
+    ReleaseCause(boolean engineFault) {
+        this.engineFault = engineFault;
+    }
+
+    /** Whether it speaks against the engine. */
+    public boolean engineFault() {
+        return engineFault;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/route/RouteChannels.java
@@ -0,0 +1,30 @@
+package org.elmline.core.route;
+
+import org.elmline.core.backend.AnnounceAnswer;
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.peer.Channel;
+
+/** The calls between a gateway entry and an owner entry. */
+public final class RouteChannels {
+    /** Gateway to owner; answered when the owner has decided, at the latest at the request's deadline. */
+    public static final Channel<PlaceRequest, PlaceAnswer> PLACE =
+            new Channel<>("route.place", PlaceRequest.class, PlaceAnswer.class);
+
+    /** Gateway to owner: first tokens and releases. */
+    public static final Channel<GrantReport, GrantReportAnswer> RELEASE =
+            new Channel<>("route.release", GrantReport.class, GrantReportAnswer.class);
+
+    /** Owner to every entry. */
+    public static final Channel<OwnerSummary, SummaryAnswer> SUMMARY =
+            new Channel<>("route.summary", OwnerSummary.class, SummaryAnswer.class);
+
+    /** The entry that a backend server announced itself to, to the owner. */
+    public static final Channel<Announcement, AnnounceAnswer> ANNOUNCE =
+            new Channel<>("route.announce", Announcement.class, AnnounceAnswer.class);
+
+    /** Gateway to a new owner. */
+    public static final Channel<RegisterGrants, RegisterAnswer> REGISTER =
+            new Channel<>("route.register", RegisterGrants.class, RegisterAnswer.class);
+
+    private RouteChannels() {}
+}
