--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/Main.java
@@ -0,0 +1,60 @@
+package org.elmline.cli;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.ServiceLoader;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** Starts the program: finds the commands, runs the one named and exits with its code. */
+public final class Main {
+    private Main() {}
+
+    public static void main(String[] args) {
+        int code = commandLine().execute(args);
+        System.exit(code);
+    }
+
+    /** The whole command line with every command that registered itself, in the order of their names. */
+    public static CommandLine commandLine() {
+        CommandLine root = new CommandLine(new ElmlineCommand());
+        List<Object> commands = new ArrayList<>();
+        for (CommandPlugin plugin : ServiceLoader.load(CommandPlugin.class)) {
+            commands.addAll(plugin.commands());
+        }
+        commands.sort(Comparator.comparing(Main::name));
+        for (Object command : commands) {
+            root.addSubcommand(command);
+        }
+        document(root);
+        root.setExecutionExceptionHandler(Main::explain);
+        return root;
+    }
+
+    private static String name(Object command) {
+        return command.getClass().getAnnotation(Command.class).name();
+    }
+
+    /** Gives every command the version and the list of exit codes. */
+    private static void document(CommandLine command) {
+        Map<String, String> meanings = new LinkedHashMap<>();
+        for (ExitCode code : ExitCode.values()) {
+            meanings.put(" " + code.code(), code.meaning());
+        }
+        command.getCommandSpec().version(ProgramVersion.text());
+        command.getCommandSpec().usageMessage().exitCodeListHeading("%nExit codes:%n");
+        command.getCommandSpec().usageMessage().exitCodeList(meanings);
+        for (CommandLine subcommand : command.getSubcommands().values()) {
+            document(subcommand);
+        }
+    }
+
+    private static int explain(Exception failure, CommandLine command, CommandLine.ParseResult parsed) {
+        command.getErr().println("elmline: " + failure);
+        return ExitCode.FAILED.code();
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/operator/ErrorText.java
@@ -0,0 +1,16 @@
+package org.elmline.cli.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** The message in an error body, for people. */
+final class ErrorText {
+    private ErrorText() {}
+
+    static String of(JsonNode body) {
+        JsonNode error = body.path("error");
+        if (error.path("message").isTextual()) {
+            return error.path("type").asText() + ": " + error.path("message").asText();
+        }
+        return body.toString();
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/operator/OperatorAnswer.java
@@ -0,0 +1,35 @@
+package org.elmline.cli.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.elmline.cli.ExitCode;
+
+/** What asking an operator port gave. */
+sealed interface OperatorAnswer {
+    ExitCode exitCode();
+
+    /** The host did what was asked. */
+    record Done(JsonNode body) implements OperatorAnswer {
+        @Override
+        public ExitCode exitCode() {
+            return ExitCode.OK;
+        }
+    }
+
+    /** The host answered with an error. */
+    record Refused(int status, JsonNode body) implements OperatorAnswer {
+        private static final int NOT_FOUND = 404;
+
+        @Override
+        public ExitCode exitCode() {
+            return status == NOT_FOUND ? ExitCode.NOT_FOUND : ExitCode.REFUSED;
+        }
+    }
+
+    /** No host answered, or none can decide now. */
+    record Unreachable(String message) implements OperatorAnswer {
+        @Override
+        public ExitCode exitCode() {
+            return ExitCode.UNREACHABLE;
+        }
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/operator/OperatorPlugin.java
@@ -0,0 +1,13 @@
+package org.elmline.cli.operator;
+
+import java.util.List;
+
+import org.elmline.cli.CommandPlugin;
+
+/** Registers {@code ticket}, {@code status} and {@code timeline}. */
+public final class OperatorPlugin implements CommandPlugin {
+    @Override
+    public List<Object> commands() {
+        return List.of(new TicketCommand(), new StatusCommand());
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Commands on settings files. */
+package org.elmline.cli.settings;
