--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/ClaimKey.java
@@ -0,0 +1,19 @@
+package org.elmline.core.control;
+
+import java.util.Comparator;
+
+import org.elmline.core.common.OrganisationId;
+
+/**
+ * Identity of a claim. Each organisation has a key space of its own, so that none can find, or block, another's call
+ * by using its key. Ordered by issue time, the order in which claims expire.
+ */
+public record ClaimKey(OrganisationId organisation, IdempotencyKey key) implements Comparable<ClaimKey> {
+    private static final Comparator<ClaimKey> ORDER =
+            Comparator.comparing(ClaimKey::key).thenComparing(ClaimKey::organisation);
+
+    @Override
+    public int compareTo(ClaimKey other) {
+        return ORDER.compare(this, other);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/ClaimRegister.java
@@ -0,0 +1,182 @@
+package org.elmline.core.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.elmline.core.common.OrganisationId;
+import org.elmline.core.common.RefusalReason;
+
+/**
+ * The claims on calls that may run at most once.
+ *
+ * <p>A claim is dropped only when its key is too old, by a floor that never falls, to be accepted again. Time is the
+ * greatest wall clock that any command brought, so that a leader whose clock is behind its predecessor's can't bring an
+ * expired key back; were the floor computed from the retention alone, a longer retention set later could.
+ */
+final class ClaimRegister {
+    private final TreeMap<ClaimKey, Claim> claims = new TreeMap<>();
+    private final Map<OrganisationId, Integer> counts = new HashMap<>();
+    private long timeMillis;
+    private long floorMillis;
+
+    ClaimRegister() {}
+
+    ClaimRegister(ControlSnapshot from) {
+        timeMillis = from.timeMillis();
+        floorMillis = from.claimFloorMillis();
+        from.claims().forEach(this::add);
+    }
+
+    long timeMillis() {
+        return timeMillis;
+    }
+
+    long floorMillis() {
+        return floorMillis;
+    }
+
+    Collection<Claim> claims() {
+        return claims.values();
+    }
+
+    Optional<Claim> claim(ClaimKey key) {
+        return Optional.ofNullable(claims.get(key));
+    }
+
+    List<ClaimOutcome> begin(Command.BeginClaims command, ControlLimits limits) {
+        advance(command.wallMillis(), limits);
+        List<ClaimOutcome> outcomes = new ArrayList<>(command.claims().size());
+        for (ClaimBegin each : command.claims()) {
+            outcomes.add(begin(each, limits));
+        }
+        return outcomes;
+    }
+
+    List<ClaimOutcome> finish(Command.FinishClaims command, ControlLimits limits) {
+        advance(command.wallMillis(), limits);
+        List<ClaimOutcome> outcomes = new ArrayList<>(command.claims().size());
+        for (ClaimFinish each : command.claims()) {
+            outcomes.add(finish(each, limits));
+        }
+        return outcomes;
+    }
+
+    int expire(long wallMillis, ControlLimits limits) {
+        advance(wallMillis, limits);
+        int dropped = 0;
+        while (!claims.isEmpty() && expired(claims.firstKey().key())) {
+            Claim oldest = claims.pollFirstEntry().getValue();
+            counts.merge(oldest.key().organisation(), -1, ClaimRegister::sumOrNone);
+            dropped++;
+        }
+        return dropped;
+    }
+
+    private void advance(long wallMillis, ControlLimits limits) {
+        timeMillis = Math.max(timeMillis, wallMillis);
+        floorMillis = Math.max(floorMillis, timeMillis - limits.claimRetentionMillis());
+    }
+
+    private boolean expired(IdempotencyKey key) {
+        return key.issuedMillis() < floorMillis;
+    }
+
+    private ClaimOutcome begin(ClaimBegin begin, ControlLimits limits) {
+        ClaimKey key = begin.key();
+        if (!key.key().belongsTo(key.organisation())) {
+            return new ClaimOutcome.Refused(
+                    RefusalReason.BAD_REQUEST, "the idempotency key was mistyped or made for another organisation");
+        }
+        if (expired(key.key())) {
+            return new ClaimOutcome.Refused(
+                    RefusalReason.KEY_EXPIRED,
+                    "the idempotency key was issued too long ago; whether its call ran is no longer known");
+        }
+        Claim held = claims.get(key);
+        if (held != null) {
+            return beginAgain(held, begin);
+        }
+        Optional<ClaimOutcome> refusal = newClaimRefusal(key, limits);
+        if (refusal.isPresent()) {
+            return refusal.get();
+        }
+        add(new Claim(key, begin.requestDigest(), begin.owner(), ClaimState.BEGUN, null));
+        return new ClaimOutcome.Granted();
+    }
+
+    private Optional<ClaimOutcome> newClaimRefusal(ClaimKey key, ControlLimits limits) {
+        if (key.key().issuedMillis() > timeMillis + limits.claimRetentionMillis()) {
+            return Optional.of(new ClaimOutcome.Refused(
+                    RefusalReason.BAD_REQUEST, "the idempotency key's issue time lies too far in the future"));
+        }
+        if (counts.getOrDefault(key.organisation(), 0) >= limits.claimsPerOrganisation()) {
+            return Optional.of(new ClaimOutcome.Refused(
+                    RefusalReason.OVER_LIMIT, "the organisation has too many idempotency keys in use"));
+        }
+        if (claims.size() >= limits.claims()) {
+            return Optional.of(
+                    new ClaimOutcome.Refused(RefusalReason.OVERLOADED, "too many idempotency keys are in use"));
+        }
+        return Optional.empty();
+    }
+
+    private ClaimOutcome beginAgain(Claim held, ClaimBegin begin) {
+        if (!held.requestDigest().equals(begin.requestDigest())) {
+            return new ClaimOutcome.Refused(
+                    RefusalReason.IDEMPOTENCY_CONFLICT, "the idempotency key was used for another request");
+        }
+        boolean same = held.owner().equals(begin.owner());
+        switch (held.state()) {
+            case RECORDED:
+                return new ClaimOutcome.Recorded(held.answer());
+            case BEGUN:
+                return same
+                        ? new ClaimOutcome.Granted()
+                        : new ClaimOutcome.MayHaveRun(held.owner().host());
+            case RELEASED:
+                return same ? new ClaimOutcome.NotOwner() : takeOver(begin);
+            default:
+                throw new IllegalStateException("unknown claim state " + held.state());
+        }
+    }
+
+    /**
+     * A released claim never goes back to the session that released it: a begin of that session which arrives late would
+     * leave the claim begun with nobody to finish it.
+     */
+    private ClaimOutcome takeOver(ClaimBegin begin) {
+        claims.put(begin.key(), new Claim(begin.key(), begin.requestDigest(), begin.owner(), ClaimState.BEGUN, null));
+        return new ClaimOutcome.Granted();
+    }
+
+    private ClaimOutcome finish(ClaimFinish finish, ControlLimits limits) {
+        Claim held = claims.get(finish.key());
+        if (held == null || !held.owner().equals(finish.owner())) {
+            return new ClaimOutcome.NotOwner();
+        }
+        ClaimState wanted = finish.answer() == null ? ClaimState.RELEASED : ClaimState.RECORDED;
+        if (held.state() == wanted) {
+            return new ClaimOutcome.Finished();
+        }
+        if (held.state() != ClaimState.BEGUN) {
+            return new ClaimOutcome.NotOwner();
+        }
+        RecordedAnswer answer = finish.answer() == null ? null : finish.answer().within(limits.recordedBodyBytes());
+        claims.put(finish.key(), new Claim(finish.key(), held.requestDigest(), held.owner(), wanted, answer));
+        return new ClaimOutcome.Finished();
+    }
+
+    private void add(Claim claim) {
+        claims.put(claim.key(), claim);
+        counts.merge(claim.key().organisation(), 1, Integer::sum);
+    }
+
+    private static Integer sumOrNone(int count, int change) {
+        return count + change == 0 ? null : count + change;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/Command.java
@@ -0,0 +1,63 @@
+package org.elmline.core.control;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.JsonTypeName;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
+
+/**
+ * A change of {@link ControlState} that goes through the replicated log. All that a command needs, the wall clock and
+ * digests included, is stamped into it by the leader, so that every replica computes the same result from it.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+public sealed interface Command {
+    /** Decides a ticket. The digest is the leader's, so that replicas of two releases never compare two digests. */
+    @JsonTypeName("apply-ticket")
+    record ApplyTicket(Ticket ticket, String digest) implements Command {
+        public static ApplyTicket of(Ticket ticket) {
+            return new ApplyTicket(ticket, TicketDigest.of(ticket));
+        }
+    }
+
+    /** Sets the record of a live host: a first join, a later incarnation, a return, or its leaving flag. */
+    @JsonTypeName("join-host")
+    record JoinHost(HostRecord host) implements Command {}
+
+    /**
+     * Ends a membership whose lease has run out.
+     *
+     * @param joinedAt members version of the membership meant; a host that joined again since is left alone
+     */
+    @JsonTypeName("end-host")
+    record EndHost(HostId host, Incarnation incarnation, long joinedAt) implements Command {}
+
+    /** Begins many claims, each decided on its own, in order. */
+    @JsonTypeName("begin-claims")
+    record BeginClaims(long wallMillis, List<ClaimBegin> claims) implements Command {
+        public BeginClaims {
+            claims = List.copyOf(claims);
+        }
+    }
+
+    /** Finishes many claims, each decided on its own, in order. */
+    @JsonTypeName("finish-claims")
+    record FinishClaims(long wallMillis, List<ClaimFinish> claims) implements Command {
+        public FinishClaims {
+            claims = List.copyOf(claims);
+        }
+    }
+
+    /** Advances the replicated time and drops the claims whose keys have expired by it. */
+    @JsonTypeName("expire-claims")
+    record ExpireClaims(long wallMillis) implements Command {}
+
+    /**
+     * First command of every leader: takes the next fencing number and sets the limits by which all replicas decide.
+     *
+     * @param term the leader's term; the fencing number is at least this
+     */
+    @JsonTypeName("start-leadership")
+    record StartLeadership(HostId leader, long term, ControlLimits limits) implements Command {}
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/CommandResult.java
@@ -0,0 +1,44 @@
+package org.elmline.core.control;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.JsonTypeName;
+import org.elmline.core.common.FencingNumber;
+import org.elmline.core.common.Incarnation;
+
+/** What applying a {@link Command} gave; the same on every replica. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+public sealed interface CommandResult {
+    /** The answer to an {@link Command.ApplyTicket}. */
+    @JsonTypeName("ticket-decided")
+    record TicketDecided(TicketOutcome outcome) implements CommandResult {}
+
+    /** The host is a member as of this members version. */
+    @JsonTypeName("host-joined")
+    record HostJoined(long membersVersion) implements CommandResult {}
+
+    /** Another process holds the host's id: one of a later incarnation, or of the same one at other addresses. */
+    @JsonTypeName("host-replaced")
+    record HostReplaced(Incarnation by) implements CommandResult {}
+
+    /** False when the membership meant was over already. */
+    @JsonTypeName("host-ended")
+    record HostEnded(boolean changed) implements CommandResult {}
+
+    /** One outcome for each claim of the batch, in its order. */
+    @JsonTypeName("claims-decided")
+    record ClaimsDecided(List<ClaimOutcome> outcomes) implements CommandResult {
+        public ClaimsDecided {
+            outcomes = List.copyOf(outcomes);
+        }
+    }
+
+    /** How many claims were dropped. */
+    @JsonTypeName("claims-expired")
+    record ClaimsExpired(int dropped) implements CommandResult {}
+
+    /** The fencing number of the new leader. */
+    @JsonTypeName("leadership-started")
+    record LeadershipStarted(FencingNumber fencing) implements CommandResult {}
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/ControlSnapshot.java
@@ -0,0 +1,41 @@
+package org.elmline.core.control;
+
+import java.util.List;
+
+import org.elmline.core.common.ConfigVersion;
+import org.elmline.core.common.FencingNumber;
+import org.elmline.core.common.TicketNumber;
+import org.elmline.core.config.VersionedObject;
+
+/**
+ * The whole of a {@link ControlState} after one log index.
+ *
+ * @param index last log index applied
+ * @param ticketFloor highest ticket number whose record was dropped, null when none was
+ * @param membersFloor lowest members version from which changes, ends included, are still known
+ * @param timeMillis replicated time: the greatest wall clock that a command brought
+ * @param claimFloorMillis keys issued before this are expired for good
+ */
+public record ControlSnapshot(
+        long index,
+        ControlLimits limits,
+        FencingNumber fencing,
+        ConfigVersion version,
+        List<VersionedObject> objects,
+        List<TicketRecord> tickets,
+        TicketNumber ticketFloor,
+        long membersVersion,
+        long membersFloor,
+        List<Member> members,
+        List<EndedHost> ended,
+        long timeMillis,
+        long claimFloorMillis,
+        List<Claim> claims) {
+    public ControlSnapshot {
+        objects = List.copyOf(objects);
+        tickets = List.copyOf(tickets);
+        members = List.copyOf(members);
+        ended = List.copyOf(ended);
+        claims = List.copyOf(claims);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/ControlState.java
@@ -0,0 +1,188 @@
+package org.elmline.core.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+
+import org.elmline.core.common.ConfigVersion;
+import org.elmline.core.common.FencingNumber;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.TicketNumber;
+import org.elmline.core.config.ConfigDelta;
+import org.elmline.core.config.Configuration;
+
+/**
+ * The state that all control hosts hold alike: configuration, decided tickets, live hosts, claims and the fencing
+ * number. It changes only by committed commands in the order of the log (the state machine of section 2 of the Raft
+ * paper), reads no clock and draws no random number. Not safe for concurrent use: whoever applies commands guards it.
+ */
+public final class ControlState {
+    private final TicketRegister tickets;
+    private final MemberRegister members;
+    private final ClaimRegister claims;
+    private ControlLimits limits;
+    private FencingNumber fencing;
+    private long index;
+
+    public ControlState() {
+        tickets = new TicketRegister();
+        members = new MemberRegister();
+        claims = new ClaimRegister();
+        limits = ControlLimits.DEFAULT;
+        fencing = FencingNumber.of(0);
+    }
+
+    private ControlState(ControlSnapshot from) {
+        tickets = new TicketRegister(from);
+        members = new MemberRegister(from);
+        claims = new ClaimRegister(from);
+        limits = from.limits();
+        fencing = from.fencing();
+        index = from.index();
+    }
+
+    public static ControlState restore(ControlSnapshot snapshot) {
+        return new ControlState(snapshot);
+    }
+
+    /** Applies the command committed at a log index; indexes must grow. */
+    public CommandResult apply(long index, Command command) {
+        if (index <= this.index) {
+            throw new IllegalStateException("log index " + index + " applied after " + this.index);
+        }
+        this.index = index;
+        return applyCommand(command);
+    }
+
+    private CommandResult applyCommand(Command command) {
+        if (command instanceof Command.ApplyTicket apply) {
+            return new CommandResult.TicketDecided(
+                    tickets.decide(apply.ticket(), apply.digest(), limits.ticketRecords()));
+        }
+        if (command instanceof Command.BeginClaims begin) {
+            return new CommandResult.ClaimsDecided(claims.begin(begin, limits));
+        }
+        if (command instanceof Command.FinishClaims finish) {
+            return new CommandResult.ClaimsDecided(claims.finish(finish, limits));
+        }
+        if (command instanceof Command.JoinHost join) {
+            return members.join(join.host());
+        }
+        if (command instanceof Command.EndHost end) {
+            return members.end(end, limits.endedHosts());
+        }
+        if (command instanceof Command.ExpireClaims expire) {
+            return new CommandResult.ClaimsExpired(claims.expire(expire.wallMillis(), limits));
+        }
+        if (command instanceof Command.StartLeadership start) {
+            return startLeadership(start);
+        }
+        throw new IllegalStateException("unknown command " + command);
+    }
+
+    private CommandResult startLeadership(Command.StartLeadership start) {
+        limits = start.limits();
+        fencing = FencingNumber.of(Math.max(fencing.value() + 1, start.term()));
+        return new CommandResult.LeadershipStarted(fencing);
+    }
+
+    /** Last log index applied. */
+    public long index() {
+        return index;
+    }
+
+    public ControlLimits limits() {
+        return limits;
+    }
+
+    /** Fencing number of the newest leader. */
+    public FencingNumber fencing() {
+        return fencing;
+    }
+
+    /** Replicated time: the greatest wall clock that a command brought, in milliseconds since 1970. */
+    public long timeMillis() {
+        return claims.timeMillis();
+    }
+
+    public Configuration configuration() {
+        return tickets.configuration();
+    }
+
+    public ConfigDelta configSince(ConfigVersion from) {
+        Configuration current = tickets.configuration();
+        if (from.compareTo(current.version()) >= 0) {
+            return new ConfigDelta(from, current.version(), List.of());
+        }
+        return current.since(from);
+    }
+
+    /** Number of the newest change of the members. */
+    public long membersVersion() {
+        return members.version();
+    }
+
+    public Collection<Member> members() {
+        return Collections.unmodifiableCollection(members.members());
+    }
+
+    public Optional<Member> member(HostId id) {
+        return members.member(id);
+    }
+
+    public MembersDelta membersSince(long from) {
+        return members.since(from);
+    }
+
+    /** The accepted ticket of a number, or else the first one refused under it, while retained. */
+    public Optional<TicketRecord> ticket(TicketNumber number) {
+        return tickets.record(number);
+    }
+
+    /** The decision on one content under a number, while retained. */
+    public Optional<TicketRecord> ticket(TicketNumber number, String digest) {
+        return tickets.record(number, digest);
+    }
+
+    public TicketList tickets(TicketListQuery query) {
+        return new TicketList(tickets.list(query));
+    }
+
+    public Optional<Claim> claim(ClaimKey key) {
+        return claims.claim(key);
+    }
+
+    public int claims() {
+        return claims.claims().size();
+    }
+
+    /** The whole state, to be written by whoever stores snapshots. */
+    public ControlSnapshot snapshot() {
+        return new ControlSnapshot(
+                index,
+                limits,
+                fencing,
+                configuration().version(),
+                new ArrayList<>(configuration().objects()),
+                tickets.records(),
+                tickets.floor().orElse(null),
+                members.version(),
+                members.floor(),
+                new ArrayList<>(members.members()),
+                new ArrayList<>(members.ended()),
+                claims.timeMillis(),
+                claims.floorMillis(),
+                new ArrayList<>(claims.claims()));
+    }
+
+    Optional<Incarnation> replacement(HostRecord host) {
+        return members.replacement(host);
+    }
+
+    HostRecord merged(HostRecord host) {
+        return members.merged(host);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/Member.java
@@ -0,0 +1,8 @@
+package org.elmline.core.control;
+
+/**
+ * A live host as replicated.
+ *
+ * @param version members version that set this record
+ */
+public record Member(HostRecord host, long version) {}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/MemberRegister.java
@@ -0,0 +1,138 @@
+package org.elmline.core.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
+
+/** The live hosts. Only their comings, goings and changes are replicated; renewals stay in the leader's memory. */
+final class MemberRegister {
+    private final TreeMap<HostId, Member> members = new TreeMap<>();
+    private final TreeMap<HostId, EndedHost> ended = new TreeMap<>();
+    private long version;
+    private long floor;
+
+    MemberRegister() {}
+
+    MemberRegister(ControlSnapshot from) {
+        from.members().forEach(m -> members.put(m.host().id(), m));
+        from.ended().forEach(e -> ended.put(e.id(), e));
+        version = from.membersVersion();
+        floor = from.membersFloor();
+    }
+
+    long version() {
+        return version;
+    }
+
+    long floor() {
+        return floor;
+    }
+
+    Collection<Member> members() {
+        return members.values();
+    }
+
+    Collection<EndedHost> ended() {
+        return ended.values();
+    }
+
+    Optional<Member> member(HostId id) {
+        return Optional.ofNullable(members.get(id));
+    }
+
+    /** The incarnation that keeps this process from joining, if one does. */
+    Optional<Incarnation> replacement(HostRecord host) {
+        Member live = members.get(host.id());
+        if (live == null) {
+            EndedHost over = ended.get(host.id());
+            boolean older = over != null && host.incarnation().compareTo(over.incarnation()) < 0;
+            return older ? Optional.of(over.incarnation()) : Optional.empty();
+        }
+        int order = host.incarnation().compareTo(live.host().incarnation());
+        boolean twin = order == 0 && !host.peers().equals(live.host().peers());
+        return order < 0 || twin ? Optional.of(live.host().incarnation()) : Optional.empty();
+    }
+
+    /**
+     * The record that a join would leave. A process that was leaving stays so: an older renewal that arrives late would
+     * otherwise offer a stopping host to callers again.
+     */
+    HostRecord merged(HostRecord host) {
+        Member live = members.get(host.id());
+        boolean wasLeaving = live != null
+                && live.host().leaving()
+                && live.host().incarnation().equals(host.incarnation());
+        if (host.leaving() || !wasLeaving) {
+            return host;
+        }
+        return new HostRecord(
+                host.id(),
+                host.incarnation(),
+                host.failureDomain(),
+                host.region(),
+                host.callers(),
+                host.peers(),
+                host.operators(),
+                true);
+    }
+
+    CommandResult join(HostRecord host) {
+        Optional<Incarnation> by = replacement(host);
+        if (by.isPresent()) {
+            return new CommandResult.HostReplaced(by.get());
+        }
+        HostRecord merged = merged(host);
+        version++;
+        members.put(host.id(), new Member(merged, version));
+        ended.remove(host.id());
+        return new CommandResult.HostJoined(version);
+    }
+
+    CommandResult end(Command.EndHost end, int limit) {
+        Member live = members.get(end.host());
+        boolean meant = live != null
+                && live.version() == end.joinedAt()
+                && live.host().incarnation().equals(end.incarnation());
+        if (!meant) {
+            return new CommandResult.HostEnded(false);
+        }
+        members.remove(end.host());
+        version++;
+        ended.put(end.host(), new EndedHost(end.host(), end.incarnation(), version));
+        dropOver(limit);
+        return new CommandResult.HostEnded(true);
+    }
+
+    MembersDelta since(long from) {
+        boolean full = from <= 0 || from < floor || from > version;
+        List<HostRecord> changed = new ArrayList<>();
+        for (Member each : members.values()) {
+            if (full || each.version() > from) {
+                changed.add(each.host());
+            }
+        }
+        List<HostId> removed = new ArrayList<>();
+        for (EndedHost each : ended.values()) {
+            if (!full && each.version() > from) {
+                removed.add(each.id());
+            }
+        }
+        return new MembersDelta(from, version, full, changed, removed);
+    }
+
+    private void dropOver(int limit) {
+        while (ended.size() > limit) {
+            EndedHost oldest = ended.values().stream()
+                    .min(Comparator.comparingLong(EndedHost::version))
+                    .orElseThrow();
+            ended.remove(oldest.id());
+            floor = oldest.version();
+        }
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/TicketCheck.java
@@ -0,0 +1,98 @@
+package org.elmline.core.control;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.elmline.core.common.OrganisationId;
+import org.elmline.core.config.BackendRole;
+import org.elmline.core.config.ConfigObject;
+import org.elmline.core.config.Configuration;
+import org.elmline.core.config.Model;
+import org.elmline.core.config.Organisation;
+
+/** Finds what a ticket names that doesn't exist, or claims twice, in the configuration it would leave. */
+final class TicketCheck {
+    private final Configuration before;
+    private final Map<String, ConfigObject> touched = new HashMap<>();
+
+    TicketCheck(Configuration before, List<ConfigObject> objects) {
+        this.before = before;
+        for (ConfigObject each : objects) {
+            touched.put(each.key(), each);
+        }
+    }
+
+    /** What is wrong, in words for the operator; empty when nothing is. */
+    Optional<String> fault(List<ConfigObject> objects) {
+        for (ConfigObject each : objects) {
+            Optional<String> fault = Optional.empty();
+            if (each instanceof BackendRole role) {
+                fault = roleFault(role);
+            } else if (each instanceof Organisation organisation) {
+                fault = keyFault(organisation);
+            }
+            if (fault.isPresent()) {
+                return fault;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<String> roleFault(BackendRole role) {
+        Optional<Model> model = modelAfter(role);
+        if (model.isEmpty()) {
+            return Optional.of(role.key() + " names the model " + role.model() + ", which doesn't exist");
+        }
+        Set<String> unknown = new HashSet<>(role.adapters());
+        unknown.removeAll(model.get().adapters());
+        if (!unknown.isEmpty()) {
+            String first = unknown.stream().sorted().findFirst().orElseThrow();
+            return Optional.of(
+                    role.key() + " names the adapter " + first + ", which " + role.model() + " doesn't have");
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Model> modelAfter(BackendRole role) {
+        ConfigObject set = touched.get("model/" + role.model());
+        if (set instanceof Model model) {
+            return model.removed() ? Optional.empty() : Optional.of(model);
+        }
+        return before.model(role.model());
+    }
+
+    /** Two organisations under one key hash could read each other's answers and claims. */
+    private Optional<String> keyFault(Organisation organisation) {
+        if (organisation.removed()) {
+            return Optional.empty();
+        }
+        for (String hash : organisation.keyHashes()) {
+            Optional<OrganisationId> holder = otherHolder(organisation.id(), hash);
+            if (holder.isPresent()) {
+                return Optional.of(organisation.key() + " has an API key that organisation/" + holder.get() + " has");
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<OrganisationId> otherHolder(OrganisationId id, String hash) {
+        for (ConfigObject each : touched.values()) {
+            if (each instanceof Organisation other
+                    && holds(other, hash)
+                    && !other.id().equals(id)) {
+                return Optional.of(other.id());
+            }
+        }
+        return before.organisationByKeyHash(hash)
+                .filter(o -> !o.id().equals(id) && !touched.containsKey(o.key()))
+                .map(Organisation::id);
+    }
+
+    private static boolean holds(Organisation organisation, String hash) {
+        return !organisation.removed() && organisation.keyHashes().contains(hash);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/TicketQuery.java
@@ -0,0 +1,6 @@
+package org.elmline.core.control;
+
+import org.elmline.core.common.TicketNumber;
+
+/** Asks for one ticket's status. */
+public record TicketQuery(TicketNumber number) {}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/TicketRegister.java
@@ -0,0 +1,161 @@
+package org.elmline.core.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.elmline.core.common.ConfigVersion;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.common.TicketNumber;
+import org.elmline.core.config.ConfigDelta;
+import org.elmline.core.config.ConfigObject;
+import org.elmline.core.config.Configuration;
+import org.elmline.core.config.VersionedObject;
+
+/**
+ * Decides tickets and holds the configuration they make.
+ *
+ * <p>Kept for ever: each object's newest ticket number, which alone keeps an older ticket from reverting it. Kept for a
+ * bounded number of tickets: the decision, for a resend to find. A number at or below the highest one dropped is
+ * refused, so a ticket whose record is gone is never applied a second time.
+ */
+final class TicketRegister {
+    private final TreeMap<TicketNumber, List<TicketRecord>> records = new TreeMap<>();
+    private Configuration configuration = Configuration.EMPTY;
+    private TicketNumber floor;
+    private int size;
+
+    TicketRegister() {}
+
+    TicketRegister(ControlSnapshot from) {
+        configuration = Configuration.EMPTY.with(new ConfigDelta(ConfigVersion.of(0), from.version(), from.objects()));
+        floor = from.ticketFloor();
+        for (TicketRecord each : from.tickets()) {
+            put(each);
+        }
+    }
+
+    Configuration configuration() {
+        return configuration;
+    }
+
+    Optional<TicketNumber> floor() {
+        return Optional.ofNullable(floor);
+    }
+
+    TicketOutcome decide(Ticket ticket, String digest, int limit) {
+        for (TicketRecord each : records.getOrDefault(ticket.number(), List.of())) {
+            if (each.digest().equals(digest)) {
+                return each.outcome();
+            }
+        }
+        Optional<TicketOutcome> refusal = refusal(ticket);
+        TicketOutcome outcome = refusal.isPresent() ? refusal.get() : accept(ticket);
+        if (floor == null || ticket.number().compareTo(floor) > 0) {
+            List<String> keys = ticket.objects().stream().map(ConfigObject::key).toList();
+            put(new TicketRecord(ticket.number(), ticket.author(), digest, keys, outcome));
+            dropOver(limit);
+        }
+        return outcome;
+    }
+
+    /** The accepted record of a number, or else its first refused one. */
+    Optional<TicketRecord> record(TicketNumber number) {
+        List<TicketRecord> found = records.getOrDefault(number, List.of());
+        for (TicketRecord each : found) {
+            if (each.accepted()) {
+                return Optional.of(each);
+            }
+        }
+        return found.stream().findFirst();
+    }
+
+    /** The record of one content under a number. */
+    Optional<TicketRecord> record(TicketNumber number, String digest) {
+        for (TicketRecord each : records.getOrDefault(number, List.of())) {
+            if (each.digest().equals(digest)) {
+                return Optional.of(each);
+            }
+        }
+        return Optional.empty();
+    }
+
+    List<TicketRecord> records() {
+        List<TicketRecord> all = new ArrayList<>(size);
+        records.values().forEach(all::addAll);
+        return all;
+    }
+
+    List<TicketRecord> list(TicketListQuery query) {
+        Map<TicketNumber, List<TicketRecord>> from =
+                query.below() == null ? records : records.headMap(query.below(), false);
+        List<TicketRecord> found = new ArrayList<>();
+        for (List<TicketRecord> each : new TreeMap<>(from).descendingMap().values()) {
+            if (found.size() >= query.limit()) {
+                return found;
+            }
+            found.addAll(each);
+        }
+        return found;
+    }
+
+    private Optional<TicketOutcome> refusal(Ticket ticket) {
+        Optional<TicketRecord> winner = record(ticket.number()).filter(TicketRecord::accepted);
+        if (winner.isPresent()) {
+            return refuse(RefusalReason.TICKET_NUMBER_TAKEN, taken(winner.get()));
+        }
+        if (floor != null && ticket.number().compareTo(floor) <= 0) {
+            return refuse(
+                    RefusalReason.STALE_TICKET,
+                    "ticket " + ticket.number() + " is not above " + floor
+                            + ", the highest number whose decision is no longer kept; it was not applied now");
+        }
+        for (ConfigObject each : ticket.objects()) {
+            Optional<VersionedObject> held = configuration.object(each.key());
+            if (held.isPresent() && held.get().ticket().compareTo(ticket.number()) >= 0) {
+                return refuse(
+                        RefusalReason.STALE_TICKET,
+                        each.key() + " was set by the newer ticket "
+                                + held.get().ticket());
+            }
+        }
+        return new TicketCheck(configuration, ticket.objects())
+                .fault(ticket.objects())
+                .flatMap(fault -> refuse(RefusalReason.BAD_REQUEST, fault));
+    }
+
+    private static String taken(TicketRecord winner) {
+        return "number " + winner.number() + " belongs to the ticket of " + winner.author() + " with digest "
+                + winner.digest() + " on " + String.join(", ", winner.keys());
+    }
+
+    private static Optional<TicketOutcome> refuse(RefusalReason reason, String message) {
+        return Optional.of(new TicketOutcome.Refused(reason, message));
+    }
+
+    private TicketOutcome accept(Ticket ticket) {
+        ConfigVersion from = configuration.version();
+        ConfigVersion to = ConfigVersion.of(from.value() + 1);
+        List<VersionedObject> changed = new ArrayList<>();
+        for (ConfigObject each : ticket.objects()) {
+            changed.add(new VersionedObject(each, ticket.number(), to));
+        }
+        configuration = configuration.with(new ConfigDelta(from, to, changed));
+        return new TicketOutcome.Accepted(to);
+    }
+
+    private void put(TicketRecord each) {
+        records.computeIfAbsent(each.number(), n -> new ArrayList<>(1)).add(each);
+        size++;
+    }
+
+    private void dropOver(int limit) {
+        while (size > limit) {
+            Map.Entry<TicketNumber, List<TicketRecord>> lowest = records.pollFirstEntry();
+            floor = lowest.getKey();
+            size -= lowest.getValue().size();
+        }
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/control/HostLeaseTest.java
@@ -0,0 +1,57 @@
+package org.elmline.core.control;
+
+import org.junit.jupiter.api.Test;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class HostLeaseTest {
+    private final HostLease lease = new HostLease();
+
+    @Test
+    void noLeaseBeforeTheFirstGrant() {
+        assertFalse(lease.check(0));
+    }
+
+    // A caller would be served under a configuration that tickets have replaced, by an entry that the others take for
+    // dead: the entry asks, is frozen for a minute with the grant already in its socket buffer, wakes, and reads the
+    // grant. Counted from the answer, the lease would look fresh.
+    @Test
+    void frozenProcessFindsItsLeaseGone() {
+        long asked = MILLISECONDS.toNanos(1_000);
+        long woken = MILLISECONDS.toNanos(61_000);
+
+        lease.granted(asked, 4_000);
+
+        assertTrue(lease.check(MILLISECONDS.toNanos(4_999)));
+        assertFalse(lease.check(MILLISECONDS.toNanos(5_000)));
+        assertFalse(lease.check(woken));
+    }
+
+    @Test
+    void olderGrantDoesNotShortenALease() {
+        lease.granted(MILLISECONDS.toNanos(2_000), 4_000);
+        lease.granted(MILLISECONDS.toNanos(1_000), 4_000);
+
+        assertTrue(lease.check(MILLISECONDS.toNanos(5_500)));
+    }
+
+    @Test
+    void clockNearItsWrapAroundStillWorks() {
+        long asked = Long.MAX_VALUE - 10;
+
+        lease.granted(asked, 4_000);
+
+        assertTrue(lease.check(asked + MILLISECONDS.toNanos(3_999)));
+        assertFalse(lease.check(asked + MILLISECONDS.toNanos(4_000)));
+    }
+
+    @Test
+    void replacedIsFinal() {
+        lease.replaced();
+        lease.granted(0, 4_000);
+
+        assertFalse(lease.check(1));
+    }
+}
