--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/AnswerText.java
@@ -0,0 +1,92 @@
+package org.elmline.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.elmline.core.common.ModelName;
+import org.elmline.core.engine.FinishReason;
+
+/**
+ * The answer that every stand-in engine gives to a prompt: a function of model, adapter and prompt alone, so that a
+ * test knows the exact text and a continuation on another engine goes on with the same pieces. The hash can be taken
+ * segment by segment, as the KV of a prompt that is larger than one engine is.
+ */
+public final class AnswerText {
+    private static final int LETTERS = 26;
+    private static final long FACTOR = 0x9e3779b97f4a7c15L;
+
+    private final long hash;
+    private final int count;
+    private final FinishReason reason;
+
+    private AnswerText(long hash, int count, FinishReason reason) {
+        this.hash = hash;
+        this.count = count;
+        this.reason = reason;
+    }
+
+    public static AnswerText of(ModelName model, String adapter, String prompt, int maxOutputTokens) {
+        return ofState(extend(state(model, adapter), prompt), maxOutputTokens);
+    }
+
+    /** State before any prompt text. */
+    public static long state(ModelName model, String adapter) {
+        return extend(extend(1, model.value()) * FACTOR, adapter == null ? "" : adapter) * FACTOR;
+    }
+
+    /** State after one more segment of the prompt; independent of where the prompt was cut. */
+    public static long extend(long state, String segment) {
+        long next = state;
+        for (int i = 0; i < segment.length(); i++) {
+            next = next * 31 + segment.charAt(i);
+        }
+        return next;
+    }
+
+    public static AnswerText ofState(long state, int maxOutputTokens) {
+        long hash = mix(state);
+        int natural = 1 + (int) Math.floorMod(mix(hash + 1), 2L * Math.max(1, maxOutputTokens));
+        FinishReason reason = natural > maxOutputTokens ? FinishReason.LENGTH : FinishReason.STOP;
+        return new AnswerText(hash, Math.min(natural, Math.max(1, maxOutputTokens)), reason);
+    }
+
+    /** Number of pieces, from 1 to the longest answer asked for. */
+    public int count() {
+        return count;
+    }
+
+    public FinishReason reason() {
+        return reason;
+    }
+
+    /** One piece: a space and a word of three to seven letters. */
+    public String piece(int index) {
+        long bits = mix(hash + index * FACTOR);
+        int length = 3 + (int) Math.floorMod(bits, 5L);
+        StringBuilder word = new StringBuilder(length + 1).append(' ');
+        for (int i = 0; i < length; i++) {
+            bits = mix(bits);
+            word.append((char) ('a' + Math.floorMod(bits, (long) LETTERS)));
+        }
+        return word.toString();
+    }
+
+    public List<String> pieces() {
+        List<String> pieces = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            pieces.add(piece(i));
+        }
+        return pieces;
+    }
+
+    /** The whole answer. */
+    public String text() {
+        return String.join("", pieces());
+    }
+
+    private static long mix(long value) {
+        long bits = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+        bits = (bits ^ (bits >>> 27)) * 0x94d049bb133111ebL;
+        return bits ^ (bits >>> 31);
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/Engine.java
@@ -0,0 +1,375 @@
+package org.elmline.standin.engine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.engine.CacheEvents;
+import org.elmline.core.engine.EngineLoad;
+import org.elmline.core.engine.EngineOrder;
+import org.elmline.core.engine.EngineRequest;
+import org.elmline.core.engine.EngineState;
+import org.elmline.core.engine.KvExport;
+import org.elmline.core.engine.OrderAnswer;
+import org.elmline.core.engine.PromptBlocks;
+import org.elmline.core.engine.StreamInfo;
+import org.elmline.standin.AnswerText;
+import org.elmline.standin.model.EngineModel;
+import org.elmline.standin.model.SequenceRequest;
+import org.elmline.standin.model.StepListener;
+import org.elmline.wire.engine.ExportedKv;
+
+/**
+ * The engine model in real time with its streams, exports and orders. One thread drives the model's steps. Lock order:
+ * this engine, then one of its streams.
+ */
+final class Engine implements AutoCloseable, StepListener {
+    private static final long LONGEST_WAIT_MILLIS = 50;
+
+    private final EngineSettings settings;
+    private final EngineFaults faults;
+    private final LongSupplier clock;
+    private final EngineModel model;
+    private final CacheEventLog cacheEvents;
+    private final LaggingLoad laggingLoad;
+    private final Orders orders;
+    private final Map<AttemptId, EngineStream> streams = new HashMap<>();
+    private final Map<Long, EngineStream> streamsById = new HashMap<>();
+    private final Map<String, HeldKv> held = new HashMap<>();
+    private final Thread thread;
+    private long lastId;
+    private boolean closed;
+
+    /** The clock tells the engine's own time: real time multiplied by the time scale. */
+    Engine(EngineSettings settings, EngineFaults faults, LongSupplier clock) {
+        this.settings = settings;
+        this.faults = faults;
+        this.clock = clock;
+        cacheEvents = new CacheEventLog(settings.cacheEventDelayNanos(), settings.lostCacheEvents(), settings.seed());
+        laggingLoad = new LaggingLoad(settings.loadLagNanos());
+        model = new EngineModel(settings.profile(), cacheEvents::add);
+        orders = new Orders(settings);
+        thread = new Thread(this::run, "engine " + settings.id());
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Why a start was refused before it ran, or the stream. */
+    record Started(EngineStream stream, Refused refused) {}
+
+    /** Refusals that tell the caller that nothing ran, but for {@code DUPLICATE}, whose first try may have. */
+    enum Refused {
+        WRONG_MODEL(409),
+        NOT_READY(503),
+        TOO_LARGE(413),
+        IMPORT_MISSING(409),
+        DUPLICATE(410);
+
+        private final int status;
+
+        Refused(int status) {
+            this.status = status;
+        }
+
+        int status() {
+            return status;
+        }
+    }
+
+    synchronized Started start(EngineRequest request) {
+        Refused refused = refusal(request);
+        if (refused != null) {
+            return new Started(null, refused);
+        }
+        AnswerText answer = AnswerText.ofState(textState(request), request.maxOutputTokens());
+        int firstIndex = Math.min(request.delivered().size(), answer.count());
+        EngineStream stream = new EngineStream(
+                ++lastId, request.attempt(), request.host(), request.incarnation(), answer, firstIndex);
+        SequenceRequest sequence = sequence(stream.id(), request, answer.count() - firstIndex, firstIndex);
+        if (!model.submit(sequence, now())) {
+            return new Started(null, Refused.TOO_LARGE);
+        }
+        streams.put(stream.attempt(), stream);
+        streamsById.put(stream.id(), stream);
+        notifyAll();
+        return new Started(stream, null);
+    }
+
+    synchronized Optional<EngineStream> stream(AttemptId attempt) {
+        return Optional.ofNullable(streams.get(attempt));
+    }
+
+    /** The end reached a reader: memory is freed, while the text can still be read again for the retention. */
+    synchronized void delivered(EngineStream stream) {
+        model.release(stream.id());
+    }
+
+    synchronized void cancel(AttemptId attempt) {
+        EngineStream stream = streams.remove(attempt);
+        if (stream != null) {
+            drop(stream);
+        }
+        HeldKv export = held.get(attempt.value());
+        if (export != null) {
+            free(attempt.value());
+        }
+    }
+
+    synchronized boolean changePriority(AttemptId attempt, int priority) {
+        EngineStream stream = streams.get(attempt);
+        return stream != null && model.changePriority(stream.id(), priority);
+    }
+
+    synchronized List<StreamInfo> streamInfos() {
+        List<StreamInfo> infos = new ArrayList<>();
+        for (EngineStream each : streams.values()) {
+            long tokens = model.heldTokens(each.id());
+            if (tokens > 0 || !each.isFinished()) {
+                infos.add(new StreamInfo(each.attempt(), each.host(), each.incarnation(), tokens));
+            }
+        }
+        return infos;
+    }
+
+    /** Streams that are not finished, or whose end no reader has received. */
+    synchronized int openStreams() {
+        return model.openSequences() - exportsOfOwn();
+    }
+
+    synchronized long usedKvTokens() {
+        return model.usedKvTokens();
+    }
+
+    /** Begins to compute a segment for export; its stream finishes when the export is ready. */
+    synchronized Started startExport(EngineRequest segment) {
+        Refused refused = refusal(segment);
+        if (refused != null || held.containsKey(segment.attempt().value())) {
+            return new Started(null, refused == null ? Refused.DUPLICATE : refused);
+        }
+        long state = textState(segment);
+        EngineStream stream = new EngineStream(
+                ++lastId,
+                segment.attempt(),
+                segment.host(),
+                segment.incarnation(),
+                AnswerText.ofState(state, 1),
+                Integer.MAX_VALUE);
+        SequenceRequest sequence = sequence(stream.id(), segment, 0, 0);
+        if (!model.submit(sequence, now())) {
+            return new Started(null, Refused.TOO_LARGE);
+        }
+        KvExport export = new KvExport(
+                segment.attempt().value(),
+                segment.attempt(),
+                segment.host(),
+                segment.incarnation(),
+                sequence.promptTokens());
+        held.put(export.id(), new HeldKv(stream.id(), export, sequence.promptTokens(), state, false));
+        streamsById.put(stream.id(), stream);
+        notifyAll();
+        return new Started(stream, null);
+    }
+
+    synchronized Optional<ExportedKv> exported(String id) {
+        HeldKv kv = held.get(id);
+        if (kv == null || !isReady(kv)) {
+            return Optional.empty();
+        }
+        KvExport export = kv.export();
+        KvExport whole = new KvExport(id, export.attempt(), export.host(), export.incarnation(), kv.contextTokens());
+        return Optional.of(new ExportedKv(whole, kv.textState()));
+    }
+
+    private boolean isReady(HeldKv kv) {
+        EngineStream stream = streamsById.get(kv.id());
+        return kv.imported() || stream != null && stream.isFinished();
+    }
+
+    /** Takes in what another engine exported; true also when it is here already. */
+    synchronized boolean importKv(ExportedKv exported) {
+        KvExport export = exported.export();
+        if (held.containsKey(export.id())) {
+            return true;
+        }
+        long tokens = Math.max(1, (long) (export.tokens() * settings.importedShare()));
+        long id = ++lastId;
+        if (!model.holdExternal(id, tokens, now())) {
+            return false;
+        }
+        KvExport here = new KvExport(export.id(), export.attempt(), export.host(), export.incarnation(), tokens);
+        held.put(export.id(), new HeldKv(id, here, export.tokens(), exported.textState(), true));
+        return true;
+    }
+
+    synchronized void free(String exportId) {
+        HeldKv kv = held.remove(exportId);
+        if (kv == null) {
+            return;
+        }
+        if (kv.imported()) {
+            model.releaseExternal(kv.id());
+            return;
+        }
+        EngineStream stream = streamsById.get(kv.id());
+        if (stream != null) {
+            drop(stream);
+        }
+    }
+
+    synchronized List<KvExport> exports() {
+        return held.values().stream().map(HeldKv::export).toList();
+    }
+
+    synchronized OrderAnswer order(EngineOrder order) {
+        return orders.accept(order, now());
+    }
+
+    synchronized EngineState state() {
+        return orders.state(now());
+    }
+
+    synchronized EngineLoad load() {
+        EngineLoad actual = new EngineLoad(openStreams(), model.usedKvTokens(), model.prefillBacklogTokens());
+        EngineLoad lagging = laggingLoad.report(actual, now());
+        return faults.reportsNoLoad() ? new EngineLoad(0, 0, 0) : lagging;
+    }
+
+    synchronized CacheEvents cacheEventsAfter(long sequence) {
+        return cacheEvents.after(sequence, now());
+    }
+
+    @Override
+    public void token(long id, int index, long atNanos) {
+        EngineStream stream = streamsById.get(id);
+        if (stream != null) {
+            stream.generated(index);
+        }
+    }
+
+    @Override
+    public void finished(long id, long atNanos) {
+        EngineStream stream = streamsById.get(id);
+        if (stream != null) {
+            stream.finished(atNanos);
+        }
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            closed = true;
+            streamsById.values().forEach(EngineStream::cancel);
+            notifyAll();
+        }
+        thread.interrupt();
+    }
+
+    private long now() {
+        return clock.getAsLong();
+    }
+
+    private int exportsOfOwn() {
+        int own = 0;
+        for (HeldKv each : held.values()) {
+            own += each.imported() ? 0 : 1;
+        }
+        return own;
+    }
+
+    private void drop(EngineStream stream) {
+        streamsById.remove(stream.id());
+        model.release(stream.id());
+        stream.cancel();
+    }
+
+    private Refused refusal(EngineRequest request) {
+        EngineState state = orders.state(now());
+        if (streams.containsKey(request.attempt())) {
+            return Refused.DUPLICATE;
+        }
+        if (!state.ready()) {
+            return Refused.NOT_READY;
+        }
+        boolean adapterKnown = request.adapter() == null
+                || request.adapter().isEmpty()
+                || state.adapters().contains(request.adapter());
+        if (!state.model().equals(request.model()) || !adapterKnown) {
+            return Refused.WRONG_MODEL;
+        }
+        return held.keySet().containsAll(request.kvImports()) ? null : Refused.IMPORT_MISSING;
+    }
+
+    private long textState(EngineRequest request) {
+        List<String> imports = request.kvImports();
+        long before = imports.isEmpty()
+                ? AnswerText.state(request.model(), request.adapter())
+                : held.get(imports.get(imports.size() - 1)).textState();
+        return AnswerText.extend(before, request.prompt());
+    }
+
+    private SequenceRequest sequence(long id, EngineRequest request, int outputTokens, int deliveredTokens) {
+        long imported = 0;
+        for (String each : request.kvImports()) {
+            imported += held.get(each).contextTokens();
+        }
+        int own = (int) Math.max(1, request.promptTokens() - imported) + deliveredTokens;
+        long[] blocks = imported > 0 ? new long[0] : blockHashes(request);
+        return new SequenceRequest(id, own, imported, outputTokens, request.priority(), blocks);
+    }
+
+    private static long[] blockHashes(EngineRequest request) {
+        String adapter = request.adapter() == null ? "" : request.adapter();
+        List<Long> hashes = PromptBlocks.hashes(request.model().value(), adapter, request.prompt());
+        return hashes.stream().mapToLong(Long::longValue).toArray();
+    }
+
+    private void run() {
+        try {
+            while (runOnce()) {
+                // All work is done under the lock in runOnce.
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized boolean runOnce() throws InterruptedException {
+        long now = now();
+        model.slowdown(faults.slowdown());
+        model.advance(now, this);
+        forgetExpired(now);
+        if (closed) {
+            return false;
+        }
+        wait(millisUntil(model.nextNanos(), now));
+        return !closed;
+    }
+
+    private long millisUntil(long nextNanos, long now) {
+        if (nextNanos == EngineModel.IDLE) {
+            return LONGEST_WAIT_MILLIS;
+        }
+        double realNanos = (nextNanos - now) / settings.timeScale();
+        return Math.max(1, Math.min(LONGEST_WAIT_MILLIS, (long) (realNanos / 1e6)));
+    }
+
+    private void forgetExpired(long now) {
+        Iterator<EngineStream> all = streams.values().iterator();
+        while (all.hasNext()) {
+            EngineStream each = all.next();
+            if (each.isFinished() && now - each.finishedNanos() > settings.retentionNanos()) {
+                all.remove();
+                drop(each);
+            }
+        }
+    }
+
+    synchronized boolean isClosed() {
+        return closed;
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineFaults.java
@@ -0,0 +1,75 @@
+package org.elmline.standin.engine;
+
+/** Faults of one stand-in engine that a test or an operator of stand-ins may set while it runs. */
+public final class EngineFaults {
+    private volatile PieceFault pieces = PieceFault.NONE;
+    private volatile double slowdown = 1;
+    private volatile boolean reportsNoLoad;
+    private volatile boolean silent;
+    private volatile int dropReadersGeneration;
+
+    public PieceFault pieces() {
+        return pieces;
+    }
+
+    public void pieces(PieceFault fault) {
+        pieces = fault;
+    }
+
+    public double slowdown() {
+        return slowdown;
+    }
+
+    /** Makes every later step this many times as long. */
+    public void slowdown(double factor) {
+        slowdown = factor;
+    }
+
+    public boolean reportsNoLoad() {
+        return reportsNoLoad;
+    }
+
+    /** Reports an idle engine, whatever it does. */
+    public void reportsNoLoad(boolean value) {
+        reportsNoLoad = value;
+    }
+
+    public boolean silent() {
+        return silent;
+    }
+
+    /** Stops writing to streams, heartbeats too, while connections stay open: a frozen engine. */
+    public void silent(boolean value) {
+        silent = value;
+    }
+
+    int dropReadersGeneration() {
+        return dropReadersGeneration;
+    }
+
+    /** Breaks every connection that reads a stream now; the streams themselves live on. */
+    public synchronized void dropReaders() {
+        dropReadersGeneration++;
+    }
+
+    /** Settings of faults as a stand-in process takes them over HTTP; null leaves one as it is. */
+    public record Settings(PieceFault pieces, Double slowdown, Boolean reportsNoLoad, Boolean silent, Boolean drop) {}
+
+    public void apply(Settings settings) {
+        if (settings.pieces() != null) {
+            pieces = settings.pieces();
+        }
+        if (settings.slowdown() != null) {
+            slowdown = settings.slowdown();
+        }
+        if (settings.reportsNoLoad() != null) {
+            reportsNoLoad = settings.reportsNoLoad();
+        }
+        if (settings.silent() != null) {
+            silent = settings.silent();
+        }
+        if (Boolean.TRUE.equals(settings.drop())) {
+            dropReaders();
+        }
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineRoutes.java
@@ -0,0 +1,262 @@
+package org.elmline.standin.engine;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Optional;
+
+import io.undertow.Handlers;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import okhttp3.HttpUrl;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.engine.EngineOrder;
+import org.elmline.core.engine.EngineRequest;
+import org.elmline.standin.HttpAnswers;
+import org.elmline.wire.engine.EngineJson;
+import org.elmline.wire.engine.EnginePaths;
+import org.elmline.wire.engine.ExportedKv;
+import org.elmline.wire.engine.ImportRequest;
+import org.xnio.IoUtils;
+
+/**
+ * The engine's HTTP interface. Only what waits (streams, exports, imports) takes a worker thread; the rest is answered
+ * on the I/O thread, so that a cancel gets through while every worker writes a stream.
+ */
+final class EngineRoutes {
+    private static final String NDJSON = "application/x-ndjson";
+
+    private final Engine engine;
+    private final EngineFaults faults;
+    private final OkHttpClient otherEngines;
+
+    EngineRoutes(Engine engine, EngineFaults faults, OkHttpClient otherEngines) {
+        this.engine = engine;
+        this.faults = faults;
+        this.otherEngines = otherEngines;
+    }
+
+    HttpHandler handler() {
+        return Handlers.routing()
+                .post(EnginePaths.STREAMS, body(EngineRequest.class, this::start))
+                .get(EnginePaths.STREAMS, exchange -> HttpAnswers.json(exchange, engine.streamInfos()))
+                .get(EnginePaths.STREAM, this::resume)
+                .delete(EnginePaths.STREAM, this::cancel)
+                .put(EnginePaths.PRIORITY, this::changePriority)
+                .post(EnginePaths.EXPORTS, body(EngineRequest.class, this::export))
+                .get(EnginePaths.EXPORTS, exchange -> HttpAnswers.json(exchange, engine.exports()))
+                .get(EnginePaths.EXPORT, this::exported)
+                .delete(EnginePaths.EXPORT, this::free)
+                .post(EnginePaths.IMPORT, body(ImportRequest.class, this::importKv))
+                .post(EnginePaths.ORDERS, body(EngineOrder.class, (e, o) -> HttpAnswers.json(e, engine.order(o))))
+                .get(EnginePaths.STATE, exchange -> HttpAnswers.json(exchange, engine.state()))
+                .get(EnginePaths.LOAD, exchange -> HttpAnswers.json(exchange, engine.load()))
+                .get(EnginePaths.CACHE_EVENTS, this::cacheEvents)
+                .put("/standin/faults", body(EngineFaults.Settings.class, this::setFaults));
+    }
+
+    /** Handles a request whose JSON body has been read whole. */
+    private interface BodyHandler<T> {
+        void handle(HttpServerExchange exchange, T body);
+    }
+
+    private static <T> HttpHandler body(Class<T> type, BodyHandler<T> handler) {
+        return exchange -> exchange.getRequestReceiver().receiveFullBytes((received, bytes) -> {
+            T value;
+            try {
+                value = EngineJson.read(bytes, type);
+            } catch (IOException e) {
+                HttpAnswers.problem(received, 400, "not a " + type.getSimpleName());
+                return;
+            }
+            handler.handle(received, value);
+        });
+    }
+
+    private void start(HttpServerExchange exchange, EngineRequest request) {
+        if (!isComplete(request)) {
+            HttpAnswers.problem(exchange, 400, "attempt, host, incarnation, model, prompt and sizes are needed");
+            return;
+        }
+        Engine.Started started = engine.start(request);
+        if (started.refused() != null) {
+            HttpAnswers.problem(
+                    exchange, started.refused().status(), started.refused().name());
+            return;
+        }
+        EngineStream stream = started.stream();
+        exchange.dispatch((HttpHandler) dispatched -> writeStream(dispatched, stream, stream.firstIndex()));
+    }
+
+    private static boolean isComplete(EngineRequest request) {
+        return request.attempt() != null
+                && request.host() != null
+                && request.incarnation() != null
+                && request.model() != null
+                && request.prompt() != null
+                && request.promptTokens() > 0
+                && request.maxOutputTokens() > 0;
+    }
+
+    private void resume(HttpServerExchange exchange) {
+        AttemptId attempt = attempt(exchange);
+        Integer offset = number(exchange, EnginePaths.OFFSET);
+        if (attempt == null || offset == null || offset < 0) {
+            HttpAnswers.problem(exchange, 400, "attempt and offset are needed");
+            return;
+        }
+        Optional<EngineStream> stream = engine.stream(attempt);
+        if (stream.isEmpty()) {
+            HttpAnswers.problem(exchange, 404, "no such attempt");
+            return;
+        }
+        exchange.dispatch((HttpHandler) dispatched -> writeStream(dispatched, stream.get(), offset));
+    }
+
+    private void writeStream(HttpServerExchange exchange, EngineStream stream, int offset) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, NDJSON);
+        exchange.startBlocking();
+        OutputStream out = exchange.getOutputStream();
+        try {
+            // The headers go out at once: the reader learns that the attempt was accepted before its first token.
+            out.flush();
+            new StreamWriter(engine, faults, out).write(stream, offset);
+        } catch (IOException e) {
+            IoUtils.safeClose(exchange.getConnection());
+        } catch (InterruptedException e) {
+            IoUtils.safeClose(exchange.getConnection());
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void cancel(HttpServerExchange exchange) {
+        AttemptId attempt = attempt(exchange);
+        if (attempt == null) {
+            HttpAnswers.problem(exchange, 400, "attempt is needed");
+            return;
+        }
+        engine.cancel(attempt);
+        HttpAnswers.json(exchange, true);
+    }
+
+    private void changePriority(HttpServerExchange exchange) {
+        AttemptId attempt = attempt(exchange);
+        Integer priority = number(exchange, "priority");
+        if (attempt == null || priority == null) {
+            HttpAnswers.problem(exchange, 400, "attempt and priority are needed");
+            return;
+        }
+        HttpAnswers.json(exchange, engine.changePriority(attempt, priority));
+    }
+
+    private void export(HttpServerExchange exchange, EngineRequest segment) {
+        if (!isComplete(segment)) {
+            HttpAnswers.problem(exchange, 400, "attempt, host, incarnation, model, prompt and sizes are needed");
+            return;
+        }
+        Engine.Started started = engine.startExport(segment);
+        if (started.refused() != null) {
+            HttpAnswers.problem(
+                    exchange, started.refused().status(), started.refused().name());
+            return;
+        }
+        exchange.dispatch((HttpHandler) dispatched -> writeExport(dispatched, started.stream()));
+    }
+
+    /** Heartbeats are spaces here: JSON allows them before the value. */
+    private void writeExport(HttpServerExchange exchange, EngineStream stream) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.startBlocking();
+        OutputStream out = exchange.getOutputStream();
+        try {
+            while (!stream.isFinished() && !stream.isCancelled()) {
+                out.write(' ');
+                out.flush();
+                stream.awaitMore(Integer.MAX_VALUE, 500);
+            }
+            Optional<ExportedKv> exported = engine.exported(stream.attempt().value());
+            if (exported.isEmpty()) {
+                throw new IOException("export cancelled");
+            }
+            out.write(EngineJson.write(exported.get().export()));
+        } catch (IOException e) {
+            IoUtils.safeClose(exchange.getConnection());
+        } catch (InterruptedException e) {
+            IoUtils.safeClose(exchange.getConnection());
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void exported(HttpServerExchange exchange) {
+        Optional<ExportedKv> exported =
+                engine.exported(String.valueOf(HttpAnswers.parameter(exchange, EnginePaths.ID)));
+        if (exported.isEmpty()) {
+            HttpAnswers.problem(exchange, 404, "no such export");
+            return;
+        }
+        HttpAnswers.json(exchange, exported.get());
+    }
+
+    private void free(HttpServerExchange exchange) {
+        engine.free(String.valueOf(HttpAnswers.parameter(exchange, EnginePaths.ID)));
+        HttpAnswers.json(exchange, true);
+    }
+
+    private void importKv(HttpServerExchange exchange, ImportRequest request) {
+        if (request.export() == null || request.from() == null) {
+            HttpAnswers.problem(exchange, 400, "export and from are needed");
+            return;
+        }
+        exchange.dispatch((HttpHandler) dispatched -> HttpAnswers.json(dispatched, pull(request)));
+    }
+
+    private boolean pull(ImportRequest request) {
+        HttpUrl url = new HttpUrl.Builder()
+                .scheme("http")
+                .host(request.from().ip())
+                .port(request.from().port())
+                .addPathSegments(EnginePaths.EXPORT.substring(1))
+                .addQueryParameter(EnginePaths.ID, request.export().id())
+                .build();
+        try (Response response =
+                otherEngines.newCall(new Request.Builder().url(url).build()).execute()) {
+            return response.isSuccessful()
+                    && engine.importKv(EngineJson.read(response.body().bytes(), ExportedKv.class));
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void cacheEvents(HttpServerExchange exchange) {
+        String after = HttpAnswers.parameter(exchange, EnginePaths.AFTER);
+        try {
+            HttpAnswers.json(exchange, engine.cacheEventsAfter(after == null ? 0 : Long.parseLong(after)));
+        } catch (NumberFormatException e) {
+            HttpAnswers.problem(exchange, 400, "after is a number");
+        }
+    }
+
+    private void setFaults(HttpServerExchange exchange, EngineFaults.Settings settings) {
+        faults.apply(settings);
+        HttpAnswers.json(exchange, true);
+    }
+
+    private static AttemptId attempt(HttpServerExchange exchange) {
+        try {
+            return AttemptId.of(HttpAnswers.parameter(exchange, EnginePaths.ATTEMPT));
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    private static Integer number(HttpServerExchange exchange, String name) {
+        try {
+            return Integer.valueOf(HttpAnswers.parameter(exchange, name));
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineServer.java
@@ -0,0 +1,291 @@
+package org.elmline.standin.engine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import okhttp3.OkHttpClient;
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.backend.BackendKind;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.ModelName;
+import org.elmline.core.common.Region;
+import org.elmline.core.engine.EngineState;
+import org.elmline.standin.Announcer;
+import org.elmline.standin.StandinHttp;
+import org.elmline.standin.model.EngineProfile;
+import org.jboss.logging.Logger;
+
+/**
+ * A model engine for tests, demonstrations and load: answers over HTTP what {@link org.elmline.standin.AnswerText}
+ * says, in the time that the engine model gives. {@link #close()} stops it as a crash does; {@link #leave} gracefully.
+ */
+public final class EngineServer implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(EngineServer.class);
+    private static final String PROTOCOL = "standin";
+    private static final long LEAVE_POLL_MILLIS = 20;
+
+    private final EngineSettings settings;
+    private final EngineFaults faults = new EngineFaults();
+    private final Engine engine;
+    private final StandinHttp http;
+    private final OkHttpClient otherEngines;
+    private final Announcer announcer;
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private volatile boolean leaving;
+
+    private EngineServer(EngineSettings settings) {
+        this.settings = settings;
+        long start = System.nanoTime();
+        engine = new Engine(settings, faults, () -> (long) ((System.nanoTime() - start) * settings.timeScale()));
+        otherEngines =
+                new OkHttpClient.Builder().callTimeout(Duration.ofSeconds(5)).build();
+        http = new StandinHttp(settings.port(), new EngineRoutes(engine, faults, otherEngines).handler());
+        announcer = new Announcer(settings.announceTo(), settings.backendKey(), this::announcement);
+        announcer.start();
+        LOG.infof("engine %s serves on %s", settings.id(), http.address());
+    }
+
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    public Address address() {
+        return http.address();
+    }
+
+    public BackendServerId id() {
+        return settings.id();
+    }
+
+    public EngineFaults faults() {
+        return faults;
+    }
+
+    /** Streams that hold memory, read straight from the engine. */
+    public int openStreams() {
+        return engine.openStreams();
+    }
+
+    /** KV tokens in use, prefix cache that could be evicted not counted. */
+    public long usedKvTokens() {
+        return engine.usedKvTokens();
+    }
+
+    /** What it announces now. */
+    public Announcement announcement() {
+        EngineState state = engine.state();
+        long prefillTokensPerSecond = (long) (settings.profile().prefillTokensPerSecond() * settings.timeScale());
+        return new Announcement(
+                settings.id(),
+                settings.incarnation(),
+                BackendKind.ENGINE,
+                PROTOCOL,
+                http.address(),
+                settings.failureDomain(),
+                settings.region(),
+                List.of(state.model().value()),
+                List.of(state.version()),
+                state.adapters(),
+                state.role(),
+                settings.profile().capacityKvTokens(),
+                prefillTokensPerSecond,
+                engine.load(),
+                settings.checksFencing(),
+                leaving || !state.ready());
+    }
+
+    /** Announces that it is leaving, waits for open streams up to the limit, and closes; true when none was cut. */
+    public boolean leave(Duration limit) throws InterruptedException {
+        leaving = true;
+        announcer.announceNow();
+        long deadline = System.nanoTime() + limit.toNanos();
+        while (engine.openStreams() > 0 && System.nanoTime() < deadline) {
+            Thread.sleep(LEAVE_POLL_MILLIS);
+        }
+        boolean clean = engine.openStreams() == 0;
+        close();
+        return clean;
+    }
+
+    @Override
+    public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
+        announcer.close();
+        engine.close();
+        http.close();
+        otherEngines.dispatcher().executorService().shutdown();
+        otherEngines.connectionPool().evictAll();
+    }
+
+    /** Builds an engine; only id and model have no default. Times are in the engine's own, scaled time. */
+    public static final class Builder {
+        private BackendServerId id;
+        private ModelName model;
+        private Incarnation incarnation = Incarnation.of(System.currentTimeMillis());
+        private FailureDomain failureDomain = FailureDomain.of("local-a");
+        private Region region = Region.of("local");
+        private String version = "1";
+        private List<String> adapters = List.of();
+        private String role = "";
+        private EngineProfile profile = EngineProfile.builder().build();
+        private double timeScale = 1;
+        private Duration retention = Duration.ofMinutes(10);
+        private Duration weightLoad = Duration.ofSeconds(5);
+        private Duration loadLag = Duration.ofSeconds(1);
+        private Duration cacheEventDelay = Duration.ofMillis(500);
+        private double lostCacheEvents;
+        private double importedShare = 1.0 / 16;
+        private boolean checksFencing = true;
+        private long seed = 1;
+        private int port;
+        private final List<Address> announceTo = new ArrayList<>();
+        private String backendKey = "";
+
+        private Builder() {}
+
+        public Builder id(String value) {
+            id = BackendServerId.of(value);
+            return this;
+        }
+
+        public Builder incarnation(long value) {
+            incarnation = Incarnation.of(value);
+            return this;
+        }
+
+        public Builder model(String value) {
+            model = ModelName.of(value);
+            return this;
+        }
+
+        public Builder version(String value) {
+            version = value;
+            return this;
+        }
+
+        public Builder adapters(List<String> value) {
+            adapters = List.copyOf(value);
+            return this;
+        }
+
+        public Builder role(String value) {
+            role = value;
+            return this;
+        }
+
+        public Builder failureDomain(String value) {
+            failureDomain = FailureDomain.of(value);
+            return this;
+        }
+
+        public Builder region(String value) {
+            region = Region.of(value);
+            return this;
+        }
+
+        public Builder profile(EngineProfile value) {
+            profile = value;
+            return this;
+        }
+
+        /** How many times as fast as real time the engine runs. */
+        public Builder timeScale(double value) {
+            timeScale = value;
+            return this;
+        }
+
+        /** How long a finished stream keeps its memory when no reader has received its end. */
+        public Builder retention(Duration value) {
+            retention = value;
+            return this;
+        }
+
+        /** How long an ordered model, version or adapter takes to load. */
+        public Builder weightLoad(Duration value) {
+            weightLoad = value;
+            return this;
+        }
+
+        public Builder loadLag(Duration value) {
+            loadLag = value;
+            return this;
+        }
+
+        public Builder cacheEventDelay(Duration value) {
+            cacheEventDelay = value;
+            return this;
+        }
+
+        /** Share of cache events that are never published, 0 to 1. */
+        public Builder lostCacheEvents(double value) {
+            lostCacheEvents = value;
+            return this;
+        }
+
+        /** Memory that an imported segment takes here, as a share of its tokens. */
+        public Builder importedShare(double value) {
+            importedShare = value;
+            return this;
+        }
+
+        /** Whether orders under an old fencing number are refused. */
+        public Builder checksFencing(boolean value) {
+            checksFencing = value;
+            return this;
+        }
+
+        public Builder seed(long value) {
+            seed = value;
+            return this;
+        }
+
+        /** 0 takes any free port. */
+        public Builder port(int value) {
+            port = value;
+            return this;
+        }
+
+        public Builder announceTo(Address entry) {
+            announceTo.add(entry);
+            return this;
+        }
+
+        public Builder backendKey(String value) {
+            backendKey = value;
+            return this;
+        }
+
+        public EngineServer start() {
+            if (id == null || model == null || timeScale <= 0) {
+                throw new IllegalArgumentException("an engine needs an id, a model and a time scale above 0");
+            }
+            EngineState state = new EngineState(model, version, adapters, role, true);
+            return new EngineServer(new EngineSettings(
+                    id,
+                    incarnation,
+                    failureDomain,
+                    region,
+                    state,
+                    profile,
+                    timeScale,
+                    retention.toNanos(),
+                    weightLoad.toNanos(),
+                    loadLag.toNanos(),
+                    cacheEventDelay.toNanos(),
+                    lostCacheEvents,
+                    importedShare,
+                    checksFencing,
+                    seed,
+                    port,
+                    List.copyOf(announceTo),
+                    backendKey));
+        }
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineSettings.java
@@ -0,0 +1,40 @@
+package org.elmline.standin.engine;
+
+import java.util.List;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.Region;
+import org.elmline.core.engine.EngineState;
+import org.elmline.standin.model.EngineProfile;
+
+/**
+ * Everything one stand-in engine is started with. Times are in the engine's own time, which runs {@code timeScale}
+ * times as fast as real time.
+ *
+ * @param retentionNanos how long a finished stream is kept for a reader that has not had its end
+ * @param lostCacheEvents share of cache events never published, 0 to 1
+ * @param importedShare memory that an imported segment takes, as a share of its tokens; the rest is read from the
+ *     exporter, so that a prompt of more than one engine's memory can be answered
+ */
+record EngineSettings(
+        BackendServerId id,
+        Incarnation incarnation,
+        FailureDomain failureDomain,
+        Region region,
+        EngineState initialState,
+        EngineProfile profile,
+        double timeScale,
+        long retentionNanos,
+        long weightLoadNanos,
+        long loadLagNanos,
+        long cacheEventDelayNanos,
+        double lostCacheEvents,
+        double importedShare,
+        boolean checksFencing,
+        long seed,
+        int port,
+        List<Address> announceTo,
+        String backendKey) {}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineStream.java
@@ -0,0 +1,93 @@
+package org.elmline.standin.engine;
+
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
+import org.elmline.standin.AnswerText;
+
+/** One attempt that the engine computes. Readers come and go; the attempt lives on until finished or cancelled. */
+final class EngineStream {
+    private final long id;
+    private final AttemptId attempt;
+    private final HostId host;
+    private final Incarnation incarnation;
+    private final AnswerText answer;
+    private final int firstIndex;
+    private int available;
+    private boolean cancelled;
+    private long finishedNanos = Long.MAX_VALUE;
+
+    EngineStream(long id, AttemptId attempt, HostId host, Incarnation incarnation, AnswerText answer, int firstIndex) {
+        this.id = id;
+        this.attempt = attempt;
+        this.host = host;
+        this.incarnation = incarnation;
+        this.answer = answer;
+        this.firstIndex = firstIndex;
+        available = Math.min(firstIndex, answer.count());
+    }
+
+    long id() {
+        return id;
+    }
+
+    AttemptId attempt() {
+        return attempt;
+    }
+
+    HostId host() {
+        return host;
+    }
+
+    Incarnation incarnation() {
+        return incarnation;
+    }
+
+    AnswerText answer() {
+        return answer;
+    }
+
+    /** Pieces before this one were delivered by an earlier attempt. */
+    int firstIndex() {
+        return firstIndex;
+    }
+
+    synchronized int available() {
+        return available;
+    }
+
+    synchronized void generated(int indexInAttempt) {
+        available = firstIndex + indexInAttempt + 1;
+        notifyAll();
+    }
+
+    synchronized void finished(long nowNanos) {
+        available = answer.count();
+        finishedNanos = nowNanos;
+        notifyAll();
+    }
+
+    synchronized long finishedNanos() {
+        return finishedNanos;
+    }
+
+    synchronized boolean isFinished() {
+        return finishedNanos != Long.MAX_VALUE;
+    }
+
+    synchronized void cancel() {
+        cancelled = true;
+        notifyAll();
+    }
+
+    synchronized boolean isCancelled() {
+        return cancelled;
+    }
+
+    /** Waits until there is more than {@code pieces} to read, the stream ended, or the time is over. */
+    synchronized void awaitMore(int pieces, long millis) throws InterruptedException {
+        if (available <= pieces && finishedNanos == Long.MAX_VALUE && !cancelled) {
+            wait(millis);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/StreamWriter.java
@@ -0,0 +1,131 @@
+package org.elmline.standin.engine;
+
+import java.io.IOException;
+import java.io.OutputStream;
+
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.Ran;
+import org.elmline.core.engine.StreamEvent;
+import org.elmline.wire.engine.EngineJson;
+
+/**
+ * Writes one stream to one reader, an event a line. An empty line every second tells the reader that the engine lives
+ * while nothing is generated.
+ */
+final class StreamWriter {
+    private static final long HEARTBEAT_MILLIS = 1_000;
+    private static final long FAULT_POLL_MILLIS = 50;
+    private static final int MISSING_EVERY = 5;
+    private static final AttemptId CROSSED = AttemptId.of("crossed-by-standin");
+
+    private final Engine engine;
+    private final EngineFaults faults;
+    private final OutputStream out;
+    private final int readersGeneration;
+
+    StreamWriter(Engine engine, EngineFaults faults, OutputStream out) {
+        this.engine = engine;
+        this.faults = faults;
+        this.out = out;
+        readersGeneration = faults.dropReadersGeneration();
+    }
+
+    /** Returns once the stream's end was written; throws when the connection is broken, by either side. */
+    void write(EngineStream stream, int offset) throws IOException, InterruptedException {
+        int next = offset;
+        int count = stream.answer().count();
+        long lastWriteNanos = System.nanoTime();
+        while (true) {
+            checkConnection();
+            boolean finished = stream.isFinished();
+            int available = stream.available();
+            if (stream.isCancelled()) {
+                writeLine(new StreamEvent.Failed(stream.attempt(), Ran.YES, "cancelled"));
+                return;
+            }
+            if (next < available && !faults.silent()) {
+                writePieces(stream, next, available);
+                next = available;
+                lastWriteNanos = System.nanoTime();
+            }
+            if (finished && next >= count && !faults.silent()) {
+                writeLine(new StreamEvent.End(
+                        stream.attempt(), count, stream.answer().reason()));
+                engine.delivered(stream);
+                return;
+            }
+            if (heartbeatDue(lastWriteNanos)) {
+                out.write('\n');
+                out.flush();
+                lastWriteNanos = System.nanoTime();
+            }
+            awaitMore(stream, next);
+        }
+    }
+
+    private void awaitMore(EngineStream stream, int next) throws InterruptedException {
+        if (faults.silent()) {
+            Thread.sleep(FAULT_POLL_MILLIS);
+            return;
+        }
+        stream.awaitMore(next, FAULT_POLL_MILLIS);
+    }
+
+    private boolean heartbeatDue(long lastWriteNanos) {
+        return !faults.silent() && System.nanoTime() - lastWriteNanos > HEARTBEAT_MILLIS * 1_000_000;
+    }
+
+    private void checkConnection() throws IOException {
+        if (engine.isClosed() || faults.dropReadersGeneration() != readersGeneration) {
+            throw new IOException("reader dropped");
+        }
+    }
+
+    private void writePieces(EngineStream stream, int from, int to) throws IOException {
+        PieceFault fault = faults.pieces();
+        for (int i = from; i < to; i++) {
+            StreamEvent.Piece piece = piece(stream, i);
+            switch (fault) {
+                case DOUBLED -> {
+                    line(piece);
+                    line(piece);
+                }
+                case MISSING -> {
+                    if (i % MISSING_EVERY != MISSING_EVERY - 1) {
+                        line(piece);
+                    }
+                }
+                case REORDERED -> i = reordered(stream, i, to);
+                case CROSSED -> {
+                    line(new StreamEvent.Piece(CROSSED, i, " crossed"));
+                    line(piece);
+                }
+                default -> line(piece);
+            }
+        }
+        out.flush();
+    }
+
+    private int reordered(EngineStream stream, int index, int to) throws IOException {
+        boolean pair = index + 1 < to;
+        if (pair) {
+            line(piece(stream, index + 1));
+        }
+        line(piece(stream, index));
+        return pair ? index + 1 : index;
+    }
+
+    private static StreamEvent.Piece piece(EngineStream stream, int index) {
+        return new StreamEvent.Piece(stream.attempt(), index, stream.answer().piece(index));
+    }
+
+    private void writeLine(StreamEvent event) throws IOException {
+        line(event);
+        out.flush();
+    }
+
+    private void line(StreamEvent event) throws IOException {
+        out.write(EngineJson.writeEvent(event));
+        out.write('\n');
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/model/CacheListener.java
@@ -0,0 +1,7 @@
+package org.elmline.standin.model;
+
+/** Hears each change of the prefix cache as it happens. */
+@FunctionalInterface
+public interface CacheListener {
+    void changed(long blockHash, boolean stored, long atNanos);
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/model/EngineModel.java
@@ -0,0 +1,366 @@
+package org.elmline.standin.model;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * One engine, step by step. Each step decodes one token of every running sequence and fills the rest of its token
+ * budget with chunks of prefill, most urgent first; its time follows from what it computed. Not thread-safe.
+ */
+public final class EngineModel {
+    /** What {@link #nextNanos()} answers when there is nothing to compute. */
+    public static final long IDLE = Long.MAX_VALUE;
+
+    private final EngineProfile profile;
+    private final KvMemory memory;
+    private final Map<Long, Sequence> sequences = new HashMap<>();
+    private final TreeSet<Sequence> waiting;
+    private final TreeSet<Sequence> prefilling;
+    private final List<Sequence> decoding = new ArrayList<>();
+    private final List<Chunk> chunks = new ArrayList<>();
+    private final List<Sequence> stepDecodes = new ArrayList<>();
+    private final Map<Long, Long> external = new HashMap<>();
+    private long stepEndNanos = IDLE;
+    private double slowdown = 1;
+    private long preemptions;
+    private long cachedPromptTokens;
+    private long promptTokens;
+
+    public EngineModel(EngineProfile profile, CacheListener cacheListener) {
+        this.profile = profile;
+        memory = new KvMemory(profile.capacityKvTokens(), profile.blockTokens(), cacheListener);
+        Comparator<Sequence> order = Comparator.<Sequence>comparingLong(s -> s.orderKey(profile.ageingNanos()))
+                .thenComparingLong(s -> s.request.id());
+        waiting = new TreeSet<>(order);
+        prefilling = new TreeSet<>(order);
+    }
+
+    /** Makes every later step this many times as long; 1 is the profile's own speed. */
+    public void slowdown(double factor) {
+        slowdown = factor;
+    }
+
+    /** Accepts a sequence, or false when it could never fit or its id is in use. */
+    public boolean submit(SequenceRequest request, long nowNanos) {
+        long most = (long) request.promptTokens() + request.outputTokens();
+        if (most > profile.capacityKvTokens() || sequences.containsKey(request.id())) {
+            return false;
+        }
+        Sequence sequence = new Sequence(request, nowNanos);
+        sequences.put(request.id(), sequence);
+        waiting.add(sequence);
+        if (stepEndNanos == IDLE) {
+            startStep(nowNanos);
+        }
+        return true;
+    }
+
+    /** Frees all that a sequence holds, in whatever stage; false when the engine holds nothing under this id. */
+    public boolean release(long id) {
+        Sequence sequence = sequences.remove(id);
+        if (sequence == null) {
+            return false;
+        }
+        waiting.remove(sequence);
+        prefilling.remove(sequence);
+        decoding.remove(sequence);
+        freeMemory(sequence);
+        sequence.stage = Sequence.Stage.FINISHED;
+        return true;
+    }
+
+    public boolean changePriority(long id, int priority) {
+        Sequence sequence = sequences.get(id);
+        if (sequence == null) {
+            return false;
+        }
+        boolean wasWaiting = waiting.remove(sequence);
+        boolean wasPrefilling = prefilling.remove(sequence);
+        sequence.priority = priority;
+        if (wasWaiting) {
+            waiting.add(sequence);
+        }
+        if (wasPrefilling) {
+            prefilling.add(sequence);
+        }
+        return true;
+    }
+
+    /** Holds memory for imported KV; false when there is no room or the id is in use. */
+    public boolean holdExternal(long id, long tokens, long nowNanos) {
+        if (external.containsKey(id) || !memory.take(tokens, nowNanos)) {
+            return false;
+        }
+        external.put(id, tokens);
+        return true;
+    }
+
+    public boolean releaseExternal(long id) {
+        Long tokens = external.remove(id);
+        if (tokens == null) {
+            return false;
+        }
+        memory.give(tokens);
+        return true;
+    }
+
+    /** When the step in progress ends; {@link #IDLE} without one. */
+    public long nextNanos() {
+        return stepEndNanos;
+    }
+
+    /** Completes every step that ends by {@code nowNanos}. */
+    public void advance(long nowNanos, StepListener listener) {
+        while (stepEndNanos <= nowNanos) {
+            long ended = stepEndNanos;
+            finishStep(ended, listener);
+            startStep(ended);
+        }
+    }
+
+    public int openSequences() {
+        return sequences.size();
+    }
+
+    public long usedKvTokens() {
+        return memory.usedTokens();
+    }
+
+    /** KV tokens that this sequence holds now. */
+    public long heldTokens(long id) {
+        Sequence sequence = sequences.get(id);
+        return sequence == null ? 0 : sequence.privateTokens + (long) sequence.heldBlocks * profile.blockTokens();
+    }
+
+    public long prefillBacklogTokens() {
+        long backlog = 0;
+        for (Sequence each : waiting) {
+            backlog += each.target;
+        }
+        for (Sequence each : prefilling) {
+            backlog += each.remainingPrefill();
+        }
+        return backlog;
+    }
+
+    public long preemptions() {
+        return preemptions;
+    }
+
+    /** Prompt tokens that the prefix cache spared, of {@link #promptTokens()}. */
+    public long cachedPromptTokens() {
+        return cachedPromptTokens;
+    }
+
+    public long promptTokens() {
+        return promptTokens;
+    }
+
+    private record Chunk(Sequence sequence, int tokens) {}
+
+    private void startStep(long nowNanos) {
+        chunks.clear();
+        stepDecodes.clear();
+        growDecodes(nowNanos);
+        int budget = Math.max(0, profile.stepTokens() - stepDecodes.size());
+        double nanos = decodeNanos();
+        budget = fillWithPrefill(budget, nowNanos);
+        for (Chunk chunk : chunks) {
+            nanos += profile.prefillNanos(chunk.tokens(), chunk.sequence().contextTokens());
+        }
+        if (chunks.isEmpty() && stepDecodes.isEmpty()) {
+            stepEndNanos = IDLE;
+            return;
+        }
+        stepEndNanos = nowNanos + (long) ((profile.stepNanos() + nanos) * slowdown);
+    }
+
+    private double decodeNanos() {
+        long kvTokens = 0;
+        for (Sequence each : stepDecodes) {
+            kvTokens += each.contextTokens() + each.generated;
+        }
+        return profile.decodeNanos(stepDecodes.size(), kvTokens);
+    }
+
+    /** Takes one token of memory for each running sequence; without room the least urgent one is preempted. */
+    private void growDecodes(long nowNanos) {
+        List<Sequence> running = new ArrayList<>(decoding);
+        for (Sequence each : running) {
+            if (each.stage != Sequence.Stage.DECODING) {
+                continue;
+            }
+            while (!memory.take(1, nowNanos)) {
+                Sequence victim = leastUrgentRunning();
+                preempt(victim);
+                if (victim == each) {
+                    break;
+                }
+            }
+            if (each.stage == Sequence.Stage.DECODING) {
+                each.privateTokens++;
+                stepDecodes.add(each);
+            }
+        }
+        stepDecodes.removeIf(each -> each.stage != Sequence.Stage.DECODING);
+    }
+
+    private int fillWithPrefill(int stepBudget, long nowNanos) {
+        int budget = stepBudget;
+        admitWaiting(nowNanos);
+        for (Sequence each : prefilling) {
+            if (budget == 0) {
+                break;
+            }
+            int tokens = Math.min(budget, each.remainingPrefill());
+            chunks.add(new Chunk(each, tokens));
+            budget -= tokens;
+        }
+        return budget;
+    }
+
+    private void admitWaiting(long nowNanos) {
+        while (!waiting.isEmpty()) {
+            Sequence first = waiting.first();
+            if (decoding.size() + prefilling.size() >= profile.maxSequences() && !preemptFor(first)) {
+                return;
+            }
+            if (!takePromptMemory(first, nowNanos)) {
+                if (!preemptFor(first)) {
+                    return;
+                }
+                continue;
+            }
+            waiting.remove(first);
+            first.stage = Sequence.Stage.PREFILLING;
+            prefilling.add(first);
+        }
+    }
+
+    private boolean takePromptMemory(Sequence sequence, long nowNanos) {
+        long[] blocks = sequence.request.blockHashes();
+        int hits = Math.min(memory.leadingHits(blocks), (sequence.request.promptTokens() - 1) / profile.blockTokens());
+        for (int i = 0; i < hits; i++) {
+            memory.retain(blocks[i]);
+        }
+        int cached = hits * profile.blockTokens();
+        if (!memory.take(sequence.target - cached, nowNanos)) {
+            for (int i = hits - 1; i >= 0; i--) {
+                memory.release(blocks[i]);
+            }
+            return false;
+        }
+        sequence.heldBlocks = hits;
+        sequence.prefilled = cached;
+        sequence.privateTokens = sequence.target - cached;
+        if (sequence.generated == 0) {
+            cachedPromptTokens += cached;
+            promptTokens += sequence.request.promptTokens();
+        }
+        return true;
+    }
+
+    /** Makes room for a waiting sequence by preempting one of lower base priority; false when there is none. */
+    private boolean preemptFor(Sequence urgent) {
+        Sequence victim = leastUrgentRunning();
+        if (victim == null || victim.priority <= urgent.priority) {
+            return false;
+        }
+        if (victim.orderKey(profile.ageingNanos()) <= urgent.orderKey(profile.ageingNanos())) {
+            return false;
+        }
+        preempt(victim);
+        return true;
+    }
+
+    private Sequence leastUrgentRunning() {
+        Sequence least = prefilling.isEmpty() ? null : prefilling.last();
+        for (Sequence each : decoding) {
+            if (least == null || each.orderKey(profile.ageingNanos()) > least.orderKey(profile.ageingNanos())) {
+                least = each;
+            }
+        }
+        return least;
+    }
+
+    /** Frees the victim's memory; it is computed again later from its prompt and its answer so far. */
+    private void preempt(Sequence victim) {
+        preemptions++;
+        prefilling.remove(victim);
+        decoding.remove(victim);
+        freeMemory(victim);
+        victim.target = victim.request.promptTokens() + victim.generated;
+        victim.prefilled = 0;
+        victim.stage = Sequence.Stage.WAITING;
+        waiting.add(victim);
+    }
+
+    private void finishStep(long nowNanos, StepListener listener) {
+        List<Sequence> finished = new ArrayList<>();
+        for (Sequence each : stepDecodes) {
+            if (each.stage == Sequence.Stage.DECODING) {
+                generate(each, nowNanos, listener, finished);
+            }
+        }
+        for (Chunk chunk : chunks) {
+            Sequence each = chunk.sequence();
+            if (each.stage != Sequence.Stage.PREFILLING) {
+                continue;
+            }
+            each.prefilled += chunk.tokens();
+            shareWholeBlocks(each, nowNanos);
+            if (each.remainingPrefill() == 0) {
+                completePrefill(each);
+                generate(each, nowNanos, listener, finished);
+            }
+        }
+        for (Sequence each : finished) {
+            decoding.remove(each);
+            each.stage = Sequence.Stage.FINISHED;
+            listener.finished(each.request.id(), nowNanos);
+        }
+    }
+
+    private void completePrefill(Sequence sequence) {
+        prefilling.remove(sequence);
+        sequence.stage = Sequence.Stage.DECODING;
+        decoding.add(sequence);
+    }
+
+    /** Shares each block once it is whole, so that a preempted read finds most of its work in the cache again. */
+    private void shareWholeBlocks(Sequence sequence, long nowNanos) {
+        long[] blocks = sequence.request.blockHashes();
+        int computed = Math.min(sequence.prefilled, sequence.request.promptTokens());
+        int whole = Math.min(blocks.length, computed / profile.blockTokens());
+        for (int i = sequence.heldBlocks; i < whole; i++) {
+            memory.share(blocks[i], nowNanos);
+            sequence.privateTokens -= profile.blockTokens();
+        }
+        sequence.heldBlocks = Math.max(sequence.heldBlocks, whole);
+    }
+
+    private void generate(Sequence sequence, long nowNanos, StepListener listener, List<Sequence> finished) {
+        if (sequence.generated < sequence.request.outputTokens()) {
+            int index = sequence.generated++;
+            listener.token(sequence.request.id(), index, nowNanos);
+        }
+        if (sequence.generated >= sequence.request.outputTokens()) {
+            finished.add(sequence);
+        }
+    }
+
+    private void freeMemory(Sequence sequence) {
+        long[] blocks = sequence.request.blockHashes();
+        // Deepest block first, so that eviction shortens a cached prefix from its end.
+        for (int i = sequence.heldBlocks - 1; i >= 0; i--) {
+            memory.release(blocks[i]);
+        }
+        memory.give(sequence.privateTokens);
+        sequence.heldBlocks = 0;
+        sequence.privateTokens = 0;
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/model/KvMemory.java
@@ -0,0 +1,101 @@
+package org.elmline.standin.model;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * KV memory of one engine, counted in tokens, with a prefix cache in what no sequence holds. Blocks are shared by
+ * reference count; unreferenced ones stay until their room is needed, the longest unused first.
+ */
+final class KvMemory {
+    private final long capacity;
+    private final int blockTokens;
+    private final CacheListener listener;
+    private final Map<Long, Integer> references = new HashMap<>();
+    private final Set<Long> unreferenced = new LinkedHashSet<>();
+    private long privateTokens;
+
+    KvMemory(long capacity, int blockTokens, CacheListener listener) {
+        this.capacity = capacity;
+        this.blockTokens = blockTokens;
+        this.listener = listener;
+    }
+
+    /** Tokens that can't be evicted. */
+    long usedTokens() {
+        return privateTokens + (long) (references.size() - unreferenced.size()) * blockTokens;
+    }
+
+    long freeTokens() {
+        return capacity - usedTokens();
+    }
+
+    int cachedBlocks() {
+        return references.size();
+    }
+
+    /** Leading blocks that are in memory now. */
+    int leadingHits(long[] blocks) {
+        int hits = 0;
+        while (hits < blocks.length && references.containsKey(blocks[hits])) {
+            hits++;
+        }
+        return hits;
+    }
+
+    void retain(long block) {
+        unreferenced.remove(block);
+        references.merge(block, 1, Integer::sum);
+    }
+
+    /** Takes private tokens, evicting unreferenced blocks for them; false and unchanged when there is no room. */
+    boolean take(long tokens, long nowNanos) {
+        if (tokens > freeTokens()) {
+            return false;
+        }
+        privateTokens += tokens;
+        evictOverflow(nowNanos);
+        return true;
+    }
+
+    void give(long tokens) {
+        privateTokens -= tokens;
+        if (privateTokens < 0) {
+            throw new IllegalStateException("more KV tokens given back than taken");
+        }
+    }
+
+    /** Turns one block's worth of private tokens into a shared block. */
+    void share(long block, long nowNanos) {
+        give(blockTokens);
+        if (!references.containsKey(block)) {
+            listener.changed(block, true, nowNanos);
+        }
+        retain(block);
+    }
+
+    void release(long block) {
+        int left = references.merge(block, -1, Integer::sum);
+        if (left < 0) {
+            throw new IllegalStateException("block released more often than retained");
+        }
+        if (left == 0) {
+            unreferenced.add(block);
+        }
+    }
+
+    private void evictOverflow(long nowNanos) {
+        long total = privateTokens + (long) references.size() * blockTokens;
+        Iterator<Long> oldest = unreferenced.iterator();
+        while (total > capacity && oldest.hasNext()) {
+            long block = oldest.next();
+            oldest.remove();
+            references.remove(block);
+            total -= blockTokens;
+            listener.changed(block, false, nowNanos);
+        }
+    }
+}
--- a/elmline-standin/src/main/java/org/elmline/standin/package-info.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-ins for model engines and plain services, with their model. */
+/** Stand-ins for the users' backend servers: what they share. */
 package org.elmline.standin;
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/service/ServiceServer.java
@@ -0,0 +1,246 @@
+package org.elmline.standin.service;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.undertow.Handlers;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.backend.BackendKind;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.Region;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.engine.EngineLoad;
+import org.elmline.standin.Announcer;
+import org.elmline.standin.HttpAnswers;
+import org.elmline.standin.StandinHttp;
+import org.elmline.wire.engine.EngineJson;
+import org.elmline.wire.engine.EnginePaths;
+import org.xnio.IoUtils;
+
+/**
+ * A booking service that never deduplicates by itself: {@code GET /seats/{id}} and {@code GET /schedule} are
+ * idempotent, {@code POST /seats/{id}/hold} and {@code POST /fees} aren't, and {@code GET /runs} tells how often each
+ * of those ran. {@link #close()} stops it as a crash does; {@link #leave} gracefully.
+ */
+public final class ServiceServer implements AutoCloseable {
+    private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+    private static final HttpString RAN = new HttpString(EnginePaths.RAN_HEADER);
+    private static final long LEAVE_POLL_MILLIS = 20;
+
+    private final Builder settings;
+    private final ServiceFaults faults = new ServiceFaults();
+    private final RunCounts runs = new RunCounts();
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final StandinHttp http;
+    private final Announcer announcer;
+    private volatile boolean leaving;
+
+    private ServiceServer(Builder settings) {
+        this.settings = settings;
+        http = new StandinHttp(settings.port, handler());
+        announcer = new Announcer(settings.announceTo, settings.backendKey, this::announcement);
+        announcer.start();
+    }
+
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    public Address address() {
+        return http.address();
+    }
+
+    public BackendServerId id() {
+        return settings.id;
+    }
+
+    public ServiceFaults faults() {
+        return faults;
+    }
+
+    /** How often each call that changes something ran. */
+    public RunCounts runs() {
+        return runs;
+    }
+
+    public Announcement announcement() {
+        return new Announcement(
+                settings.id,
+                settings.incarnation,
+                BackendKind.SERVICE,
+                "",
+                http.address(),
+                settings.failureDomain,
+                settings.region,
+                List.of(settings.service.value()),
+                List.of("1"),
+                List.of(),
+                "",
+                0,
+                0,
+                new EngineLoad(inFlight.get(), 0, 0),
+                false,
+                leaving);
+    }
+
+    /** Announces that it is leaving, waits for calls in flight up to the limit, and closes; true when none was cut. */
+    public boolean leave(Duration limit) throws InterruptedException {
+        leaving = true;
+        announcer.announceNow();
+        long deadline = System.nanoTime() + limit.toNanos();
+        while (inFlight.get() > 0 && System.nanoTime() < deadline) {
+            Thread.sleep(LEAVE_POLL_MILLIS);
+        }
+        boolean clean = inFlight.get() == 0;
+        close();
+        return clean;
+    }
+
+    @Override
+    public void close() {
+        if (closed.compareAndSet(false, true)) {
+            announcer.close();
+            http.close();
+        }
+    }
+
+    private HttpHandler handler() {
+        return Handlers.routing()
+                .get("/schedule", onWorker(exchange -> HttpAnswers.json(exchange, Schedule.today())))
+                .get("/seats/{seat}", onWorker(this::seat))
+                .post("/seats/{seat}/hold", onWorker(this::change))
+                .post("/fees", onWorker(this::change))
+                .get("/runs", exchange -> HttpAnswers.json(exchange, new Runs(runs.runs())))
+                .put("/standin/faults", this::setFaults);
+    }
+
+    private record Runs(List<RunCounts.Run> runs) {}
+
+    /** The seats on offer, always the same. */
+    private record Schedule(List<String> seats) {
+        static Schedule today() {
+            return new Schedule(List.of("a1", "a2", "b1", "b2"));
+        }
+    }
+
+    private record Seat(String seat) {}
+
+    private HttpHandler onWorker(HttpHandler handler) {
+        return exchange -> exchange.dispatch((HttpHandler) dispatched -> {
+            inFlight.incrementAndGet();
+            try {
+                dispatched.startBlocking();
+                Thread.sleep(faults.delayMillis());
+                handler.handleRequest(dispatched);
+            } finally {
+                inFlight.decrementAndGet();
+            }
+        });
+    }
+
+    private void seat(HttpServerExchange exchange) {
+        HttpAnswers.json(exchange, new Seat(HttpAnswers.parameter(exchange, "seat")));
+    }
+
+    private void change(HttpServerExchange exchange) throws IOException {
+        if (faults.mode() == ServiceFaults.Mode.FAIL_BEFORE_RUNNING) {
+            exchange.getResponseHeaders().put(RAN, "no");
+            HttpAnswers.problem(exchange, 503, "refused before running");
+            return;
+        }
+        String body = new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String key = exchange.getRequestHeaders().getFirst(IDEMPOTENCY_KEY);
+        String keyOrNone = key == null ? "" : key;
+        int count = runs.ran(keyOrNone, exchange.getRequestPath(), body);
+        if (faults.mode() == ServiceFaults.Mode.DROP_ANSWER) {
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        HttpAnswers.json(exchange, new RunCounts.Run(keyOrNone, exchange.getRequestPath(), body, count));
+    }
+
+    private void setFaults(HttpServerExchange exchange) {
+        exchange.getRequestReceiver().receiveFullBytes((received, bytes) -> {
+            try {
+                faults.apply(EngineJson.read(bytes, ServiceFaults.Settings.class));
+                HttpAnswers.json(received, true);
+            } catch (IOException e) {
+                HttpAnswers.problem(received, 400, "not fault settings");
+            }
+        });
+    }
+
+    /** Builds a service; only the id has no default. */
+    public static final class Builder {
+        private BackendServerId id;
+        private ServiceName service = ServiceName.of("booking");
+        private Incarnation incarnation = Incarnation.of(System.currentTimeMillis());
+        private FailureDomain failureDomain = FailureDomain.of("local-a");
+        private Region region = Region.of("local");
+        private int port;
+        private final List<Address> announceTo = new ArrayList<>();
+        private String backendKey = "";
+
+        private Builder() {}
+
+        public Builder id(String value) {
+            id = BackendServerId.of(value);
+            return this;
+        }
+
+        public Builder service(String value) {
+            service = ServiceName.of(value);
+            return this;
+        }
+
+        public Builder incarnation(long value) {
+            incarnation = Incarnation.of(value);
+            return this;
+        }
+
+        public Builder failureDomain(String value) {
+            failureDomain = FailureDomain.of(value);
+            return this;
+        }
+
+        public Builder region(String value) {
+            region = Region.of(value);
+            return this;
+        }
+
+        /** 0 takes any free port. */
+        public Builder port(int value) {
+            port = value;
+            return this;
+        }
+
+        public Builder announceTo(Address entry) {
+            announceTo.add(entry);
+            return this;
+        }
+
+        public Builder backendKey(String value) {
+            backendKey = value;
+            return this;
+        }
+
+        public ServiceServer start() {
+            if (id == null) {
+                throw new IllegalArgumentException("a service needs an id");
+            }
+            return new ServiceServer(this);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/main/java/org/elmline/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** A plain booking service whose calls are counted, with settable faults. */
+package org.elmline.standin.service;
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/engine/ImportRequest.java
@@ -0,0 +1,7 @@
+package org.elmline.wire.engine;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.engine.KvExport;
+
+/** Asks an engine to copy an export from the engine that holds it. */
+public record ImportRequest(KvExport export, Address from) {}
