--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/timeline/EventText.java
@@ -0,0 +1,20 @@
+package org.elmline.core.timeline;
+
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+
+/** One event as a line for people: wall clock, hybrid time, host, event. */
+public final class EventText {
+    private static final DateTimeFormatter TIME =
+            DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss.SSS").withZone(ZoneOffset.UTC);
+
+    private EventText() {}
+
+    public static String line(StampedEvent stamped) {
+        return TIME.format(Instant.ofEpochMilli(stamped.wallMillis()))
+                + "  " + stamped.time()
+                + "  " + stamped.host()
+                + "  " + stamped.event();
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/timeline/HybridClockTest.java
@@ -0,0 +1,116 @@
+package org.elmline.core.timeline;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class HybridClockTest {
+    private static final long START = 1_800_000_000_000L;
+
+    /** A cause lies before its effect over any walk of messages between hosts whose wall clocks differ and step. */
+    @Property(seed = "4711", tries = 300)
+    void effectsComeAfterCauses(@ForAll @IntRange(min = 2, max = 6) int hosts, @ForAll @LongRange long seed) {
+        Random random = new Random(seed);
+        long[] wall = new long[hosts];
+        List<HybridClock> clocks = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            int host = i;
+            wall[i] = START + random.nextInt(100);
+            clocks.add(new HybridClock(() -> wall[host]));
+        }
+        int at = 0;
+        HybridTime cause = clocks.get(at).now();
+        for (int step = 0; step < 200; step++) {
+            wall[random.nextInt(hosts)] += random.nextInt(5) - 1;
+            int to = random.nextInt(hosts);
+            assertEquals(0, clocks.get(to).merge(cause));
+            HybridTime effect = clocks.get(to).now();
+            assertTrue(effect.compareTo(cause) > 0, cause + " then " + effect);
+            cause = effect;
+        }
+    }
+
+    @Test
+    void withoutMessagesItFollowsTheWallClock() {
+        long[] wall = {START};
+        HybridClock clock = new HybridClock(() -> wall[0]);
+        assertEquals(HybridTime.of(START, 0), clock.now());
+        assertEquals(HybridTime.of(START, 1), clock.now());
+        wall[0] += 7;
+        assertEquals(HybridTime.of(START + 7, 0), clock.now());
+        wall[0] -= 5;
+        assertEquals(HybridTime.of(START + 7, 1), clock.now());
+    }
+
+    @Test
+    void aFullCounterOverflowsIntoTheMilliseconds() {
+        HybridClock clock = new HybridClock(() -> START);
+        clock.merge(HybridTime.of(START, 65_535));
+        assertEquals(HybridTime.of(START + 1, 1), clock.now());
+    }
+
+    /**
+     * One host's wall clock is set an hour ahead and it sends a message. Taken over, its time would be in every stamp
+     * of every process for an hour, and operators could not tell when anything happened. It is refused and counted, and
+     * a time at the bound is still taken over.
+     */
+    @Test
+    void aTimeFarAheadIsRefused() {
+        HybridClock clock = new HybridClock(() -> START, 1_000);
+        assertEquals(3_600_000, clock.merge(HybridTime.of(START + 3_600_000, 0)));
+        assertEquals(1, clock.refused());
+        assertEquals(START, clock.now().millis());
+        assertEquals(0, clock.merge(HybridTime.of(START + 1_000, 0)));
+        assertEquals(START + 1_000, clock.now().millis());
+        assertEquals(1, clock.refused());
+    }
+
+    @Test
+    void threadsGetDifferentTimes() throws InterruptedException {
+        int threads = 4;
+        int each = 5_000;
+        HybridClock clock = new HybridClock(() -> START);
+        List<Set<HybridTime>> taken = new ArrayList<>();
+        List<Thread> running = new ArrayList<>();
+        CountDownLatch start = new CountDownLatch(1);
+        for (int i = 0; i < threads; i++) {
+            Set<HybridTime> own = new HashSet<>();
+            taken.add(own);
+            Thread thread = new Thread(() -> {
+                awaitQuietly(start);
+                for (int n = 0; n < each; n++) {
+                    own.add(clock.now());
+                }
+            });
+            thread.start();
+            running.add(thread);
+        }
+        start.countDown();
+        for (Thread thread : running) {
+            thread.join();
+        }
+        Set<HybridTime> all = new HashSet<>();
+        taken.forEach(all::addAll);
+        assertEquals(threads * each, all.size());
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
