--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the time line: which clock orders events, and what it costs. */
+package org.elmline.bench.timeline;
--- a/elmline-cli/src/main/java/org/elmline/cli/CommandPlugin.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/CommandPlugin.java
@@ -8,4 +8,9 @@
  */
 public interface CommandPlugin {
     List<Object> commands();
+
+    /** Under which command these stand; by default they stand directly under the program. */
+    default CommandGroup group() {
+        return CommandGroup.PROGRAM;
+    }
 }
--- a/elmline-cli/src/main/java/org/elmline/cli/Main.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/Main.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,19 +23,31 @@
     /** The whole command line with every command that registered itself, in the order of their names. */
     public static CommandLine commandLine() {
         CommandLine root = new CommandLine(new ElmlineCommand());
-        List<Object> commands = new ArrayList<>();
+        Map<CommandGroup, List<Object>> commands = new EnumMap<>(CommandGroup.class);
         for (CommandPlugin plugin : ServiceLoader.load(CommandPlugin.class)) {
-            commands.addAll(plugin.commands());
-        }
-        commands.sort(Comparator.comparing(Main::name));
-        for (Object command : commands) {
-            root.addSubcommand(command);
+            commands.computeIfAbsent(plugin.group(), group -> new ArrayList<>()).addAll(plugin.commands());
         }
+        commands.forEach((group, members) -> add(root, group, members));
         document(root);
         root.setExecutionExceptionHandler(Main::explain);
         return root;
     }
 
+    private static void add(CommandLine root, CommandGroup group, List<Object> members) {
+        CommandLine parent = root;
+        if (group != CommandGroup.PROGRAM) {
+            parent = new CommandLine(new GroupCommand());
+            parent.getCommandSpec().usageMessage().description(group.description());
+        }
+        members.sort(Comparator.comparing(Main::name));
+        for (Object member : members) {
+            parent.addSubcommand(member);
+        }
+        if (parent != root) {
+            root.addSubcommand(group.word(), parent);
+        }
+    }
+
     private static String name(Object command) {
         return command.getClass().getAnnotation(Command.class).name();
     }
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that measure. */
+package org.elmline.cli.bench;
--- a/elmline-cli/src/test/java/org/elmline/cli/MainTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/MainTest.java
@@ -29,6 +29,7 @@
             USAGE,ticket
             USAGE,settings
             USAGE,settings check
+            USAGE,bench
             USAGE,ticket show three --key k
             USAGE,ticket show -1 --key k
             USAGE,ticket show 3 --key k --operator ://
