Serve callers and operators from an entry over a control host, thin

Cause: the whole path must stand before its parts are made whole. Change: control role (leadership, leases, tickets, claims over a log kept in memory for now), entry role (lease renewal, gate, completions, tickets, announcements).

--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/AnnounceHandler.java
@@ -0,0 +1,46 @@
+package org.elmline.daemon.backend;
+
+import java.util.Collection;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.daemon.http.Answers;
+import org.elmline.daemon.http.BearerKey;
+import org.elmline.daemon.http.BodyReader;
+import org.elmline.wire.codec.Codecs;
+import org.elmline.wire.codec.Decoded;
+
+/** {@code POST /v1/backend-servers/announce}: a backend server says what it is, and learns how often and where to. */
+public final class AnnounceHandler implements HttpHandler {
+    private final Collection<String> keys;
+    private final BodyReader bodies;
+    private final OwnerService owners;
+
+    public AnnounceHandler(Collection<String> keys, BodyReader bodies, OwnerService owners) {
+        this.keys = keys;
+        this.bodies = bodies;
+        this.owners = owners;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        if (!BearerKey.isOneOf(exchange, keys)) {
+            Answers.refuse(exchange, Refusal.didNotRun(RefusalReason.UNAUTHENTICATED, "not a key of backend servers"));
+            return;
+        }
+        bodies.read(exchange, body -> announce(exchange, body));
+    }
+
+    private void announce(HttpServerExchange exchange, byte[] body) {
+        Decoded<Announcement> decoded = Codecs.JSON.decode(body, Announcement.class);
+        if (decoded instanceof Decoded.Malformed<Announcement> malformed) {
+            Answers.refuse(exchange, Refusal.didNotRun(RefusalReason.BAD_REQUEST, malformed.why()));
+            return;
+        }
+        Announcement announcement = ((Decoded.Value<Announcement>) decoded).value();
+        Answers.json(exchange, owners.announced(announcement));
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/ModelsHandler.java
@@ -0,0 +1,44 @@
+package org.elmline.daemon.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import org.elmline.core.config.Model;
+import org.elmline.daemon.entry.SharedView;
+import org.elmline.daemon.http.Answers;
+
+/** {@code GET /v1/models}, in the OpenAI API's form: each model, and each of its adapters as {@code model@adapter}. */
+public final class ModelsHandler implements HttpHandler {
+    private final Gate gate;
+    private final SharedView view;
+
+    public ModelsHandler(Gate gate, SharedView view) {
+        this.gate = gate;
+        this.view = view;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        Gate.Passage passage = gate.enter(exchange);
+        if (passage instanceof Gate.Passage.Closed closed) {
+            Answers.refuse(exchange, closed.refusal());
+            return;
+        }
+        gate.leave();
+        List<Entry> entries = new ArrayList<>();
+        for (Model each : view.configuration().models()) {
+            entries.add(new Entry(each.name().value(), "model", 0, "elmline"));
+            for (String adapter : each.adapters()) {
+                entries.add(new Entry(each.name() + "@" + adapter, "model", 0, "elmline"));
+            }
+        }
+        Answers.json(exchange, new Listing("list", entries));
+    }
+
+    record Listing(String object, List<Entry> data) {}
+
+    @SuppressWarnings("checkstyle:RecordComponentName")
+    record Entry(String id, String object, long created, String owned_by) {}
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/StreamSink.java
@@ -0,0 +1,67 @@
+package org.elmline.daemon.caller;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.engine.FinishReason;
+import org.elmline.daemon.http.Answers;
+import org.elmline.daemon.openai.CompletionWriter;
+
+/** Sends an answer piece by piece as server-sent events. The status line goes out with the first piece. */
+final class StreamSink implements AnswerSink {
+    /** A comment line, which readers of server-sent events pass over. */
+    private static final byte[] PING = ": waiting\n\n".getBytes(StandardCharsets.UTF_8);
+
+    private final HttpServerExchange exchange;
+    private final CompletionWriter writer;
+    private OutputStream out;
+
+    StreamSink(HttpServerExchange exchange, CompletionWriter writer) {
+        this.exchange = exchange;
+        this.writer = writer;
+    }
+
+    @Override
+    public void piece(String text) throws IOException {
+        boolean first = out == null;
+        write(writer.piece(text, first));
+    }
+
+    @Override
+    public void end(int tokens, FinishReason reason) throws IOException {
+        write(writer.end(tokens, reason));
+        out.close();
+    }
+
+    @Override
+    public void refuse(Refusal refusal) throws IOException {
+        if (out == null) {
+            Answers.refuse(exchange, refusal);
+            return;
+        }
+        out.write(CompletionWriter.broken(refusal));
+        out.close();
+    }
+
+    @Override
+    public void idle() throws IOException {
+        if (out != null) {
+            write(PING);
+        }
+    }
+
+    private void write(byte[] event) throws IOException {
+        if (out == null) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+            exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
+            exchange.startBlocking();
+            out = exchange.getOutputStream();
+        }
+        out.write(event);
+        out.flush();
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Work.java
@@ -0,0 +1,6 @@
+package org.elmline.daemon.caller;
+
+import org.elmline.daemon.openai.CompletionRequest;
+
+/** One admitted request for an answer, with its size in tokens. */
+record Work(Admitted call, CompletionRequest request, int promptTokens, int maxOutputTokens) {}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlMachine.java
@@ -0,0 +1,47 @@
+package org.elmline.daemon.control;
+
+import java.util.function.Function;
+
+import org.elmline.core.control.Command;
+import org.elmline.core.control.CommandResult;
+import org.elmline.core.control.ControlSnapshot;
+import org.elmline.core.control.ControlState;
+import org.elmline.wire.codec.Codec;
+import org.elmline.wire.codec.Codecs;
+import org.elmline.wire.codec.Decoded;
+
+/**
+ * Guards the replicated state: one lock for the applying thread and for all readers. The lock is held for short steps
+ * only and no other lock is taken under it.
+ */
+public final class ControlMachine {
+    private static final Codec CODEC = Codecs.MESSAGE_PACK;
+
+    private ControlState state = new ControlState();
+
+    /** Applies a committed command and returns its encoded {@link CommandResult}. */
+    public synchronized byte[] apply(long index, byte[] command) {
+        return CODEC.encode(state.apply(index, read(command, Command.class)));
+    }
+
+    public synchronized byte[] snapshot() {
+        return CODEC.encode(state.snapshot());
+    }
+
+    public synchronized void restore(byte[] snapshot) {
+        state = ControlState.restore(read(snapshot, ControlSnapshot.class));
+    }
+
+    /** Reads the state under the lock. */
+    public synchronized <T> T read(Function<ControlState, T> reader) {
+        return reader.apply(state);
+    }
+
+    /** A command or snapshot that can't be read is a broken invariant: going on would let this replica diverge. */
+    private static <T> T read(byte[] bytes, Class<T> type) {
+        if (CODEC.decode(bytes, type) instanceof Decoded.Value<T> value) {
+            return value.value();
+        }
+        throw new IllegalStateException("a committed " + type.getSimpleName() + " can't be read");
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/Leadership.java
@@ -0,0 +1,140 @@
+package org.elmline.daemon.control;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import org.elmline.core.common.FencingNumber;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.control.Command;
+import org.elmline.core.control.CommandResult;
+import org.elmline.core.control.ControlLimits;
+import org.elmline.core.control.LeaseKeeper;
+import org.elmline.core.control.LeaseSettings;
+import org.jboss.logging.Logger;
+
+/**
+ * Follows whether this control host leads. Each new term first commits a {@link Command.StartLeadership}; only then,
+ * with every earlier leader's commands applied, may this host grant leases and answer for tickets.
+ */
+final class Leadership {
+    private static final Logger LOG = Logger.getLogger(Leadership.class);
+    private static final long CHECK_MILLIS = 20;
+    private static final long SWEEP_EVERY_CHECKS = 10;
+
+    private final HostId host;
+    private final CommandLog log;
+    private final ControlMachine machine;
+    private final MonotonicClock clock;
+    private final LeaseSettings leases;
+    private final ControlLimits limits;
+    private Term term;
+    private long proposedTerm = -1;
+    private long checks;
+
+    /** One term of this host as leader. Its keeper is used under the machine's lock only. */
+    private record Term(long number, FencingNumber fencing, LeaseKeeper keeper) {}
+
+    Leadership(
+            HostId host,
+            CommandLog log,
+            ControlMachine machine,
+            MonotonicClock clock,
+            LeaseSettings leases,
+            ControlLimits limits) {
+        this.host = host;
+        this.log = log;
+        this.machine = machine;
+        this.clock = clock;
+        this.leases = leases;
+        this.limits = limits;
+    }
+
+    void start(ScheduledExecutorService timer) {
+        timer.scheduleWithFixedDelay(this::check, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The term's fencing number, while this host leads and its leadership is committed. */
+    Optional<FencingNumber> fencing() {
+        return current().map(Term::fencing);
+    }
+
+    /** Uses the lease keeper under the machine's lock; empty when this host doesn't lead. */
+    <T> Optional<T> withKeeper(Function<LeaseKeeper, T> use) {
+        return current().map(each -> machine.read(state -> use.apply(each.keeper())));
+    }
+
+    private synchronized Optional<Term> current() {
+        Standing standing = log.standing();
+        boolean valid = term != null && standing.leads() && standing.term() == term.number();
+        return valid ? Optional.of(term) : Optional.empty();
+    }
+
+    private void check() {
+        try {
+            Standing standing = log.standing();
+            if (!standing.leads()) {
+                lost();
+                return;
+            }
+            if (propose(standing.term())) {
+                Command command = new Command.StartLeadership(host, standing.term(), limits);
+                log.propose(command).thenAccept(result -> started(standing.term(), result));
+            }
+            sweep();
+        } catch (RuntimeException e) {
+            LOG.error("leadership check failed", e);
+        }
+    }
+
+    /** True once for each term. */
+    private synchronized boolean propose(long number) {
+        if (proposedTerm == number) {
+            return false;
+        }
+        proposedTerm = number;
+        return true;
+    }
+
+    private void started(long number, Proposed result) {
+        if (!(result instanceof Proposed.Applied applied)
+                || !(applied.result() instanceof CommandResult.LeadershipStarted started)) {
+            retry(number);
+            return;
+        }
+        LeaseKeeper keeper = machine.read(state -> new LeaseKeeper(state, leases, clock.nanos()));
+        synchronized (this) {
+            if (proposedTerm == number) {
+                term = new Term(number, started.fencing(), keeper);
+            }
+        }
+        LOG.infof("leading as of term %d with fencing number %s", number, started.fencing());
+    }
+
+    private synchronized void retry(long number) {
+        if (proposedTerm == number) {
+            proposedTerm = -1;
+        }
+    }
+
+    private synchronized void lost() {
+        if (term != null) {
+            LOG.infof("no longer leading; last term %d", term.number());
+        }
+        term = null;
+        proposedTerm = -1;
+    }
+
+    private void sweep() {
+        checks++;
+        if (checks % SWEEP_EVERY_CHECKS != 0) {
+            return;
+        }
+        List<Command.EndHost> ended =
+                withKeeper(keeper -> keeper.ended(clock.nanos())).orElse(List.of());
+        ended.forEach(log::propose);
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/Standing.java
@@ -0,0 +1,18 @@
+package org.elmline.daemon.control;
+
+import java.util.List;
+
+import org.elmline.core.common.Address;
+
+/**
+ * How one control host stands in the replicated log.
+ *
+ * @param leaseUntilNanos end of the leader's own lease on the monotonic clock; past it another leader may exist
+ * @param leader peer address of the leader, null when none is known
+ * @param controlHosts peer addresses of all control hosts, the leader first when it is known
+ */
+public record Standing(boolean leads, long term, long leaseUntilNanos, Address leader, List<Address> controlHosts) {
+    public Standing {
+        controlHosts = List.copyOf(controlHosts);
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/ControlClient.java
@@ -0,0 +1,132 @@
+package org.elmline.daemon.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.peer.Channel;
+import org.elmline.core.peer.PeerNetwork;
+
+/**
+ * Calls the control leader, wherever it is. Every call of the control channels is idempotent, so a lost answer is asked
+ * for again, at the next control host, until the time is up.
+ */
+public final class ControlClient {
+    private static final Duration TRY_TIMEOUT = Duration.ofMillis(1000);
+    private static final long PAUSE_MILLIS = 50;
+
+    private final PeerNetwork network;
+    private final MonotonicClock clock;
+    private final ScheduledExecutorService timer;
+    private final List<Address> seeds;
+    private volatile List<Address> hosts;
+    private volatile Address preferred;
+
+    public ControlClient(
+            PeerNetwork network, MonotonicClock clock, ScheduledExecutorService timer, List<Address> seeds) {
+        this.network = network;
+        this.clock = clock;
+        this.timer = timer;
+        this.seeds = List.copyOf(seeds);
+        this.hosts = this.seeds;
+        this.preferred = this.seeds.get(0);
+    }
+
+    /** Takes the control hosts as a lease answer lists them; the settings' hosts stay known as a way back. */
+    void learn(List<Address> current) {
+        List<Address> all = new ArrayList<>(current);
+        for (Address seed : seeds) {
+            if (!all.contains(seed)) {
+                all.add(seed);
+            }
+        }
+        hosts = List.copyOf(all);
+    }
+
+    /** Completes with the leader's answer, or after the timeout with how the last try ended. */
+    <Q, R> CompletableFuture<CallResult<R>> call(
+            Channel<Q, R> channel, Q request, Duration timeout, LeaderHint<R> hint) {
+        long deadline = clock.nanos() + timeout.toNanos();
+        CompletableFuture<CallResult<R>> result = new CompletableFuture<>();
+        new Attempts<>(channel, request, hint, deadline, result).next(preferred);
+        return result;
+    }
+
+    private final class Attempts<Q, R> {
+        private final Channel<Q, R> channel;
+        private final Q request;
+        private final LeaderHint<R> hint;
+        private final long deadline;
+        private final CompletableFuture<CallResult<R>> result;
+        private boolean everSent;
+
+        Attempts(
+                Channel<Q, R> channel,
+                Q request,
+                LeaderHint<R> hint,
+                long deadline,
+                CompletableFuture<CallResult<R>> result) {
+            this.channel = channel;
+            this.request = request;
+            this.hint = hint;
+            this.deadline = deadline;
+            this.result = result;
+        }
+
+        void next(Address host) {
+            long left = deadline - clock.nanos();
+            if (left <= 0) {
+                result.complete(everSent ? new CallResult.Unknown<>("no answer in time") : noLeader());
+                return;
+            }
+            Duration timeout = Duration.ofNanos(Math.min(left, TRY_TIMEOUT.toNanos()));
+            network.call(host, channel, request, timeout).thenAccept(answer -> take(host, answer));
+        }
+
+        private void take(Address host, CallResult<R> answer) {
+            if (!(answer instanceof CallResult.Answered<R> answered)) {
+                everSent |= answer instanceof CallResult.Unknown;
+                later(after(host));
+                return;
+            }
+            LeaderHint.Redirect redirect = hint.of(answered.value());
+            if (!redirect.wanted()) {
+                preferred = host;
+                result.complete(answer);
+                return;
+            }
+            Optional<Address> leader = redirect.leader().filter(each -> !each.equals(host));
+            if (leader.isPresent()) {
+                next(leader.get());
+                return;
+            }
+            later(after(host));
+        }
+
+        /** A pause between rounds, so that a cluster without a leader isn't flooded. */
+        private void later(Address host) {
+            preferred = host;
+            if (timer.isShutdown()) {
+                result.complete(noLeader());
+                return;
+            }
+            timer.schedule(() -> next(host), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private CallResult<R> noLeader() {
+            return new CallResult.NotSent<>("no control host could be reached");
+        }
+    }
+
+    private Address after(Address host) {
+        List<Address> all = hosts;
+        return all.get((all.indexOf(host) + 1) % all.size());
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/SharedView.java
@@ -0,0 +1,59 @@
+package org.elmline.daemon.entry;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.config.Configuration;
+import org.elmline.core.control.HostLease;
+import org.elmline.core.control.LeaseAnswer;
+
+/** What the lease keeps up to date on this entry: the configuration, the live entries, and the lease itself. */
+public final class SharedView {
+    private final HostLease lease = new HostLease();
+    private final MonotonicClock clock;
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+    private volatile Configuration configuration = Configuration.EMPTY;
+    private volatile MemberTable members = MemberTable.EMPTY;
+
+    public SharedView(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    public MemberTable members() {
+        return members;
+    }
+
+    /** Whether this entry may admit work or send a claimed call at this moment. */
+    public boolean mayServe() {
+        return lease.check(clock.nanos());
+    }
+
+    public long leaseRemainingNanos() {
+        return lease.remainingNanos(clock.nanos());
+    }
+
+    /** Called after each change of the live entries. */
+    public void onMembers(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    void granted(long askedNanos, LeaseAnswer.Granted granted) {
+        configuration = configuration.with(granted.config());
+        MemberTable before = members;
+        members = before.with(granted.members());
+        // Last, so that nothing is admitted under an older configuration than the lease stands for.
+        lease.granted(askedNanos, granted.leaseMillis());
+        if (members != before) {
+            listeners.forEach(Runnable::run);
+        }
+    }
+
+    void replaced() {
+        lease.replaced();
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/Answers.java
@@ -0,0 +1,36 @@
+package org.elmline.daemon.http;
+
+import java.nio.ByteBuffer;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import org.elmline.core.common.Refusal;
+import org.elmline.wire.codec.Codecs;
+
+/** Writes whole JSON answers. */
+public final class Answers {
+    private static final String JSON = "application/json";
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    private Answers() {}
+
+    public static void json(HttpServerExchange exchange, Object body) {
+        json(exchange, StatusCodes.OK, body);
+    }
+
+    public static void json(HttpServerExchange exchange, int status, Object body) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
+        exchange.getResponseSender().send(ByteBuffer.wrap(Codecs.JSON.encode(body)));
+    }
+
+    /** The refusal's status, its body, and {@code Retry-After} in whole seconds when a retry may help. */
+    public static void refuse(HttpServerExchange exchange, Refusal refusal) {
+        if (refusal.retryAfterMillis() > 0) {
+            long seconds = (refusal.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
+        }
+        json(exchange, refusal.reason().status(), ErrorBody.of(refusal));
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/BearerKey.java
@@ -0,0 +1,47 @@
+package org.elmline.daemon.http;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Collection;
+import java.util.HexFormat;
+import java.util.Optional;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+
+/** The key in {@code Authorization: Bearer KEY}. */
+public final class BearerKey {
+    private static final String PREFIX = "Bearer ";
+
+    private BearerKey() {}
+
+    public static Optional<String> of(HttpServerExchange exchange) {
+        String header = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+        if (header == null || !header.regionMatches(true, 0, PREFIX, 0, PREFIX.length())) {
+            return Optional.empty();
+        }
+        String key = header.substring(PREFIX.length()).trim();
+        return key.isEmpty() ? Optional.empty() : Optional.of(key);
+    }
+
+    /** Whether the call carries one of the keys; compared in constant time, so that timing tells nothing of them. */
+    public static boolean isOneOf(HttpServerExchange exchange, Collection<String> keys) {
+        byte[] given = of(exchange).orElse("").getBytes(StandardCharsets.UTF_8);
+        boolean found = false;
+        for (String key : keys) {
+            found |= MessageDigest.isEqual(key.getBytes(StandardCharsets.UTF_8), given);
+        }
+        return found;
+    }
+
+    /** SHA-256 of a key in lower-case hexadecimal, as tickets carry it. */
+    public static String hash(String key) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/BodyReader.java
@@ -0,0 +1,68 @@
+package org.elmline.daemon.http;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
+
+import io.undertow.server.HttpServerExchange;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+
+/**
+ * Reads a whole body without holding a thread, then hands it to a worker. A body over the listener's limit, one that is
+ * cut off and a process without a free worker each end in a refusal.
+ */
+public final class BodyReader {
+    private static final long BUSY_RETRY_MILLIS = 500;
+
+    private final Executor workers;
+
+    public BodyReader(Executor workers) {
+        this.workers = workers;
+    }
+
+    public void read(HttpServerExchange exchange, Consumer<byte[]> then) {
+        long declared = exchange.getRequestContentLength();
+        long limit = exchange.getMaxEntitySize();
+        if (limit > 0 && declared > limit) {
+            // The body is not read: closing spares both sides the transfer.
+            exchange.setPersistent(false);
+            Answers.refuse(exchange, tooLarge(limit));
+            return;
+        }
+        exchange.getRequestReceiver()
+                .receiveFullBytes((ready, body) -> dispatch(ready, () -> then.accept(body)), (failed, error) -> {
+                    failed.setPersistent(false);
+                    Answers.refuse(failed, fault(limit, error));
+                });
+    }
+
+    /** Runs a task on a worker, with a refusal when none is free. */
+    public void dispatch(HttpServerExchange exchange, Runnable task) {
+        exchange.dispatch(
+                command -> {
+                    try {
+                        workers.execute(command);
+                    } catch (RejectedExecutionException e) {
+                        Answers.refuse(
+                                exchange,
+                                Refusal.comeBack(
+                                        RefusalReason.OVERLOADED,
+                                        "all workers of this host are busy",
+                                        BUSY_RETRY_MILLIS));
+                    }
+                },
+                task);
+    }
+
+    private static Refusal fault(long limit, java.io.IOException error) {
+        if (error instanceof io.undertow.server.RequestTooBigException) {
+            return tooLarge(limit);
+        }
+        return Refusal.didNotRun(RefusalReason.BAD_REQUEST, "the body was cut off");
+    }
+
+    private static Refusal tooLarge(long limit) {
+        return Refusal.didNotRun(RefusalReason.TOO_LARGE, "the body is over the limit of " + limit + " bytes");
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/ErrorBody.java
@@ -0,0 +1,17 @@
+package org.elmline.daemon.http;
+
+import org.elmline.core.common.Refusal;
+
+/** The body of every answer that is not the result asked for. */
+public record ErrorBody(Detail error) {
+    /**
+     * @param ran {@code no}, {@code yes} or {@code unknown}: whether the call ran on a backend server
+     * @param retryAfterMs milliseconds until a retry may do better; 0 when a retry won't help
+     */
+    public record Detail(String type, String message, String ran, long retryAfterMs) {}
+
+    public static ErrorBody of(Refusal refusal) {
+        return new ErrorBody(new Detail(
+                refusal.reason().type(), refusal.message(), refusal.ran().text(), refusal.retryAfterMillis()));
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpLimits.java
@@ -0,0 +1,14 @@
+package org.elmline.daemon.http;
+
+/**
+ * Bounds of one HTTP port.
+ *
+ * @param maxBodyBytes longest body accepted
+ * @param maxHeaderBytes longest request line and headers together
+ * @param maxConcurrent requests handled at once; one more is refused
+ * @param idleMillis milliseconds after which an idle connection is closed
+ * @param bodyMillis milliseconds that headers or a hanging body may take
+ */
+public record HttpLimits(long maxBodyBytes, int maxHeaderBytes, int maxConcurrent, int idleMillis, int bodyMillis) {
+    public static final HttpLimits DEFAULT = new HttpLimits(64L * 1024 * 1024, 64 * 1024, 512, 60_000, 30_000);
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
@@ -0,0 +1,51 @@
+package org.elmline.daemon.http;
+
+import java.net.InetSocketAddress;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import org.elmline.core.common.Address;
+
+/** One bound HTTP port with its limits. */
+public final class HttpListener implements AutoCloseable {
+    private static final int IO_THREADS = 2;
+    private static final int SPARE_WORKERS = 2;
+
+    private final Undertow server;
+    private final String ip;
+
+    private HttpListener(Undertow server, String ip) {
+        this.server = server;
+        this.ip = ip;
+    }
+
+    /** Binds at once; port 0 takes a free one. */
+    public static HttpListener start(String ip, int port, HttpLimits limits, HttpHandler handler) {
+        Undertow server = Undertow.builder()
+                .addHttpListener(port, ip)
+                .setIoThreads(IO_THREADS)
+                .setWorkerThreads(SPARE_WORKERS)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleMillis())
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.bodyMillis())
+                .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
+                .setSocketOption(org.xnio.Options.READ_TIMEOUT, limits.bodyMillis())
+                .setHandler(handler)
+                .build();
+        server.start();
+        return new HttpListener(server, ip);
+    }
+
+    public Address address() {
+        InetSocketAddress bound =
+                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return new Address(ip, bound.getPort());
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/OperatorKeys.java
@@ -0,0 +1,30 @@
+package org.elmline.daemon.operator;
+
+import java.util.List;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.daemon.http.Answers;
+import org.elmline.daemon.http.BearerKey;
+
+/** Lets only holders of an operator key through. */
+public final class OperatorKeys implements HttpHandler {
+    private final List<String> keys;
+    private final HttpHandler next;
+
+    public OperatorKeys(List<String> keys, HttpHandler next) {
+        this.keys = List.copyOf(keys);
+        this.next = next;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) throws Exception {
+        if (!BearerKey.isOneOf(exchange, keys)) {
+            Answers.refuse(exchange, Refusal.didNotRun(RefusalReason.UNAUTHENTICATED, "not an operator key"));
+            return;
+        }
+        next.handleRequest(exchange);
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/StatusHandler.java
@@ -0,0 +1,44 @@
+package org.elmline.daemon.operator;
+
+import java.util.List;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import org.elmline.core.common.ConfigVersion;
+import org.elmline.core.control.HostRecord;
+import org.elmline.daemon.caller.Gate;
+import org.elmline.daemon.entry.HostIdentity;
+import org.elmline.daemon.entry.SharedView;
+import org.elmline.daemon.http.Answers;
+
+/** {@code GET /v1/status}: this host and all that it knows of the others. */
+public final class StatusHandler implements HttpHandler {
+    private final HostIdentity self;
+    private final SharedView view;
+    private final Gate gate;
+
+    public StatusHandler(HostIdentity self, SharedView view, Gate gate) {
+        this.self = self;
+        this.view = view;
+        this.gate = gate;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        Answers.json(
+                exchange,
+                new Status(
+                        self,
+                        view.mayServe(),
+                        view.configuration().version(),
+                        gate.inside(),
+                        view.members().hosts()));
+    }
+
+    record Status(
+            HostIdentity host,
+            boolean leaseHeld,
+            ConfigVersion configVersion,
+            int requestsOpen,
+            List<HostRecord> entryHosts) {}
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/package-info.java
@@ -0,0 +1,2 @@
+/** What operators reach: tickets, status, events and metrics. */
+package org.elmline.daemon.operator;
