--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/ClaimReply.java
@@ -0,0 +1,16 @@
+package org.elmline.core.control;
+
+import org.elmline.core.common.Refusal;
+
+/** The final answer that a claim session gives its caller. */
+public sealed interface ClaimReply {
+    /**
+     * The service's answer.
+     *
+     * @param repeated true when the call ran earlier and this is the recorded answer, whose body may be left out
+     */
+    record Answered(RecordedAnswer answer, boolean repeated) implements ClaimReply {}
+
+    /** No answer; the refusal says whether the call ran. */
+    record Refused(Refusal refusal) implements ClaimReply {}
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/ObservedEngine.java
@@ -0,0 +1,14 @@
+package org.elmline.core.control;
+
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.engine.EngineState;
+
+/**
+ * An announced engine and the state last read from it.
+ *
+ * @param checksFencing whether it says that it refuses old fencing numbers
+ * @param state null when it was never read
+ * @param readNanos the leader's monotonic clock when it asked for {@code state}
+ */
+public record ObservedEngine(
+        BackendServerId id, boolean checksFencing, boolean leaving, EngineState state, long readNanos) {}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/OrderPlan.java
@@ -0,0 +1,16 @@
+package org.elmline.core.control;
+
+import java.util.List;
+
+import org.elmline.core.common.BackendServerId;
+
+/** The orders to send now, and the engines that must wait. */
+public record OrderPlan(List<PlannedOrder> orders, List<Held> held) {
+    public OrderPlan {
+        orders = List.copyOf(orders);
+        held = List.copyOf(held);
+    }
+
+    /** An engine that differs from its wanted state, and why it gets no order. */
+    public record Held(BackendServerId server, HoldReason reason) {}
+}
