--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/admission/AdmissionQueue.java
@@ -0,0 +1,134 @@
+package org.elmline.core.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.LengthClass;
+import org.elmline.core.common.OrganisationId;
+
+/**
+ * The requests that wait for one model at one owner. Each length class and adapter has its own line, so a
+ * long prompt that finds no memory keeps no short one waiting, nor a rare adapter the others. Bounded: when it is full,
+ * one request is shed.
+ */
+public final class AdmissionQueue {
+    private final int capacity;
+    private final Map<Line, TreeSet<Waiting>> lines = new HashMap<>();
+    private final Map<AttemptId, Waiting> byAttempt = new HashMap<>();
+    private final Map<OrganisationId, Integer> countByOrganisation = new HashMap<>();
+    private final Map<OrganisationId, Integer> weights = new HashMap<>();
+
+    public AdmissionQueue(int capacity) {
+        this.capacity = capacity;
+    }
+
+    /** Adds a request and returns the one that had to go for it, which may be the request itself. */
+    public Optional<Waiting> add(Waiting waiting) {
+        lines.computeIfAbsent(Line.of(waiting), line -> new TreeSet<>(Waiting.ORDER))
+                .add(waiting);
+        byAttempt.put(waiting.request().attempt(), waiting);
+        countByOrganisation.merge(waiting.request().organisation(), 1, Integer::sum);
+        weights.put(waiting.request().organisation(), waiting.weight());
+        if (byAttempt.size() <= capacity) {
+            return Optional.empty();
+        }
+        Waiting shed = firstToShed();
+        remove(shed);
+        return Optional.of(shed);
+    }
+
+    public void remove(Waiting waiting) {
+        if (byAttempt.remove(waiting.request().attempt()) == null) {
+            return;
+        }
+        TreeSet<Waiting> line = lines.get(Line.of(waiting));
+        line.remove(waiting);
+        if (line.isEmpty()) {
+            lines.remove(Line.of(waiting));
+        }
+        OrganisationId organisation = waiting.request().organisation();
+        if (countByOrganisation.merge(organisation, -1, Integer::sum) == 0) {
+            countByOrganisation.remove(organisation);
+            weights.remove(organisation);
+        }
+    }
+
+    public Optional<Waiting> find(AttemptId attempt) {
+        return Optional.ofNullable(byAttempt.get(attempt));
+    }
+
+    /** The request to place next among the lines that are not blocked. */
+    public Optional<Waiting> next(Set<Line> blocked) {
+        Waiting best = null;
+        for (Map.Entry<Line, TreeSet<Waiting>> each : lines.entrySet()) {
+            Waiting head = each.getValue().first();
+            if (blocked.contains(each.getKey())) {
+                continue;
+            }
+            if (best == null || Waiting.ORDER.compare(head, best) < 0) {
+                best = head;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Prompt work of the requests that will be read before this one: those ahead in the lines up to its own. */
+    public long workAhead(Waiting waiting) {
+        long work = 0;
+        for (Map.Entry<Line, TreeSet<Waiting>> each : lines.entrySet()) {
+            if (each.getKey().lengthClass().compareTo(waiting.lengthClass()) > 0) {
+                continue;
+            }
+            for (Waiting ahead : each.getValue().headSet(waiting)) {
+                work += ahead.work();
+            }
+        }
+        return work;
+    }
+
+    /** All requests in the order in which they should be placed. */
+    public List<Waiting> all() {
+        List<Waiting> all = new ArrayList<>(byAttempt.values());
+        all.sort(Waiting.ORDER);
+        return all;
+    }
+
+    public int size() {
+        return byAttempt.size();
+    }
+
+    /**
+     * Lowest priority first; among equals, from an organisation that holds more than its share of the queue; then the
+     * longest, then the newest. Without the share, an organisation that fills the queue with short prompts would push
+     * out every other one's longer prompts.
+     */
+    private Waiting firstToShed() {
+        int totalWeight = weights.values().stream().mapToInt(Integer::intValue).sum();
+        Comparator<Waiting> order = Comparator.comparingInt(Waiting::priority)
+                .thenComparing(each -> overShare(each, totalWeight))
+                .thenComparingLong(Waiting::work)
+                .thenComparingDouble(Waiting::start)
+                .thenComparingLong(Waiting::arrival);
+        return byAttempt.values().stream().max(order).orElseThrow();
+    }
+
+    private boolean overShare(Waiting waiting, int totalWeight) {
+        long count = countByOrganisation.get(waiting.request().organisation());
+        return count * totalWeight > (long) byAttempt.size() * waiting.weight();
+    }
+
+    /** Requests that wait for the same kind of room. */
+    public record Line(LengthClass lengthClass, String adapter) {
+        public static Line of(Waiting waiting) {
+            String adapter = waiting.request().demand().adapter();
+            return new Line(waiting.lengthClass(), adapter == null ? "" : adapter);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/admission/Deadlines.java
@@ -0,0 +1,97 @@
+package org.elmline.core.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A hashed timing wheel (Varghese and Lauck, 1987): setting and clearing a deadline take constant time, however many
+ * there are. A deadline expires at most one tick late and never early. Not thread-safe.
+ *
+ * @param <K> what waits
+ */
+public final class Deadlines<K> {
+    private final long tickNanos;
+    private final List<Map<K, Long>> slots;
+    private final Map<K, Long> deadlines = new HashMap<>();
+    private long nextTick;
+    private boolean started;
+
+    public Deadlines(long tickNanos, int slotCount) {
+        if (tickNanos < 1 || slotCount < 1) {
+            throw new IllegalArgumentException("a wheel needs a tick and slots");
+        }
+        this.tickNanos = tickNanos;
+        this.slots = new ArrayList<>(slotCount);
+        for (int i = 0; i < slotCount; i++) {
+            slots.add(new LinkedHashMap<>());
+        }
+    }
+
+    /** Sets or moves a deadline; one that is past already expires at the next tick. */
+    public void set(K key, long deadline, long now) {
+        clear(key);
+        start(now);
+        long effective = Math.max(deadline, nextTick * tickNanos);
+        deadlines.put(key, effective);
+        slot(effective).put(key, effective);
+    }
+
+    /** Forgets a deadline; false when there is none. */
+    public boolean clear(K key) {
+        Long deadline = deadlines.remove(key);
+        if (deadline == null) {
+            return false;
+        }
+        slot(deadline).remove(key);
+        return true;
+    }
+
+    /** Removes and returns what is past its deadline, in order of the ticks. */
+    public List<K> expire(long now) {
+        List<K> expired = new ArrayList<>();
+        start(now);
+        long lastTick = Math.floorDiv(now, tickNanos);
+        // After a long pause each slot needs one visit only.
+        long firstTick = Math.max(nextTick, lastTick - slots.size());
+        for (long tick = firstTick; tick <= lastTick; tick++) {
+            expireSlot(tick, now, expired);
+        }
+        nextTick = lastTick;
+        return expired;
+    }
+
+    public int size() {
+        return deadlines.size();
+    }
+
+    private void start(long now) {
+        if (!started) {
+            nextTick = Math.floorDiv(now, tickNanos);
+            started = true;
+        }
+    }
+
+    private void expireSlot(long tick, long now, List<K> expired) {
+        Iterator<Map.Entry<K, Long>> each = slots.get(index(tick)).entrySet().iterator();
+        while (each.hasNext()) {
+            Map.Entry<K, Long> entry = each.next();
+            if (entry.getValue() <= now) {
+                expired.add(entry.getKey());
+                deadlines.remove(entry.getKey());
+                each.remove();
+            }
+        }
+    }
+
+    private Map<K, Long> slot(long deadline) {
+        return slots.get(index(Math.floorDiv(deadline, tickNanos)));
+    }
+
+    private int index(long tick) {
+        return (int) Math.floorMod(tick, (long) slots.size());
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/backend/AnnounceCounts.java
@@ -0,0 +1,11 @@
+package org.elmline.core.backend;
+
+/** Announcements taken and refused since the start, for the daemon's counters. */
+public record AnnounceCounts(long accepted, long staleIncarnation, long invalid) {
+    AnnounceCounts plus(AnnounceResult result) {
+        return new AnnounceCounts(
+                accepted + (result.accepted() ? 1 : 0),
+                staleIncarnation + (result == AnnounceResult.STALE_INCARNATION ? 1 : 0),
+                invalid + (result == AnnounceResult.INVALID ? 1 : 0));
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/backend/ServerTable.java
@@ -0,0 +1,126 @@
+package org.elmline.core.backend;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.ModelName;
+
+/**
+ * The backend servers that announced themselves to this owner. Each holds a lease counted from its last announcement on
+ * the monotonic clock; there is no list of servers to compare with, so silence is the only sign of a loss. Not
+ * thread-safe.
+ */
+public final class ServerTable {
+    private static final int MAX_LOST = 1_024;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final long leaseNanos;
+    private final Map<BackendServerId, Entry> entries = new HashMap<>();
+    private final Map<BackendServerId, Incarnation> lostIncarnations = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<BackendServerId, Incarnation> eldest) {
+            return size() > MAX_LOST;
+        }
+    };
+    private AnnounceCounts counts = new AnnounceCounts(0, 0, 0);
+
+    public ServerTable(long leaseMillis) {
+        this.leaseNanos = leaseMillis * NANOS_PER_MILLI;
+    }
+
+    /** Takes an announcement in and says what it changed. */
+    public AnnounceResult announce(Announcement announcement, long now) {
+        AnnounceResult result = judge(announcement, entries.get(announcement.id()));
+        counts = counts.plus(result);
+        if (result.accepted()) {
+            lostIncarnations.remove(announcement.id());
+            entries.put(announcement.id(), new Entry(announcement, now + leaseNanos));
+        }
+        return result;
+    }
+
+    /** Removes and returns the servers whose lease has run out. */
+    public List<Announcement> expire(long now) {
+        List<Announcement> lost = new ArrayList<>();
+        Iterator<Entry> each = entries.values().iterator();
+        while (each.hasNext()) {
+            Entry entry = each.next();
+            if (now - entry.leaseUntil() >= 0) {
+                lost.add(entry.announcement());
+                lostIncarnations.put(
+                        entry.announcement().id(), entry.announcement().incarnation());
+                each.remove();
+            }
+        }
+        return lost;
+    }
+
+    public Optional<Announcement> find(BackendServerId id) {
+        return Optional.ofNullable(entries.get(id)).map(Entry::announcement);
+    }
+
+    public Collection<BackendServerId> ids() {
+        return Collections.unmodifiableCollection(entries.keySet());
+    }
+
+    /** Servers of one kind with a live lease. */
+    public List<Announcement> ofKind(BackendKind kind) {
+        return entries.values().stream()
+                .map(Entry::announcement)
+                .filter(each -> each.kind() == kind)
+                .toList();
+    }
+
+    public int size() {
+        return entries.size();
+    }
+
+    public AnnounceCounts counts() {
+        return counts;
+    }
+
+    private AnnounceResult judge(Announcement next, Entry known) {
+        if (!valid(next)) {
+            return AnnounceResult.INVALID;
+        }
+        if (known == null) {
+            Incarnation lost = lostIncarnations.get(next.id());
+            boolean older = lost != null && next.incarnation().compareTo(lost) < 0;
+            return older ? AnnounceResult.STALE_INCARNATION : AnnounceResult.JOINED;
+        }
+        int order = next.incarnation().compareTo(known.announcement().incarnation());
+        // Without this check a delayed announcement of a dead start would bring back its address and its "not leaving".
+        if (order < 0) {
+            return AnnounceResult.STALE_INCARNATION;
+        }
+        if (order > 0) {
+            return AnnounceResult.RESTARTED;
+        }
+        boolean leavesNow = next.leaving() && !known.announcement().leaving();
+        return leavesNow ? AnnounceResult.LEAVING : AnnounceResult.RENEWED;
+    }
+
+    private static boolean valid(Announcement next) {
+        if (next.kind() == BackendKind.ENGINE && next.capacityKvTokens() == 0) {
+            return false;
+        }
+        try {
+            next.names().forEach(ModelName::of);
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+        return next.versions().isEmpty()
+                || next.versions().size() == next.names().size();
+    }
+
+    private record Entry(Announcement announcement, long leaseUntil) {}
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/VirtualCounters.java
@@ -0,0 +1,52 @@
+package org.elmline.core.fairness;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.elmline.core.common.OrganisationId;
+
+/**
+ * A virtual token counter for each organisation, after start-time fair queueing (Goyal, Vin, Cheng, 1996) with the
+ * tokens of a request as its length. A request starts at the larger of its organisation's counter and the counter of
+ * the request served last, so an organisation that was idle gains no credit from it; its counter then grows by tokens
+ * over weight. Serving by least start keeps any two waiting organisations within one longest request each, over
+ * weights. Not thread-safe.
+ */
+public final class VirtualCounters {
+    private static final int PRUNE_FROM = 256;
+
+    private final Map<OrganisationId, Double> finishes = new HashMap<>();
+    private double served;
+    private int pruneAt = PRUNE_FROM;
+
+    /** Charges a request and returns its start. */
+    public double charge(OrganisationId organisation, int weight, long tokens) {
+        double start = Math.max(served, finishes.getOrDefault(organisation, served));
+        finishes.put(organisation, start + (double) tokens / weight);
+        prune();
+        return start;
+    }
+
+    /** Takes a charge back, for a request that was never served. */
+    public void refund(OrganisationId organisation, int weight, long tokens) {
+        finishes.computeIfPresent(organisation, (id, finish) -> finish - (double) tokens / weight);
+    }
+
+    /** A request with this start begins to be served. */
+    public void serve(double start) {
+        served = Math.max(served, start);
+    }
+
+    int size() {
+        return finishes.size();
+    }
+
+    /** A counter that fell behind the served one says the same as none; without this each name ever seen would stay. */
+    private void prune() {
+        if (finishes.size() < pruneAt) {
+            return;
+        }
+        finishes.values().removeIf(finish -> finish <= served);
+        pruneAt = Math.max(PRUNE_FROM, 2 * finishes.size());
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/EngineLedger.java
@@ -0,0 +1,279 @@
+package org.elmline.core.ledger;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.LengthClass;
+import org.elmline.core.common.ModelName;
+import org.elmline.core.engine.CacheEvents;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.Replica;
+import org.elmline.core.route.Grant;
+
+/** What one engine holds for its owner's grants, and how fast it has proved to be. Changed through {@link Ledger} only. */
+public final class EngineLedger implements Replica {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final long ANSWER_ALLOWANCE_NANOS = 150 * NANOS_PER_MILLI;
+    private static final long FIRST_REST_NANOS = 1_000 * NANOS_PER_MILLI;
+    private static final int MOST_REST_DOUBLINGS = 5;
+
+    private final LedgerSettings settings;
+    private final SpeedMeter speed = new SpeedMeter();
+    private final PrefixBelief prefixes = new PrefixBelief();
+    private final Map<AttemptId, LedgerEntry> entries = new LinkedHashMap<>();
+    private final Map<String, Long> exports = new HashMap<>();
+    private final long[] backlogTokens = new long[LengthClass.values().length];
+    private final long[] backlogWork = new long[LengthClass.values().length];
+    private final int[] streams = new int[LengthClass.values().length];
+    private Announcement announcement;
+    private long reserved;
+    private long placedWork;
+    private long finishedWork;
+    private boolean reachable = true;
+    private int faults;
+    private long restUntil;
+
+    EngineLedger(Announcement announcement, LedgerSettings settings) {
+        this.settings = settings;
+        update(announcement);
+    }
+
+    void update(Announcement next) {
+        announcement = next;
+        reachable = true;
+        speed.announced(next.prefillTokensPerSecond());
+    }
+
+    void unreachable() {
+        reachable = false;
+    }
+
+    void reserve(LedgerEntry entry, long now) {
+        entries.put(entry.grant().attempt(), entry);
+        reserved += entry.grant().kvTokens();
+        streams[entry.lengthClass().ordinal()]++;
+        if (entry.awaitingFirstToken()) {
+            addBacklog(entry, 1);
+            placedWork += entry.cost();
+            speed.start(now);
+        }
+    }
+
+    LedgerEntry release(AttemptId attempt, boolean engineFault, long now) {
+        LedgerEntry entry = entries.remove(attempt);
+        if (entry == null) {
+            return null;
+        }
+        reserved -= entry.grant().kvTokens();
+        streams[entry.lengthClass().ordinal()]--;
+        if (entry.awaitingFirstToken()) {
+            addBacklog(entry, -1);
+            finishedWork += entry.cost();
+            speed.abandon(now);
+        }
+        if (engineFault) {
+            restAfterFault(now);
+        }
+        return entry;
+    }
+
+    void firstToken(LedgerEntry entry, long now) {
+        if (!entry.awaitingFirstToken()) {
+            return;
+        }
+        addBacklog(entry, -1);
+        entry.firstTokenCame();
+        finishedWork += entry.cost();
+        speed.finish(entry.cost(), now);
+        prefixes.stored(entry.prefixHashes());
+        faults = 0;
+    }
+
+    /** Holds memory for an exported KV segment; repeating it changes nothing more. */
+    void holdExport(String exportId, long tokens) {
+        if (exports.putIfAbsent(exportId, tokens) == null) {
+            reserved += tokens;
+        }
+    }
+
+    boolean freeExport(String exportId) {
+        Long tokens = exports.remove(exportId);
+        reserved -= tokens == null ? 0 : tokens;
+        return tokens != null;
+    }
+
+    void apply(CacheEvents events) {
+        prefixes.apply(events);
+    }
+
+    /** Takes the answers that are owed into account; see {@link SpeedMeter}. */
+    void check(long now) {
+        double bound = Double.MAX_VALUE;
+        for (LedgerEntry each : entries.values()) {
+            long waited = now - each.placedAt() - ANSWER_ALLOWANCE_NANOS;
+            if (each.awaitingFirstToken() && waited > 0) {
+                bound = Math.min(bound, (placedWork - each.workBefore()) * NANOS_PER_SECOND / waited);
+            }
+        }
+        speed.bound(bound);
+    }
+
+    long finishedWork() {
+        return finishedWork;
+    }
+
+    LedgerEntry entry(AttemptId attempt) {
+        return entries.get(attempt);
+    }
+
+    Collection<LedgerEntry> entries() {
+        return entries.values();
+    }
+
+    public Announcement announcement() {
+        return announcement;
+    }
+
+    public boolean serves(ModelName model) {
+        return announcement.names().contains(model.value());
+    }
+
+    public boolean hasAdapter(String adapter) {
+        return adapter == null || adapter.isEmpty() || announcement.adapters().contains(adapter);
+    }
+
+    /** Whether it may get new work: it announces itself, is not leaving and has not just failed. */
+    public boolean takesWork(long now) {
+        return reachable && !announcement.leaving() && now - restUntil >= 0;
+    }
+
+    public boolean reachable() {
+        return reachable;
+    }
+
+    /** Whether each of its grants is past its deadline by more than {@code graceNanos}; true when it has none. */
+    public boolean allOverdue(long now, long graceNanos) {
+        for (LedgerEntry each : entries.values()) {
+            if (now - each.deadline() < graceNanos) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Sequence number of the last cache event taken in. */
+    public long lastCacheEvent() {
+        return prefixes.lastSequence();
+    }
+
+    public boolean cacheKnown() {
+        return prefixes.known();
+    }
+
+    /** Prompt work in the engine that it reads before a new prompt of the class: shorter classes come first. */
+    public long workAhead(LengthClass lengthClass) {
+        long work = 0;
+        for (int i = 0; i <= lengthClass.ordinal(); i++) {
+            work += backlogWork[i];
+        }
+        return work;
+    }
+
+    /** Milliseconds until the engine would begin to read a new prompt of the class. */
+    public long waitMillis(LengthClass lengthClass) {
+        return Math.round(workAhead(lengthClass) * MILLIS_PER_SECOND / prefillTokensPerSecond());
+    }
+
+    /** Milliseconds until the first token of a demand that is placed here now. */
+    public long firstTokenMillis(Demand demand) {
+        long own = settings.cost().of(demand.promptTokens(), cachedTokens(demand));
+        double work = (double) workAhead(demand.lengthClass()) + own;
+        return Math.round(work * MILLIS_PER_SECOND / prefillTokensPerSecond());
+    }
+
+    @Override
+    public BackendServerId id() {
+        return announcement.id();
+    }
+
+    @Override
+    public long capacityKvTokens() {
+        return announcement.capacityKvTokens();
+    }
+
+    @Override
+    public long reservedKvTokens() {
+        return reserved;
+    }
+
+    @Override
+    public long prefillBacklogTokens() {
+        long sum = 0;
+        for (long each : backlogTokens) {
+            sum += each;
+        }
+        return sum;
+    }
+
+    @Override
+    public long prefillBacklogTokens(LengthClass lengthClass) {
+        return backlogTokens[lengthClass.ordinal()];
+    }
+
+    @Override
+    public int openStreams() {
+        return entries.size();
+    }
+
+    @Override
+    public int openStreams(LengthClass lengthClass) {
+        return streams[lengthClass.ordinal()];
+    }
+
+    @Override
+    public double prefillTokensPerSecond() {
+        return speed.tokensPerSecond();
+    }
+
+    @Override
+    public int cachedTokens(Demand demand) {
+        int leading = prefixes.leadingBlocks(demand.prefixHashes());
+        return (int) Math.min((long) leading * settings.blockTokens(), demand.promptTokens() - 1L);
+    }
+
+    /** Whether the engine is believed to cache the first block of a prompt. */
+    public boolean cachesBlock(long blockHash) {
+        return prefixes.leadingBlocks(List.of(blockHash)) == 1;
+    }
+
+    /** First blocks of prompts read here lately, newest first. */
+    public List<Long> recentFirstBlocks(int most) {
+        return prefixes.firstBlocks(most);
+    }
+
+    Grant grant(AttemptId attempt) {
+        LedgerEntry entry = entries.get(attempt);
+        return entry == null ? null : entry.grant();
+    }
+
+    private void addBacklog(LedgerEntry entry, int sign) {
+        int index = entry.lengthClass().ordinal();
+        backlogTokens[index] += (long) sign * entry.grant().promptTokens();
+        backlogWork[index] += sign * entry.cost();
+    }
+
+    /** An engine that refuses each attempt at once looks idle and would draw all work to itself, so it rests first. */
+    private void restAfterFault(long now) {
+        int doublings = Math.min(faults, MOST_REST_DOUBLINGS);
+        restUntil = now + (FIRST_REST_NANOS << doublings);
+        faults++;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/Ledger.java
@@ -0,0 +1,228 @@
+package org.elmline.core.ledger;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.ModelName;
+import org.elmline.core.engine.CacheEvents;
+import org.elmline.core.route.Grant;
+
+/**
+ * All grants of one owner. A grant lives from {@link #reserve} to the first {@link #release}, the restart of its engine
+ * or the removal of a lost engine; whatever comes later for it finds nothing and changes nothing. Not thread-safe.
+ */
+public final class Ledger {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int MAX_TOMBSTONES = 8_192;
+
+    private final LedgerSettings settings;
+    private final Map<BackendServerId, EngineLedger> engines = new TreeMap<>();
+    private final Map<AttemptId, EngineLedger> engineByAttempt = new HashMap<>();
+    private final Map<ModelName, List<EngineLedger>> byModel = new HashMap<>();
+    private final Map<AttemptId, Boolean> tombstones = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<AttemptId, Boolean> eldest) {
+            return size() > MAX_TOMBSTONES;
+        }
+    };
+
+    public Ledger(LedgerSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Takes in what an engine says of itself. A later start begins with an empty account: its memory began empty. */
+    public void announce(Announcement announcement) {
+        EngineLedger known = engines.get(announcement.id());
+        if (known != null && !known.announcement().incarnation().equals(announcement.incarnation())) {
+            remove(announcement.id());
+            known = null;
+        }
+        if (known == null) {
+            engines.put(announcement.id(), new EngineLedger(announcement, settings));
+            byModel.clear();
+            return;
+        }
+        boolean sameNames = known.announcement().names().equals(announcement.names());
+        known.update(announcement);
+        if (!sameNames) {
+            byModel.clear();
+        }
+    }
+
+    /** Stops new work on an engine that fell silent; its grants stay until their entries release them. */
+    public void unreachable(BackendServerId server) {
+        EngineLedger engine = engines.get(server);
+        if (engine != null) {
+            engine.unreachable();
+        }
+    }
+
+    /** Forgets an engine with all its grants and returns those. */
+    public List<Grant> remove(BackendServerId server) {
+        EngineLedger engine = engines.remove(server);
+        if (engine == null) {
+            return List.of();
+        }
+        byModel.clear();
+        List<Grant> dropped = new ArrayList<>();
+        for (LedgerEntry each : engine.entries()) {
+            dropped.add(each.grant());
+            engineByAttempt.remove(each.grant().attempt());
+            tombstones.put(each.grant().attempt(), Boolean.TRUE);
+        }
+        return dropped;
+    }
+
+    /**
+     * Reserves a grant's memory and counts its prompt as backlog.
+     *
+     * @return false when the attempt is known or was released before, or its engine's incarnation is not owned
+     */
+    public boolean reserve(Grant grant, List<Long> prefixHashes, long now) {
+        EngineLedger engine = engines.get(grant.server());
+        if (engine == null || !engine.announcement().incarnation().equals(grant.serverIncarnation())) {
+            return false;
+        }
+        // A request that overtakes its own release on the network would otherwise hold memory that nobody frees.
+        if (engineByAttempt.containsKey(grant.attempt()) || tombstones.containsKey(grant.attempt())) {
+            return false;
+        }
+        long cost = settings.cost().of(grant.promptTokens(), grant.cachedTokens());
+        long deadline = now + grant.remainingMillis() * NANOS_PER_MILLI;
+        engine.reserve(new LedgerEntry(grant, prefixHashes, cost, now, deadline, engine.finishedWork()), now);
+        engineByAttempt.put(grant.attempt(), engine);
+        return true;
+    }
+
+    /** Gives a grant back. Empty when it is not held, which is no fault: ends come late, twice and after a loss. */
+    public Optional<Grant> release(AttemptId attempt, boolean engineFault, long now) {
+        tombstones.put(attempt, Boolean.TRUE);
+        EngineLedger engine = engineByAttempt.remove(attempt);
+        if (engine == null) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(engine.release(attempt, engineFault, now)).map(LedgerEntry::grant);
+    }
+
+    /** The prompt was read: it no longer counts as backlog. False when the grant is not held. */
+    public boolean firstToken(AttemptId attempt, long now) {
+        EngineLedger engine = engineByAttempt.get(attempt);
+        if (engine == null) {
+            return false;
+        }
+        engine.firstToken(engine.entry(attempt), now);
+        return true;
+    }
+
+    public boolean released(AttemptId attempt) {
+        return tombstones.containsKey(attempt);
+    }
+
+    public Optional<Grant> grant(AttemptId attempt) {
+        EngineLedger engine = engineByAttempt.get(attempt);
+        return Optional.ofNullable(engine).map(found -> found.grant(attempt));
+    }
+
+    /** Grants for which the condition holds. */
+    public List<Grant> grants(Predicate<Grant> condition) {
+        List<Grant> found = new ArrayList<>();
+        for (EngineLedger engine : engines.values()) {
+            for (LedgerEntry each : engine.entries()) {
+                if (condition.test(each.grant())) {
+                    found.add(each.grant());
+                }
+            }
+        }
+        return found;
+    }
+
+    /** Grants whose deadline passed more than {@code graceNanos} ago: their entry should have released them. */
+    public List<Grant> overdue(long now, long graceNanos) {
+        List<Grant> found = new ArrayList<>();
+        for (EngineLedger engine : engines.values()) {
+            for (LedgerEntry each : engine.entries()) {
+                if (now - each.deadline() >= graceNanos) {
+                    found.add(each.grant());
+                }
+            }
+        }
+        return found;
+    }
+
+    public void holdExport(BackendServerId server, String exportId, long tokens) {
+        EngineLedger engine = engines.get(server);
+        if (engine != null) {
+            engine.holdExport(exportId, tokens);
+        }
+    }
+
+    public boolean freeExport(BackendServerId server, String exportId) {
+        EngineLedger engine = engines.get(server);
+        return engine != null && engine.freeExport(exportId);
+    }
+
+    public void cacheEvents(BackendServerId server, CacheEvents events) {
+        EngineLedger engine = engines.get(server);
+        if (engine != null) {
+            engine.apply(events);
+        }
+    }
+
+    /** Lets every engine take the answers that it owes into account; call several times a second. */
+    public void check(long now) {
+        for (EngineLedger each : engines.values()) {
+            each.check(now);
+        }
+    }
+
+    public Optional<EngineLedger> engine(BackendServerId server) {
+        return Optional.ofNullable(engines.get(server));
+    }
+
+    /** All engines, ordered by id. */
+    public Collection<EngineLedger> engines() {
+        return Collections.unmodifiableCollection(engines.values());
+    }
+
+    /** Engines that serve a model, ordered by id, those that take no work included. */
+    public List<EngineLedger> engines(ModelName model) {
+        List<EngineLedger> known = byModel.get(model);
+        if (known != null) {
+            return known;
+        }
+        List<EngineLedger> found = enginesOf(model);
+        if (!found.isEmpty()) {
+            byModel.put(model, found);
+        }
+        return found;
+    }
+
+    /** Models that some engine here serves. */
+    public List<ModelName> models() {
+        return engines.values().stream()
+                .flatMap(engine -> engine.announcement().names().stream())
+                .distinct()
+                .sorted()
+                .map(ModelName::of)
+                .toList();
+    }
+
+    public int openGrants() {
+        return engineByAttempt.size();
+    }
+
+    private List<EngineLedger> enginesOf(ModelName model) {
+        return engines.values().stream().filter(each -> each.serves(model)).toList();
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/LedgerSettings.java
@@ -0,0 +1,16 @@
+package org.elmline.core.ledger;
+
+/**
+ * What an owner takes for granted of its engines.
+ *
+ * @param blockTokens tokens in one block of the prefix cache
+ */
+public record LedgerSettings(PrefillCost cost, int blockTokens) {
+    public static final LedgerSettings DEFAULT = new LedgerSettings(PrefillCost.DEFAULT, 512);
+
+    public LedgerSettings {
+        if (blockTokens < 1) {
+            throw new IllegalArgumentException("blockTokens must be at least 1: " + blockTokens);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/PrefixBelief.java
@@ -0,0 +1,120 @@
+package org.elmline.core.ledger;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.elmline.core.engine.CacheEvents;
+
+/**
+ * The prompt blocks that an engine is believed to cache. Events are late and have gaps, so this is a hint: a wrong one
+ * costs a slow prefill, never a wrong answer. After a gap nothing is believed until a batch without one arrives.
+ * Bounded: the blocks unused longest are forgotten first.
+ */
+final class PrefixBelief {
+    private static final int MAX_BLOCKS = 4_096;
+    private static final int MAX_FIRST_BLOCKS = 16;
+    private static final int INITIAL_BLOCKS = 64;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final Map<Long, Boolean> blocks = new LinkedHashMap<>(INITIAL_BLOCKS, LOAD_FACTOR, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > MAX_BLOCKS;
+        }
+    };
+    private final Set<Long> recentFirst = new LinkedHashSet<>();
+    private long lastSequence;
+    private boolean known = true;
+
+    /** Sequence number to ask for events after. */
+    long lastSequence() {
+        return lastSequence;
+    }
+
+    boolean known() {
+        return known;
+    }
+
+    int size() {
+        return blocks.size();
+    }
+
+    /** Leading blocks believed cached. */
+    int leadingBlocks(List<Long> prefixHashes) {
+        if (!known) {
+            return 0;
+        }
+        int leading = 0;
+        for (Long each : prefixHashes) {
+            if (!blocks.containsKey(each)) {
+                return leading;
+            }
+            leading++;
+        }
+        return leading;
+    }
+
+    /** First blocks of the prompts read here last, newest first. */
+    List<Long> firstBlocks(int most) {
+        List<Long> newest = new ArrayList<>(recentFirst);
+        Collections.reverse(newest);
+        return newest.subList(0, Math.min(most, newest.size()));
+    }
+
+    /** A prompt was read here, so its blocks were stored; they also count as used now. */
+    void stored(List<Long> prefixHashes) {
+        if (prefixHashes.isEmpty()) {
+            return;
+        }
+        recentFirst.remove(prefixHashes.get(0));
+        recentFirst.add(prefixHashes.get(0));
+        if (recentFirst.size() > MAX_FIRST_BLOCKS) {
+            recentFirst.remove(recentFirst.iterator().next());
+        }
+        int kept = Math.min(prefixHashes.size(), MAX_BLOCKS);
+        for (int i = kept - 1; i >= 0; i--) {
+            blocks.put(prefixHashes.get(i), Boolean.TRUE);
+        }
+    }
+
+    /** Takes in the events after {@link #lastSequence()}. */
+    void apply(CacheEvents events) {
+        if (events.lastSequence() <= lastSequence) {
+            return;
+        }
+        known = true;
+        for (CacheEvents.Event each : events.events()) {
+            if (each.sequence() > lastSequence) {
+                apply(each);
+            }
+        }
+        // A batch whose tail is missing hides evictions: prompts would be sent here for a cache that is gone.
+        if (lastSequence < events.lastSequence()) {
+            forget();
+            lastSequence = events.lastSequence();
+        }
+    }
+
+    private void apply(CacheEvents.Event event) {
+        if (event.sequence() > lastSequence + 1) {
+            forget();
+        }
+        lastSequence = event.sequence();
+        if (event.stored()) {
+            blocks.put(event.blockHash(), Boolean.TRUE);
+        } else {
+            blocks.remove(event.blockHash());
+        }
+    }
+
+    private void forget() {
+        blocks.clear();
+        recentFirst.clear();
+        known = false;
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/ledger/package-info.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/package-info.java
@@ -1,2 +1,6 @@
-/** Exact account of KV memory that an owner placed on its engines. */
+/**
+ * The exact account of what an owner placed on each of its engines: memory reserved, prompts not yet read, streams open.
+ * Each grant is reserved once and released once, whatever happens in between. Nothing here is thread-safe; the owner's
+ * lock guards it.
+ */
 package org.elmline.core.ledger;
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
@@ -0,0 +1,334 @@
+package org.elmline.core.owner;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.elmline.core.admission.AdmissionQueue;
+import org.elmline.core.admission.Waiting;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.LengthClass;
+import org.elmline.core.common.ModelName;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.fairness.VirtualCounters;
+import org.elmline.core.ledger.EngineLedger;
+import org.elmline.core.ledger.Ledger;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.PlacementPolicy;
+import org.elmline.core.placement.Replica;
+import org.elmline.core.route.Grant;
+import org.elmline.core.route.ModelSummary;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.PlaceRequest;
+
+/**
+ * Admits and places the requests for one model. A request is placed when an engine has its memory and little enough to
+ * read first; else it waits here, where its turn still depends on its priority and organisation, in place of in an
+ * engine, where it would not. One that can't meet its deadline is refused as soon as that shows.
+ */
+final class ModelPlacer {
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long LEAST_RETRY_MILLIS = 250;
+    private static final long NO_ENGINE_RETRY_MILLIS = 1_000;
+    private static final int SUMMARY_PREFIXES = 16;
+
+    private final ModelName model;
+    private final Ledger ledger;
+    private final PlacementPolicy policy;
+    private final RandomGenerator random;
+    private final OwnerSettings settings;
+    private final AdmissionQueue queue;
+    private final VirtualCounters counters = new VirtualCounters();
+    private final List<Decided> decided = new ArrayList<>();
+    private long arrivals;
+
+    ModelPlacer(
+            ModelName model, Ledger ledger, PlacementPolicy policy, RandomGenerator random, OwnerSettings settings) {
+        this.model = model;
+        this.ledger = ledger;
+        this.policy = policy;
+        this.random = random;
+        this.settings = settings;
+        this.queue = new AdmissionQueue(settings.queueCapacity());
+    }
+
+    /** Takes a request in; its answer, if there is one yet, is among {@link #takeDecided}. */
+    void add(PlaceRequest request, int weight, long now) {
+        Demand demand = request.demand();
+        long work = settings.ledger().cost().of(demand.promptTokens(), 0);
+        double start = counters.charge(request.organisation(), weight, demand.kvTokens());
+        long deadline = now + demand.remainingMillis() * NANOS_PER_MILLI;
+        Waiting waiting = new Waiting(request, weight, work, demand.kvTokens(), start, deadline, arrivals++);
+        Optional<Waiting> shed = queue.add(waiting);
+        shed.ifPresent(each -> refuse(each, overloaded(each, "queue is full", now), now));
+        place(now);
+        if (waits(request.attempt())) {
+            refuseIfHopeless(waiting, queue.workAhead(waiting), now);
+        }
+    }
+
+    boolean waits(AttemptId attempt) {
+        return queue.find(attempt).isPresent();
+    }
+
+    /** The caller left before its request was placed. */
+    boolean withdraw(AttemptId attempt) {
+        Optional<Waiting> waiting = queue.find(attempt);
+        waiting.ifPresent(this::drop);
+        return waiting.isPresent();
+    }
+
+    void expire(AttemptId attempt, long now) {
+        queue.find(attempt).ifPresent(each -> refuse(each, late(), now));
+    }
+
+    /** Places what has room now, in order. */
+    void place(long now) {
+        Set<AdmissionQueue.Line> blocked = new HashSet<>();
+        Optional<Waiting> next = queue.next(blocked);
+        while (next.isPresent()) {
+            if (!tryPlace(next.get(), now)) {
+                blocked.add(AdmissionQueue.Line.of(next.get()));
+            }
+            next = queue.next(blocked);
+        }
+    }
+
+    /** Refuses every waiting request that can no longer meet its deadline, so that its caller can go elsewhere. */
+    void refuseHopeless(long now) {
+        long[] work = new long[LengthClass.values().length];
+        for (Waiting each : queue.all()) {
+            int index = each.lengthClass().ordinal();
+            refuseIfHopeless(each, Arrays.stream(work, 0, index + 1).sum(), now);
+            work[index] += waits(each.request().attempt()) ? each.work() : 0;
+        }
+    }
+
+    void refuseAll(Refusal refusal, long now) {
+        for (Waiting each : queue.all()) {
+            refuse(each, refusal, now);
+        }
+    }
+
+    List<Decided> takeDecided() {
+        List<Decided> taken = List.copyOf(decided);
+        decided.clear();
+        return taken;
+    }
+
+    int waiting() {
+        return queue.size();
+    }
+
+    /** Empty when no engine here serves the model. */
+    Optional<ModelSummary> summary(long now) {
+        List<EngineLedger> ready = ready(now);
+        if (ready.isEmpty()) {
+            return Optional.empty();
+        }
+        long mostFree = 0;
+        long allFree = 0;
+        Set<Integer> prefixes = new HashSet<>();
+        for (EngineLedger each : ready) {
+            mostFree = Math.max(mostFree, each.freeKvTokens());
+            allFree += Math.max(0, each.freeKvTokens());
+            for (Long hash : each.recentFirstBlocks(SUMMARY_PREFIXES)) {
+                if (prefixes.size() < SUMMARY_PREFIXES) {
+                    prefixes.add(ModelSummary.shortHash(hash));
+                }
+            }
+        }
+        int speed = (int) Math.round(totalSpeed(ready) / ready.size());
+        return Optional.of(
+                new ModelSummary(model, ready.size(), waits(ready), speed, mostFree, allFree, List.copyOf(prefixes)));
+    }
+
+    private List<Integer> waits(List<EngineLedger> ready) {
+        long[] queued = new long[LengthClass.values().length];
+        for (Waiting each : queue.all()) {
+            queued[each.lengthClass().ordinal()] += each.work();
+        }
+        double speed = totalSpeed(ready);
+        List<Integer> waits = new ArrayList<>();
+        for (LengthClass each : LengthClass.values()) {
+            long shortest = ready.stream()
+                    .mapToLong(engine -> engine.waitMillis(each))
+                    .min()
+                    .orElse(0);
+            double behind = Arrays.stream(queued, 0, each.ordinal() + 1).sum() * MILLIS_PER_SECOND / speed;
+            waits.add((int) Math.min(Integer.MAX_VALUE, shortest + Math.round(behind)));
+        }
+        return waits;
+    }
+
+    /** True when the request got an answer, false when it must wait. */
+    private boolean tryPlace(Waiting waiting, long now) {
+        Demand demand = waiting.request().demand();
+        if (waiting.remainingMillis(now) <= 0) {
+            refuse(waiting, late(), now);
+            return true;
+        }
+        List<EngineLedger> ready = ready(demand, now);
+        Optional<Refusal> unservable = unservable(demand, ready);
+        if (unservable.isPresent()) {
+            refuse(waiting, unservable.get(), now);
+            return true;
+        }
+        Optional<EngineLedger> chosen = choose(demand, ready);
+        if (chosen.isEmpty()) {
+            return false;
+        }
+        return tryEngine(waiting, chosen.get(), ready, now);
+    }
+
+    private boolean tryEngine(Waiting waiting, EngineLedger chosen, List<EngineLedger> ready, long now) {
+        Demand demand = waiting.request().demand();
+        EngineLedger engine = chosen;
+        if (engine.firstTokenMillis(demand) > waiting.remainingMillis(now)) {
+            engine = fastest(demand, ready);
+        }
+        long predicted = engine.firstTokenMillis(demand);
+        if (predicted > waiting.remainingMillis(now)) {
+            refuse(waiting, overloaded(waiting, "no engine can answer before the deadline", now), now);
+            return true;
+        }
+        if (engine.waitMillis(demand.lengthClass()) > settings.engineQueueMillis()) {
+            return false;
+        }
+        grant(waiting, engine, predicted, now);
+        return true;
+    }
+
+    private void grant(Waiting waiting, EngineLedger engine, long predictedMillis, long now) {
+        PlaceRequest request = waiting.request();
+        Demand demand = request.demand();
+        Grant grant = new Grant(
+                request.attempt(),
+                request.host(),
+                request.incarnation(),
+                request.organisation(),
+                model,
+                engine.id(),
+                engine.announcement().incarnation(),
+                engine.announcement().address(),
+                engine.announcement().protocol(),
+                demand.promptTokens(),
+                demand.kvTokens(),
+                engine.cachedTokens(demand),
+                predictedMillis,
+                waiting.remainingMillis(now),
+                true);
+        if (!ledger.reserve(grant, demand.prefixHashes(), now)) {
+            throw new IllegalStateException("attempt " + request.attempt() + " waits though the ledger knows it");
+        }
+        queue.remove(waiting);
+        counters.serve(waiting.start());
+        decided.add(new Decided(request, new PlaceAnswer.Placed(grant)));
+    }
+
+    private Optional<EngineLedger> choose(Demand demand, List<EngineLedger> ready) {
+        List<Replica> replicas = List.copyOf(ready);
+        return policy.choose(demand, replicas, random)
+                .map(EngineLedger.class::cast)
+                .filter(engine -> engine.freeKvTokens() >= demand.kvTokens());
+    }
+
+    private static EngineLedger fastest(Demand demand, List<EngineLedger> ready) {
+        EngineLedger best = null;
+        for (EngineLedger each : ready) {
+            boolean fits = each.freeKvTokens() >= demand.kvTokens();
+            if (fits && (best == null || each.firstTokenMillis(demand) < best.firstTokenMillis(demand))) {
+                best = each;
+            }
+        }
+        return best;
+    }
+
+    /** Why no engine here could serve the demand even when idle. */
+    private static Optional<Refusal> unservable(Demand demand, List<EngineLedger> ready) {
+        if (ready.isEmpty()) {
+            return Optional.of(Refusal.comeBack(
+                    RefusalReason.NO_BACKEND_SERVER,
+                    "no engine takes work for " + demand.model(),
+                    NO_ENGINE_RETRY_MILLIS));
+        }
+        for (EngineLedger each : ready) {
+            if (each.capacityKvTokens() >= demand.kvTokens()) {
+                return Optional.empty();
+            }
+        }
+        return Optional.of(Refusal.didNotRun(
+                RefusalReason.TOO_LARGE, demand.kvTokens() + " tokens are more than any engine of this owner holds"));
+    }
+
+    private List<EngineLedger> ready(Demand demand, long now) {
+        List<EngineLedger> ready = new ArrayList<>();
+        for (EngineLedger each : ledger.engines(model)) {
+            if (each.takesWork(now)
+                    && each.hasAdapter(demand.adapter())
+                    && !demand.excluded().contains(each.id())) {
+                ready.add(each);
+            }
+        }
+        return ready;
+    }
+
+    private List<EngineLedger> ready(long now) {
+        return ledger.engines(model).stream()
+                .filter(each -> each.takesWork(now))
+                .toList();
+    }
+
+    private void refuseIfHopeless(Waiting waiting, long workAhead, long now) {
+        long predicted = predictedMillis(waiting, workAhead, now);
+        if (predicted > waiting.remainingMillis(now)) {
+            refuse(waiting, overloaded(waiting, "the queue is longer than the time left", now), now);
+        }
+    }
+
+    private long predictedMillis(Waiting waiting, long workAhead, long now) {
+        Demand demand = waiting.request().demand();
+        List<EngineLedger> ready = ready(demand, now);
+        if (ready.isEmpty()) {
+            return 0;
+        }
+        long best = ready.stream()
+                .mapToLong(each -> each.firstTokenMillis(demand))
+                .min()
+                .getAsLong();
+        return best + Math.round(workAhead * MILLIS_PER_SECOND / totalSpeed(ready));
+    }
+
+    private Refusal overloaded(Waiting waiting, String why, long now) {
+        long predicted = predictedMillis(waiting, queue.workAhead(waiting), now);
+        long late = predicted - Math.max(0, waiting.remainingMillis(now));
+        return Refusal.comeBack(RefusalReason.OVERLOADED, why, Math.max(LEAST_RETRY_MILLIS, late));
+    }
+
+    private static Refusal late() {
+        return Refusal.comeBack(RefusalReason.DEADLINE, "not placed before its deadline", LEAST_RETRY_MILLIS);
+    }
+
+    private void refuse(Waiting waiting, Refusal refusal, long now) {
+        drop(waiting);
+        ModelSummary summary = summary(now).orElse(null);
+        decided.add(new Decided(waiting.request(), new PlaceAnswer.Refused(refusal, summary)));
+    }
+
+    private void drop(Waiting waiting) {
+        queue.remove(waiting);
+        counters.refund(waiting.request().organisation(), waiting.weight(), waiting.tokens());
+    }
+
+    private static double totalSpeed(List<EngineLedger> engines) {
+        return engines.stream()
+                .mapToDouble(EngineLedger::prefillTokensPerSecond)
+                .sum();
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
@@ -0,0 +1,400 @@
+package org.elmline.core.owner;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.elmline.core.admission.Deadlines;
+import org.elmline.core.backend.AnnounceAnswer;
+import org.elmline.core.backend.AnnounceResult;
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.backend.BackendKind;
+import org.elmline.core.backend.ServerTable;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.ModelName;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.config.Configuration;
+import org.elmline.core.config.Organisation;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.engine.CacheEvents;
+import org.elmline.core.engine.KvExport;
+import org.elmline.core.engine.StreamInfo;
+import org.elmline.core.ledger.EngineLedger;
+import org.elmline.core.ledger.Ledger;
+import org.elmline.core.placement.PlacementPolicy;
+import org.elmline.core.route.FirstToken;
+import org.elmline.core.route.Grant;
+import org.elmline.core.route.GrantReport;
+import org.elmline.core.route.GrantReportAnswer;
+import org.elmline.core.route.ModelSummary;
+import org.elmline.core.route.OwnerSummary;
+import org.elmline.core.route.Ownership;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.RegisterAnswer;
+import org.elmline.core.route.RegisterGrants;
+import org.elmline.core.route.Release;
+import org.elmline.core.route.ServiceReplica;
+import org.elmline.core.stream.Cancel;
+import org.elmline.core.stream.CancelQueue;
+import org.elmline.core.stream.LiveHosts;
+import org.elmline.core.stream.StrayFinder;
+
+/**
+ * One entry as the owner of its backend servers. All methods may be called from any thread; one lock guards all state,
+ * is held for microseconds, and no other lock is taken under it. Times are nanoseconds of one monotonic clock.
+ *
+ * <p>Call {@link #advance} several times a second, and after each report, to learn the answers of waiting requests.
+ */
+public final class Owner {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long TICK_NANOS = 20 * NANOS_PER_MILLI;
+    private static final int WHEEL_SLOTS = 512;
+    private static final int FALLBACK_ADDRESSES = 3;
+    private static final long NO_ENGINE_RETRY_MILLIS = 1_000;
+    private static final long NO_LEASE_RETRY_MILLIS = 500;
+
+    private final HostRecord self;
+    private final OwnerSettings settings;
+    private final PlacementPolicy policy;
+    private final RandomGenerator random;
+    private final ServerTable servers;
+    private final Ledger ledger;
+    private final Map<ModelName, ModelPlacer> placers = new HashMap<>();
+    private final Deadlines<AttemptId> deadlines = new Deadlines<>(TICK_NANOS, WHEEL_SLOTS);
+    private final Map<AttemptId, ModelName> waiting = new HashMap<>();
+    private final List<Decided> undelivered = new ArrayList<>();
+    private final CancelQueue cancels = new CancelQueue();
+    private final StrayFinder strays;
+    private Configuration configuration = Configuration.EMPTY;
+    private Ownership ownership = new Ownership(List.of());
+    private LiveHosts hosts = new LiveHosts(List.of());
+    private boolean membersKnown;
+    private long leaseUntil;
+    private boolean leaseHeld;
+    private boolean leaving;
+    private long sequence;
+    private long placed;
+    private long refused;
+    private long reclaimed;
+    private long unknownReports;
+
+    public Owner(HostRecord self, PlacementPolicy policy, RandomGenerator random, OwnerSettings settings) {
+        this.self = self;
+        this.policy = policy;
+        this.random = random;
+        this.settings = settings;
+        this.servers = new ServerTable(settings.leaseMillis());
+        this.ledger = new Ledger(settings.ledger());
+        this.strays = new StrayFinder(settings.strayGraceMillis() * NANOS_PER_MILLI);
+    }
+
+    /** Places nothing from this time on; an owner begins without a lease and so places nothing until told. */
+    public synchronized void leaseUntil(long nanos) {
+        leaseUntil = nanos;
+        leaseHeld = true;
+    }
+
+    /** Weights of organisations from now on. */
+    public synchronized void configure(Configuration next) {
+        configuration = next;
+    }
+
+    /** The live entries. Grants of a host that is no longer among them are cancelled on their engines and freed. */
+    public synchronized void members(Collection<HostRecord> members, long now) {
+        ownership = new Ownership(members);
+        hosts = new LiveHosts(members);
+        membersKnown = true;
+        reclaim(ledger.grants(grant -> hosts.gone(grant.host(), grant.incarnation())), now);
+    }
+
+    /** Refuses new work from now on; open grants go on. */
+    public synchronized void leave(long now) {
+        leaving = true;
+        Refusal refusal = Refusal.comeBack(RefusalReason.LEAVING, "this entry is stopping", NO_LEASE_RETRY_MILLIS);
+        placers.values().forEach(each -> each.refuseAll(refusal, now));
+        placers.forEach((model, placer) -> collect(placer));
+    }
+
+    /** Takes over a backend server, or renews its lease. */
+    public synchronized AnnounceAnswer announce(Announcement announcement, long now) {
+        AnnounceResult result = servers.announce(announcement, now);
+        if (result.accepted() && announcement.kind() == BackendKind.ENGINE) {
+            if (result == AnnounceResult.RESTARTED) {
+                cancels.forget(announcement.id());
+                strays.forget(announcement.id());
+            }
+            ledger.announce(announcement);
+            ledger.models().forEach(each -> placers.computeIfAbsent(each, this::newPlacer));
+        }
+        return new AnnounceAnswer(settings.announceIntervalMillis(), settings.leaseMillis(), announceTo(announcement));
+    }
+
+    /** Empty when the request waits; its answer then comes from {@link #advance}, at the latest at its deadline. */
+    public synchronized Optional<PlaceAnswer> place(PlaceRequest request, long now) {
+        if (waiting.containsKey(request.attempt())) {
+            return Optional.empty();
+        }
+        Optional<PlaceAnswer> known = answerBefore(request, now);
+        if (known.isPresent()) {
+            return known;
+        }
+        ModelName model = request.demand().model();
+        ModelPlacer placer = placers.get(model);
+        placer.add(request, weight(request), now);
+        collect(placer);
+        Optional<PlaceAnswer> answer = takeUndelivered(request.attempt());
+        if (answer.isPresent()) {
+            return answer;
+        }
+        waiting.put(request.attempt(), model);
+        deadlines.set(request.attempt(), now + request.demand().remainingMillis() * NANOS_PER_MILLI, now);
+        return Optional.empty();
+    }
+
+    /** First tokens and releases; a release of a request that still waits withdraws it. */
+    public synchronized GrantReportAnswer report(GrantReport report, long now) {
+        int unknown = 0;
+        for (FirstToken each : report.firstTokens()) {
+            unknown += ledger.firstToken(each.attempt(), now) ? 0 : 1;
+        }
+        for (Release each : report.releases()) {
+            unknown += release(each, now) ? 0 : 1;
+        }
+        unknownReports += unknown;
+        return new GrantReportAnswer(unknown);
+    }
+
+    /** Reserves again what another owner granted before this one took over. */
+    public synchronized RegisterAnswer register(RegisterGrants request, long now) {
+        List<AttemptId> notOwned = new ArrayList<>();
+        for (Grant each : request.grants()) {
+            boolean held = ledger.grant(each.attempt()).isPresent() || ledger.released(each.attempt());
+            if (!held && !ledger.reserve(each, List.of(), now)) {
+                notOwned.add(each.attempt());
+            }
+        }
+        return new RegisterAnswer(notOwned);
+    }
+
+    /** Moves time on: ends leases, expires and places waiting requests. Returns the answers that became known. */
+    public synchronized List<Decided> advance(long now) {
+        for (Announcement each : servers.expire(now)) {
+            ledger.unreachable(each.id());
+        }
+        ledger.check(now);
+        long grace = settings.reclaimGraceMillis() * NANOS_PER_MILLI;
+        reclaim(ledger.overdue(now, grace), now);
+        forgetLostEngines(now, 2 * grace);
+        for (AttemptId each : deadlines.expire(now)) {
+            placers.get(waiting.get(each)).expire(each, now);
+        }
+        for (ModelPlacer each : placers.values()) {
+            each.place(now);
+            each.refuseHopeless(now);
+            collect(each);
+        }
+        List<Decided> taken = List.copyOf(undelivered);
+        undelivered.clear();
+        return taken;
+    }
+
+    /** What an engine holds now, as it says itself; shows what a dead entry left there. */
+    public synchronized void listed(
+            BackendServerId server, List<StreamInfo> streams, List<KvExport> exports, long now) {
+        if (!membersKnown) {
+            return;
+        }
+        for (Cancel each : strays.find(
+                server, streams, exports, hosts, id -> ledger.grant(id).isPresent(), now)) {
+            cancels.add(each, now);
+        }
+    }
+
+    /** Cancels to send to engines now; each comes again until {@link #acknowledged}. */
+    public synchronized List<Cancel> cancels(long now) {
+        return cancels.due(now);
+    }
+
+    /** The engine holds nothing for it any more. */
+    public synchronized void acknowledged(Cancel cancel, long now) {
+        if (cancels.acknowledge(cancel) && !cancel.ofExport()) {
+            ledger.release(cancel.attempt(), false, now);
+        }
+    }
+
+    public synchronized void cacheEvents(BackendServerId server, CacheEvents events) {
+        ledger.cacheEvents(server, events);
+    }
+
+    /** The state to send to every entry. */
+    public synchronized OwnerSummary summary(long now) {
+        List<ModelSummary> models = new ArrayList<>();
+        for (ModelName each : ledger.models()) {
+            summary(each, now).ifPresent(models::add);
+        }
+        List<Integer> owned = servers.ids().stream().map(Ownership::shortHash).toList();
+        return new OwnerSummary(self.id(), self.incarnation(), ++sequence, owned, models, services());
+    }
+
+    public synchronized Optional<ModelSummary> summary(ModelName model, long now) {
+        return Optional.ofNullable(placers.get(model)).flatMap(each -> each.summary(now));
+    }
+
+    /** The engines with a live lease, for the daemon to read cache events from and list streams on. */
+    public synchronized List<Announcement> engines() {
+        return servers.ofKind(BackendKind.ENGINE);
+    }
+
+    /** Sequence number of the last cache event taken in from an engine. */
+    public synchronized long lastCacheEvent(BackendServerId server) {
+        return ledger.engine(server).map(EngineLedger::lastCacheEvent).orElse(0L);
+    }
+
+    /** Figures for operators. */
+    public synchronized OwnerCounts counts() {
+        return new OwnerCounts(
+                servers.counts(),
+                ledger.engines().size(),
+                ledger.openGrants(),
+                waiting.size(),
+                cancels.size(),
+                placed,
+                refused,
+                reclaimed,
+                unknownReports);
+    }
+
+    private Optional<PlaceAnswer> answerBefore(PlaceRequest request, long now) {
+        AttemptId attempt = request.attempt();
+        Optional<Grant> held = ledger.grant(attempt);
+        if (held.isPresent()) {
+            return held.map(PlaceAnswer.Placed::new);
+        }
+        if (ledger.released(attempt)) {
+            return refused(Refusal.didNotRun(RefusalReason.DEADLINE, "the attempt was released already"), request, now);
+        }
+        // A host cut off from the control hosts may be the second owner of an engine; it must not fill it.
+        if (!leaseHeld || now - leaseUntil >= 0) {
+            String why = "this entry holds no lease";
+            return refused(Refusal.comeBack(RefusalReason.NO_LEASE, why, NO_LEASE_RETRY_MILLIS), request, now);
+        }
+        if (leaving) {
+            String why = "this entry is stopping";
+            return refused(Refusal.comeBack(RefusalReason.LEAVING, why, NO_LEASE_RETRY_MILLIS), request, now);
+        }
+        if (!placers.containsKey(request.demand().model())) {
+            String why = "no engine here serves " + request.demand().model();
+            return refused(
+                    Refusal.comeBack(RefusalReason.NO_BACKEND_SERVER, why, NO_ENGINE_RETRY_MILLIS), request, now);
+        }
+        return takeUndelivered(attempt);
+    }
+
+    private Optional<PlaceAnswer> refused(Refusal refusal, PlaceRequest request, long now) {
+        refused++;
+        ModelSummary summary = summary(request.demand().model(), now).orElse(null);
+        return Optional.of(new PlaceAnswer.Refused(refusal, summary));
+    }
+
+    private Optional<PlaceAnswer> takeUndelivered(AttemptId attempt) {
+        for (int i = 0; i < undelivered.size(); i++) {
+            if (undelivered.get(i).request().attempt().equals(attempt)) {
+                return Optional.of(undelivered.remove(i).answer());
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void collect(ModelPlacer placer) {
+        for (Decided each : placer.takeDecided()) {
+            waiting.remove(each.request().attempt());
+            deadlines.clear(each.request().attempt());
+            placed += each.answer() instanceof PlaceAnswer.Placed ? 1 : 0;
+            refused += each.answer() instanceof PlaceAnswer.Refused ? 1 : 0;
+            undelivered.add(each);
+        }
+    }
+
+    private boolean release(Release release, long now) {
+        ModelName model = waiting.remove(release.attempt());
+        if (model != null) {
+            deadlines.clear(release.attempt());
+            placers.get(model).withdraw(release.attempt());
+            ledger.release(release.attempt(), false, now);
+            return true;
+        }
+        Optional<Grant> released =
+                ledger.release(release.attempt(), release.cause().engineFault(), now);
+        released.ifPresent(grant -> cancels.acknowledge(Cancel.stream(grant.server(), grant.attempt())));
+        return released.isPresent();
+    }
+
+    /** Their memory stays reserved until the engine has acknowledged the cancel. */
+    private void reclaim(List<Grant> grants, long now) {
+        for (Grant each : grants) {
+            Cancel cancel = Cancel.stream(each.server(), each.attempt());
+            if (!cancels.contains(cancel)) {
+                cancels.add(cancel, now);
+                reclaimed++;
+            }
+        }
+    }
+
+    private void forgetLostEngines(long now, long grace) {
+        List<BackendServerId> lost = new ArrayList<>();
+        for (EngineLedger each : ledger.engines()) {
+            if (!each.reachable() && each.allOverdue(now, grace)) {
+                lost.add(each.id());
+            }
+        }
+        for (BackendServerId each : lost) {
+            ledger.remove(each);
+            cancels.forget(each);
+            strays.forget(each);
+        }
+    }
+
+    private ModelPlacer newPlacer(ModelName model) {
+        return new ModelPlacer(model, ledger, policy, random, settings);
+    }
+
+    private int weight(PlaceRequest request) {
+        return configuration
+                .organisation(request.organisation())
+                .map(Organisation::weight)
+                .orElse(1);
+    }
+
+    private List<Address> announceTo(Announcement announcement) {
+        List<Address> addresses = new ArrayList<>();
+        addresses.add(self.callers());
+        for (HostRecord each : ownership.candidates(announcement)) {
+            if (!each.id().equals(self.id()) && addresses.size() <= FALLBACK_ADDRESSES) {
+                addresses.add(each.callers());
+            }
+        }
+        return addresses;
+    }
+
+    private List<ServiceReplica> services() {
+        List<ServiceReplica> services = new ArrayList<>();
+        for (Announcement each : servers.ofKind(BackendKind.SERVICE)) {
+            if (each.leaving()) {
+                continue;
+            }
+            for (String name : each.names()) {
+                services.add(new ServiceReplica(ServiceName.of(name), each.id(), each.incarnation(), each.address()));
+            }
+        }
+        return services;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/owner/OwnerSettings.java
@@ -0,0 +1,116 @@
+package org.elmline.core.owner;
+
+import org.elmline.core.ledger.LedgerSettings;
+
+/** Dials of an owner; every time is in milliseconds. */
+public final class OwnerSettings {
+    private final long announceIntervalMillis;
+    private final long leaseMillis;
+    private final int queueCapacity;
+    private final long engineQueueMillis;
+    private final long reclaimGraceMillis;
+    private final long strayGraceMillis;
+    private final LedgerSettings ledger;
+
+    private OwnerSettings(Builder builder) {
+        announceIntervalMillis = builder.announceIntervalMillis;
+        leaseMillis = builder.leaseMillis;
+        queueCapacity = builder.queueCapacity;
+        engineQueueMillis = builder.engineQueueMillis;
+        reclaimGraceMillis = builder.reclaimGraceMillis;
+        strayGraceMillis = builder.strayGraceMillis;
+        ledger = builder.ledger;
+    }
+
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    public long announceIntervalMillis() {
+        return announceIntervalMillis;
+    }
+
+    /** Silence after which a backend server gets no new work. */
+    public long leaseMillis() {
+        return leaseMillis;
+    }
+
+    /** Requests that may wait for one model. */
+    public int queueCapacity() {
+        return queueCapacity;
+    }
+
+    /** Prompt work that an engine may hold ahead of a request; beyond it the request waits at the owner. */
+    public long engineQueueMillis() {
+        return engineQueueMillis;
+    }
+
+    /** Time past its deadline after which a grant is cancelled on the engine in its entry's place. */
+    public long reclaimGraceMillis() {
+        return reclaimGraceMillis;
+    }
+
+    /** Time between two listings that must both show a stray stream. */
+    public long strayGraceMillis() {
+        return strayGraceMillis;
+    }
+
+    public LedgerSettings ledger() {
+        return ledger;
+    }
+
+    /** Starts from the values that suit one region of fast links. */
+    public static final class Builder {
+        private long announceIntervalMillis = 1_000;
+        private long leaseMillis = 4_000;
+        private int queueCapacity = 256;
+        private long engineQueueMillis = 2_000;
+        private long reclaimGraceMillis = 5_000;
+        private long strayGraceMillis = 3_000;
+        private LedgerSettings ledger = LedgerSettings.DEFAULT;
+
+        private Builder() {}
+
+        public Builder announceIntervalMillis(long value) {
+            announceIntervalMillis = value;
+            return this;
+        }
+
+        public Builder leaseMillis(long value) {
+            leaseMillis = value;
+            return this;
+        }
+
+        public Builder queueCapacity(int value) {
+            queueCapacity = value;
+            return this;
+        }
+
+        public Builder engineQueueMillis(long value) {
+            engineQueueMillis = value;
+            return this;
+        }
+
+        public Builder reclaimGraceMillis(long value) {
+            reclaimGraceMillis = value;
+            return this;
+        }
+
+        public Builder strayGraceMillis(long value) {
+            strayGraceMillis = value;
+            return this;
+        }
+
+        public Builder ledger(LedgerSettings value) {
+            ledger = value;
+            return this;
+        }
+
+        public OwnerSettings build() {
+            if (leaseMillis <= announceIntervalMillis) {
+                throw new IllegalArgumentException("a lease must outlast the interval between announcements");
+            }
+            return new OwnerSettings(this);
+        }
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/route/ModelSummary.java
+++ b/elmline-core/src/main/java/org/elmline/core/route/ModelSummary.java
@@ -29,6 +29,11 @@
         prefixes = List.copyOf(prefixes);
     }
 
+    /** The 32 bits that stand for a prefix block's hash in {@link #prefixes}. */
+    public static int shortHash(long blockHash) {
+        return (int) (blockHash ^ (blockHash >>> Integer.SIZE));
+    }
+
     public int waitMillis(LengthClass lengthClass) {
         return waitMillis.get(lengthClass.ordinal());
     }
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/stream/CancelQueue.java
@@ -0,0 +1,71 @@
+package org.elmline.core.stream;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.elmline.core.common.BackendServerId;
+
+/**
+ * Cancels that no engine has acknowledged yet. One lost on its way would leave the engine's memory taken for good, so
+ * each is repeated, at doubling intervals, until it is acknowledged or its engine's incarnation is gone. Not
+ * thread-safe.
+ */
+public final class CancelQueue {
+    private static final long FIRST_INTERVAL_NANOS = 200_000_000L;
+    private static final int MOST_DOUBLINGS = 5;
+
+    private final Map<Cancel, Schedule> open = new LinkedHashMap<>();
+    private final Map<BackendServerId, Integer> countByServer = new HashMap<>();
+
+    /** Adds a cancel, due at once; adding it again changes nothing. */
+    public void add(Cancel cancel, long now) {
+        if (open.putIfAbsent(cancel, new Schedule(now, 0)) == null) {
+            countByServer.merge(cancel.server(), 1, Integer::sum);
+        }
+    }
+
+    /** The cancels to send now; each stays open until acknowledged. */
+    public List<Cancel> due(long now) {
+        List<Cancel> due = new ArrayList<>();
+        for (Map.Entry<Cancel, Schedule> each : open.entrySet()) {
+            if (now - each.getValue().dueAt() >= 0) {
+                due.add(each.getKey());
+                each.setValue(each.getValue().next(now));
+            }
+        }
+        return due;
+    }
+
+    /** The engine holds nothing for it any more. False when it was not open. */
+    public boolean acknowledge(Cancel cancel) {
+        boolean removed = open.remove(cancel) != null;
+        if (removed) {
+            countByServer.computeIfPresent(cancel.server(), (id, count) -> count == 1 ? null : count - 1);
+        }
+        return removed;
+    }
+
+    /** The engine's incarnation is gone and its memory with it. */
+    public void forget(BackendServerId server) {
+        if (countByServer.remove(server) != null) {
+            open.keySet().removeIf(each -> each.server().equals(server));
+        }
+    }
+
+    public boolean contains(Cancel cancel) {
+        return open.containsKey(cancel);
+    }
+
+    public int size() {
+        return open.size();
+    }
+
+    private record Schedule(long dueAt, int sent) {
+        Schedule next(long now) {
+            return new Schedule(now + (FIRST_INTERVAL_NANOS << Math.min(sent, MOST_DOUBLINGS)), sent + 1);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/owner/OwnerTest.java
@@ -0,0 +1,97 @@
+package org.elmline.core.owner;
+
+import java.util.List;
+
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.route.Grant;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.ReleaseCause;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class OwnerTest {
+    private static final int CAPACITY = 100_000;
+
+    private final OwnerFixture fixture = new OwnerFixture();
+
+    @Test
+    void placesAndReleasesOnce() {
+        fixture.engines(2, CAPACITY);
+        PlaceRequest request = fixture.request("org", 1_900, 0, 10_000);
+        Grant grant = granted(request);
+        assertEquals(grant, granted(request), "asked again, the same grant");
+        assertEquals(2 * CAPACITY - 2_000, fixture.freeTokens());
+        assertEquals(0, fixture.release(request.attempt(), ReleaseCause.FINISHED));
+        assertEquals(1, fixture.release(request.attempt(), ReleaseCause.FINISHED), "the second release finds nothing");
+        assertEquals(2 * CAPACITY, fixture.freeTokens());
+    }
+
+    @Test
+    void placesNothingWithoutLease() {
+        fixture.engines(1, CAPACITY);
+        fixture.owner.leaseUntil(fixture.now);
+        assertEquals(RefusalReason.NO_LEASE, refused(fixture.request("org", 1_000, 0, 10_000)));
+    }
+
+    @Test
+    void leavingEngineGetsNoNewWorkAtOnce() {
+        fixture.engines(1, CAPACITY);
+        fixture.owner.announce(OwnerFixture.engine("engine-0", 1, CAPACITY, true), fixture.now);
+        assertEquals(RefusalReason.NO_BACKEND_SERVER, refused(fixture.request("org", 1_000, 0, 10_000)));
+    }
+
+    @Test
+    void silentEngineGetsNoNewWorkAfterItsLease() {
+        fixture.engines(1, CAPACITY);
+        fixture.advance(3_999);
+        granted(fixture.request("org", 1_000, 0, 10_000));
+        fixture.advance(1);
+        assertEquals(RefusalReason.NO_BACKEND_SERVER, refused(fixture.request("org", 1_000, 0, 10_000)));
+    }
+
+    /**
+     * The caller's entry dies with a read in flight. Nobody releases the grant, and the engine goes on holding its
+     * memory. The owner must cancel on the engine, again until acknowledged, and only then count the memory as free.
+     */
+    @Test
+    void grantsOfALostEntryAreCancelledUntilAcknowledgedAndFreed() {
+        fixture.engines(1, CAPACITY);
+        granted(fixture.request("org", 49_900, 0, 60_000));
+        fixture.owner.members(List.of(OwnerFixture.host("owner", "a")), fixture.now);
+        var first = fixture.owner.cancels(fixture.now);
+        assertEquals(1, first.size());
+        fixture.advance(500);
+        assertEquals(first, fixture.owner.cancels(fixture.now), "sent again while nobody acknowledged it");
+        assertEquals(CAPACITY - 50_000, fixture.freeTokens());
+        fixture.owner.acknowledged(first.get(0), fixture.now);
+        assertEquals(CAPACITY, fixture.freeTokens());
+        fixture.advance(5_000);
+        assertTrue(fixture.owner.cancels(fixture.now).isEmpty());
+    }
+
+    @Test
+    void refusesAtOnceWhatCannotMeetItsDeadline() {
+        fixture.engines(1, CAPACITY);
+        PlaceRequest request = fixture.request("org", 60_000, 0, 3_000);
+        PlaceAnswer.Refused answer = assertInstanceOf(
+                PlaceAnswer.Refused.class, fixture.place(request).orElseThrow());
+        assertEquals(RefusalReason.OVERLOADED, answer.refusal().reason());
+        assertTrue(answer.refusal().retryAfterMillis() > 0);
+    }
+
+    private Grant granted(PlaceRequest request) {
+        return assertInstanceOf(PlaceAnswer.Placed.class, fixture.place(request).orElseThrow())
+                .grant();
+    }
+
+    private RefusalReason refused(PlaceRequest request) {
+        return assertInstanceOf(
+                        PlaceAnswer.Refused.class, fixture.place(request).orElseThrow())
+                .refusal()
+                .reason();
+    }
+}
