--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/raft/HardState.java
@@ -0,0 +1,9 @@
+package org.elmline.core.raft;
+
+/**
+ * What a replica must never forget: its term and whom it voted for in it (null for nobody). Synced before any message
+ * that rests on it leaves; a vote forgotten in a crash could be given twice and elect two leaders.
+ */
+public record HardState(long term, ReplicaId vote) {
+    public static final HardState NONE = new HardState(0, null);
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/raft/ReplicaId.java
@@ -0,0 +1,45 @@
+package org.elmline.core.raft;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import org.elmline.core.common.HostId;
+
+/**
+ * Identity of one copy of the log: the host and the incarnation of its data folder, written {@code host@hex}.
+ *
+ * <p>A host whose disk was lost has forgotten its votes. Were it to vote again under its old identity, two leaders could
+ * be elected in one term. A fresh folder draws a new incarnation, so messages to the old identity are dropped and votes
+ * of the new one count for nothing until the members have promoted it.
+ */
+public record ReplicaId(HostId host, long incarnation) implements Comparable<ReplicaId> {
+    private static final char SEPARATOR = '@';
+    private static final int HEX = 16;
+
+    public ReplicaId {
+        if (host == null) {
+            throw new IllegalArgumentException("replica id without a host");
+        }
+    }
+
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static ReplicaId parse(String text) {
+        int at = text == null ? -1 : text.lastIndexOf(SEPARATOR);
+        if (at < 1) {
+            throw new IllegalArgumentException("not HOST@HEX: '" + text + "'");
+        }
+        long incarnation = Long.parseUnsignedLong(text.substring(at + 1), HEX);
+        return new ReplicaId(HostId.of(text.substring(0, at)), incarnation);
+    }
+
+    @Override
+    public int compareTo(ReplicaId other) {
+        int byHost = host.compareTo(other.host);
+        return byHost != 0 ? byHost : Long.compareUnsigned(incarnation, other.incarnation);
+    }
+
+    @JsonValue
+    @Override
+    public String toString() {
+        return host.value() + SEPARATOR + Long.toHexString(incarnation);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/raft/Disk.java
@@ -0,0 +1,40 @@
+package org.elmline.core.raft;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What a replica has synced; outlives its crashes. */
+final class Disk {
+    private HardState hardState;
+    private Snapshot snapshot;
+    private final List<Entry> entries = new ArrayList<>();
+
+    Disk(Restored first) {
+        hardState = first.hardState();
+        entries.addAll(first.entries());
+    }
+
+    void write(Ready ready) {
+        if (ready.install() != null) {
+            snapshot = ready.install();
+            entries.clear();
+        }
+        if (ready.hardState() != null) {
+            hardState = ready.hardState();
+        }
+        if (!ready.entries().isEmpty()) {
+            long first = ready.entries().get(0).index();
+            entries.removeIf(each -> each.index() >= first);
+            entries.addAll(ready.entries());
+        }
+    }
+
+    void write(Snapshot compacted) {
+        snapshot = compacted;
+        entries.removeIf(each -> each.index() <= compacted.index());
+    }
+
+    Restored read() {
+        return new Restored(hardState, snapshot, entries);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/raft/FaultScheduleTest.java
@@ -0,0 +1,127 @@
+package org.elmline.core.raft;
+
+import java.util.List;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+/**
+ * Random schedules of faults, two and more at once, against the invariants that {@link SimCluster} checks after each
+ * step. After each schedule everything heals and the log must go on. A failure is shrunk to the fewest faults.
+ */
+class FaultScheduleTest {
+    enum Kind {
+        RUN,
+        PROPOSE,
+        CRASH,
+        CRASH_BEFORE_SYNC,
+        CRASH_AFTER_SYNC,
+        RESTART,
+        FREEZE,
+        WAKE,
+        CUT_OFF,
+        CUT_ONE_WAY,
+        HEAL,
+        LOSE_MESSAGES,
+        REPEAT_MESSAGES,
+        TRANSFER,
+        LOSE_DISK,
+        COMPACT,
+        READ
+    }
+
+    record Step(Kind kind, int host, int other) {}
+
+    @Provide
+    Arbitrary<List<Step>> schedules() {
+        Arbitrary<Kind> kinds = Arbitraries.of(Kind.class);
+        Arbitrary<Integer> hosts = Arbitraries.integers().between(0, 4);
+        return Combinators.combine(kinds, hosts, hosts)
+                .as(Step::new)
+                .list()
+                .ofMinSize(10)
+                .ofMaxSize(80);
+    }
+
+    @Property(seed = "20260417", tries = 400)
+    void threeReplicasKeepTheInvariants(@ForAll("schedules") List<Step> schedule, @ForAll long seed) {
+        play(new SimCluster(3, seed, smallBounds()), schedule);
+    }
+
+    @Property(seed = "20260418", tries = 200)
+    void fiveReplicasKeepTheInvariants(@ForAll("schedules") List<Step> schedule, @ForAll long seed) {
+        play(new SimCluster(5, seed, smallBounds()), schedule);
+    }
+
+    private static RaftSettings.Builder smallBounds() {
+        return RaftSettings.builder().snapshotChunkBytes(20).retainedEntries(2).maxAppendBytes(200);
+    }
+
+    private static void play(SimCluster cluster, List<Step> schedule) {
+        cluster.run(2 * SimCluster.TIMEOUT);
+        for (Step each : schedule) {
+            apply(cluster, each);
+            cluster.run(SimCluster.TIMEOUT / 4);
+        }
+        cluster.heal();
+        cluster.hosts.forEach(SimHost::start);
+        cluster.hosts.forEach(SimHost::recover);
+        cluster.run(30 * SimCluster.TIMEOUT);
+        cluster.propose();
+        cluster.run(5 * SimCluster.TIMEOUT);
+        for (SimHost each : cluster.hosts) {
+            cluster.require(each.appliedIndex == cluster.committedIndex(), each.id + " has caught up");
+            cluster.require(cluster.committedMembership().isVoter(each.id), each.id + " votes again");
+        }
+    }
+
+    private static void apply(SimCluster cluster, Step step) {
+        SimHost host = cluster.hosts.get(step.host() % cluster.hosts.size());
+        int host1 = step.host() % cluster.hosts.size();
+        int host2 = step.other() % cluster.hosts.size();
+        switch (step.kind()) {
+            case RUN -> cluster.run(SimCluster.TIMEOUT * (1 + step.other()));
+            case PROPOSE -> cluster.propose();
+            case CRASH -> host.crash();
+            case CRASH_BEFORE_SYNC -> host.crashPoint = SimHost.CrashPoint.BEFORE_SYNC;
+            case CRASH_AFTER_SYNC -> host.crashPoint = SimHost.CrashPoint.AFTER_SYNC;
+            case RESTART -> host.start();
+            case FREEZE -> host.frozen = host.node != null;
+            case WAKE -> host.frozen = false;
+            case CUT_OFF -> cluster.cutOff(host1);
+            case CUT_ONE_WAY -> cluster.cut(host1, host2);
+            case HEAL -> cluster.heal();
+            case LOSE_MESSAGES -> cluster.lossPercent = 10 * step.other();
+            case REPEAT_MESSAGES -> cluster.repeatPercent = 10 * step.other();
+            case LOSE_DISK -> loseDisk(cluster, host);
+            default -> onRunning(host, step);
+        }
+    }
+
+    private static void onRunning(SimHost host, Step step) {
+        if (!host.runs()) {
+            return;
+        }
+        switch (step.kind()) {
+            case TRANSFER -> {
+                host.node.transferLeadership(host.clock());
+                host.work();
+            }
+            case COMPACT -> host.compact();
+            default -> host.read();
+        }
+    }
+
+    /** More lost disks at once than a minority of the voters are beyond what any replicated log survives. */
+    private static void loseDisk(SimCluster cluster, SimHost host) {
+        int tolerated = (cluster.committedMembership().voters().size() - 1) / 2;
+        boolean votes = cluster.committedMembership().isVoter(host.id);
+        if (votes && cluster.lostVoters() < tolerated) {
+            host.loseDisk();
+        }
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/raft/SimCluster.java
@@ -0,0 +1,233 @@
+package org.elmline.core.raft;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.elmline.core.common.HostId;
+
+/**
+ * A deterministic network of replicas that checks the invariants after each step: one leader a term, no vote twice in a
+ * term, no vote that counts from a replica nobody promoted, committed entries stay and are applied in one order, and no
+ * leader is elected before every lease of another has ended. Messages are routed by host, as in the real network.
+ */
+final class SimCluster {
+    static final long TIMEOUT = Duration.ofMillis(100).toNanos();
+    private static final long STEP = Duration.ofMillis(5).toNanos();
+
+    final List<SimHost> hosts = new ArrayList<>();
+    int lossPercent;
+    int repeatPercent;
+    private final SplittableRandom random;
+    private final RaftSettings settings;
+    private final Set<String> cuts = new HashSet<>();
+    private final List<Message> inFlight = new ArrayList<>();
+    private final Map<Long, ReplicaId> leaders = new HashMap<>();
+    private final Map<String, ReplicaId> votes = new HashMap<>();
+    private final Set<ReplicaId> everVoters = new HashSet<>();
+    private final Map<Long, Entry> committed = new HashMap<>();
+    private final Map<Long, Long> hashes = new HashMap<>();
+    private final Map<ReplicaId, Double> leaseEnds = new HashMap<>();
+    private long now;
+    private long committedIndex;
+    private Membership committedMembership;
+    private int proposals;
+
+    SimCluster(int size, long seed) {
+        this(size, seed, RaftSettings.builder());
+    }
+
+    SimCluster(int size, long seed, RaftSettings.Builder bounds) {
+        random = new SplittableRandom(seed);
+        settings = bounds.electionTimeout(Duration.ofNanos(TIMEOUT))
+                .heartbeat(Duration.ofMillis(20))
+                .build();
+        List<ReplicaId> ids = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            ids.add(new ReplicaId(HostId.of("h" + i), 1));
+        }
+        committedMembership = Membership.ofVoters(ids);
+        everVoters.addAll(ids);
+        for (ReplicaId each : ids) {
+            hosts.add(new SimHost(this, each, Restored.bootstrap(committedMembership), random.split()));
+        }
+        hosts.forEach(SimHost::start);
+    }
+
+    RaftSettings settings() {
+        return settings;
+    }
+
+    long now() {
+        return now;
+    }
+
+    long committedIndex() {
+        return committedIndex;
+    }
+
+    Membership committedMembership() {
+        return committedMembership;
+    }
+
+    /** How many of the committed voters have lost their data folder. */
+    long lostVoters() {
+        return committedMembership.voters().stream()
+                .filter(each -> hosts.stream().noneMatch(host -> host.id.equals(each)))
+                .count();
+    }
+
+    void run(long nanos) {
+        for (long until = now + nanos; now < until; now += STEP) {
+            deliver();
+            hosts.forEach(SimHost::turn);
+            joinFreshReplicas();
+        }
+    }
+
+    private void deliver() {
+        List<Message> due = new ArrayList<>(inFlight);
+        inFlight.clear();
+        for (Message each : due) {
+            int chance = random.nextInt(100);
+            boolean cut = cuts.contains(each.from().host() + ">" + each.to().host());
+            if (cut || chance < lossPercent) {
+                continue;
+            }
+            boolean late = random.nextInt(4) == 0;
+            if (late || chance < lossPercent + repeatPercent) {
+                // Comes again later, so behind others.
+                inFlight.add(each);
+            }
+            if (!late) {
+                hosts.stream()
+                        .filter(host -> host.node != null
+                                && host.id.host().equals(each.to().host()))
+                        .forEach(host -> host.inbox.add(each));
+            }
+        }
+    }
+
+    private void joinFreshReplicas() {
+        for (SimHost each : hosts) {
+            SimHost leader = leader();
+            if (leader == null) {
+                return;
+            }
+            JoinPlan.next(leader.node.membership(), each.id, leader.node.isCaughtUp(each.id))
+                    .filter(change -> each.runs())
+                    .ifPresent(change -> {
+                        leader.node.propose(leader.clock(), change);
+                        everVoters.addAll(leader.node.membership().voters());
+                        leader.work();
+                    });
+        }
+    }
+
+    /** The running leader of the highest term, null when there is none. */
+    SimHost leader() {
+        SimHost best = null;
+        for (SimHost each : hosts) {
+            boolean leads = each.runs() && each.node.isLeader();
+            if (leads && (best == null || each.node.term() > best.node.term())) {
+                best = each;
+            }
+        }
+        return best;
+    }
+
+    SimHost awaitLeader() {
+        for (int i = 0; i < 200 && leader() == null; i++) {
+            run(STEP);
+        }
+        require(leader() != null, "a leader is elected");
+        return leader();
+    }
+
+    /** Proposes on every host that believes to lead, also a deposed one. */
+    void propose() {
+        for (SimHost each : hosts) {
+            if (each.runs() && each.node.isLeader()) {
+                each.node.propose(each.clock(), List.of(("command " + ++proposals).getBytes()));
+                each.work();
+            }
+        }
+    }
+
+    void cut(int from, int to) {
+        cuts.add(hosts.get(from).id.host() + ">" + hosts.get(to).id.host());
+    }
+
+    void cutOff(int host) {
+        for (int i = 0; i < hosts.size(); i++) {
+            cut(host, i);
+            cut(i, host);
+        }
+    }
+
+    void heal() {
+        cuts.clear();
+        lossPercent = 0;
+        repeatPercent = 0;
+    }
+
+    void send(Message message) {
+        inFlight.add(message);
+        if (message instanceof Message.VoteRequest request) {
+            voted(request.from(), request.term(), request.from());
+        }
+        if (message instanceof Message.VoteResponse response && response.granted()) {
+            voted(response.from(), response.term(), response.to());
+        }
+    }
+
+    private void voted(ReplicaId voter, long term, ReplicaId candidate) {
+        ReplicaId earlier = votes.putIfAbsent(voter + " in " + term, candidate);
+        require(earlier == null || earlier.equals(candidate), voter + " voted twice in term " + term);
+        require(everVoters.contains(voter), voter + " voted with a data folder nobody promoted");
+    }
+
+    void applied(SimHost host, Entry entry) {
+        Entry earlier = committed.putIfAbsent(entry.index(), entry);
+        require(earlier == null || earlier.equals(entry), "committed " + earlier + " became " + entry);
+        long hash = hashes.computeIfAbsent(entry.index(), index -> host.appliedHash);
+        require(hash == host.appliedHash, "one order of entries on all replicas");
+        if (entry.index() > committedIndex) {
+            committedIndex = entry.index();
+            if (entry.kind() == EntryKind.MEMBERSHIP) {
+                committedMembership = Membership.ofBytes(entry.data());
+            }
+        }
+    }
+
+    void restored(SimHost host) {
+        require(hashes.get(host.appliedIndex) == host.appliedHash, "a snapshot holds the committed state");
+    }
+
+    /** Called after each input of a host. */
+    void check(SimHost host) {
+        if (host.node == null || !host.node.isLeader()) {
+            return;
+        }
+        everVoters.addAll(host.node.membership().voters());
+        if (leaders.putIfAbsent(host.node.term(), host.id) == null) {
+            leaseEnds.forEach((id, end) -> require(
+                    id.equals(host.id) || end <= now, host.id + " leads before the lease of " + id + " has ended"));
+        }
+        require(leaders.get(host.node.term()).equals(host.id), "two leaders in term " + host.node.term());
+        if (host.node.leaseUntilNanos() != RaftNode.NO_LEASE) {
+            leaseEnds.merge(host.id, host.trueTime(host.node.leaseUntilNanos()), Math::max);
+        }
+    }
+
+    void require(boolean holds, String what) {
+        if (!holds) {
+            throw new AssertionError(what + " (at " + now / 1_000_000 + " ms)");
+        }
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/raft/SimHost.java
@@ -0,0 +1,162 @@
+package org.elmline.core.raft;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/** One simulated host: its disk outlives the process, its clock has an own origin and speed. */
+final class SimHost {
+    enum CrashPoint {
+        NONE,
+        BEFORE_SYNC,
+        AFTER_SYNC
+    }
+
+    final Deque<Message> inbox = new ArrayDeque<>();
+    private final SimCluster cluster;
+    private final double clockSpeed;
+    private final long clockOrigin;
+    private final RandomGenerator random;
+    private final Map<Long, Long> readFloors = new HashMap<>();
+    ReplicaId id;
+    Disk disk;
+    RaftNode node;
+    boolean frozen;
+    CrashPoint crashPoint = CrashPoint.NONE;
+    long appliedIndex;
+    long appliedHash;
+
+    SimHost(SimCluster cluster, ReplicaId id, Restored first, RandomGenerator random) {
+        this.cluster = cluster;
+        this.id = id;
+        this.disk = new Disk(first);
+        this.random = random;
+        this.clockSpeed = 0.97 + 0.06 * random.nextDouble();
+        this.clockOrigin = random.nextLong(1_000_000_000L);
+    }
+
+    long clock() {
+        return clockOrigin + (long) (cluster.now() * clockSpeed);
+    }
+
+    /** The simulation's time at a reading of this host's clock. */
+    double trueTime(long clockNanos) {
+        return (clockNanos - clockOrigin) / clockSpeed;
+    }
+
+    void start() {
+        if (node != null) {
+            return;
+        }
+        Restored restored = disk.read();
+        node = new RaftNode(id, cluster.settings(), restored, random, clock());
+        frozen = false;
+        crashPoint = CrashPoint.NONE;
+        appliedIndex = 0;
+        appliedHash = 0;
+        if (restored.snapshot() != null) {
+            restore(restored.snapshot());
+        }
+    }
+
+    void crash() {
+        node = null;
+        inbox.clear();
+        readFloors.clear();
+    }
+
+    /** No fault is pending any more. */
+    void recover() {
+        frozen = false;
+        crashPoint = CrashPoint.NONE;
+    }
+
+    /** The host comes back with an empty data folder, so under a new incarnation. */
+    void loseDisk() {
+        crash();
+        id = new ReplicaId(id.host(), id.incarnation() + 1);
+        disk = new Disk(Restored.NOTHING);
+        start();
+    }
+
+    boolean runs() {
+        return node != null && !frozen;
+    }
+
+    void turn() {
+        while (runs() && !inbox.isEmpty()) {
+            node.step(clock(), inbox.poll());
+            work();
+        }
+        if (runs()) {
+            node.tick(clock());
+            work();
+        }
+    }
+
+    void read() {
+        long floor = cluster.committedIndex();
+        if (node.readIndex(clock()) instanceof ReadOutcome.Waiting waiting) {
+            readFloors.put(waiting.number(), floor);
+        }
+        work();
+    }
+
+    void compact() {
+        long last = node.snapshot() == null ? 0 : node.snapshot().index();
+        if (appliedIndex > last) {
+            disk.write(node.compact(appliedIndex, stateBytes()));
+        }
+    }
+
+    void work() {
+        while (node != null && node.hasReady()) {
+            Ready ready = node.ready();
+            ready.before().forEach(cluster::send);
+            if (ready.writes() && crashPoint == CrashPoint.BEFORE_SYNC) {
+                crash();
+                return;
+            }
+            disk.write(ready);
+            if (ready.writes() && crashPoint == CrashPoint.AFTER_SYNC) {
+                crash();
+                return;
+            }
+            ready.after().forEach(cluster::send);
+            if (ready.install() != null) {
+                restore(ready.install());
+            }
+            ready.committed().forEach(this::apply);
+            for (ConfirmedRead each : ready.reads()) {
+                cluster.require(each.index() >= readFloors.remove(each.number()), "a read misses a commit");
+            }
+            node.advance(clock(), ready);
+        }
+        cluster.check(this);
+    }
+
+    private void apply(Entry entry) {
+        cluster.require(entry.index() == appliedIndex + 1, "entries are applied in order");
+        appliedIndex = entry.index();
+        appliedHash = appliedHash * 31 + entry.hashCode();
+        cluster.applied(this, entry);
+    }
+
+    private void restore(Snapshot snapshot) {
+        ByteBuffer state = ByteBuffer.wrap(snapshot.data());
+        appliedIndex = state.getLong();
+        appliedHash = state.getLong();
+        cluster.require(appliedIndex == snapshot.index(), "a snapshot holds its index");
+        cluster.restored(this);
+    }
+
+    private byte[] stateBytes() {
+        return ByteBuffer.allocate(64)
+                .putLong(appliedIndex)
+                .putLong(appliedHash)
+                .array();
+    }
+}
