Wake a stalled engine on release, and wait for the farewell to be announced

Cause: two faults that the new tests of the stand-ins showed. The engine model's property test failed with 22 sequences never computed: finished sequences held all memory, so no step ran, and a release started none. The service's announcement test failed as the server closed before anybody had heard that it leaves.

Change: a release starts a step when somebody waits; a graceful stop waits for one announcement round, at most 5 s.

--- a/elmline-standin/src/main/java/org/elmline/standin/Announcer.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/Announcer.java
@@ -26,6 +26,7 @@
     private static final Logger LOG = Logger.getLogger(Announcer.class);
     private static final MediaType JSON = MediaType.get("application/json");
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final long POLL_MILLIS = 20;
     private static final long FIRST_INTERVAL_MILLIS = 500;
     private static final long LONGEST_INTERVAL_MILLIS = 10_000;
 
@@ -38,6 +39,8 @@
     private List<Address> next;
     private long intervalMillis = FIRST_INTERVAL_MILLIS;
     private boolean wanted;
+    private long startedRounds;
+    private long finishedRounds;
     private volatile boolean closed;
     private boolean reached;
 
@@ -56,10 +59,22 @@
         }
     }
 
-    /** Announces now in place of at the next interval. */
-    public synchronized void announceNow() {
+    /**
+     * Announces now in place of at the next interval, and waits until that was tried or the time is over. A backend
+     * server that left without waiting could be gone before anybody heard that it leaves.
+     */
+    public synchronized void announceNow(Duration limit) throws InterruptedException {
+        if (seeds.isEmpty()) {
+            return;
+        }
+        // A round in progress may carry the state from before this call, so the one after it is waited for.
+        long target = startedRounds + 1;
+        long deadline = System.nanoTime() + limit.toNanos();
         wanted = true;
         notifyAll();
+        while (finishedRounds < target && !closed && System.nanoTime() < deadline) {
+            wait(POLL_MILLIS);
+        }
     }
 
     /** Stops at once, without a farewell: what a killed backend server does. */
@@ -67,24 +82,38 @@
     public void close() {
         closed = true;
         client.dispatcher().cancelAll();
-        announceNow();
+        synchronized (this) {
+            notifyAll();
+        }
         client.dispatcher().executorService().shutdown();
         client.connectionPool().evictAll();
     }
 
     private void run() {
         while (!closed) {
+            beginRound();
             announceToAny();
+            endRound();
             pause();
         }
     }
 
+    private synchronized void beginRound() {
+        startedRounds++;
+        wanted = false;
+    }
+
+    private synchronized void endRound() {
+        finishedRounds = startedRounds;
+        notifyAll();
+    }
+
     private synchronized void pause() {
         try {
-            if (!wanted && !closed) {
-                wait(intervalMillis);
+            long deadline = System.nanoTime() + intervalMillis * 1_000_000;
+            while (!wanted && !closed && System.nanoTime() < deadline) {
+                wait(Math.max(1, (deadline - System.nanoTime()) / 1_000_000));
             }
-            wanted = false;
         } catch (InterruptedException e) {
             closed = true;
         }
--- a/elmline-standin/src/main/java/org/elmline/standin/engine/EngineServer.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineServer.java
@@ -27,6 +27,7 @@
 public final class EngineServer implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(EngineServer.class);
     private static final String PROTOCOL = "standin";
+    private static final Duration FAREWELL_LIMIT = Duration.ofSeconds(5);
     private static final long LEAVE_POLL_MILLIS = 20;
 
     private final EngineSettings settings;
@@ -102,7 +103,7 @@
     /** Announces that it is leaving, waits for open streams up to the limit, and closes; true when none was cut. */
     public boolean leave(Duration limit) throws InterruptedException {
         leaving = true;
-        announcer.announceNow();
+        announcer.announceNow(FAREWELL_LIMIT);
         long deadline = System.nanoTime() + limit.toNanos();
         while (engine.openStreams() > 0 && System.nanoTime() < deadline) {
             Thread.sleep(LEAVE_POLL_MILLIS);
--- a/elmline-standin/src/main/java/org/elmline/standin/model/EngineModel.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/model/EngineModel.java
@@ -25,6 +25,7 @@
     private final List<Sequence> stepDecodes = new ArrayList<>();
     private final Map<Long, Long> external = new HashMap<>();
     private long stepEndNanos = IDLE;
+    private long lastNanos;
     private double slowdown = 1;
     private long preemptions;
     private long cachedPromptTokens;
@@ -53,9 +54,8 @@
         Sequence sequence = new Sequence(request, nowNanos);
         sequences.put(request.id(), sequence);
         waiting.add(sequence);
-        if (stepEndNanos == IDLE) {
-            startStep(nowNanos);
-        }
+        lastNanos = Math.max(lastNanos, nowNanos);
+        wake();
         return true;
     }
 
@@ -70,9 +70,20 @@
         decoding.remove(sequence);
         freeMemory(sequence);
         sequence.stage = Sequence.Stage.FINISHED;
+        wake();
         return true;
     }
 
+    /**
+     * Starts a step when none runs and somebody waits. Needed after each release: finished sequences may hold all
+     * memory, so that no step runs; without this the waiting ones would stay until the next submission.
+     */
+    private void wake() {
+        if (stepEndNanos == IDLE && !waiting.isEmpty()) {
+            startStep(lastNanos);
+        }
+    }
+
     public boolean changePriority(long id, int priority) {
         Sequence sequence = sequences.get(id);
         if (sequence == null) {
@@ -105,6 +116,7 @@
             return false;
         }
         memory.give(tokens);
+        wake();
         return true;
     }
 
@@ -118,8 +130,10 @@
         while (stepEndNanos <= nowNanos) {
             long ended = stepEndNanos;
             finishStep(ended, listener);
+            lastNanos = ended;
             startStep(ended);
         }
+        lastNanos = Math.max(lastNanos, nowNanos);
     }
 
     public int openSequences() {
--- a/elmline-standin/src/main/java/org/elmline/standin/service/ServiceServer.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/service/ServiceServer.java
@@ -36,6 +36,7 @@
 public final class ServiceServer implements AutoCloseable {
     private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
     private static final HttpString RAN = new HttpString(EnginePaths.RAN_HEADER);
+    private static final Duration FAREWELL_LIMIT = Duration.ofSeconds(5);
     private static final long LEAVE_POLL_MILLIS = 20;
 
     private final Builder settings;
@@ -98,7 +99,7 @@
     /** Announces that it is leaving, waits for calls in flight up to the limit, and closes; true when none was cut. */
     public boolean leave(Duration limit) throws InterruptedException {
         leaving = true;
-        announcer.announceNow();
+        announcer.announceNow(FAREWELL_LIMIT);
         long deadline = System.nanoTime() + limit.toNanos();
         while (inFlight.get() > 0 && System.nanoTime() < deadline) {
             Thread.sleep(LEAVE_POLL_MILLIS);
--- /dev/null
+++ b/elmline-standin/src/test/java/org/elmline/standin/model/EngineModelTest.java
@@ -0,0 +1,187 @@
+package org.elmline.standin.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class EngineModelTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    /** Keeps when each sequence's first token came, and checks that tokens come in order. */
+    private static final class Log implements StepListener {
+        final Map<Long, Long> firstToken = new HashMap<>();
+        final Map<Long, Integer> tokens = new HashMap<>();
+        final List<Long> finished = new ArrayList<>();
+
+        @Override
+        public void token(long id, int index, long atNanos) {
+            assertEquals(tokens.getOrDefault(id, 0), index);
+            tokens.put(id, index + 1);
+            firstToken.putIfAbsent(id, atNanos);
+        }
+
+        @Override
+        public void finished(long id, long atNanos) {
+            assertFalse(finished.contains(id));
+            finished.add(id);
+        }
+    }
+
+    private static EngineModel engine(long capacity) {
+        return new EngineModel(
+                EngineProfile.builder().capacityKvTokens(capacity).build(), (b, s, t) -> {});
+    }
+
+    private static SequenceRequest request(long id, int prompt, int output, int priority) {
+        return new SequenceRequest(id, prompt, 0, output, priority, blocks(id, prompt / 512));
+    }
+
+    private static long[] blocks(long seed, int count) {
+        long[] blocks = new long[count];
+        Random random = new Random(seed);
+        for (int i = 0; i < count; i++) {
+            blocks[i] = random.nextLong();
+        }
+        return blocks;
+    }
+
+    @Property(tries = 200, seed = "4711")
+    void memoryStaysInBoundsAndEverySequenceCompletes(@ForAll @IntRange(max = 1_000_000) int seed) {
+        Random random = new Random(seed);
+        EngineModel engine = engine(20_000);
+        Log log = new Log();
+        Map<Long, Integer> expected = new HashMap<>();
+        long now = 0;
+        for (long id = 0; id < 40; id++) {
+            SequenceRequest request = new SequenceRequest(
+                    id, 1 + random.nextInt(9_000), 0, 1 + random.nextInt(400), random.nextInt(4), sharedBlocks(random));
+            assertTrue(engine.submit(request, now));
+            expected.put(id, request.outputTokens());
+            if (random.nextInt(6) == 0) {
+                long cancelled = random.nextInt((int) id + 1);
+                if (!log.finished.contains(cancelled)) {
+                    expected.remove(cancelled);
+                }
+                engine.release(cancelled);
+            }
+            engine.changePriority(random.nextInt((int) id + 1), random.nextInt(4));
+            now += random.nextInt(300_000_000);
+            engine.advance(now, log);
+            assertTrue(engine.usedKvTokens() <= 20_000);
+            log.finished.forEach(engine::release);
+        }
+        for (int i = 0; i < 10_000 && engine.openSequences() > 0; i++) {
+            now += SECOND;
+            engine.advance(now, log);
+            log.finished.forEach(engine::release);
+        }
+        assertEquals(0, engine.openSequences());
+        assertEquals(0, engine.usedKvTokens());
+        assertEquals(EngineModel.IDLE, engine.nextNanos());
+        expected.forEach((id, tokens) -> assertEquals(tokens, log.tokens.get(id)));
+    }
+
+    /** Prompts of three families that share a prefix within the family. */
+    private static long[] sharedBlocks(Random random) {
+        long[] family = blocks(random.nextInt(3), 18);
+        long[] own = blocks(random.nextLong(), 18);
+        int shared = random.nextInt(18);
+        System.arraycopy(family, 0, own, 0, shared);
+        return own;
+    }
+
+    /** A guide's question arrives behind a long read: without priority it waits for all of it, with priority not. */
+    @Test
+    void priorityLetsAShortPromptOvertakeALongRead() {
+        long behind = shortTimeToFirstToken(0);
+        long ahead = shortTimeToFirstToken(3);
+        assertTrue(behind > 20 * ahead, behind + " against " + ahead);
+    }
+
+    private static long shortTimeToFirstToken(int longPriority) {
+        EngineModel engine = engine(450_000);
+        Log log = new Log();
+        engine.submit(request(1, 300_000, 10, longPriority), 0);
+        engine.advance(SECOND, log);
+        engine.submit(request(2, 1_000, 10, 0), SECOND);
+        engine.advance(100 * SECOND, log);
+        return log.firstToken.get(2L) - SECOND;
+    }
+
+    /** Urgent prompts never cease, and more come than the engine can do: ageing still lets the long read through. */
+    @Test
+    void ageingFinishesALongReadAmidEndlessUrgentWork() {
+        EngineModel engine = engine(450_000);
+        Log log = new Log();
+        engine.submit(request(1, 100_000, 10, 3), 0);
+        long now = 0;
+        for (long id = 2; id < 12_000 && !log.finished.contains(1L); id++) {
+            now += 20_000_000;
+            engine.submit(request(id, 1_000, 1, 0), now);
+            engine.advance(now, log);
+            log.finished.forEach(engine::release);
+        }
+        assertTrue(log.finished.contains(1L));
+    }
+
+    @Test
+    void aTenthOfTheSpeedTakesTenTimesAsLong() {
+        EngineModel engine = engine(450_000);
+        EngineModel slow = engine(450_000);
+        slow.slowdown(10);
+        Log log = new Log();
+        Log slowLog = new Log();
+        engine.submit(request(1, 8_000, 5, 0), 0);
+        slow.submit(request(1, 8_000, 5, 0), 0);
+        engine.advance(100 * SECOND, log);
+        slow.advance(100 * SECOND, slowLog);
+        assertEquals(10.0, (double) slowLog.firstToken.get(1L) / log.firstToken.get(1L), 0.01);
+    }
+
+    @Test
+    void aCachedPrefixSparesItsPrefill() {
+        EngineModel engine = engine(450_000);
+        Log log = new Log();
+        long[] blocks = blocks(9, 62);
+        engine.submit(new SequenceRequest(1, 32_000, 0, 1, 0, blocks), 0);
+        engine.advance(10 * SECOND, log);
+        engine.release(1);
+        engine.submit(new SequenceRequest(2, 32_000, 0, 1, 0, blocks), 10 * SECOND);
+        engine.advance(20 * SECOND, log);
+        long first = log.firstToken.get(1L);
+        long second = log.firstToken.get(2L) - 10 * SECOND;
+        assertTrue(first > 20 * second, first + " against " + second);
+        assertEquals(62 * 512, engine.cachedPromptTokens());
+    }
+
+    /** Long prompts cost more than in proportion: attention grows with what came before. */
+    @Test
+    void prefillGrowsFasterThanLength() {
+        EngineProfile profile = EngineProfile.builder().build();
+        assertTrue(profile.wholePrefillNanos(400_000, 0) > 15 * profile.wholePrefillNanos(40_000, 0));
+    }
+
+    @Test
+    void whatCanNeverFitIsRefused() {
+        EngineModel engine = engine(10_000);
+        assertFalse(engine.submit(request(1, 9_999, 2, 0), 0));
+        assertTrue(engine.submit(request(2, 9_998, 2, 0), 0));
+        assertFalse(engine.submit(request(2, 10, 2, 0), 0), "an id in use");
+        assertTrue(engine.release(2));
+        assertTrue(engine.holdExternal(3, 10_000, 0));
+        assertFalse(engine.holdExternal(4, 1, 0));
+        assertTrue(engine.releaseExternal(3));
+        assertEquals(0, engine.usedKvTokens());
+    }
+}
--- /dev/null
+++ b/elmline-standin/src/test/java/org/elmline/standin/service/ServiceServerTest.java
@@ -0,0 +1,113 @@
+package org.elmline.standin.service;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.elmline.core.backend.AnnounceAnswer;
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.common.Address;
+import org.elmline.standin.HttpAnswers;
+import org.elmline.standin.StandinHttp;
+import org.elmline.wire.engine.EngineJson;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ServiceServerTest {
+    private final OkHttpClient client =
+            new OkHttpClient.Builder().retryOnConnectionFailure(false).build();
+
+    @Test
+    void countsEveryRunAndNeverDeduplicates() throws IOException {
+        try (ServiceServer service = ServiceServer.builder().id("booking-1").start()) {
+            assertEquals(200, hold(service, "k1").code());
+            assertEquals(200, hold(service, "k1").code());
+            assertEquals(200, get(service, "/seats/a1").code());
+            assertEquals(
+                    List.of(new RunCounts.Run("k1", "/seats/a1/hold", "{}", 2)),
+                    service.runs().runs());
+            assertTrue(get(service, "/runs").body().string().contains("\"count\":2"));
+        }
+    }
+
+    /** The family's hold runs, and its answer is lost: the caller can't tell, and the count says that it ran. */
+    @Test
+    void aDroppedAnswerHasRun() throws IOException {
+        try (ServiceServer service = ServiceServer.builder().id("booking-1").start()) {
+            service.faults().mode(ServiceFaults.Mode.DROP_ANSWER);
+            assertThrows(IOException.class, () -> hold(service, "k2"));
+            assertEquals(1, service.runs().runs().size());
+        }
+    }
+
+    @Test
+    void aRefusalBeforeRunningSaysSo() throws IOException {
+        try (ServiceServer service = ServiceServer.builder().id("booking-1").start()) {
+            service.faults().mode(ServiceFaults.Mode.FAIL_BEFORE_RUNNING);
+            Response response = hold(service, "k3");
+            assertEquals(503, response.code());
+            assertEquals("no", response.header("Elmline-Ran"));
+            assertEquals(List.of(), service.runs().runs());
+        }
+    }
+
+    /** One entry is down and one serves: the service finds the one, goes where it says, and says when it leaves. */
+    @Test
+    void announcesToWhoeverAnswersAndSaysWhenItLeaves() throws Exception {
+        BlockingQueue<Announcement> heard = new LinkedBlockingQueue<>();
+        try (StandinHttp entry = new StandinHttp(
+                        0, exchange -> exchange.getRequestReceiver().receiveFullBytes((e, bytes) -> {
+                            assertEquals("Bearer secret", e.getRequestHeaders().getFirst("Authorization"));
+                            try {
+                                heard.add(EngineJson.read(bytes, Announcement.class));
+                            } catch (IOException bad) {
+                                throw new AssertionError(bad);
+                            }
+                            HttpAnswers.json(e, new AnnounceAnswer(50, 500, List.of()));
+                        }));
+                ServiceServer service = ServiceServer.builder()
+                        .id("booking-1")
+                        .announceTo(new Address("127.0.0.1", 1))
+                        .announceTo(entry.address())
+                        .backendKey("secret")
+                        .start()) {
+            Announcement first = heard.poll(30, TimeUnit.SECONDS);
+            assertNotNull(first);
+            assertEquals(service.address(), first.address());
+            assertTrue(service.leave(Duration.ofSeconds(1)));
+            boolean left = false;
+            for (Announcement each : heard) {
+                left |= each.leaving();
+            }
+            assertTrue(left);
+        }
+    }
+
+    private Response hold(ServiceServer service, String key) throws IOException {
+        return client.newCall(new Request.Builder()
+                        .url("http://" + service.address() + "/seats/a1/hold")
+                        .header("Idempotency-Key", key)
+                        .post(RequestBody.create("{}", MediaType.get("application/json")))
+                        .build())
+                .execute();
+    }
+
+    private Response get(ServiceServer service, String path) throws IOException {
+        return client.newCall(new Request.Builder()
+                        .url("http://" + service.address() + path)
+                        .build())
+                .execute();
+    }
+}
