Serve a streamed answer through five processes

Cause: the product starts with its whole path. Change: commands that run each role from a settings file, and a test that starts one control host, two entries, an engine and a service as real processes, sends a ticket and compares whole and streamed answers.

--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/RoleCommand.java
@@ -0,0 +1,69 @@
+package org.elmline.cli.role;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import org.elmline.cli.ExitCode;
+import org.elmline.cli.ExitingCommand;
+import org.elmline.daemon.settings.KeyFiles;
+import org.elmline.daemon.settings.Problem;
+import org.elmline.daemon.settings.Settings;
+import org.elmline.daemon.settings.SettingsReader;
+import org.elmline.daemon.settings.SettingsResult;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Reads one settings file, starts the role it describes and runs it until SIGTERM or SIGINT. */
+abstract class RoleCommand<S extends Settings> implements ExitingCommand {
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "settings of the process, JSON")
+    private Path file;
+
+    private final Class<S> type;
+
+    RoleCommand(Class<S> type) {
+        this.type = type;
+    }
+
+    abstract RunningRole start(S settings) throws Exception;
+
+    @Override
+    public ExitCode execute() throws Exception {
+        PrintWriter err = spec.commandLine().getErr();
+        SettingsResult read = new SettingsReader(KeyFiles.READ).read(file);
+        if (read instanceof SettingsResult.Invalid invalid) {
+            for (Problem problem : invalid.problems()) {
+                err.println(file + ": " + problem);
+            }
+            return ExitCode.INVALID;
+        }
+        Settings settings = ((SettingsResult.Valid) read).settings();
+        if (!type.isInstance(settings)) {
+            err.println(file + ": is of role " + settings.role().word() + ", not for this command");
+            return ExitCode.INVALID;
+        }
+        run(start(type.cast(settings)), spec.commandLine().getOut());
+        return ExitCode.OK;
+    }
+
+    /** Returns only when the process is being stopped. */
+    static void run(RunningRole role, PrintWriter out) throws InterruptedException {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(role), "stop"));
+        out.println(role.readyLine());
+        out.flush();
+        // The signal's shutdown hook ends the process; nothing counts this down.
+        new CountDownLatch(1).await();
+    }
+
+    private static void stop(RunningRole role) {
+        try {
+            role.stop();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/StandinEngineCommand.java
@@ -0,0 +1,52 @@
+package org.elmline.cli.role;
+
+import java.time.Duration;
+
+import org.elmline.core.common.Address;
+import org.elmline.daemon.settings.StandinEngineSettings;
+import org.elmline.standin.engine.EngineServer;
+import org.elmline.standin.model.EngineProfile;
+import picocli.CommandLine.Command;
+
+/** Runs a model engine's stand-in. */
+@Command(name = "engine", description = "Runs a model engine's stand-in, which answers in made-up words.")
+final class StandinEngineCommand extends RoleCommand<StandinEngineSettings> {
+    private static final Duration LEAVE_LIMIT = Duration.ofSeconds(30);
+
+    StandinEngineCommand() {
+        super(StandinEngineSettings.class);
+    }
+
+    @Override
+    RunningRole start(StandinEngineSettings settings) {
+        EngineServer.Builder builder = EngineServer.builder()
+                .id(settings.id().value())
+                .incarnation(System.currentTimeMillis())
+                .model(settings.model().value())
+                .version(settings.version())
+                .adapters(settings.adapters())
+                .region(settings.region().value())
+                .failureDomain(settings.failureDomain().value())
+                .profile(EngineProfile.builder()
+                        .capacityKvTokens(settings.kvTokens())
+                        .build())
+                .checksFencing(settings.checksFencing())
+                .port(settings.address().port())
+                .backendKey(settings.backendKey().value());
+        for (Address entry : settings.entries()) {
+            builder.announceTo(entry);
+        }
+        EngineServer server = builder.start();
+        return new RunningRole() {
+            @Override
+            public String readyLine() {
+                return "ready engine=http://" + server.address();
+            }
+
+            @Override
+            public void stop() throws InterruptedException {
+                server.leave(LEAVE_LIMIT);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/Client.java
@@ -0,0 +1,103 @@
+package org.elmline.cli.process;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+import static org.junit.jupiter.api.Assertions.fail;
+
+/** An ordinary HTTP client with one key. */
+final class Client {
+    private static final Duration LIMIT = Duration.ofSeconds(60);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final MediaType JSON = MediaType.get("application/json");
+
+    private final OkHttpClient http =
+            new OkHttpClient.Builder().callTimeout(LIMIT).readTimeout(LIMIT).build();
+    private final String key;
+
+    Client(String key) {
+        this.key = key;
+    }
+
+    /** A whole answer. */
+    record Reply(int status, String body) {
+        JsonNode json() throws IOException {
+            return MAPPER.readTree(body);
+        }
+    }
+
+    /** What came of a streamed answer, and whether its end mark came. */
+    record Stream(int status, String text, boolean done) {}
+
+    Reply get(String url) throws IOException {
+        return send(new Request.Builder().url(url).get());
+    }
+
+    Reply put(String url, String json) throws IOException {
+        return send(new Request.Builder().url(url).put(RequestBody.create(json, JSON)));
+    }
+
+    Reply post(String url, String json) throws IOException {
+        return send(new Request.Builder().url(url).post(RequestBody.create(json, JSON)));
+    }
+
+    Reply send(Request.Builder request) throws IOException {
+        try (Response response = http.newCall(authorised(request)).execute()) {
+            return new Reply(response.code(), response.body().string());
+        }
+    }
+
+    Stream stream(String url, String json) throws IOException {
+        Request.Builder request = new Request.Builder().url(url).post(RequestBody.create(json, JSON));
+        try (Response response = http.newCall(authorised(request)).execute()) {
+            return read(response);
+        }
+    }
+
+    private Request authorised(Request.Builder request) {
+        return request.header("Authorization", "Bearer " + key).build();
+    }
+
+    private static Stream read(Response response) throws IOException {
+        StringBuilder text = new StringBuilder();
+        boolean done = false;
+        for (String line : response.body().string().split("\n")) {
+            if (line.equals("data: [DONE]")) {
+                done = true;
+            } else if (line.startsWith("data: ")) {
+                text.append(MAPPER.readTree(line.substring(6))
+                        .path("choices")
+                        .path(0)
+                        .path("text")
+                        .asText());
+            }
+        }
+        return new Stream(response.code(), text.toString(), done);
+    }
+
+    /** Waits until the condition holds; a failed try counts as not yet. */
+    static void await(String what, Callable<Boolean> condition) throws InterruptedException {
+        long deadline = System.nanoTime() + LIMIT.toNanos();
+        Exception last = null;
+        while (System.nanoTime() < deadline) {
+            try {
+                if (condition.call()) {
+                    return;
+                }
+            } catch (Exception e) {
+                last = e;
+            }
+            Thread.sleep(50);
+        }
+        fail("not reached: " + what, last);
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/ElmlineProcess.java
@@ -0,0 +1,111 @@
+package org.elmline.cli.process;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** One real elmline process that a test starts, with the addresses of its ready line. */
+final class ElmlineProcess implements AutoCloseable {
+    private static final long STOP_SECONDS = 60;
+
+    private final Process process;
+    private final Map<String, String> ready;
+
+    private ElmlineProcess(Process process, Map<String, String> ready) {
+        this.process = process;
+        this.ready = ready;
+    }
+
+    /** Starts the command and returns once its ready line is out. */
+    static ElmlineProcess start(Path folder, String name, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp"));
+        command.add(System.getProperty("java.class.path"));
+        command.add("org.elmline.cli.Main");
+        command.addAll(List.of(arguments));
+        Path log = folder.resolve(name + ".log");
+        Process process = new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+        BufferedReader out =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        for (String line = out.readLine(); line != null; line = out.readLine()) {
+            if (line.startsWith("ready ")) {
+                return new ElmlineProcess(process, words(line));
+            }
+        }
+        throw new IOException(name + " ended without a ready line; its log:\n" + Files.readString(log));
+    }
+
+    private static Map<String, String> words(String line) {
+        Map<String, String> words = new HashMap<>();
+        for (String each : line.split(" ")) {
+            int equals = each.indexOf('=');
+            if (equals > 0) {
+                words.put(each.substring(0, equals), each.substring(equals + 1));
+            }
+        }
+        return words;
+    }
+
+    /** A value of the ready line, for example {@code caller}. */
+    String ready(String word) {
+        return ready.get(word);
+    }
+
+    /** The IP and port of a URL in the ready line. */
+    String address(String word) {
+        return ready.get(word).replace("http://", "");
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    /** SIGTERM. */
+    void terminate() {
+        process.destroy();
+    }
+
+    /** SIGKILL. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor(STOP_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** SIGSTOP: the process freezes with all its threads. */
+    void freeze() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
+    /** SIGCONT. */
+    void thaw() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    boolean waitForEnd() throws InterruptedException {
+        return process.waitFor(STOP_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        kill();
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/Tickets.java
@@ -0,0 +1,25 @@
+package org.elmline.cli.process;
+
+import org.elmline.daemon.http.BearerKey;
+
+/** Bodies that process tests send. */
+final class Tickets {
+    private Tickets() {}
+
+    /** Creates model {@code elm-small}, service {@code booking} and one organisation with the given key. */
+    static String first(String callerKey) {
+        return """
+                {"author":"tests","objects":[
+                 {"kind":"model","name":"elm-small","version":"1","adapters":[],"maxPromptTokens":1000000,
+                  "maxOutputTokens":4096,"minReadyReplicas":1,"removed":false},
+                 {"kind":"service","name":"booking","idempotentMethods":["GET"],"timeoutMillis":10000,"removed":false},
+                 {"kind":"organisation","id":"guides","weight":1,"priority":1,"keyHashes":["%s"],
+                  "maxConcurrentRequests":0,"maxTokensPerMinute":0,"removed":false}]}
+                """
+                .formatted(BearerKey.hash(callerKey));
+    }
+
+    static String prompt(String text, boolean stream) {
+        return "{\"model\":\"elm-small\",\"prompt\":\"%s\",\"max_tokens\":64,\"stream\":%s}".formatted(text, stream);
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/operator/TicketsHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/TicketsHandler.java
@@ -39,8 +39,8 @@
         this.bodies = bodies;
     }
 
-    /** The body of a ticket; its number stands in the path. */
-    record TicketBody(String author, List<ConfigObject> objects) {}
+    /** The body of a ticket. The number may be left out, since the path has it; a different one is refused. */
+    record TicketBody(TicketNumber number, String author, List<ConfigObject> objects) {}
 
     public void put(HttpServerExchange exchange) {
         Optional<TicketNumber> number = number(exchange);
@@ -79,6 +79,10 @@
             return;
         }
         TicketBody given = ((Decoded.Value<TicketBody>) decoded).value();
+        if (given.number() != null && !given.number().equals(number)) {
+            refuse(exchange, "the path names ticket " + number + ", the body ticket " + given.number());
+            return;
+        }
         Ticket ticket;
         try {
             ticket = new Ticket(number, given.author(), given.objects());
