--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/AnnounceHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/AnnounceHandler.java
@@ -41,6 +41,7 @@
             return;
         }
         Announcement announcement = ((Decoded.Value<Announcement>) decoded).value();
-        Answers.json(exchange, owners.announced(announcement));
+        exchange.dispatch(
+                Runnable::run, () -> owners.announced(announcement).thenAccept(answer -> Answers.json(exchange, answer)));
     }
 }
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerDuties.java
@@ -0,0 +1,112 @@
+package org.elmline.daemon.backend;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.engine.CacheEvents;
+import org.elmline.core.engine.EngineClient;
+import org.elmline.core.engine.KvExport;
+import org.elmline.core.engine.StreamInfo;
+import org.elmline.core.owner.Owner;
+import org.elmline.core.stream.Cancel;
+import org.jboss.logging.Logger;
+
+/**
+ * What an owner does unasked: moves waiting requests on, repeats cancels until engines acknowledge them, lists what its
+ * engines hold to find what dead entries left there, and reads cache events.
+ */
+public final class OwnerDuties {
+    private static final Logger LOG = Logger.getLogger(OwnerDuties.class);
+    private static final long ADVANCE_MILLIS = 20;
+    private static final long CANCEL_MILLIS = 100;
+    private static final long LIST_MILLIS = 2_000;
+    private static final long CACHE_MILLIS = 500;
+
+    private final Owner owner;
+    private final OwnerService service;
+    private final EngineClients engines;
+    private final MonotonicClock clock;
+
+    public OwnerDuties(Owner owner, OwnerService service, EngineClients engines, MonotonicClock clock) {
+        this.owner = owner;
+        this.service = service;
+        this.engines = engines;
+        this.clock = clock;
+    }
+
+    public void start(ScheduledExecutorService timer) {
+        every(timer, ADVANCE_MILLIS, service::advance);
+        every(timer, CANCEL_MILLIS, this::sendCancels);
+        every(timer, LIST_MILLIS, this::listEngines);
+        every(timer, CACHE_MILLIS, this::readCacheEvents);
+    }
+
+    private static void every(ScheduledExecutorService timer, long millis, Runnable task) {
+        timer.scheduleWithFixedDelay(() -> guarded(task), millis, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** A timer drops a task that throws: one failed round would silently end all later ones. */
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("a duty of the owner failed; it is tried again", e);
+        }
+    }
+
+    private void sendCancels() {
+        for (Cancel each : owner.cancels(clock.nanos())) {
+            client(each.server()).ifPresent(engine -> send(engine, each));
+        }
+    }
+
+    private void send(EngineClient engine, Cancel cancel) {
+        (cancel.ofExport() ? engine.freeKv(cancel.exportId()) : engine.cancel(cancel.attempt()))
+                .thenAccept(result -> {
+                    if (result instanceof CallResult.Answered<Boolean>) {
+                        owner.acknowledged(cancel, clock.nanos());
+                    }
+                });
+    }
+
+    private void listEngines() {
+        for (Announcement each : owner.engines()) {
+            engines.client(each.protocol(), each.address()).ifPresent(engine -> list(each.id(), engine));
+        }
+    }
+
+    private void list(BackendServerId id, EngineClient engine) {
+        engine.streams().thenAcceptBoth(engine.exports(), (streams, exports) -> {
+            if (streams instanceof CallResult.Answered<List<StreamInfo>> open
+                    && exports instanceof CallResult.Answered<List<KvExport>> held) {
+                owner.listed(id, open.value(), held.value(), clock.nanos());
+            }
+        });
+    }
+
+    private void readCacheEvents() {
+        for (Announcement each : owner.engines()) {
+            engines.client(each.protocol(), each.address())
+                    .ifPresent(engine -> engine.cacheEvents(owner.lastCacheEvent(each.id()))
+                            .thenAccept(result -> {
+                                if (result instanceof CallResult.Answered<CacheEvents> events) {
+                                    owner.cacheEvents(each.id(), events.value());
+                                }
+                            }));
+        }
+    }
+
+    private Optional<EngineClient> client(BackendServerId id) {
+        for (Announcement each : owner.engines()) {
+            if (each.id().equals(id)) {
+                return engines.client(each.protocol(), each.address());
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/SummaryTable.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/SummaryTable.java
@@ -19,7 +19,7 @@
 public final class SummaryTable {
     private final Map<HostId, OwnerSummary> summaries = new ConcurrentHashMap<>();
 
-    CompletionStage<SummaryAnswer> receive(OwnerSummary summary) {
+    public CompletionStage<SummaryAnswer> receive(OwnerSummary summary) {
         summaries.merge(summary.owner(), summary, SummaryTable::newer);
         return CompletableFuture.completedFuture(new SummaryAnswer(true));
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
@@ -62,9 +62,9 @@
         Address peers = server.address(bind.ip());
         CommandLog log = closer.register(new SoloLog(machine, peers, clock));
         LeaseSettings leases = new LeaseSettings(settings.lease().leaseMillis(), LEASE_GRACE_MILLIS);
-        Leadership leadership = new Leadership(settings.host(), log, machine, clock, leases, ControlLimits.DEFAULT);
-        register(handlers, log, machine, leadership, clock, metrics);
-        leadership.start(workers.timer());
+        LeaderWatch watch = new LeaderWatch(settings.host(), log, machine, clock, leases, ControlLimits.DEFAULT);
+        register(handlers, log, machine, watch, clock, metrics);
+        watch.start(workers.timer());
         LOG.infof("control host %s serves peers at %s", settings.host(), peers);
         return new ControlDaemon(closer, peers);
     }
@@ -73,11 +73,11 @@
             Handlers handlers,
             CommandLog log,
             ControlMachine machine,
-            Leadership leadership,
+            LeaderWatch watch,
             MonotonicClock clock,
             MetricRegistry metrics) {
-        LeaseService leases = new LeaseService(log, leadership, clock, metrics);
-        TicketService tickets = new TicketService(log, machine, leadership, clock);
+        LeaseService leases = new LeaseService(log, watch, clock, metrics);
+        TicketService tickets = new TicketService(log, machine, watch, clock);
         ClaimService claims = new ClaimService(log, System::currentTimeMillis);
         handlers.register(ControlChannels.LEASE_RENEW, leases::renew);
         handlers.register(ControlChannels.TICKET_SUBMIT, tickets::submit);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/Leadership.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/LeaderWatch.java
@@ -20,8 +20,8 @@
  * Follows whether this control host leads. Each new term first commits a {@link Command.StartLeadership}; only then,
  * with every earlier leader's commands applied, may this host grant leases and answer for tickets.
  */
-final class Leadership {
-    private static final Logger LOG = Logger.getLogger(Leadership.class);
+final class LeaderWatch {
+    private static final Logger LOG = Logger.getLogger(LeaderWatch.class);
     private static final long CHECK_MILLIS = 20;
     private static final long SWEEP_EVERY_CHECKS = 10;
 
@@ -38,7 +38,7 @@
     /** One term of this host as leader. Its keeper is used under the machine's lock only. */
     private record Term(long number, FencingNumber fencing, LeaseKeeper keeper) {}
 
-    Leadership(
+    LeaderWatch(
             HostId host,
             CommandLog log,
             ControlMachine machine,
@@ -86,7 +86,7 @@
             }
             sweep();
         } catch (RuntimeException e) {
-            LOG.error("leadership check failed", e);
+            LOG.error("leader check failed", e);
         }
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/LeaseService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/LeaseService.java
@@ -17,14 +17,14 @@
     private static final int MAX_ROUNDS = 2;
 
     private final CommandLog log;
-    private final Leadership leadership;
+    private final LeaderWatch watch;
     private final MonotonicClock clock;
     private final Counter granted;
     private final Counter turnedAway;
 
-    LeaseService(CommandLog log, Leadership leadership, MonotonicClock clock, MetricRegistry metrics) {
+    LeaseService(CommandLog log, LeaderWatch watch, MonotonicClock clock, MetricRegistry metrics) {
         this.log = log;
-        this.leadership = leadership;
+        this.watch = watch;
         this.clock = clock;
         this.granted = metrics.counter("control.lease.granted");
         this.turnedAway = metrics.counter("control.lease.turned-away");
@@ -36,7 +36,7 @@
 
     private CompletionStage<LeaseAnswer> renew(LeaseRequest request, int round) {
         Standing standing = log.standing();
-        Optional<LeaseDecision> decision = leadership.withKeeper(
+        Optional<LeaseDecision> decision = watch.withKeeper(
                 keeper -> keeper.renew(request, clock.nanos(), standing.leaseUntilNanos(), standing.controlHosts()));
         if (decision.isEmpty()) {
             return done(new LeaseAnswer.NotLeader(standing.leads() ? null : standing.leader()));
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/TicketService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/TicketService.java
@@ -19,13 +19,13 @@
 final class TicketService {
     private final CommandLog log;
     private final ControlMachine machine;
-    private final Leadership leadership;
+    private final LeaderWatch watch;
     private final MonotonicClock clock;
 
-    TicketService(CommandLog log, ControlMachine machine, Leadership leadership, MonotonicClock clock) {
+    TicketService(CommandLog log, ControlMachine machine, LeaderWatch watch, MonotonicClock clock) {
         this.log = log;
         this.machine = machine;
-        this.leadership = leadership;
+        this.watch = watch;
         this.clock = clock;
     }
 
@@ -39,7 +39,7 @@
 
     CompletionStage<TicketAnswer> read(TicketQuery query) {
         Optional<TicketAnswer> answer =
-                leadership.withKeeper(keeper -> machine.read(state -> state.ticket(query.number())
+                watch.withKeeper(keeper -> machine.read(state -> state.ticket(query.number())
                         .<TicketAnswer>map(found -> new TicketAnswer.Decided(keeper.status(found, clock.nanos())))
                         .orElseGet(() -> new TicketAnswer.Unknown(query.number()))));
         return done(answer.orElseGet(this::notLeader));
@@ -61,7 +61,7 @@
         }
         Optional<TicketRecord> record = machine.read(state -> state.ticket(number, digest));
         Optional<TicketStatus> status =
-                record.flatMap(found -> leadership.withKeeper(keeper -> keeper.status(found, clock.nanos())));
+                record.flatMap(found -> watch.withKeeper(keeper -> keeper.status(found, clock.nanos())));
         return status.<TicketAnswer>map(TicketAnswer.Decided::new)
                 .orElseGet(() -> new TicketAnswer.Undecided("this control host stopped leading meanwhile"));
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/SharedView.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/SharedView.java
@@ -12,7 +12,8 @@
 public final class SharedView {
     private final HostLease lease = new HostLease();
     private final MonotonicClock clock;
-    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+    private final List<Runnable> onMembers = new CopyOnWriteArrayList<>();
+    private final List<Runnable> onRenewal = new CopyOnWriteArrayList<>();
     private volatile Configuration configuration = Configuration.EMPTY;
     private volatile MemberTable members = MemberTable.EMPTY;
 
@@ -39,7 +40,17 @@
 
     /** Called after each change of the live entries. */
     public void onMembers(Runnable listener) {
-        listeners.add(listener);
+        onMembers.add(listener);
+    }
+
+    /** Called after each renewal of the lease. */
+    public void onRenewal(Runnable listener) {
+        onRenewal.add(listener);
+    }
+
+    /** The lease itself, for a claim session to check right before it sends. */
+    public HostLease lease() {
+        return lease;
     }
 
     void granted(long askedNanos, LeaseAnswer.Granted granted) {
@@ -49,8 +60,9 @@
         // Last, so that nothing is admitted under an older configuration than the lease stands for.
         lease.granted(askedNanos, granted.leaseMillis());
         if (members != before) {
-            listeners.forEach(Runnable::run);
+            onMembers.forEach(Runnable::run);
         }
+        onRenewal.forEach(Runnable::run);
     }
 
     void replaced() {
