--- a/elmline-core/src/main/java/org/elmline/core/admission/Waiting.java
+++ b/elmline-core/src/main/java/org/elmline/core/admission/Waiting.java
@@ -9,7 +9,7 @@
  * A request that has not been placed yet.
  *
  * @param weight weight of its organisation
- * @param work prompt work, see {@link org.elmline.core.ledger.PrefillCost}
+ * @param work prompt work, see {@link org.elmline.core.placement.PrefillCost}
  * @param tokens what its organisation was charged
  * @param start its virtual start, see {@link org.elmline.core.fairness.VirtualCounters}
  * @param arrival order of arrival at this owner
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/LimitAnswer.java
@@ -0,0 +1,12 @@
+package org.elmline.core.fairness;
+
+/** Whether a request fits in its organisation's limits. */
+public enum LimitAnswer {
+    ADMITTED,
+    /** Too many requests in flight on this entry. */
+    TOO_MANY_REQUESTS,
+    /** Too many tokens in the last minute on this entry. */
+    TOO_MANY_TOKENS,
+    /** No share is held: ask for one with {@link OrganisationLimits#shareRequest} and try again. */
+    NO_SHARE
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/LimitShares.java
@@ -0,0 +1,84 @@
+package org.elmline.core.fairness;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.OrganisationId;
+import org.elmline.core.config.Organisation;
+
+/**
+ * Splits organisations' limits among the entries that use them, on the one entry that rendezvous hashing names for each
+ * organisation. Shares are leases that follow recent use: what an entry holds counts against all others until it renews
+ * with less or its lease ends, so the shares never sum to more than the limit. (A fixed split would refuse an
+ * organisation whose callers use few entries at a fraction of its limit; shares worked out by each entry from lagged
+ * reports can sum to several times it.) When another entry takes over, both may hand out shares for one lease: at most
+ * twice the limit for that time. All methods may be called from any thread.
+ */
+public final class LimitShares {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final long leaseMillis;
+    private final Map<OrganisationId, Map<HostId, Share>> shares = new HashMap<>();
+
+    public LimitShares(long leaseMillis) {
+        this.leaseMillis = leaseMillis;
+    }
+
+    /** Grants or renews a share. */
+    public synchronized ShareAnswer renew(Organisation organisation, ShareRequest request, long now) {
+        Map<HostId, Share> held = shares.computeIfAbsent(organisation.id(), id -> new HashMap<>());
+        held.values().removeIf(each -> now - each.until >= 0);
+        held.remove(request.host());
+        Share share = new Share();
+        share.wantedRequests = request.requests();
+        share.wantedTokens = request.tokensPerMinute();
+        share.until = now + leaseMillis * NANOS_PER_MILLI;
+        share.requests = split(
+                organisation.maxConcurrentRequests(),
+                share.wantedRequests,
+                held.values().stream().mapToLong(each -> each.wantedRequests).sum(),
+                held.values().stream().mapToLong(each -> each.requests).sum());
+        share.tokens = split(
+                organisation.maxTokensPerMinute(),
+                share.wantedTokens,
+                held.values().stream().mapToLong(each -> each.wantedTokens).sum(),
+                held.values().stream().mapToLong(each -> each.tokens).sum());
+        held.put(request.host(), share);
+        return new ShareAnswer(organisation.id(), (int) share.requests, share.tokens, leaseMillis);
+    }
+
+    /** Forgets what ran out, so that organisations no longer active cost nothing. */
+    public synchronized void expire(long now) {
+        Iterator<Map<HostId, Share>> each = shares.values().iterator();
+        while (each.hasNext()) {
+            Map<HostId, Share> held = each.next();
+            held.values().removeIf(share -> now - share.until >= 0);
+            if (held.isEmpty()) {
+                each.remove();
+            }
+        }
+    }
+
+    public synchronized int organisations() {
+        return shares.size();
+    }
+
+    /** In proportion to what is wanted while that is more than the limit; never more than the others leave. */
+    private static long split(long limit, long wanted, long wantedByOthers, long heldByOthers) {
+        long all = wanted + wantedByOthers;
+        long fair = all <= limit ? limit - wantedByOthers : (long) ((double) limit * wanted / all);
+        // An organisation with a limit of few requests must still get them on whichever entry it calls.
+        long least = Math.min(1, limit);
+        return Math.max(0, Math.min(Math.max(fair, least), limit - heldByOthers));
+    }
+
+    private static final class Share {
+        private long wantedRequests;
+        private long wantedTokens;
+        private long requests;
+        private long tokens;
+        private long until;
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/ledger/LedgerEntry.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/LedgerEntry.java
@@ -39,7 +39,7 @@
         return prefixHashes;
     }
 
-    /** Work of reading the prompt, see {@link PrefillCost}. */
+    /** Work of reading the prompt, see {@link org.elmline.core.placement.PrefillCost}. */
     long cost() {
         return cost;
     }
--- a/elmline-core/src/main/java/org/elmline/core/ledger/LedgerSettings.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/LedgerSettings.java
@@ -1,5 +1,7 @@
 package org.elmline.core.ledger;
 
+import org.elmline.core.placement.PrefillCost;
+
 /**
  * What an owner takes for granted of its engines.
  *
--- a/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
@@ -229,7 +229,8 @@
         }
         queue.remove(waiting);
         counters.serve(waiting.start());
-        decided.add(new Decided(request, new PlaceAnswer.Placed(grant)));
+        decided.add(
+                new Decided(request, new PlaceAnswer.Placed(grant, summary(now).orElse(null))));
     }
 
     private Optional<EngineLedger> choose(Demand demand, List<EngineLedger> ready) {
--- a/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
@@ -277,7 +277,8 @@
         AttemptId attempt = request.attempt();
         Optional<Grant> held = ledger.grant(attempt);
         if (held.isPresent()) {
-            return held.map(PlaceAnswer.Placed::new);
+            ModelSummary summary = summary(request.demand().model(), now).orElse(null);
+            return held.map(grant -> new PlaceAnswer.Placed(grant, summary));
         }
         if (ledger.released(attempt)) {
             return refused(Refusal.didNotRun(RefusalReason.DEADLINE, "the attempt was released already"), request, now);
--- a/elmline-core/src/main/java/org/elmline/core/ledger/PrefillCost.java
+++ b/elmline-core/src/main/java/org/elmline/core/placement/PrefillCost.java
@@ -1,4 +1,4 @@
-package org.elmline.core.ledger;
+package org.elmline.core.placement;
 
 /**
  * The work of reading a prompt, in tokens of an empty context. Attention over what was read before makes later tokens
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/route/OwnerTable.java
@@ -0,0 +1,236 @@
+package org.elmline.core.route;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.placement.Demand;
+
+/**
+ * What this entry knows of the owners, and its choice among them. Every entry chooses on summaries of about the same
+ * age; if each took the best one, all would send to the same owner until the next summary. So an entry looks at a few
+ * owners drawn at random ("the power of two choices", Mitzenmacher, 1996), counts what it sent itself since their last
+ * summary, and draws among those that are about equal. All methods may be called from any thread.
+ */
+public final class OwnerTable implements OwnerLoads {
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int DRAWN = 4;
+    private static final double PREFIX_CONFIDENCE = 0.5;
+    private static final double ABOUT_EQUAL = 1.1;
+    private static final long ABOUT_EQUAL_MILLIS = 10;
+    private static final long FULL_PENALTY_MILLIS = 1_000;
+
+    private final HostRecord self;
+    private final OwnerTableSettings settings;
+    private final Map<HostId, Known> owners = new HashMap<>();
+    private final Map<HostId, HostRecord> members = new HashMap<>();
+
+    public OwnerTable(HostRecord self, OwnerTableSettings settings) {
+        this.self = self;
+        this.settings = settings;
+    }
+
+    /** The live entries; summaries of all others are dropped. */
+    public synchronized void members(Collection<HostRecord> live) {
+        members.clear();
+        live.forEach(each -> members.put(each.id(), each));
+        owners.values().removeIf(each -> !isLive(each.summary));
+    }
+
+    /** False for a summary older than the one held, or of an incarnation that a later start replaced. */
+    public synchronized SummaryAnswer accept(OwnerSummary summary, long now) {
+        Known known = owners.get(summary.owner());
+        if (known != null && !newer(summary, known.summary)) {
+            return new SummaryAnswer(false);
+        }
+        owners.put(summary.owner(), new Known(summary, now));
+        return new SummaryAnswer(true);
+    }
+
+    /** Takes in the summary that an owner's answer carried; null when it has no engine of the model any more. */
+    public synchronized void refresh(HostId owner, Demand demand, ModelSummary summary) {
+        Known known = owners.get(owner);
+        if (known != null) {
+            known.replace(demand, summary);
+        }
+    }
+
+    /**
+     * The owner to ask for a demand; empty when none that was not asked yet is known to serve its model.
+     *
+     * @param tried owners that refused this request already
+     */
+    public synchronized Optional<OwnerChoice> choose(
+            Demand demand, Set<HostId> tried, RandomGenerator random, long now) {
+        List<Known> able = new ArrayList<>();
+        for (Known each : owners.values()) {
+            boolean fresh = now - each.heardAt < settings.maxAgeMillis() * NANOS_PER_MILLI;
+            if (fresh && !tried.contains(each.summary.owner()) && serves(each, demand)) {
+                able.add(each);
+            }
+        }
+        List<Known> drawn = draw(able, demand, random);
+        long best =
+                drawn.stream().mapToLong(each -> predict(each, demand)).min().orElse(0);
+        List<Known> equal = new ArrayList<>();
+        for (Known each : drawn) {
+            if (predict(each, demand) <= Math.max(best * ABOUT_EQUAL, best + ABOUT_EQUAL_MILLIS)) {
+                equal.add(each);
+            }
+        }
+        if (equal.isEmpty()) {
+            return Optional.empty();
+        }
+        Known chosen = equal.get(random.nextInt(equal.size()));
+        OwnerChoice choice = new OwnerChoice(members.get(chosen.summary.owner()), predict(chosen, demand));
+        chosen.sent(demand, settings.cost().of(demand.promptTokens(), 0));
+        return Optional.of(choice);
+    }
+
+    /** The owner that says it has a backend server; the latest to say so when two do. */
+    public synchronized Optional<HostRecord> ownerOf(BackendServerId server) {
+        int key = Ownership.shortHash(server);
+        Known latest = null;
+        for (Known each : owners.values()) {
+            boolean owns = each.summary.servers().contains(key) && isLive(each.summary);
+            if (owns && (latest == null || each.heardAt - latest.heardAt > 0)) {
+                latest = each;
+            }
+        }
+        return Optional.ofNullable(latest).map(each -> members.get(each.summary.owner()));
+    }
+
+    /** Replicas of a plain service that take new calls. */
+    public synchronized List<ServiceReplica> services(ServiceName service, long now) {
+        List<ServiceReplica> found = new ArrayList<>();
+        Set<BackendServerId> seen = new HashSet<>();
+        for (Known each : owners.values()) {
+            if (now - each.heardAt >= settings.maxAgeMillis() * NANOS_PER_MILLI) {
+                continue;
+            }
+            for (ServiceReplica replica : each.summary.services()) {
+                if (replica.service().equals(service) && seen.add(replica.server())) {
+                    found.add(replica);
+                }
+            }
+        }
+        return found;
+    }
+
+    @Override
+    public synchronized List<Integer> servers(HostId owner) {
+        Known known = owners.get(owner);
+        return known == null ? List.of() : known.summary.servers();
+    }
+
+    public synchronized int size() {
+        return owners.size();
+    }
+
+    private boolean serves(Known known, Demand demand) {
+        ModelSummary model = known.model(demand);
+        return model != null
+                && model.readyReplicas() > 0
+                && isLive(known.summary)
+                && !members.get(known.summary.owner()).leaving();
+    }
+
+    private boolean isLive(OwnerSummary summary) {
+        HostRecord member = members.get(summary.owner());
+        return member != null && member.incarnation().compareTo(summary.incarnation()) <= 0;
+    }
+
+    private static boolean newer(OwnerSummary next, OwnerSummary held) {
+        int order = next.incarnation().compareTo(held.incarnation());
+        return order > 0 || order == 0 && next.sequence() > held.sequence();
+    }
+
+    /** A few at random, and those that may have the prompt's prefix cached. */
+    private List<Known> draw(List<Known> able, Demand demand, RandomGenerator random) {
+        if (able.size() <= DRAWN) {
+            return able;
+        }
+        List<Known> drawn = new ArrayList<>();
+        for (int i = 0; i < DRAWN; i++) {
+            int j = i + random.nextInt(able.size() - i);
+            Known picked = able.get(j);
+            able.set(j, able.get(i));
+            able.set(i, picked);
+            drawn.add(picked);
+        }
+        for (Known each : able.subList(DRAWN, able.size())) {
+            if (each.mayCache(demand)) {
+                drawn.add(each);
+            }
+        }
+        return drawn;
+    }
+
+    private long predict(Known known, Demand demand) {
+        ModelSummary model = known.model(demand);
+        double speed = Math.max(1, model.prefillTokensPerSecond());
+        long believed = (long) demand.prefixHashes().size() * settings.blockTokens();
+        int cached = known.mayCache(demand) ? (int) (PREFIX_CONFIDENCE * Math.min(believed, demand.promptTokens())) : 0;
+        double own = settings.cost().of(demand.promptTokens(), cached) / speed;
+        double sent = known.sentWork(demand) / (speed * model.readyReplicas());
+        long penalty = model.freeKvTokens() < demand.kvTokens() ? FULL_PENALTY_MILLIS : 0;
+        HostRecord owner = members.get(known.summary.owner());
+        penalty += owner.region().equals(self.region()) ? 0 : settings.otherRegionMillis();
+        return model.waitMillis(demand.lengthClass()) + penalty + Math.round((own + sent) * MILLIS_PER_SECOND);
+    }
+
+    /** One owner's last summary, with what was sent to it since. */
+    private static final class Known {
+        private final OwnerSummary summary;
+        private final long heardAt;
+        private final Map<String, ModelSummary> models = new HashMap<>();
+        private final Map<String, Long> sentWork = new HashMap<>();
+
+        Known(OwnerSummary summary, long heardAt) {
+            this.summary = summary;
+            this.heardAt = heardAt;
+            summary.models().forEach(each -> models.put(each.model().value(), each));
+        }
+
+        void replace(Demand demand, ModelSummary model) {
+            String key = demand.model().value();
+            sentWork.remove(key);
+            if (model == null) {
+                models.remove(key);
+            } else {
+                models.put(key, model);
+            }
+        }
+
+        void sent(Demand demand, long work) {
+            sentWork.merge(demand.model().value(), work, Long::sum);
+        }
+
+        long sentWork(Demand demand) {
+            return sentWork.getOrDefault(demand.model().value(), 0L);
+        }
+
+        ModelSummary model(Demand demand) {
+            return models.get(demand.model().value());
+        }
+
+        boolean mayCache(Demand demand) {
+            return !demand.prefixHashes().isEmpty()
+                    && model(demand)
+                            .prefixes()
+                            .contains(
+                                    ModelSummary.shortHash(demand.prefixHashes().get(0)));
+        }
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/route/Ownership.java
+++ b/elmline-core/src/main/java/org/elmline/core/route/Ownership.java
@@ -10,6 +10,7 @@
 import org.elmline.core.backend.Announcement;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.OrganisationId;
 import org.elmline.core.common.Region;
 import org.elmline.core.control.HostRecord;
 
@@ -62,6 +63,15 @@
         return Optional.ofNullable(best).map(Candidate::host);
     }
 
+    /** The entry that splits an organisation's limits; empty when none is live. */
+    public Optional<HostRecord> splitter(OrganisationId organisation) {
+        long key = hash(organisation.value());
+        return candidates.stream()
+                .max(Comparator.comparingLong((Candidate each) -> each.weight(key))
+                        .thenComparing(each -> each.host().id()))
+                .map(Candidate::host);
+    }
+
     /** All live entries in the order in which they should own the server. */
     public List<HostRecord> candidates(Announcement server) {
         return candidates(server.id(), server.failureDomain(), server.region());
@@ -80,6 +90,71 @@
         return ranked.stream().map(Ranked::host).toList();
     }
 
+    /**
+     * The owner of a server when owners tell how many they have. An unowned server goes to its first candidate below the
+     * bound. An owned one stays, but moves up to an earlier candidate that has less than the mean, and moves on when it
+     * is among those that its owner has above the bound. Between mean and bound nothing moves, so counts that lag can't
+     * send a server back and forth.
+     */
+    public Optional<HostRecord> owner(Announcement server, OwnerLoads loads) {
+        List<HostRecord> near = nearest(server);
+        if (near.isEmpty()) {
+            return Optional.empty();
+        }
+        int key = shortHash(server.id());
+        int total = 0;
+        boolean owned = false;
+        for (HostRecord each : near) {
+            List<Integer> servers = loads.servers(each.id());
+            total += servers.size();
+            owned |= servers.contains(key);
+        }
+        int bound = bound(owned ? total : total + 1, near.size());
+        int limit = owned ? total / near.size() : bound;
+        for (HostRecord each : near) {
+            List<Integer> servers = loads.servers(each.id());
+            if (servers.contains(key) ? within(bound, each, servers, key) : servers.size() < limit) {
+                return Optional.of(each);
+            }
+            if (servers.contains(key)) {
+                limit = bound;
+            }
+        }
+        return Optional.of(near.get(0));
+    }
+
+    /** The candidates as near to the server as any, best first. */
+    private List<HostRecord> nearest(Announcement server) {
+        List<HostRecord> near = new ArrayList<>();
+        int distance = Integer.MAX_VALUE;
+        for (HostRecord each : candidates(server)) {
+            int next = distance(each, server.failureDomain(), server.region());
+            if (next > distance) {
+                return near;
+            }
+            distance = next;
+            near.add(each);
+        }
+        return near;
+    }
+
+    /** Whether the server is among the first {@code bound} of its owner's. */
+    private static boolean within(int bound, HostRecord owner, List<Integer> servers, int key) {
+        if (servers.size() <= bound) {
+            return true;
+        }
+        long host = hash(owner.id().value());
+        long weight = mix(host ^ key);
+        return servers.stream().filter(each -> mix(host ^ each) > weight).count() < bound;
+    }
+
+    private static int distance(HostRecord host, FailureDomain domain, Region region) {
+        if (host.failureDomain().equals(domain)) {
+            return 0;
+        }
+        return host.region().equals(region) ? 1 : 2;
+    }
+
     /** Most servers that one of {@code owners} entries may own out of {@code servers}. */
     public static int bound(int servers, int owners) {
         return owners == 0 ? 0 : (int) Math.ceil(LOAD_FACTOR * servers / owners);
@@ -122,10 +197,7 @@
         }
 
         int distance(FailureDomain domain, Region region) {
-            if (host.failureDomain().equals(domain)) {
-                return 0;
-            }
-            return host.region().equals(region) ? 1 : 2;
+            return Ownership.distance(host, domain, region);
         }
     }
 
--- a/elmline-core/src/main/java/org/elmline/core/route/PlaceAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/route/PlaceAnswer.java
@@ -7,9 +7,14 @@
 /** An owner's final answer to a {@link PlaceRequest}. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
 public sealed interface PlaceAnswer {
-    /** Memory is reserved; the asking entry must release it. */
+    /**
+     * Memory is reserved; the asking entry must release it.
+     *
+     * @param summary as in {@link Refused}: it rides along for free, so summaries on a slow beat do no harm where there
+     *     is traffic
+     */
     @JsonTypeName("placed")
-    record Placed(Grant grant) implements PlaceAnswer {}
+    record Placed(Grant grant, ModelSummary summary) implements PlaceAnswer {}
 
     /**
      * Nothing is reserved and nothing ran.
--- a/elmline-core/src/main/java/org/elmline/core/route/RouteChannels.java
+++ b/elmline-core/src/main/java/org/elmline/core/route/RouteChannels.java
@@ -2,6 +2,8 @@
 
 import org.elmline.core.backend.AnnounceAnswer;
 import org.elmline.core.backend.Announcement;
+import org.elmline.core.fairness.ShareAnswer;
+import org.elmline.core.fairness.ShareRequest;
 import org.elmline.core.peer.Channel;
 
 /** The calls between a gateway entry and an owner entry. */
@@ -26,5 +28,9 @@
     public static final Channel<RegisterGrants, RegisterAnswer> REGISTER =
             new Channel<>("route.register", RegisterGrants.class, RegisterAnswer.class);
 
+    /** Gateway to the entry that splits an organisation's limits, see {@link Ownership#splitter}. */
+    public static final Channel<ShareRequest, ShareAnswer> LIMIT_SHARE =
+            new Channel<>("route.limit-share", ShareRequest.class, ShareAnswer.class);
+
     private RouteChannels() {}
 }
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/stream/StreamFailure.java
@@ -0,0 +1,23 @@
+package org.elmline.core.stream;
+
+import org.elmline.core.common.Ran;
+
+/**
+ * How an attempt failed, and what the request has been through.
+ *
+ * @param ran whether the attempt ran on its back end
+ * @param repeatable whether running it twice does no harm; true for prompts, false for calls such as a payment
+ * @param engineReachable whether the same engine may still hold the stream
+ * @param delivered pieces that the caller has
+ * @param resumes times that this attempt's stream was resumed without a new piece
+ * @param tries attempts so far, this one included
+ * @param remainingMillis milliseconds to the request's deadline
+ */
+public record StreamFailure(
+        Ran ran,
+        boolean repeatable,
+        boolean engineReachable,
+        int delivered,
+        int resumes,
+        int tries,
+        long remainingMillis) {}
