--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/raft/RaftNodeTest.java
@@ -0,0 +1,216 @@
+package org.elmline.core.raft;
+
+import java.util.List;
+
+import org.elmline.core.common.HostId;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** One failure and its safeguard at a time. */
+class RaftNodeTest {
+    private static final long T = SimCluster.TIMEOUT;
+
+    /**
+     * A host is cut off for long and comes back. Its elections failed meanwhile; had each raised its term, the first
+     * message after its return would depose the leader, and callers would wait for an election that nobody needs.
+     */
+    @Test
+    void aReturningReplicaDoesNotDeposeTheLeader() {
+        SimCluster cluster = new SimCluster(3, 1);
+        SimHost leader = cluster.awaitLeader();
+        long term = leader.node.term();
+        int other = (cluster.hosts.indexOf(leader) + 1) % 3;
+        cluster.cutOff(other);
+        cluster.run(20 * T);
+        cluster.heal();
+        cluster.run(5 * T);
+        assertEquals(term, cluster.leader().node.term());
+        assertTrue(leader.node.isLeader());
+    }
+
+    /**
+     * The leader hears nobody while its own messages still reach the others, who so never elect another. It must step
+     * down by itself, or callers would wait on a leader that can commit nothing.
+     */
+    @Test
+    void aLeaderThatHearsNobodyStepsDown() {
+        SimCluster cluster = new SimCluster(3, 2);
+        SimHost leader = cluster.awaitLeader();
+        cluster.run(2 * T);
+        int cutOff = cluster.hosts.indexOf(leader);
+        cluster.cut((cutOff + 1) % 3, cutOff);
+        cluster.cut((cutOff + 2) % 3, cutOff);
+        cluster.run(4 * T);
+        assertFalse(leader.node.isLeader());
+        assertTrue(cluster.awaitLeader() != leader);
+    }
+
+    /**
+     * The leader's process is frozen, another is elected, the frozen one wakes. Before it reads any message it still
+     * believes to lead; its lease must have ended by its own clock before the other was elected.
+     */
+    @Test
+    void aFrozenLeaderWakesWithoutLease() {
+        SimCluster cluster = new SimCluster(3, 3);
+        SimHost frozen = cluster.awaitLeader();
+        cluster.run(2 * T);
+        assertTrue(frozen.node.leaseUntilNanos() > frozen.clock());
+        frozen.frozen = true;
+        cluster.run(5 * T);
+        assertTrue(cluster.leader() != frozen);
+        assertTrue(frozen.node.isLeader());
+        assertTrue(frozen.node.leaseUntilNanos() <= frozen.clock());
+        assertInstanceOf(ReadOutcome.Waiting.class, frozen.node.readIndex(frozen.clock()));
+        frozen.frozen = false;
+        cluster.run(2 * T);
+        assertFalse(frozen.node.isLeader());
+    }
+
+    /**
+     * A planned stop hands leadership over: proposals go on until the lease has run out, and the target leads without
+     * an election timeout. Were it told to stand at once, it would lead while the old lease still runs.
+     */
+    @Test
+    void leadershipIsHandedOverAfterTheLease() {
+        SimCluster cluster = new SimCluster(3, 4);
+        SimHost old = cluster.awaitLeader();
+        cluster.run(2 * T);
+        long lease = old.node.leaseUntilNanos();
+        assertTrue(old.node.transferLeadership(old.clock()));
+        old.work();
+        assertInstanceOf(ProposeOutcome.Appended.class, old.node.propose(old.clock(), List.of(new byte[] {1})));
+        old.work();
+        while (old.node.isLeader()) {
+            assertEquals(lease, old.node.leaseUntilNanos());
+            cluster.run(T / 20);
+        }
+        assertTrue(old.clock() >= lease);
+        assertTrue(old.clock() < lease + T, "sooner than by an election");
+        assertTrue(cluster.awaitLeader() != old);
+    }
+
+    /**
+     * A replica misses hundreds of changes; the entries it lacks are compacted. It is brought back by a snapshot in
+     * many pieces while messages are lost.
+     */
+    @Test
+    void aReplicaFarBehindIsBroughtBackBySnapshot() {
+        RaftSettings.Builder bounds =
+                RaftSettings.builder().snapshotChunkBytes(10).retainedEntries(5);
+        SimCluster cluster = new SimCluster(3, 5, bounds);
+        SimHost leader = cluster.awaitLeader();
+        SimHost behind = cluster.hosts.get((cluster.hosts.indexOf(leader) + 1) % 3);
+        behind.crash();
+        for (int i = 0; i < 500; i++) {
+            cluster.propose();
+            cluster.run(T / 20);
+        }
+        cluster.run(T);
+        cluster.leader().compact();
+        behind.start();
+        cluster.lossPercent = 20;
+        cluster.run(10 * T);
+        assertEquals(cluster.committedIndex(), behind.appliedIndex);
+        assertEquals(leader.node.snapshot().index(), behind.node.snapshot().index());
+    }
+
+    /**
+     * A host loses its disk and is replaced; right after, a second host loses its disk as well. Nothing committed may
+     * be lost, and the log goes on.
+     */
+    @Test
+    void aSecondDiskIsLostRightAfterTheFirstIsReplaced() {
+        SimCluster cluster = new SimCluster(3, 6);
+        cluster.awaitLeader();
+        cluster.propose();
+        cluster.hosts.get(0).loseDisk();
+        while (!cluster.committedMembership().isVoter(cluster.hosts.get(0).id)) {
+            cluster.run(T / 20);
+        }
+        cluster.hosts.get(1).loseDisk();
+        cluster.run(20 * T);
+        cluster.propose();
+        cluster.run(T);
+        assertEquals(0, cluster.lostVoters());
+        assertEquals(3, cluster.committedMembership().voters().size());
+        cluster.hosts.forEach(each -> assertEquals(cluster.committedIndex(), each.appliedIndex));
+    }
+
+    /** An empty folder never stands and grants no vote under the id that its host had before. */
+    @Test
+    void anEmptyFolderNeitherStandsNorVotesAsItsPredecessor() {
+        ReplicaId old = new ReplicaId(HostId.of("h0"), 1);
+        ReplicaId fresh = new ReplicaId(HostId.of("h0"), 2);
+        ReplicaId other = new ReplicaId(HostId.of("h1"), 1);
+        RaftNode node = new RaftNode(
+                fresh, RaftSettings.builder().build(), Restored.NOTHING, new java.util.SplittableRandom(1), 0);
+        long later = 100_000_000_000L;
+        node.tick(later);
+        node.step(later, new Message.VoteRequest(other, old, 5, 9, 4, false));
+        assertFalse(node.hasReady());
+        assertEquals(Role.FOLLOWER, node.role());
+    }
+
+    /** With the majority gone, proposals pile up to the bound and are refused beyond it, none of a batch taken. */
+    @Test
+    void proposalsBeyondTheBoundAreRefused() {
+        SimCluster cluster = new SimCluster(3, 7, RaftSettings.builder().maxUncommittedBytes(900));
+        SimHost leader = cluster.awaitLeader();
+        cluster.run(T);
+        cluster.cutOff(cluster.hosts.indexOf(leader));
+        byte[] command = new byte[300];
+        long before = leader.node.lastIndex();
+        assertInstanceOf(ProposeOutcome.Appended.class, leader.node.propose(leader.clock(), List.of(command)));
+        assertEquals(
+                new ProposeOutcome.Refused(ProposeRefusal.TOO_MUCH_UNCOMMITTED),
+                leader.node.propose(leader.clock(), List.of(command, command)));
+        assertEquals(before + 1, leader.node.lastIndex());
+    }
+
+    @Test
+    void membershipChangesComeOneAtATimeAndOnlyWhenSafe() {
+        SimCluster cluster = new SimCluster(3, 8);
+        SimHost leader = cluster.awaitLeader();
+        cluster.run(T);
+        ReplicaId fresh = new ReplicaId(HostId.of("new"), 1);
+        ReplicaId voter = cluster.hosts.get(0).id;
+        assertEquals(ProposeRefusal.UNKNOWN_REPLICA, refusal(leader, new MembershipChange.Promote(fresh)));
+        assertEquals(ProposeRefusal.ALREADY_MEMBER, refusal(leader, new MembershipChange.AddLearner(voter)));
+        assertNull(refusal(leader, new MembershipChange.AddLearner(fresh)));
+        assertEquals(ProposeRefusal.CHANGE_IN_PROGRESS, refusal(leader, new MembershipChange.Remove(fresh)));
+        cluster.run(T);
+        assertEquals(ProposeRefusal.NOT_CAUGHT_UP, refusal(leader, new MembershipChange.Promote(fresh)));
+        assertNull(refusal(leader, new MembershipChange.Remove(fresh)));
+    }
+
+    private static ProposeRefusal refusal(SimHost leader, MembershipChange change) {
+        ProposeOutcome outcome = leader.node.propose(leader.clock(), change);
+        leader.work();
+        return outcome instanceof ProposeOutcome.Refused refused ? refused.why() : null;
+    }
+
+    @Test
+    void oneVoterLeadsAndCommitsAlone() {
+        SimCluster cluster = new SimCluster(1, 9);
+        SimHost only = cluster.awaitLeader();
+        cluster.propose();
+        assertEquals(only.node.lastIndex(), only.appliedIndex);
+        assertTrue(only.node.leaseUntilNanos() > only.clock());
+        assertEquals(
+                new ProposeOutcome.Refused(ProposeRefusal.LAST_VOTER),
+                only.node.propose(only.clock(), new MembershipChange.Remove(only.id)));
+    }
+
+    @Test
+    void idsAndMembershipsKeepTheirTextForm() {
+        ReplicaId id = new ReplicaId(HostId.of("th-north/chiangmai-a.1"), -2);
+        assertEquals(id, ReplicaId.parse(id.toString()));
+        Membership membership = new Membership(List.of(id), List.of(new ReplicaId(HostId.of("b"), 3)));
+        assertEquals(membership, Membership.ofBytes(membership.toBytes()));
+    }
+}
