--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+
 import org.elmline.core.backend.AnnounceAnswer;
 import org.elmline.core.backend.Announcement;
 import org.elmline.core.common.AttemptId;
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/ProcessMetrics.java
@@ -0,0 +1,48 @@
+package org.elmline.daemon.operator;
+
+import java.lang.management.GarbageCollectorMXBean;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
+import java.lang.management.RuntimeMXBean;
+import java.lang.management.ThreadMXBean;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.elmline.core.timeline.EventRing;
+import org.elmline.core.timeline.HybridClock;
+
+/** What every process shows of itself: memory, threads, collections, time line. */
+public final class ProcessMetrics {
+    private ProcessMetrics() {}
+
+    public static void register(MetricRegistry registry) {
+        MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        RuntimeMXBean runtime = ManagementFactory.getRuntimeMXBean();
+        gauge(registry, "process.heap.used.bytes", () -> memory.getHeapMemoryUsage()
+                .getUsed());
+        gauge(registry, "process.heap.committed.bytes", () -> memory.getHeapMemoryUsage()
+                .getCommitted());
+        gauge(registry, "process.threads", threads::getThreadCount);
+        gauge(registry, "process.uptime.millis", runtime::getUptime);
+        gauge(registry, "process.collection.millis", ProcessMetrics::collectionMillis);
+    }
+
+    public static void register(MetricRegistry registry, EventRing ring, HybridClock clock) {
+        gauge(registry, "timeline.recorded.events", ring::recorded);
+        gauge(registry, "timeline.dropped.events", ring::dropped);
+        gauge(registry, "timeline.refused.stamps", clock::refused);
+    }
+
+    private static void gauge(MetricRegistry registry, String name, Gauge<Number> gauge) {
+        registry.register(name, gauge);
+    }
+
+    private static long collectionMillis() {
+        long sum = 0;
+        for (GarbageCollectorMXBean collector : ManagementFactory.getGarbageCollectorMXBeans()) {
+            sum += Math.max(0, collector.getCollectionTime());
+        }
+        return sum;
+    }
+}
