--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
@@ -22,6 +22,8 @@
 import org.elmline.core.route.Ownership;
 import org.elmline.core.route.PlaceAnswer;
 import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.RegisterAnswer;
+import org.elmline.core.route.RegisterGrants;
 import org.elmline.core.route.RouteChannels;
 import org.elmline.daemon.entry.HostIdentity;
 import org.elmline.daemon.entry.SharedView;
@@ -53,8 +55,7 @@
         handlers.register(RouteChannels.PLACE, this::place);
         handlers.register(RouteChannels.RELEASE, report -> CompletableFuture.completedFuture(report(report)));
         handlers.register(
-                RouteChannels.REGISTER,
-                grants -> CompletableFuture.completedFuture(owner.register(grants, clock.nanos())));
+                RouteChannels.REGISTER, grants -> CompletableFuture.completedFuture(takeOver(grants)));
     }
 
     /**
@@ -98,6 +99,11 @@
         return answer;
     }
 
+    /** Reserves again what an earlier owner granted. */
+    public RegisterAnswer takeOver(RegisterGrants grants) {
+        return owner.register(grants, clock.nanos());
+    }
+
     /** Moves the owner's time on and delivers what became known. */
     void advance() {
         for (Decided each : owner.advance(clock.nanos())) {
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/EngineCancels.java
@@ -0,0 +1,117 @@
+package org.elmline.daemon.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.engine.EngineClient;
+import org.elmline.core.route.Grant;
+import org.elmline.core.route.OwnerTable;
+import org.elmline.core.route.ReleaseCause;
+import org.elmline.core.stream.Cancel;
+import org.elmline.core.stream.CancelQueue;
+import org.elmline.daemon.backend.EngineClients;
+import org.jboss.logging.Logger;
+
+/**
+ * Attempts that this entry gave up and their engines haven't acknowledged yet. A cancel that is lost would leave the
+ * engine's memory taken, so each is repeated until the engine acknowledges it or no owner knows the engine any more; only
+ * then is the grant given back.
+ */
+public final class EngineCancels {
+    private static final Logger LOG = Logger.getLogger(EngineCancels.class);
+    private static final long CHECK_MILLIS = 50;
+    private static final long UNKNOWN_MILLIS = 15_000;
+
+    private final EngineClients engines;
+    private final OwnerTable owners;
+    private final GrantBook grants;
+    private final MonotonicClock clock;
+    private final CancelQueue queue = new CancelQueue();
+    private final Map<Cancel, Given> given = new HashMap<>();
+
+    private record Given(Grant grant, long atMillis) {}
+
+    public EngineCancels(
+            EngineClients engines, OwnerTable owners, GrantBook grants, MonotonicClock clock, MetricRegistry metrics) {
+        this.engines = engines;
+        this.owners = owners;
+        this.grants = grants;
+        this.clock = clock;
+        metrics.gauge("gateway.cancels.open", () -> this::size);
+    }
+
+    public void start(ScheduledExecutorService timer) {
+        timer.scheduleWithFixedDelay(this::guardedSend, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Cancels an attempt on its engine and gives its grant back once that is acknowledged. */
+    void cancel(Grant grant) {
+        synchronized (this) {
+            Cancel cancel = Cancel.stream(grant.server(), grant.attempt());
+            given.putIfAbsent(cancel, new Given(grant, clock.millis()));
+            queue.add(cancel, clock.nanos());
+        }
+        guardedSend();
+    }
+
+    public synchronized int size() {
+        return given.size();
+    }
+
+    private void guardedSend() {
+        try {
+            send();
+        } catch (RuntimeException e) {
+            LOG.error("sending cancels failed; it is tried again", e);
+        }
+    }
+
+    private void send() {
+        List<Cancel> due;
+        synchronized (this) {
+            due = queue.due(clock.nanos());
+        }
+        for (Cancel each : due) {
+            Given held;
+            synchronized (this) {
+                held = given.get(each);
+            }
+            if (held != null) {
+                send(each, held);
+            }
+        }
+    }
+
+    private void send(Cancel cancel, Given held) {
+        Grant grant = held.grant();
+        boolean old = clock.millis() - held.atMillis() > UNKNOWN_MILLIS;
+        if (old && owners.ownerOf(grant.server()).isEmpty()) {
+            // Every owner has dropped the engine: it is gone, and its memory with it.
+            done(cancel, ReleaseCause.ENGINE_FAILED);
+            return;
+        }
+        Optional<EngineClient> engine = engines.client(grant.protocol(), grant.engine());
+        engine.ifPresent(client -> client.cancel(cancel.attempt()).thenAccept(result -> {
+            if (result instanceof CallResult.Answered<Boolean>) {
+                done(cancel, ReleaseCause.CANCELLED);
+            }
+        }));
+    }
+
+    private void done(Cancel cancel, ReleaseCause cause) {
+        Given held;
+        synchronized (this) {
+            queue.acknowledge(cancel);
+            held = given.remove(cancel);
+        }
+        if (held != null) {
+            grants.close(cancel.attempt(), cause);
+        }
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/EntryHostsHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/EntryHostsHandler.java
@@ -1,45 +1,47 @@
 package org.elmline.daemon.caller;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.Random;
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
+import org.elmline.core.common.Region;
 import org.elmline.core.control.HostRecord;
+import org.elmline.core.route.EntryHostChoice;
 import org.elmline.daemon.entry.SharedView;
 import org.elmline.daemon.http.Answers;
 
 /** {@code GET /v1/entry-hosts}: the addresses a caller may use and for how long to keep them. */
 public final class EntryHostsHandler implements HttpHandler {
     private static final long RETRY_MILLIS = 1000;
+    private static final int MOST = 4;
+    private static final Random RANDOM = new Random();
 
     private final SharedView view;
+    private final Region region;
     private final int keepSeconds;
 
-    public EntryHostsHandler(SharedView view, int keepSeconds) {
+    public EntryHostsHandler(SharedView view, Region region, int keepSeconds) {
         this.view = view;
+        this.region = region;
         this.keepSeconds = keepSeconds;
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         List<Address> addresses = new ArrayList<>();
-        for (HostRecord each : view.members().hosts()) {
-            if (!each.leaving()) {
-                addresses.add(each.callers());
-            }
+        for (HostRecord each : EntryHostChoice.choose(view.members().hosts(), region, MOST, RANDOM)) {
+            addresses.add(each.callers());
         }
         if (addresses.isEmpty()) {
             Answers.refuse(
                     exchange, Refusal.comeBack(RefusalReason.NO_LEASE, "no entry host is live yet", RETRY_MILLIS));
             return;
         }
-        Collections.shuffle(addresses, ThreadLocalRandom.current());
         Answers.json(exchange, new EntryHosts(addresses, keepSeconds));
     }
 
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/GrantBook.java
@@ -0,0 +1,236 @@
+package org.elmline.daemon.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.route.FirstToken;
+import org.elmline.core.route.Grant;
+import org.elmline.core.route.GrantReport;
+import org.elmline.core.route.GrantReportAnswer;
+import org.elmline.core.route.OwnerTable;
+import org.elmline.core.route.RegisterAnswer;
+import org.elmline.core.route.RegisterGrants;
+import org.elmline.core.route.Release;
+import org.elmline.core.route.ReleaseCause;
+import org.elmline.core.route.RouteChannels;
+import org.elmline.daemon.backend.OwnerService;
+import org.elmline.daemon.entry.HostIdentity;
+import org.elmline.daemon.entry.SharedView;
+import org.jboss.logging.Logger;
+
+/**
+ * The grants that this entry holds, and what its owners must still be told of them. Every report is repeated until the
+ * owner has answered: a lost release would keep engine memory reserved for nothing. When an engine gets a new owner, the
+ * open grants on it are registered there.
+ *
+ * <p>One lock guards all state; no other lock is taken and nothing is sent under it.
+ */
+public final class GrantBook {
+    private static final Logger LOG = Logger.getLogger(GrantBook.class);
+    private static final long REPORT_MILLIS = 50;
+    private static final long REGISTER_MILLIS = 500;
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+    private final HostIdentity self;
+    private final SharedView view;
+    private final MonotonicClock clock;
+    private final PeerNetwork network;
+    private final OwnerService local;
+    private final OwnerTable owners;
+    private final Map<AttemptId, Held> open = new HashMap<>();
+    private final Map<HostId, Outbox> outboxes = new HashMap<>();
+
+    private record Held(Grant grant, HostId owner) {}
+
+    /** What one owner must be told. */
+    private static final class Outbox {
+        private List<FirstToken> firstTokens = new ArrayList<>();
+        private List<Release> releases = new ArrayList<>();
+        private boolean sending;
+
+        boolean empty() {
+            return firstTokens.isEmpty() && releases.isEmpty();
+        }
+    }
+
+    public GrantBook(
+            HostIdentity self,
+            SharedView view,
+            MonotonicClock clock,
+            PeerNetwork network,
+            OwnerService local,
+            OwnerTable owners,
+            MetricRegistry metrics) {
+        this.self = self;
+        this.view = view;
+        this.clock = clock;
+        this.network = network;
+        this.local = local;
+        this.owners = owners;
+        metrics.gauge("gateway.grants.open", () -> this::size);
+    }
+
+    public void start(ScheduledExecutorService timer) {
+        timer.scheduleWithFixedDelay(() -> guarded(this::report), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(
+                () -> guarded(this::registerMoved), REGISTER_MILLIS, REGISTER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("reporting grants failed; it is tried again", e);
+        }
+    }
+
+    synchronized void open(Grant grant, HostId owner) {
+        open.put(grant.attempt(), new Held(grant, owner));
+    }
+
+    /** The engine's first token came, so its prompt is no backlog any more. */
+    void firstToken(AttemptId attempt, long millisSinceStart) {
+        synchronized (this) {
+            Held held = open.get(attempt);
+            if (held == null) {
+                return;
+            }
+            open.put(attempt, new Held(held.grant().started(), held.owner()));
+            outbox(held.owner()).firstTokens.add(new FirstToken(attempt, millisSinceStart));
+        }
+        report();
+    }
+
+    /** The engine holds nothing for the attempt any more. */
+    void close(AttemptId attempt, ReleaseCause cause) {
+        synchronized (this) {
+            Held held = open.remove(attempt);
+            if (held == null) {
+                return;
+            }
+            outbox(held.owner()).releases.add(new Release(attempt, cause));
+        }
+        report();
+    }
+
+    /** An owner was asked and its answer never came: whatever it reserved or queued is given back. */
+    void withdraw(AttemptId attempt, HostId owner) {
+        synchronized (this) {
+            outbox(owner).releases.add(new Release(attempt, ReleaseCause.NOT_STARTED));
+        }
+        report();
+    }
+
+    synchronized int size() {
+        return open.size();
+    }
+
+    private Outbox outbox(HostId owner) {
+        return outboxes.computeIfAbsent(owner, id -> new Outbox());
+    }
+
+    private void report() {
+        Map<HostId, GrantReport> due = new HashMap<>();
+        synchronized (this) {
+            dropLostOwners();
+            for (Map.Entry<HostId, Outbox> each : outboxes.entrySet()) {
+                Outbox outbox = each.getValue();
+                if (!outbox.sending && !outbox.empty()) {
+                    outbox.sending = true;
+                    due.put(
+                            each.getKey(),
+                            new GrantReport(self.host(), self.incarnation(), outbox.firstTokens, outbox.releases));
+                }
+            }
+        }
+        due.forEach(this::send);
+    }
+
+    /** An owner whose lease is over has lost its ledger with it; the next one learns of open grants by registration. */
+    private void dropLostOwners() {
+        boolean membersKnown = !view.members().hosts().isEmpty();
+        outboxes.keySet()
+                .removeIf(id -> membersKnown
+                        && !id.equals(self.host())
+                        && view.members().host(id).isEmpty());
+    }
+
+    private void send(HostId owner, GrantReport report) {
+        tell(owner, report).thenAccept(told -> {
+            synchronized (this) {
+                Outbox outbox = outbox(owner);
+                outbox.sending = false;
+                if (told) {
+                    outbox.firstTokens = new ArrayList<>(outbox.firstTokens);
+                    outbox.firstTokens.removeAll(report.firstTokens());
+                    outbox.releases = new ArrayList<>(outbox.releases);
+                    outbox.releases.removeAll(report.releases());
+                }
+            }
+        });
+    }
+
+    private CompletableFuture<Boolean> tell(HostId owner, GrantReport report) {
+        if (owner.equals(self.host())) {
+            local.report(report);
+            return CompletableFuture.completedFuture(true);
+        }
+        Optional<HostRecord> record = view.members().host(owner);
+        if (record.isEmpty()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        return network.call(record.get().peers(), RouteChannels.RELEASE, report, TIMEOUT)
+                .thenApply(result -> result instanceof CallResult.Answered<GrantReportAnswer>);
+    }
+
+    private void registerMoved() {
+        Map<HostId, List<Grant>> moved = new HashMap<>();
+        synchronized (this) {
+            for (Held each : open.values()) {
+                Optional<HostRecord> owner = owners.ownerOf(each.grant().server());
+                if (owner.isPresent() && !owner.get().id().equals(each.owner())) {
+                    moved.computeIfAbsent(owner.get().id(), id -> new ArrayList<>())
+                            .add(each.grant());
+                }
+            }
+        }
+        moved.forEach(this::register);
+    }
+
+    private void register(HostId owner, List<Grant> grants) {
+        RegisterGrants request = new RegisterGrants(self.host(), self.incarnation(), grants);
+        if (owner.equals(self.host())) {
+            registered(owner, grants, local.takeOver(request));
+            return;
+        }
+        view.members().host(owner).ifPresent(record -> network.call(
+                        record.peers(), RouteChannels.REGISTER, request, TIMEOUT)
+                .thenAccept(result -> {
+                    if (result instanceof CallResult.Answered<RegisterAnswer> answered) {
+                        registered(owner, grants, answered.value());
+                    }
+                }));
+    }
+
+    private synchronized void registered(HostId owner, List<Grant> grants, RegisterAnswer answer) {
+        for (Grant each : grants) {
+            Held held = open.get(each.attempt());
+            if (held != null && !answer.notOwned().contains(each.attempt())) {
+                open.put(each.attempt(), new Held(held.grant(), owner));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Placer.java
@@ -0,0 +1,147 @@
+package org.elmline.daemon.caller;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.route.OwnerChoice;
+import org.elmline.core.route.OwnerTable;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.ReleaseCause;
+import org.elmline.core.route.RouteChannels;
+import org.elmline.daemon.backend.OwnerService;
+import org.elmline.daemon.entry.HostIdentity;
+import org.elmline.daemon.entry.SharedView;
+
+/** Finds a place for an attempt: asks a bounded number of owners, the most promising first. */
+public final class Placer {
+    private static final int MAX_OWNERS = 3;
+    private static final long WATCH_MILLIS = 250;
+    private static final long RETRY_MILLIS = 1_000;
+
+    private final HostIdentity self;
+    private final SharedView view;
+    private final MonotonicClock clock;
+    private final PeerNetwork network;
+    private final OwnerService local;
+    private final OwnerTable owners;
+    private final GrantBook grants;
+    private final Counter asked;
+    private final Counter lost;
+
+    public Placer(
+            HostIdentity self,
+            SharedView view,
+            MonotonicClock clock,
+            PeerNetwork network,
+            OwnerService local,
+            OwnerTable owners,
+            GrantBook grants,
+            MetricRegistry metrics) {
+        this.self = self;
+        this.view = view;
+        this.clock = clock;
+        this.network = network;
+        this.local = local;
+        this.owners = owners;
+        this.grants = grants;
+        this.asked = metrics.counter("gateway.owners.asked");
+        this.lost = metrics.counter("gateway.owners.lost");
+    }
+
+    /** Waits for a place until the demand's time is up. */
+    Placement place(Admitted call, int tryNumber, Demand demand) throws InterruptedException {
+        Set<HostId> tried = new HashSet<>();
+        Refusal last = null;
+        for (int i = 0; i < MAX_OWNERS; i++) {
+            Optional<OwnerChoice> choice =
+                    owners.choose(demand, tried, ThreadLocalRandom.current(), clock.nanos());
+            if (choice.isEmpty()) {
+                break;
+            }
+            HostRecord owner = choice.get().owner();
+            tried.add(owner.id());
+            AttemptId attempt = AttemptId.of(call.id() + "/" + tryNumber + "." + i);
+            PlaceRequest request = new PlaceRequest(
+                    attempt,
+                    self.host(),
+                    self.incarnation(),
+                    call.organisation().id(),
+                    demand);
+            asked.inc();
+            Optional<PlaceAnswer> answer = ask(owner, request, call);
+            if (answer.isEmpty()) {
+                lost.inc();
+                grants.withdraw(attempt, owner.id());
+                continue;
+            }
+            if (answer.get() instanceof PlaceAnswer.Placed placed) {
+                grants.open(placed.grant(), owner.id());
+                return new Placement.Found(placed.grant(), owner.id());
+            }
+            PlaceAnswer.Refused refused = (PlaceAnswer.Refused) answer.get();
+            owners.refresh(owner.id(), demand, refused.summary());
+            last = refused.refusal();
+        }
+        return new Placement.None(last != null ? last : noOwner(demand));
+    }
+
+    /** Empty when the owner can't be reached, is no longer a member, or the time is up. */
+    private Optional<PlaceAnswer> ask(HostRecord owner, PlaceRequest request, Admitted call)
+            throws InterruptedException {
+        CompletableFuture<Optional<PlaceAnswer>> answer = send(owner, request, call);
+        while (true) {
+            try {
+                return answer.get(WATCH_MILLIS, TimeUnit.MILLISECONDS);
+            } catch (TimeoutException e) {
+                // A frozen owner keeps its connections open: without this look at the members its callers would wait
+                // their whole time limit. Its lease ends within seconds, and another owner takes its engines.
+                boolean gone = view.members().host(owner.id()).isEmpty();
+                if (gone || call.remainingMillis(clock) <= 0) {
+                    return Optional.empty();
+                }
+            } catch (ExecutionException e) {
+                throw new IllegalStateException("a call's result is always a value", e);
+            }
+        }
+    }
+
+    private CompletableFuture<Optional<PlaceAnswer>> send(HostRecord owner, PlaceRequest request, Admitted call) {
+        if (owner.id().equals(self.host())) {
+            return local.place(request).thenApply(Optional::of);
+        }
+        Duration timeout = Duration.ofMillis(Math.max(1, call.remainingMillis(clock)));
+        return network.call(owner.peers(), RouteChannels.PLACE, request, timeout)
+                .thenApply(result -> result instanceof CallResult.Answered<PlaceAnswer> answered
+                        ? Optional.of(answered.value())
+                        : Optional.empty());
+    }
+
+    private Refusal noOwner(Demand demand) {
+        boolean known = view.configuration().model(demand.model()).isPresent();
+        String why = known ? "no engine of " + demand.model() + " is ready" : "no model " + demand.model();
+        return Refusal.comeBack(RefusalReason.NO_BACKEND_SERVER, why, RETRY_MILLIS);
+    }
+
+    /** Gives a place back that was never used. */
+    void giveBack(Placement.Found place) {
+        grants.close(place.grant().attempt(), ReleaseCause.NOT_STARTED);
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/engine/SendMark.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/engine/SendMark.java
@@ -6,11 +6,11 @@
 import org.elmline.core.common.Ran;
 
 /** Remembers whether any byte of one call may have left this process: what decides between NO and UNKNOWN. */
-final class SendMark extends EventListener {
+public final class SendMark extends EventListener {
     private volatile boolean sending;
 
     /** The mark that the call's request carries. */
-    static EventListener of(Request request) {
+    public static EventListener of(Request request) {
         SendMark mark = request.tag(SendMark.class);
         return mark == null ? EventListener.NONE : mark;
     }
@@ -20,7 +20,7 @@
         sending = true;
     }
 
-    Ran ran() {
+    public Ran ran() {
         return sending ? Ran.UNKNOWN : Ran.NO;
     }
 }
