Prove the ticket rules, step by step and against a naive version

Cause: a ticket answered twice, reverted or half applied is a state that no operator asked for.

The order planner no longer relies on a minimum of monotonic clock values.

--- a/elmline-core/src/main/java/org/elmline/core/control/OrderPlanner.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/OrderPlanner.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 
 import org.elmline.core.common.BackendServerId;
@@ -100,7 +101,7 @@
         return state.model().equals(order.model())
                 && state.version().equals(order.version())
                 && new HashSet<>(state.adapters()).equals(new HashSet<>(order.adapters()))
-                && state.role().equals(order.role());
+                && Objects.equals(state.role(), order.role());
     }
 
     /** One pass over the engines; what is ordered early in it counts for the floor and the rate of the later ones. */
@@ -108,6 +109,7 @@
         private final Configuration configuration;
         private final long nowNanos;
         private final long untilNanos;
+        private final boolean leaseLasts;
         private final Map<ModelName, Integer> ready;
         private final List<PlannedOrder> orders = new ArrayList<>();
         private final List<OrderPlan.Held> held = new ArrayList<>();
@@ -116,7 +118,8 @@
                 Configuration configuration, long nowNanos, long leaderUntilNanos, Map<ModelName, Integer> ready) {
             this.configuration = configuration;
             this.nowNanos = nowNanos;
-            this.untilNanos = Math.min(nowNanos + settings.timeoutNanos(), leaderUntilNanos);
+            this.untilNanos = nowNanos + settings.timeoutNanos();
+            this.leaseLasts = leaderUntilNanos - untilNanos > 0;
             this.ready = ready;
         }
 
@@ -153,7 +156,7 @@
         }
 
         private HoldReason holdReason(ObservedEngine engine, BackendRole role, EngineOrder wanted) {
-            if (deposed || untilNanos - nowNanos < settings.timeoutNanos()) {
+            if (deposed || !leaseLasts) {
                 return HoldReason.LEADER_LEASE;
             }
             if (configuration.model(role.model()).isEmpty()) {
--- a/elmline-core/src/main/java/org/elmline/core/control/TicketRegister.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/TicketRegister.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -89,10 +90,10 @@
     }
 
     List<TicketRecord> list(TicketListQuery query) {
-        Map<TicketNumber, List<TicketRecord>> from =
+        NavigableMap<TicketNumber, List<TicketRecord>> lower =
                 query.below() == null ? records : records.headMap(query.below(), false);
         List<TicketRecord> found = new ArrayList<>();
-        for (List<TicketRecord> each : new TreeMap<>(from).descendingMap().values()) {
+        for (List<TicketRecord> each : lower.descendingMap().values()) {
             if (found.size() >= query.limit()) {
                 return found;
             }
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/control/TicketPropertiesTest.java
@@ -0,0 +1,164 @@
+package org.elmline.core.control;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.elmline.core.common.TicketNumber;
+import org.elmline.core.config.BackendRole;
+import org.elmline.core.config.ConfigDelta;
+import org.elmline.core.config.ConfigObject;
+import org.elmline.core.config.Configuration;
+import org.elmline.core.config.VersionedObject;
+
+import static org.elmline.core.control.ControlFixture.model;
+import static org.elmline.core.control.ControlFixture.role;
+import static org.elmline.core.control.ControlFixture.ticket;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tickets in any order, with repeats, races and restarts, against a naive version that forgets nothing. */
+class TicketPropertiesTest {
+    private record Step(Ticket ticket, boolean restart, boolean catchUp) {}
+
+    /** Every decided content and every object in one map each, decided by the plain words of the rules. */
+    private static final class NaiveTickets {
+        private record Content(TicketNumber number, Set<ConfigObject> objects) {}
+
+        private final Map<Content, String> decided = new HashMap<>();
+        private final Set<Long> winners = new HashSet<>();
+        private final Map<String, Long> newest = new HashMap<>();
+        private final Map<String, ConfigObject> objects = new HashMap<>();
+
+        String submit(Ticket ticket) {
+            Content content = new Content(ticket.number(), Set.copyOf(ticket.objects()));
+            return decided.computeIfAbsent(content, c -> {
+                String outcome = decide(ticket);
+                if (outcome.equals("accepted")) {
+                    winners.add(ticket.number().value());
+                    ticket.objects().forEach(o -> objects.put(o.key(), o));
+                    ticket.objects()
+                            .forEach(o -> newest.put(o.key(), ticket.number().value()));
+                }
+                return outcome;
+            });
+        }
+
+        private String decide(Ticket ticket) {
+            long number = ticket.number().value();
+            if (winners.contains(number)) {
+                return "TICKET_NUMBER_TAKEN";
+            }
+            if (ticket.objects().stream().anyMatch(o -> newest.getOrDefault(o.key(), -1L) > number)) {
+                return "STALE_TICKET";
+            }
+            Map<String, ConfigObject> after = new HashMap<>(objects);
+            ticket.objects().forEach(o -> after.put(o.key(), o));
+            for (ConfigObject each : ticket.objects()) {
+                if (each instanceof BackendRole role && !after.containsKey("model/" + role.model())) {
+                    return "BAD_REQUEST";
+                }
+            }
+            return "accepted";
+        }
+    }
+
+    @Property(seed = "41", tries = 300)
+    void decidesLikeTheNaiveVersion(@ForAll("steps") List<Step> steps) {
+        ControlFixture control = new ControlFixture();
+        NaiveTickets naive = new NaiveTickets();
+        Configuration follower = Configuration.EMPTY;
+        for (Step each : steps) {
+            if (each.restart()) {
+                control.restart();
+            }
+            Configuration before = control.state.configuration();
+            String expected = naive.submit(each.ticket());
+
+            assertEquals(expected, word(control.submit(each.ticket())));
+
+            nothingReverts(before, control.state.configuration());
+            assertEquals(naive.objects, objects(control.state.configuration()));
+            if (each.catchUp()) {
+                ConfigDelta delta = control.state.configSince(follower.version());
+                follower = follower.with(delta);
+                assertEquals(objects(control.state.configuration()), objects(follower));
+            }
+        }
+    }
+
+    // The same with hardly any records kept: answers may be refused as stale that were accepted once, but nothing is
+    // applied twice and nothing reverts.
+    @Property(seed = "42", tries = 300)
+    void nothingRevertsWithFewRecords(@ForAll("steps") List<Step> steps) {
+        ControlFixture control = new ControlFixture();
+        control.limits(new ControlLimits(2, 10, 10, 1_000, 10, 10));
+        Map<Long, String> accepted = new HashMap<>();
+        for (Step each : steps) {
+            if (each.restart()) {
+                control.restart();
+            }
+            Configuration before = control.state.configuration();
+
+            control.submit(each.ticket());
+
+            nothingReverts(before, control.state.configuration());
+            boolean applied =
+                    !before.version().equals(control.state.configuration().version());
+            if (applied) {
+                String digest = TicketDigest.of(each.ticket());
+                String earlier = accepted.put(each.ticket().number().value(), digest);
+                assertEquals(null, earlier, "number " + each.ticket().number() + " applied twice");
+            }
+        }
+    }
+
+    private static void nothingReverts(Configuration before, Configuration after) {
+        for (VersionedObject old : before.objects()) {
+            VersionedObject now = after.object(old.object().key()).orElseThrow();
+            boolean same = now.equals(old);
+            assertTrue(same || now.ticket().compareTo(old.ticket()) > 0, old + " became " + now);
+        }
+    }
+
+    private static Map<String, ConfigObject> objects(Configuration configuration) {
+        return configuration.objects().stream()
+                .collect(Collectors.toMap(o -> o.object().key(), o -> o.object()));
+    }
+
+    private static String word(TicketOutcome outcome) {
+        return outcome instanceof TicketOutcome.Refused refused
+                ? refused.reason().name()
+                : "accepted";
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        Arbitrary<ConfigObject> models = Combinators.combine(Arbitraries.of("a", "b"), Arbitraries.of("v1", "v2"))
+                .as((name, version) -> model(name, version));
+        Arbitrary<ConfigObject> roles = Combinators.combine(Arbitraries.of("e1", "e2"), Arbitraries.of("a", "b"))
+                .as((server, name) -> role(server, name, "v1"));
+        Arbitrary<Ticket> tickets = Combinators.combine(
+                        Arbitraries.longs().between(1, 9),
+                        Arbitraries.oneOf(models, roles)
+                                .list()
+                                .ofMinSize(1)
+                                .ofMaxSize(3)
+                                .uniqueElements(ConfigObject::key))
+                .as((number, objects) -> ticket(number, "nok", objects.toArray(new ConfigObject[0])));
+        return Combinators.combine(tickets, Arbitraries.of(true, false, false), Arbitraries.of(true, false))
+                .as(Step::new)
+                .list()
+                .ofMinSize(5)
+                .ofMaxSize(40);
+    }
+}
