Give metrics in the order of their names

Failure: the registry's map has no order, so two collections listed the same metrics differently and could split a family; the JSON test failed by it (expected elmline_timeline_refused_stamps last). Names are sorted now.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
@@ -55,8 +55,7 @@
         handlers.register(RouteChannels.ANNOUNCE, this::forwarded);
         handlers.register(RouteChannels.PLACE, this::place);
         handlers.register(RouteChannels.RELEASE, report -> CompletableFuture.completedFuture(report(report)));
-        handlers.register(
-                RouteChannels.REGISTER, grants -> CompletableFuture.completedFuture(takeOver(grants)));
+        handlers.register(RouteChannels.REGISTER, grants -> CompletableFuture.completedFuture(takeOver(grants)));
     }
 
     /**
--- a/elmline-daemon/src/main/java/org/elmline/daemon/operator/MetricSamples.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/MetricSamples.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
@@ -16,7 +17,7 @@
 import com.codahale.metrics.Timer;
 
 /**
- * Takes the numbers of all metrics of a registry. Dots and dashes of names become underscores; timers are given in
+ * Takes the numbers of all metrics of a registry, in the order of their names. Dots and dashes of names become underscores; timers are given in
  * seconds. Gauges that are not numbers are left out.
  */
 final class MetricSamples {
@@ -30,7 +31,7 @@
 
     static List<MetricSample> of(MetricRegistry registry) {
         MetricSamples taken = new MetricSamples();
-        for (Map.Entry<String, Metric> each : registry.getMetrics().entrySet()) {
+        for (Map.Entry<String, Metric> each : new TreeMap<>(registry.getMetrics()).entrySet()) {
             taken.add(PREFIX + each.getKey().replaceAll("[^A-Za-z0-9_:]", "_"), each.getValue());
         }
         return taken.samples;
