Place through owners, assemble answers over attempts, and pass service calls on under claims

Cause: the thin path placed round robin and gave up at the first broken stream. Change: the entry asks owners by predicted time to first token; the owner's ledger, queue and cancels run behind it; a broken stream is resumed, or continued elsewhere from the delivered pieces, within a retry budget; grants are reported until answered and registered with a new owner; service calls that may not be repeated go through a claim session. An entry stops gracefully.

--- a/elmline-cli/src/main/java/org/elmline/cli/role/EntryCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/EntryCommand.java
@@ -23,8 +23,8 @@
             }
 
             @Override
-            public void stop() {
-                daemon.close();
+            public void stop() throws InterruptedException {
+                daemon.stop();
             }
         };
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerDuties.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerDuties.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+
 import org.elmline.core.backend.Announcement;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.CallResult;
@@ -66,12 +67,11 @@
     }
 
     private void send(EngineClient engine, Cancel cancel) {
-        (cancel.ofExport() ? engine.freeKv(cancel.exportId()) : engine.cancel(cancel.attempt()))
-                .thenAccept(result -> {
-                    if (result instanceof CallResult.Answered<Boolean>) {
-                        owner.acknowledged(cancel, clock.nanos());
-                    }
-                });
+        (cancel.ofExport() ? engine.freeKv(cancel.exportId()) : engine.cancel(cancel.attempt())).thenAccept(result -> {
+            if (result instanceof CallResult.Answered<Boolean>) {
+                owner.acknowledged(cancel, clock.nanos());
+            }
+        });
     }
 
     private void listEngines() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+
 import org.elmline.core.backend.AnnounceAnswer;
 import org.elmline.core.backend.Announcement;
 import org.elmline.core.common.AttemptId;
@@ -54,8 +55,7 @@
         handlers.register(RouteChannels.ANNOUNCE, this::forwarded);
         handlers.register(RouteChannels.PLACE, this::place);
         handlers.register(RouteChannels.RELEASE, report -> CompletableFuture.completedFuture(report(report)));
-        handlers.register(
-                RouteChannels.REGISTER, grants -> CompletableFuture.completedFuture(takeOver(grants)));
+        handlers.register(RouteChannels.REGISTER, grants -> CompletableFuture.completedFuture(takeOver(grants)));
     }
 
     /**
--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/SummarySender.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/SummarySender.java
@@ -1,11 +1,12 @@
 package org.elmline.daemon.backend;
 
-import com.codahale.metrics.Counter;
-import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.control.HostRecord;
 import org.elmline.core.owner.Owner;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/EngineCancels.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/EngineCancels.java
@@ -1,12 +1,13 @@
 package org.elmline.daemon.caller;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.engine.EngineClient;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/EventQueue.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/EventQueue.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+
 import org.elmline.core.engine.StreamEvent;
 import org.elmline.core.engine.StreamListener;
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+
 import org.elmline.core.common.AttemptId;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.Ran;
@@ -230,13 +231,7 @@
 
     private RetryDecision decide(Ending.Broken broken) {
         StreamFailure failure = new StreamFailure(
-                broken.ran(),
-                true,
-                broken.reachable(),
-                answer.offset(),
-                resumes,
-                tries,
-                remainingMillis());
+                broken.ran(), true, broken.reachable(), answer.offset(), resumes, tries, remainingMillis());
         resumes++;
         return RetryDecision.of(failure, gateway.budget());
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Gate.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Gate.java
@@ -50,7 +50,7 @@
     }
 
     /** What the gate decides. */
-    sealed interface Passage {
+    public sealed interface Passage {
         /** The call may go on; {@link Gate#leave()} must follow exactly once. */
         record Open(Admitted call) implements Passage {}
 
@@ -58,7 +58,7 @@
         record Closed(Refusal refusal) implements Passage {}
     }
 
-    Passage enter(HttpServerExchange exchange) {
+    public Passage enter(HttpServerExchange exchange) {
         Optional<Refusal> refused = standing();
         if (refused.isPresent()) {
             return new Passage.Closed(refused.get());
@@ -86,7 +86,7 @@
                 new Admitted(nextId(), organisation.get(), now, now + TimeUnit.MILLISECONDS.toNanos(timeout)));
     }
 
-    void leave() {
+    public void leave() {
         inside.decrementAndGet();
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Gateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Gateway.java
@@ -1,9 +1,10 @@
 package org.elmline.daemon.caller;
 
+import java.io.IOException;
+
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
-import java.io.IOException;
 import org.elmline.core.common.LengthClass;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.Ran;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/GrantBook.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/GrantBook.java
@@ -1,6 +1,5 @@
 package org.elmline.daemon.caller;
 
-import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,6 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.common.AttemptId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.HostId;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Placer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Placer.java
@@ -1,7 +1,5 @@
 package org.elmline.daemon.caller;
 
-import com.codahale.metrics.Counter;
-import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -11,6 +9,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.common.AttemptId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.HostId;
@@ -71,8 +72,7 @@
         Set<HostId> tried = new HashSet<>();
         Refusal last = null;
         for (int i = 0; i < MAX_OWNERS; i++) {
-            Optional<OwnerChoice> choice =
-                    owners.choose(demand, tried, ThreadLocalRandom.current(), clock.nanos());
+            Optional<OwnerChoice> choice = owners.choose(demand, tried, ThreadLocalRandom.current(), clock.nanos());
             if (choice.isEmpty()) {
                 break;
             }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/TicketService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/TicketService.java
@@ -38,10 +38,9 @@
     }
 
     CompletionStage<TicketAnswer> read(TicketQuery query) {
-        Optional<TicketAnswer> answer =
-                watch.withKeeper(keeper -> machine.read(state -> state.ticket(query.number())
-                        .<TicketAnswer>map(found -> new TicketAnswer.Decided(keeper.status(found, clock.nanos())))
-                        .orElseGet(() -> new TicketAnswer.Unknown(query.number()))));
+        Optional<TicketAnswer> answer = watch.withKeeper(keeper -> machine.read(state -> state.ticket(query.number())
+                .<TicketAnswer>map(found -> new TicketAnswer.Decided(keeper.status(found, clock.nanos())))
+                .orElseGet(() -> new TicketAnswer.Unknown(query.number()))));
         return done(answer.orElseGet(this::notLeader));
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -4,11 +4,11 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.Handlers;
-import io.undertow.server.HttpHandler;
 import io.undertow.server.RoutingHandler;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.Closer;
@@ -17,15 +17,28 @@
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
 import org.elmline.core.control.HostRecord;
+import org.elmline.core.owner.Owner;
+import org.elmline.core.owner.OwnerSettings;
+import org.elmline.core.peer.HandlerRegistry;
+import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.route.OwnerTable;
+import org.elmline.core.route.OwnerTableSettings;
+import org.elmline.core.route.RouteChannels;
+import org.elmline.core.route.SummarySchedule;
 import org.elmline.daemon.backend.AnnounceHandler;
 import org.elmline.daemon.backend.EngineClients;
+import org.elmline.daemon.backend.OwnerDuties;
 import org.elmline.daemon.backend.OwnerService;
-import org.elmline.daemon.backend.SummaryTable;
+import org.elmline.daemon.backend.Policies;
+import org.elmline.daemon.backend.SummarySender;
 import org.elmline.daemon.caller.CompletionsHandler;
+import org.elmline.daemon.caller.EngineCancels;
 import org.elmline.daemon.caller.EntryHostsHandler;
 import org.elmline.daemon.caller.Gate;
 import org.elmline.daemon.caller.Gateway;
+import org.elmline.daemon.caller.GrantBook;
 import org.elmline.daemon.caller.ModelsHandler;
+import org.elmline.daemon.caller.Placer;
 import org.elmline.daemon.http.Answers;
 import org.elmline.daemon.http.BodyReader;
 import org.elmline.daemon.http.HttpLimits;
@@ -36,6 +49,9 @@
 import org.elmline.daemon.operator.TicketsHandler;
 import org.elmline.daemon.runtime.SystemClock;
 import org.elmline.daemon.runtime.Workers;
+import org.elmline.daemon.service.IdempotencyKeysHandler;
+import org.elmline.daemon.service.ServiceGateway;
+import org.elmline.daemon.service.ServiceHandler;
 import org.elmline.daemon.settings.EntrySettings;
 import org.elmline.daemon.settings.ListenAddress;
 import org.elmline.daemon.settings.Secret;
@@ -45,24 +61,36 @@
 import org.elmline.wire.tcp.TcpPeerServer;
 import org.jboss.logging.Logger;
 
-/** One entry host. */
+/** One entry host: everything it opens, how it is put together, and its graceful stop. */
 public final class EntryDaemon implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
     private static final int BODY_MILLIS = 30_000;
     private static final int IDLE_MILLIS = 60_000;
+    private static final long SUMMARY_BEAT_MILLIS = 2_000;
+    private static final double SUMMARY_BYTES_PER_SECOND = 2_000;
 
     private final Closer closer = new Closer();
     private final EntrySettings settings;
     private final MonotonicClock clock = new SystemClock();
     private final MetricRegistry metrics = new MetricRegistry();
     private final AtomicBoolean leaving = new AtomicBoolean();
+    private final HostIdentity self;
+    private final RoutingHandler callerRoutes = routes();
+    private final RoutingHandler operatorRoutes = routes();
     private HttpListener callers;
     private HttpListener operators;
     private TcpPeerServer peers;
-    private HostIdentity self;
+    private Gate gate;
+    private LeaseRenewer renewer;
+    private Owner owner;
 
     private EntryDaemon(EntrySettings settings) {
         this.settings = settings;
+        this.self = new HostIdentity(
+                settings.host(),
+                Incarnation.of(System.currentTimeMillis()),
+                settings.failureDomain(),
+                settings.region());
     }
 
     /** Opens everything and begins to serve; closes what was opened when any of it fails. */
@@ -78,28 +106,21 @@
     }
 
     private void open() throws IOException {
-        self = new HostIdentity(
-                settings.host(),
-                Incarnation.of(System.currentTimeMillis()),
-                settings.failureDomain(),
-                settings.region());
         Workers workers = closer.register(new Workers("entry", settings.limits().maxConcurrentRequests()));
         PeerKey key = new PeerKey(settings.keys().peerKey().value());
+        org.elmline.wire.tcp.Handlers channels = new org.elmline.wire.tcp.Handlers(workers.handlers());
+        bind(workers, key, channels);
         TcpPeerNetwork network = closer.register(new TcpPeerNetwork(
                 key, PeerLimits.DEFAULT, workers.connections(), workers.timer(), workers.handlers()));
         SharedView view = new SharedView(clock);
         List<Address> control =
                 settings.control().stream().map(each -> each.peers()).toList();
         ControlClient client = new ControlClient(network, clock, workers.timer(), control);
-        SummaryTable summaries = new SummaryTable();
-        OwnerService owner = new OwnerService(self, view, network, clock, settings.backend(), summaries);
-        EngineClients engines = closer.register(new EngineClients());
-        Gate gate = new Gate(
-                self, view, clock, settings.callers(), settings.limits().maxConcurrentRequests(), metrics);
-        Gateway gateway = new Gateway(self, view, clock, network, owner, summaries, engines);
-        listen(workers, key, view, client, owner, gate, gateway);
-        owner.start(workers.timer());
-        LeaseRenewer renewer = new LeaseRenewer(
+        gate = new Gate(self, view, clock, settings.callers(), settings.limits().maxConcurrentRequests(), metrics);
+        BodyReader bodies = new BodyReader(workers.streams());
+        openBackends(workers, channels, network, view, bodies, new ControlCalls(client));
+        openOperators(view, client, bodies);
+        renewer = new LeaseRenewer(
                 client,
                 view,
                 clock,
@@ -111,17 +132,8 @@
         LOG.infof("entry host %s serves callers at %s", self.host(), callers.address());
     }
 
-    private void listen(
-            Workers workers,
-            PeerKey key,
-            SharedView view,
-            ControlClient client,
-            OwnerService owner,
-            Gate gate,
-            Gateway gateway)
-            throws IOException {
-        org.elmline.wire.tcp.Handlers channels = new org.elmline.wire.tcp.Handlers(workers.handlers());
-        owner.register(channels);
+    /** Binds all ports first, since this host's record carries them; their routes follow. */
+    private void bind(Workers workers, PeerKey key, org.elmline.wire.tcp.Handlers channels) throws IOException {
         ListenAddress bind = settings.addresses().peers();
         peers = closer.register(TcpPeerServer.start(
                 new InetSocketAddress(bind.ip(), bind.port()),
@@ -130,33 +142,73 @@
                 PeerLimits.DEFAULT,
                 workers.connections(),
                 workers.timer()));
-        BodyReader bodies = new BodyReader(workers.streams());
-        callers =
-                closer.register(http(settings.addresses().callers(), callerRoutes(view, owner, gate, gateway, bodies)));
-        operators = closer.register(http(settings.addresses().operators(), operatorRoutes(view, client, gate, bodies)));
+        callers = closer.register(http(settings.addresses().callers(), callerRoutes));
+        List<String> operatorKeys =
+                settings.keys().operatorKeys().stream().map(Secret::value).toList();
+        operators =
+                closer.register(http(settings.addresses().operators(), new OperatorKeys(operatorKeys, operatorRoutes)));
+    }
+
+    private void openBackends(
+            Workers workers,
+            HandlerRegistry channels,
+            PeerNetwork network,
+            SharedView view,
+            BodyReader bodies,
+            ControlCalls control) {
+        EngineClients engines = closer.register(new EngineClients());
+        OwnerSettings ownerSettings = OwnerSettings.builder()
+                .announceIntervalMillis(settings.backend().announceMillis())
+                .leaseMillis(settings.backend().leaseMillis())
+                .build();
+        HostRecord record = record();
+        owner = new Owner(record, Policies.find(settings.placement()), new Random(), ownerSettings);
+        OwnerTable table = new OwnerTable(record, OwnerTableSettings.DEFAULT);
+        view.onMembers(() -> table.members(view.members().hosts()));
+        OwnerService service = new OwnerService(self, owner, view, network, clock);
+        service.register(channels);
+        channels.register(
+                RouteChannels.SUMMARY,
+                summary ->
+                        java.util.concurrent.CompletableFuture.completedFuture(table.accept(summary, clock.nanos())));
+        new OwnerDuties(owner, service, engines, clock).start(workers.timer());
+        SummarySchedule schedule = new SummarySchedule(record, SUMMARY_BEAT_MILLIS, SUMMARY_BYTES_PER_SECOND);
+        new SummarySender(owner, table, schedule, view, network, clock, metrics).start(workers.timer());
+        GrantBook grants = new GrantBook(self, view, clock, network, service, table, metrics);
+        grants.start(workers.timer());
+        EngineCancels cancels = new EngineCancels(engines, table, grants, clock, metrics);
+        cancels.start(workers.timer());
+        Placer placer = new Placer(self, view, clock, network, service, table, grants, metrics);
+        Gateway gateway = new Gateway(self, clock, placer, grants, engines, cancels, metrics);
+        ServiceGateway services = closer.register(new ServiceGateway(clock, table, control, metrics));
+        openCallers(view, service, gateway, services, bodies);
     }
 
-    private HttpHandler callerRoutes(
-            SharedView view, OwnerService owner, Gate gate, Gateway gateway, BodyReader bodies) {
+    private void openCallers(
+            SharedView view, OwnerService service, Gateway gateway, ServiceGateway services, BodyReader bodies) {
         List<String> backendKeys =
                 settings.keys().backendKeys().stream().map(Secret::value).toList();
-        return routes().get(
-                        "/v1/entry-hosts",
-                        new EntryHostsHandler(view, settings.callers().keepSeconds()))
+        int keepSeconds = settings.callers().keepSeconds();
+        ServiceHandler serviceHandler = new ServiceHandler(self, gate, view, bodies, services);
+        callerRoutes
+                .get("/v1/entry-hosts", new EntryHostsHandler(view, self.region(), keepSeconds))
                 .get("/v1/models", new ModelsHandler(gate, view))
                 .post("/v1/completions", new CompletionsHandler(ApiKind.COMPLETIONS, gate, view, bodies, gateway))
                 .post("/v1/chat/completions", new CompletionsHandler(ApiKind.CHAT, gate, view, bodies, gateway))
-                .post("/v1/backend-servers/announce", new AnnounceHandler(backendKeys, bodies, owner));
+                .post("/v1/idempotency-keys", new IdempotencyKeysHandler(gate))
+                .post("/v1/backend-servers/announce", new AnnounceHandler(backendKeys, bodies, service));
+        for (String method : List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")) {
+            callerRoutes.add(method, "/v1/services/{service}/*", serviceHandler);
+        }
     }
 
-    private HttpHandler operatorRoutes(SharedView view, ControlClient client, Gate gate, BodyReader bodies) {
+    private void openOperators(SharedView view, ControlClient client, BodyReader bodies) {
         TicketsHandler tickets = new TicketsHandler(new ControlCalls(client), bodies);
-        RoutingHandler routes = routes().put("/v1/tickets/{number}", tickets::put)
+        operatorRoutes
+                .put("/v1/tickets/{number}", tickets::put)
                 .get("/v1/tickets/{number}", tickets::show)
                 .get("/v1/tickets", tickets::list)
                 .get("/v1/status", new StatusHandler(self, view, gate));
-        return new OperatorKeys(
-                settings.keys().operatorKeys().stream().map(Secret::value).toList(), routes);
     }
 
     private static RoutingHandler routes() {
@@ -167,7 +219,7 @@
                         exchange, Refusal.didNotRun(RefusalReason.METHOD_NOT_ALLOWED, "no such method on this path")));
     }
 
-    private HttpListener http(ListenAddress address, HttpHandler handler) {
+    private HttpListener http(ListenAddress address, io.undertow.server.HttpHandler handler) {
         HttpLimits limits = new HttpLimits(
                 settings.limits().maxBodyBytes(),
                 settings.limits().maxHeaderBytes(),
@@ -199,6 +251,26 @@
         return operators.address();
     }
 
+    /**
+     * Stops gracefully: says that it leaves, so that no caller is sent here and its backend servers get other owners;
+     * serves on for as long as callers keep an answer that names it; then refuses new calls and waits for those inside.
+     */
+    public void stop() throws InterruptedException {
+        leaving.set(true);
+        LOG.infof("entry host %s is leaving", self.host());
+        renewer.renew();
+        Thread.sleep(Duration.ofSeconds(settings.callers().keepSeconds()).toMillis());
+        gate.close();
+        long limit = clock.millis() + settings.callers().maxTimeoutMillis();
+        while (gate.inside() > 0 && clock.millis() < limit) {
+            Thread.sleep(STOP_CHECK_MILLIS);
+        }
+        owner.leave(clock.nanos());
+        close();
+    }
+
+    private static final long STOP_CHECK_MILLIS = 20;
+
     @Override
     public void close() {
         closer.close();
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceGateway.java
@@ -0,0 +1,155 @@
+package org.elmline.daemon.service;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.common.Ran;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.config.Service;
+import org.elmline.core.control.ClaimReply;
+import org.elmline.core.control.ClaimSession;
+import org.elmline.core.control.ClaimStep;
+import org.elmline.core.control.RecordedAnswer;
+import org.elmline.core.stream.RetryBudget;
+import org.elmline.daemon.entry.ControlCalls;
+
+/** Passes calls on to plain services: those that may be repeated with retries, the others under a claim. */
+public final class ServiceGateway implements AutoCloseable {
+    private static final int MAX_TRIES = 3;
+    private static final double RETRY_SHARE = 0.1;
+    private static final double RETRY_BURST = 10;
+    private static final long RETRY_MILLIS = 1_000;
+    private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(2);
+
+    private final MonotonicClock clock;
+    private final Replicas replicas;
+    private final ControlCalls control;
+    private final ServiceClient client = new ServiceClient();
+    private final RetryBudget budget = new RetryBudget(RETRY_SHARE, RETRY_BURST);
+    private final Counter claimed;
+    private final Counter repeated;
+    private final Counter retried;
+
+    public ServiceGateway(
+            MonotonicClock clock,
+            org.elmline.core.route.OwnerTable owners,
+            ControlCalls control,
+            MetricRegistry metrics) {
+        this.clock = clock;
+        this.replicas = new Replicas(owners, clock);
+        this.control = control;
+        this.claimed = metrics.counter("service.claims.sent");
+        this.repeated = metrics.counter("service.claims.repeated");
+        this.retried = metrics.counter("service.retries");
+    }
+
+    /** A call that may be repeated: tries other replicas while the time and the retry budget last. */
+    ClaimReply repeatable(Service service, ServiceCall call, long deadlineNanos) {
+        budget.firstTry();
+        Set<BackendServerId> tried = new HashSet<>();
+        CallResult<RecordedAnswer> result = new CallResult.NotSent<>("no replica of " + service.name() + " is ready");
+        for (int i = 0; i < MAX_TRIES && remainingMillis(deadlineNanos) > 0; i++) {
+            Optional<Replicas.Held> held = replicas.hold(service.name(), tried);
+            if (held.isEmpty() || (i > 0 && !budget.tryTake())) {
+                held.ifPresent(Replicas.Held::close);
+                break;
+            }
+            retried.inc(i > 0 ? 1 : 0);
+            tried.add(held.get().replica().server());
+            result = send(held.get(), service, call, deadlineNanos);
+            if (result instanceof CallResult.Answered<RecordedAnswer> answered) {
+                return new ClaimReply.Answered(answered.value(), false);
+            }
+        }
+        return refused(result);
+    }
+
+    /**
+     * A call that may run at most once: works off the session's steps, so that the call leaves only after a quorum has
+     * committed the claim and is never sent a second time. The caller has its reply as soon as it is known.
+     */
+    void once(Service service, ServiceCall call, ClaimSession session, long deadlineNanos, Consumer<ClaimReply> reply) {
+        ClaimStep step = session.start();
+        while (true) {
+            if (step instanceof ClaimStep.Begin begin) {
+                Duration timeout = Duration.ofMillis(
+                        Math.max(1, Math.min(CLAIM_TIMEOUT.toMillis(), remainingMillis(deadlineNanos))));
+                step = session.begun(control.begin(begin.begin(), timeout).join(), clock.nanos());
+            } else if (step instanceof ClaimStep.Send) {
+                claimed.inc();
+                step = session.called(sendOnce(service, call, deadlineNanos));
+            } else if (step instanceof ClaimStep.Finish finish) {
+                if (finish.reply() != null) {
+                    answer(finish.reply(), reply);
+                }
+                step = session.finished(
+                        control.finish(finish.finish(), CLAIM_TIMEOUT).join());
+            } else if (step instanceof ClaimStep.Reply last) {
+                answer(last.reply(), reply);
+                return;
+            } else {
+                return;
+            }
+        }
+    }
+
+    private void answer(ClaimReply reply, Consumer<ClaimReply> to) {
+        if (reply instanceof ClaimReply.Answered answered && answered.repeated()) {
+            repeated.inc();
+        }
+        to.accept(reply);
+    }
+
+    /** One replica, one try. A replica that can't be reached got nothing, so another may be asked. */
+    private CallResult<RecordedAnswer> sendOnce(Service service, ServiceCall call, long deadlineNanos) {
+        Set<BackendServerId> tried = new HashSet<>();
+        CallResult<RecordedAnswer> result = new CallResult.NotSent<>("no replica of " + service.name() + " is ready");
+        for (int i = 0; i < MAX_TRIES && remainingMillis(deadlineNanos) > 0; i++) {
+            Optional<Replicas.Held> held = replicas.hold(service.name(), tried);
+            if (held.isEmpty()) {
+                return result;
+            }
+            tried.add(held.get().replica().server());
+            result = send(held.get(), service, call, deadlineNanos);
+            if (!(result instanceof CallResult.NotSent)) {
+                return result;
+            }
+        }
+        return result;
+    }
+
+    private CallResult<RecordedAnswer> send(Replicas.Held held, Service service, ServiceCall call, long deadlineNanos) {
+        try (held) {
+            long millis = Math.min(service.timeoutMillis(), Math.max(1, remainingMillis(deadlineNanos)));
+            return client.send(held.replica().address(), call, Duration.ofMillis(millis));
+        }
+    }
+
+    private static ClaimReply refused(CallResult<RecordedAnswer> result) {
+        if (result instanceof CallResult.NotSent<RecordedAnswer> notSent) {
+            return new ClaimReply.Refused(
+                    Refusal.comeBack(RefusalReason.NO_BACKEND_SERVER, notSent.why(), RETRY_MILLIS));
+        }
+        String why = "the service's answer was lost: " + ((CallResult.Unknown<RecordedAnswer>) result).why();
+        return new ClaimReply.Refused(new Refusal(RefusalReason.BACKEND_FAILED, why, Ran.UNKNOWN, RETRY_MILLIS));
+    }
+
+    private long remainingMillis(long deadlineNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - clock.nanos());
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceHandler.java
@@ -0,0 +1,182 @@
+package org.elmline.daemon.service;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.HttpString;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.config.Service;
+import org.elmline.core.control.ClaimBegin;
+import org.elmline.core.control.ClaimKey;
+import org.elmline.core.control.ClaimOwner;
+import org.elmline.core.control.ClaimReply;
+import org.elmline.core.control.ClaimSession;
+import org.elmline.core.control.IdempotencyKey;
+import org.elmline.core.control.RecordedAnswer;
+import org.elmline.daemon.caller.Admitted;
+import org.elmline.daemon.caller.Gate;
+import org.elmline.daemon.entry.HostIdentity;
+import org.elmline.daemon.entry.SharedView;
+import org.elmline.daemon.http.Answers;
+import org.elmline.daemon.http.BodyReader;
+
+/**
+ * {@code * /v1/services/{service}/{path}}: passes a call on. A call is repeatable when the service's ticket lists its
+ * method or the caller says {@code Elmline-Idempotent: true}; every other one runs at most once and needs an
+ * {@code Idempotency-Key}.
+ */
+public final class ServiceHandler implements HttpHandler {
+    private static final String PREFIX = "/v1/services/";
+    private static final String KEY_HEADER = "Idempotency-Key";
+    private static final String IDEMPOTENT_HEADER = "Elmline-Idempotent";
+    private static final HttpString REPLAYED = new HttpString("Elmline-Replayed");
+    private static final int FINISH_TRIES = 3;
+    private static final Set<String> NOT_PASSED_ON = ServiceClient.hopByHop();
+
+    private final HostIdentity self;
+    private final Gate gate;
+    private final SharedView view;
+    private final BodyReader bodies;
+    private final ServiceGateway gateway;
+    private final AtomicLong sessions = new AtomicLong();
+
+    public ServiceHandler(HostIdentity self, Gate gate, SharedView view, BodyReader bodies, ServiceGateway gateway) {
+        this.self = self;
+        this.gate = gate;
+        this.view = view;
+        this.bodies = bodies;
+        this.gateway = gateway;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        Gate.Passage passage = gate.enter(exchange);
+        if (passage instanceof Gate.Passage.Closed closed) {
+            Answers.refuse(exchange, closed.refusal());
+            return;
+        }
+        Admitted call = ((Gate.Passage.Open) passage).call();
+        exchange.addExchangeCompleteListener((done, next) -> {
+            gate.leave();
+            next.proceed();
+        });
+        bodies.read(exchange, body -> serve(exchange, call, body));
+    }
+
+    private void serve(HttpServerExchange exchange, Admitted admitted, byte[] body) {
+        String rest = exchange.getRequestPath().substring(PREFIX.length());
+        int slash = rest.indexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        Optional<Service> service = find(name);
+        if (service.isEmpty()) {
+            refuse(exchange, RefusalReason.UNKNOWN_SERVICE, "no service is named " + name);
+            return;
+        }
+        String path = slash < 0 ? "" : rest.substring(slash + 1);
+        String query = exchange.getQueryString();
+        ServiceCall call = new ServiceCall(
+                exchange.getRequestMethod().toString(),
+                query.isEmpty() ? path : path + "?" + query,
+                headers(exchange.getRequestHeaders()),
+                body);
+        if (repeatable(exchange, service.get())) {
+            reply(exchange, gateway.repeatable(service.get(), call, admitted.deadlineNanos()));
+            return;
+        }
+        once(exchange, admitted, service.get(), call);
+    }
+
+    private void once(HttpServerExchange exchange, Admitted admitted, Service service, ServiceCall call) {
+        String text = exchange.getRequestHeaders().getFirst(KEY_HEADER);
+        Optional<IdempotencyKey> key = IdempotencyKey.parse(text);
+        if (key.isEmpty() || !key.get().belongsTo(admitted.organisation().id())) {
+            String why = text == null
+                    ? "a call that may not be repeated needs an " + KEY_HEADER + "; POST /v1/idempotency-keys gives one"
+                    : "this " + KEY_HEADER + " was not issued to this organisation by POST /v1/idempotency-keys";
+            refuse(exchange, RefusalReason.BAD_REQUEST, why);
+            return;
+        }
+        ClaimOwner owner = new ClaimOwner(self.host(), self.incarnation(), sessions.incrementAndGet());
+        ClaimKey claim = new ClaimKey(admitted.organisation().id(), key.get());
+        ClaimSession session = new ClaimSession(
+                new ClaimBegin(claim, digest(service, call), owner),
+                view.lease(),
+                admitted.deadlineNanos(),
+                FINISH_TRIES);
+        gateway.once(service, call, session, admitted.deadlineNanos(), reply -> reply(exchange, reply));
+    }
+
+    private Optional<Service> find(String name) {
+        try {
+            return view.configuration().service(ServiceName.of(name));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static boolean repeatable(HttpServerExchange exchange, Service service) {
+        String header = exchange.getRequestHeaders().getFirst(IDEMPOTENT_HEADER);
+        if (header != null) {
+            return header.trim().equalsIgnoreCase("true");
+        }
+        return service.idempotentMethods().contains(exchange.getRequestMethod().toString());
+    }
+
+    private static List<RecordedAnswer.Header> headers(HeaderMap given) {
+        List<RecordedAnswer.Header> headers = new ArrayList<>();
+        for (HeaderValues values : given) {
+            String name = values.getHeaderName().toString();
+            if (!NOT_PASSED_ON.contains(name) && !name.regionMatches(true, 0, "Elmline-", 0, "Elmline-".length())) {
+                values.forEach(value -> headers.add(new RecordedAnswer.Header(name, value)));
+            }
+        }
+        return headers;
+    }
+
+    private static void reply(HttpServerExchange exchange, ClaimReply reply) {
+        if (reply instanceof ClaimReply.Refused refused) {
+            Answers.refuse(exchange, refused.refusal());
+            return;
+        }
+        ClaimReply.Answered answered = (ClaimReply.Answered) reply;
+        RecordedAnswer answer = answered.answer();
+        exchange.setStatusCode(answer.status());
+        for (RecordedAnswer.Header each : answer.headers()) {
+            exchange.getResponseHeaders().add(new HttpString(each.name()), each.value());
+        }
+        if (answered.repeated()) {
+            exchange.getResponseHeaders().put(REPLAYED, answer.body() == null ? "body-too-long" : "true");
+        }
+        exchange.getResponseSender()
+                .send(answer.body() == null ? ByteBuffer.allocate(0) : ByteBuffer.wrap(answer.body()));
+    }
+
+    private static void refuse(HttpServerExchange exchange, RefusalReason reason, String why) {
+        Answers.refuse(exchange, Refusal.didNotRun(reason, why));
+    }
+
+    private static String digest(Service service, ServiceCall call) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            String head = call.method() + " " + service.name() + "/" + call.target() + "\n";
+            digest.update(head.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest.digest(call.body()));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
