Add groups of engines and the audit of unregistered memory

Cause: a prompt can be longer than an engine's memory; and a call that an entry gave up may reach the engine after its cancel did, with nobody left to free what it holds. Ruled out: holding some engines while waiting for others; two groups could wait for each other.

--- a/elmline-core/src/main/java/org/elmline/core/fairness/LimitShares.java
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/LimitShares.java
@@ -14,7 +14,7 @@
  * with less or its lease ends, so the shares never sum to more than the limit. (A fixed split would refuse an
  * organisation whose callers use few entries at a fraction of its limit; shares worked out by each entry from lagged
  * reports can sum to several times it.) When another entry takes over, both may hand out shares for one lease: at most
- * twice the limit for that time. All methods may be called from any thread.
+ * twice the limit for that time. An entry that can't renew keeps what it has in flight, and may exceed its share by it. All methods may be called from any thread.
  */
 public final class LimitShares {
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -37,11 +37,13 @@
         share.until = now + leaseMillis * NANOS_PER_MILLI;
         share.requests = split(
                 organisation.maxConcurrentRequests(),
+                request.inFlight(),
                 share.wantedRequests,
                 held.values().stream().mapToLong(each -> each.wantedRequests).sum(),
                 held.values().stream().mapToLong(each -> each.requests).sum());
         share.tokens = split(
                 organisation.maxTokensPerMinute(),
+                0,
                 share.wantedTokens,
                 held.values().stream().mapToLong(each -> each.wantedTokens).sum(),
                 held.values().stream().mapToLong(each -> each.tokens).sum());
@@ -66,11 +68,11 @@
     }
 
     /** In proportion to what is wanted while that is more than the limit; never more than the others leave. */
-    private static long split(long limit, long wanted, long wantedByOthers, long heldByOthers) {
+    private static long split(long limit, long inUse, long wanted, long wantedByOthers, long heldByOthers) {
         long all = wanted + wantedByOthers;
         long fair = all <= limit ? limit - wantedByOthers : (long) ((double) limit * wanted / all);
-        // An organisation with a limit of few requests must still get them on whichever entry it calls.
-        long least = Math.min(1, limit);
+        // What runs can't be taken back; and a limit of few requests must be usable on whichever entry is called.
+        long least = Math.max(inUse, Math.min(1, limit));
         return Math.max(0, Math.min(Math.max(fair, least), limit - heldByOthers));
     }
 
--- a/elmline-core/src/main/java/org/elmline/core/fairness/OrganisationLimits.java
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/OrganisationLimits.java
@@ -67,8 +67,8 @@
     public synchronized ShareRequest shareRequest(OrganisationId organisation, long now) {
         Use use = uses.computeIfAbsent(organisation, id -> new Use(now));
         long wantedTokens = use.wantedTokensPerMinute(now);
-        ShareRequest request =
-                new ShareRequest(host, incarnation, organisation, use.inFlight + use.refused + 1, wantedTokens);
+        ShareRequest request = new ShareRequest(
+                host, incarnation, organisation, use.inFlight, use.inFlight + use.refused + 1, wantedTokens);
         use.refused = 0;
         use.askedTokens = 0;
         use.askedSince = now;
@@ -76,9 +76,10 @@
     }
 
     /** Takes a share in; its lease counts from {@code askedAt}, when the request was sent. */
-    public synchronized void granted(ShareAnswer answer, long askedAt) {
+    public synchronized void granted(ShareAnswer answer, long askedAt, long now) {
         Use use = uses.computeIfAbsent(answer.organisation(), id -> new Use(askedAt));
         long until = askedAt + answer.leaseMillis() * NANOS_PER_MILLI;
+        use.pass(now);
         use.maxRequests = answer.maxRequests();
         if (!use.hadShare) {
             use.balance = answer.maxTokensPerMinute() * BUCKET_MINUTES;
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/group/GroupRun.java
@@ -0,0 +1,153 @@
+package org.elmline.core.group;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.engine.EngineRequest;
+import org.elmline.core.engine.KvExport;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.route.Grant;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.stream.Cancel;
+
+/**
+ * Runs a reserved group: for each engine in turn, import the segments before, then read the own one and keep it, or, on
+ * the last engine, answer. Exports stay until the answer is complete, since later engines go on reading from them.
+ * However it ends, every engine is told to free whatever it might hold, also for a call whose answer never came; a grant
+ * is released only when its engine has acknowledged all of that. Not thread-safe.
+ */
+public final class GroupRun {
+    private final PlaceRequest whole;
+    private final List<Grant> grants;
+    private final GroupPlan plan;
+    private final List<String> texts;
+    private final List<KvExport> exports = new ArrayList<>();
+    private final Map<BackendServerId, Set<Cancel>> unfreed = new HashMap<>();
+    private final Set<BackendServerId> released = new HashSet<>();
+    private int imported;
+    private boolean ended;
+
+    public GroupRun(PlaceRequest whole, GroupPlan plan, List<Grant> grants, String prompt) {
+        if (grants.size() != plan.segments().size()) {
+            throw new IllegalArgumentException("a group runs only when all its engines are reserved");
+        }
+        this.whole = whole;
+        this.plan = plan;
+        this.grants = List.copyOf(grants);
+        this.texts = plan.cut(prompt);
+    }
+
+    /**
+     * The call to make now; the same one until it is answered, empty once the run ended.
+     *
+     * @param delivered pieces that the caller has from an earlier try
+     */
+    public Optional<GroupStep> step(List<String> delivered) {
+        if (ended) {
+            return Optional.empty();
+        }
+        int current = exports.size();
+        Grant on = grants.get(current);
+        if (imported < current) {
+            return Optional.of(new GroupStep.ImportKv(on, exports.get(imported), grants.get(imported)));
+        }
+        if (current < grants.size() - 1) {
+            return Optional.of(new GroupStep.ExportKv(on, request(current, 0, List.of())));
+        }
+        return Optional.of(
+                new GroupStep.StreamAnswer(on, request(current, whole.demand().maxOutputTokens(), delivered)));
+    }
+
+    /** The import that {@link #step} asked for is done. */
+    public void imported() {
+        if (!ended) {
+            imported++;
+        }
+    }
+
+    /** The segment that {@link #step} asked for was read and is kept. */
+    public void exported(KvExport export) {
+        if (!ended) {
+            exports.add(export);
+            imported = 0;
+        }
+    }
+
+    /**
+     * The run is over: the answer is complete, a call failed, the caller left or the deadline passed. Returns what every
+     * engine must free; calling it again returns what is not acknowledged yet.
+     */
+    public List<Cancel> end() {
+        if (!ended) {
+            ended = true;
+            grants.forEach(each -> unfreed.put(each.server(), mayHold(each)));
+        }
+        List<Cancel> all = new ArrayList<>();
+        grants.forEach(each -> all.addAll(unfreed.get(each.server())));
+        return all;
+    }
+
+    /** The engine holds nothing for it any more. Returns the grant to release when that was the engine's last. */
+    public Optional<Grant> freed(Cancel cancel) {
+        Set<Cancel> left = unfreed.get(cancel.server());
+        if (left == null || !left.remove(cancel) || !left.isEmpty() || !released.add(cancel.server())) {
+            return Optional.empty();
+        }
+        return grants.stream()
+                .filter(each -> each.server().equals(cancel.server()))
+                .findFirst();
+    }
+
+    /** The engine's incarnation is gone, and its memory with it. Returns the grant to release. */
+    public Optional<Grant> lost(BackendServerId server) {
+        Set<Cancel> left = unfreed.get(server);
+        if (left == null || !released.add(server)) {
+            return Optional.empty();
+        }
+        left.clear();
+        return grants.stream().filter(each -> each.server().equals(server)).findFirst();
+    }
+
+    /** Whether every grant was handed out for release. */
+    public boolean done() {
+        return ended && released.size() == grants.size();
+    }
+
+    /** The segment that is read now, counted from 0. */
+    public int current() {
+        return exports.size();
+    }
+
+    private Set<Cancel> mayHold(Grant grant) {
+        Set<Cancel> cancels = new LinkedHashSet<>();
+        cancels.add(Cancel.stream(grant.server(), grant.attempt()));
+        for (KvExport each : exports) {
+            cancels.add(Cancel.export(grant.server(), each.attempt(), each.id()));
+        }
+        return cancels;
+    }
+
+    private EngineRequest request(int index, int maxOutputTokens, List<String> delivered) {
+        Demand demand = whole.demand();
+        Segment segment = plan.segments().get(index);
+        return new EngineRequest(
+                grants.get(index).attempt(),
+                whole.host(),
+                whole.incarnation(),
+                demand.model(),
+                demand.adapter(),
+                texts.get(index),
+                segment.contextTokens() + segment.promptTokens(),
+                maxOutputTokens,
+                demand.priority(),
+                delivered,
+                exports.stream().map(KvExport::id).toList());
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/ledger/EngineLedger.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/EngineLedger.java
@@ -1,7 +1,6 @@
 package org.elmline.core.ledger;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,12 +28,12 @@
     private final SpeedMeter speed = new SpeedMeter();
     private final PrefixBelief prefixes = new PrefixBelief();
     private final Map<AttemptId, LedgerEntry> entries = new LinkedHashMap<>();
-    private final Map<String, Long> exports = new HashMap<>();
     private final long[] backlogTokens = new long[LengthClass.values().length];
     private final long[] backlogWork = new long[LengthClass.values().length];
     private final int[] streams = new int[LengthClass.values().length];
     private Announcement announcement;
     private long reserved;
+    private long unregistered;
     private long placedWork;
     private long finishedWork;
     private boolean reachable = true;
@@ -90,24 +89,26 @@
             return;
         }
         addBacklog(entry, -1);
-        entry.firstTokenCame();
+        entry.finishReading();
         finishedWork += entry.cost();
         speed.finish(entry.cost(), now);
         prefixes.stored(entry.prefixHashes());
         faults = 0;
     }
 
-    /** Holds memory for an exported KV segment; repeating it changes nothing more. */
-    void holdExport(String exportId, long tokens) {
-        if (exports.putIfAbsent(exportId, tokens) == null) {
-            reserved += tokens;
+    /** A segment's turn to be read has come. */
+    void begin(LedgerEntry entry, long now) {
+        if (!entry.begin(now, finishedWork)) {
+            return;
         }
+        addBacklog(entry, 1);
+        placedWork += entry.cost();
+        speed.start(now);
     }
 
-    boolean freeExport(String exportId) {
-        Long tokens = exports.remove(exportId);
-        reserved -= tokens == null ? 0 : tokens;
-        return tokens != null;
+    /** Memory that the engine holds for streams and exports without a grant here, by its last listing. */
+    void unregistered(long kvTokens) {
+        unregistered = kvTokens;
     }
 
     void apply(CacheEvents events) {
@@ -118,7 +119,7 @@
     void check(long now) {
         double bound = Double.MAX_VALUE;
         for (LedgerEntry each : entries.values()) {
-            long waited = now - each.placedAt() - ANSWER_ALLOWANCE_NANOS;
+            long waited = now - each.readFrom() - ANSWER_ALLOWANCE_NANOS;
             if (each.awaitingFirstToken() && waited > 0) {
                 bound = Math.min(bound, (placedWork - each.workBefore()) * NANOS_PER_SECOND / waited);
             }
@@ -211,7 +212,7 @@
 
     @Override
     public long reservedKvTokens() {
-        return reserved;
+        return reserved + unregistered;
     }
 
     @Override
--- a/elmline-core/src/main/java/org/elmline/core/ledger/Ledger.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/Ledger.java
@@ -87,9 +87,10 @@
     /**
      * Reserves a grant's memory and counts its prompt as backlog.
      *
+     * @param contextTokens imported tokens before a segment; they make reading it dearer
      * @return false when the attempt is known or was released before, or its engine's incarnation is not owned
      */
-    public boolean reserve(Grant grant, List<Long> prefixHashes, long now) {
+    public boolean reserve(Grant grant, List<Long> prefixHashes, int contextTokens, long now) {
         EngineLedger engine = engines.get(grant.server());
         if (engine == null || !engine.announcement().incarnation().equals(grant.serverIncarnation())) {
             return false;
@@ -98,7 +99,7 @@
         if (engineByAttempt.containsKey(grant.attempt()) || tombstones.containsKey(grant.attempt())) {
             return false;
         }
-        long cost = settings.cost().of(grant.promptTokens(), grant.cachedTokens());
+        long cost = settings.cost().of(contextTokens + grant.promptTokens(), contextTokens + grant.cachedTokens());
         long deadline = now + grant.remainingMillis() * NANOS_PER_MILLI;
         engine.reserve(new LedgerEntry(grant, prefixHashes, cost, now, deadline, engine.finishedWork()), now);
         engineByAttempt.put(grant.attempt(), engine);
@@ -125,6 +126,16 @@
         return true;
     }
 
+    /** A segment's turn to be read has come: from now on it counts as backlog. False when the grant is not held. */
+    public boolean begin(AttemptId attempt, long now) {
+        EngineLedger engine = engineByAttempt.get(attempt);
+        if (engine == null) {
+            return false;
+        }
+        engine.begin(engine.entry(attempt), now);
+        return true;
+    }
+
     public boolean released(AttemptId attempt) {
         return tombstones.containsKey(attempt);
     }
@@ -160,18 +171,14 @@
         return found;
     }
 
-    public void holdExport(BackendServerId server, String exportId, long tokens) {
+    /** Takes in how much memory an engine holds for what has no grant here; a listing comes again, so it ends. */
+    public void unregistered(BackendServerId server, long kvTokens) {
         EngineLedger engine = engines.get(server);
         if (engine != null) {
-            engine.holdExport(exportId, tokens);
+            engine.unregistered(kvTokens);
         }
     }
 
-    public boolean freeExport(BackendServerId server, String exportId) {
-        EngineLedger engine = engines.get(server);
-        return engine != null && engine.freeExport(exportId);
-    }
-
     public void cacheEvents(BackendServerId server, CacheEvents events) {
         EngineLedger engine = engines.get(server);
         if (engine != null) {
--- a/elmline-core/src/main/java/org/elmline/core/ledger/LedgerEntry.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/LedgerEntry.java
@@ -11,24 +11,25 @@
     private final LengthClass lengthClass;
     private final List<Long> prefixHashes;
     private final long cost;
-    private final long placedAt;
+    private long readFrom;
     private final long deadline;
-    private final long workBefore;
+    private long workBefore;
     private boolean awaitingFirstToken;
+    private boolean read;
 
     LedgerEntry(Grant grant, List<Long> prefixHashes, long cost, long placedAt, long deadline, long workBefore) {
         this.grant = grant;
         this.lengthClass = LengthClass.of(grant.promptTokens());
         this.prefixHashes = prefixHashes;
         this.cost = cost;
-        this.placedAt = placedAt;
+        this.readFrom = placedAt;
         this.deadline = deadline;
         this.workBefore = workBefore;
         this.awaitingFirstToken = grant.awaitingFirstToken();
     }
 
     Grant grant() {
-        return awaitingFirstToken ? grant : grant.started();
+        return grant.awaitingFirstToken() && read ? grant.started() : grant;
     }
 
     LengthClass lengthClass() {
@@ -44,15 +45,16 @@
         return cost;
     }
 
-    long placedAt() {
-        return placedAt;
+    /** When the engine could begin to read the prompt. */
+    long readFrom() {
+        return readFrom;
     }
 
     long deadline() {
         return deadline;
     }
 
-    /** Work that the engine had finished, of all ever placed, when this prompt was placed. */
+    /** Work that the engine had finished, of all ever placed, when it could begin to read this prompt. */
     long workBefore() {
         return workBefore;
     }
@@ -61,7 +63,19 @@
         return awaitingFirstToken;
     }
 
-    void firstTokenCame() {
+    /** The engine may read it from now on; false when it may already, or has. */
+    boolean begin(long now, long finishedWork) {
+        if (awaitingFirstToken || read) {
+            return false;
+        }
+        awaitingFirstToken = true;
+        readFrom = now;
+        workBefore = finishedWork;
+        return true;
+    }
+
+    void finishReading() {
         awaitingFirstToken = false;
+        read = true;
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
@@ -68,6 +68,9 @@
         Optional<Waiting> shed = queue.add(waiting);
         shed.ifPresent(each -> refuse(each, overloaded(each, "queue is full", now), now));
         place(now);
+        if (waits(request.attempt()) && !request.mode().mayWait()) {
+            refuse(waiting, overloaded(waiting, "no engine has the memory now", now), now);
+        }
         if (waits(request.attempt())) {
             refuseIfHopeless(waiting, queue.workAhead(waiting), now);
         }
@@ -223,8 +226,8 @@
                 engine.cachedTokens(demand),
                 predictedMillis,
                 waiting.remainingMillis(now),
-                true);
-        if (!ledger.reserve(grant, demand.prefixHashes(), now)) {
+                request.mode().readAtOnce());
+        if (!ledger.reserve(grant, demand.prefixHashes(), request.contextTokens(), now)) {
             throw new IllegalStateException("attempt " + request.attempt() + " waits though the ledger knows it");
         }
         queue.remove(waiting);
--- a/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import org.elmline.core.admission.Deadlines;
@@ -30,6 +31,7 @@
 import org.elmline.core.ledger.EngineLedger;
 import org.elmline.core.ledger.Ledger;
 import org.elmline.core.placement.PlacementPolicy;
+import org.elmline.core.route.AuditRequest;
 import org.elmline.core.route.FirstToken;
 import org.elmline.core.route.Grant;
 import org.elmline.core.route.GrantReport;
@@ -74,6 +76,7 @@
     private final List<Decided> undelivered = new ArrayList<>();
     private final CancelQueue cancels = new CancelQueue();
     private final StrayFinder strays;
+    private final Audits audits = new Audits();
     private Configuration configuration = Configuration.EMPTY;
     private Ownership ownership = new Ownership(List.of());
     private LiveHosts hosts = new LiveHosts(List.of());
@@ -163,6 +166,9 @@
     /** First tokens and releases; a release of a request that still waits withdraws it. */
     public synchronized GrantReportAnswer report(GrantReport report, long now) {
         int unknown = 0;
+        for (AttemptId each : report.begun()) {
+            unknown += ledger.begin(each, now) ? 0 : 1;
+        }
         for (FirstToken each : report.firstTokens()) {
             unknown += ledger.firstToken(each.attempt(), now) ? 0 : 1;
         }
@@ -178,7 +184,7 @@
         List<AttemptId> notOwned = new ArrayList<>();
         for (Grant each : request.grants()) {
             boolean held = ledger.grant(each.attempt()).isPresent() || ledger.released(each.attempt());
-            if (!held && !ledger.reserve(each, List.of(), now)) {
+            if (!held && !ledger.reserve(each, List.of(), 0, now)) {
                 notOwned.add(each.attempt());
             }
         }
@@ -207,15 +213,30 @@
         return taken;
     }
 
-    /** What an engine holds now, as it says itself; shows what a dead entry left there. */
-    public synchronized void listed(
+    /**
+     * What an engine holds now, as it says itself; shows what a dead entry left there. Returns what to ask live entries
+     * about: a call that an entry gave up may still have reached the engine, after the cancel did. Their answers go to
+     * {@link #audited}.
+     */
+    public synchronized List<AuditRequest> listed(
             BackendServerId server, List<StreamInfo> streams, List<KvExport> exports, long now) {
         if (!membersKnown) {
-            return;
+            return List.of();
         }
-        for (Cancel each : strays.find(
-                server, streams, exports, hosts, id -> ledger.grant(id).isPresent(), now)) {
-            cancels.add(each, now);
+        Predicate<AttemptId> registered = id -> ledger.grant(id).isPresent();
+        StrayFinder.Strays found = strays.find(server, streams, exports, hosts, registered, now);
+        found.strays().forEach(each -> cancels.add(each, now));
+        ledger.unregistered(server, unregistered(streams, exports, registered));
+        audits.forget(server);
+        return audits.ask(found.doubts());
+    }
+
+    /** An entry says which attempts it is not running. */
+    public synchronized void audited(AuditRequest request, AuditAnswer answer, long now) {
+        for (Cancel each : audits.answered(request, answer)) {
+            if (ledger.grant(each.attempt()).isEmpty()) {
+                cancels.add(each, now);
+            }
         }
     }
 
@@ -325,6 +346,22 @@
         }
     }
 
+    /**
+     * After a change of owner the engine still serves what the old owner granted. Without counting it, the new owner
+     * would fill memory that is taken. Exports of live hosts are left out: segments reserve their imports.
+     */
+    private long unregistered(List<StreamInfo> streams, List<KvExport> exports, Predicate<AttemptId> registered) {
+        long tokens = 0;
+        for (StreamInfo each : streams) {
+            tokens += registered.test(each.attempt()) ? 0 : each.kvTokens();
+        }
+        for (KvExport each : exports) {
+            boolean stray = hosts.gone(each.host(), each.incarnation()) && !registered.test(each.attempt());
+            tokens += stray ? each.tokens() : 0;
+        }
+        return tokens;
+    }
+
     private boolean release(Release release, long now) {
         ModelName model = waiting.remove(release.attempt());
         if (model != null) {
--- a/elmline-core/src/main/java/org/elmline/core/route/OwnerTable.java
+++ b/elmline-core/src/main/java/org/elmline/core/route/OwnerTable.java
@@ -12,6 +12,7 @@
 
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.HostId;
+import org.elmline.core.common.ModelName;
 import org.elmline.core.common.ServiceName;
 import org.elmline.core.control.HostRecord;
 import org.elmline.core.placement.Demand;
@@ -98,6 +99,30 @@
         return Optional.of(choice);
     }
 
+    /** The engines that owners are believed to have free for segments of a prompt larger than one engine. */
+    public synchronized List<GroupSlot> slots(ModelName model, long now) {
+        List<GroupSlot> slots = new ArrayList<>();
+        for (Known each : owners.values()) {
+            ModelSummary summary = each.models.get(model.value());
+            boolean fresh = now - each.heardAt < settings.maxAgeMillis() * NANOS_PER_MILLI;
+            if (fresh && summary != null && isLive(each.summary)) {
+                addSlots(each.summary.owner(), summary, slots);
+            }
+        }
+        return slots;
+    }
+
+    /** A summary tells the largest free memory and the sum; the rest is taken as spread evenly. */
+    private static void addSlots(HostId owner, ModelSummary summary, List<GroupSlot> slots) {
+        double speed = Math.max(1, summary.prefillTokensPerSecond());
+        int others = summary.readyReplicas() - 1;
+        slots.add(new GroupSlot(owner, summary.freeKvTokens(), speed));
+        for (int i = 0; i < others; i++) {
+            long free = (summary.groupKvTokens() - summary.freeKvTokens()) / others;
+            slots.add(new GroupSlot(owner, free, speed));
+        }
+    }
+
     /** The owner that says it has a backend server; the latest to say so when two do. */
     public synchronized Optional<HostRecord> ownerOf(BackendServerId server) {
         int key = Ownership.shortHash(server);
--- a/elmline-core/src/main/java/org/elmline/core/route/PlaceAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/route/PlaceAnswer.java
@@ -14,7 +14,11 @@
      *     is traffic
      */
     @JsonTypeName("placed")
-    record Placed(Grant grant, ModelSummary summary) implements PlaceAnswer {}
+    record Placed(Grant grant, ModelSummary summary) implements PlaceAnswer {
+        public Placed(Grant grant) {
+            this(grant, null);
+        }
+    }
 
     /**
      * Nothing is reserved and nothing ran.
--- a/elmline-core/src/main/java/org/elmline/core/route/RouteChannels.java
+++ b/elmline-core/src/main/java/org/elmline/core/route/RouteChannels.java
@@ -28,6 +28,10 @@
     public static final Channel<RegisterGrants, RegisterAnswer> REGISTER =
             new Channel<>("route.register", RegisterGrants.class, RegisterAnswer.class);
 
+    /** Owner to the entry in whose name an engine holds something. */
+    public static final Channel<AuditRequest, AuditAnswer> AUDIT =
+            new Channel<>("route.audit", AuditRequest.class, AuditAnswer.class);
+
     /** Gateway to the entry that splits an organisation's limits, see {@link Ownership#splitter}. */
     public static final Channel<ShareRequest, ShareAnswer> LIMIT_SHARE =
             new Channel<>("route.limit-share", ShareRequest.class, ShareAnswer.class);
--- a/elmline-core/src/main/java/org/elmline/core/stream/StrayFinder.java
+++ b/elmline-core/src/main/java/org/elmline/core/stream/StrayFinder.java
@@ -10,6 +10,8 @@
 
 import org.elmline.core.common.AttemptId;
 import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
 import org.elmline.core.engine.KvExport;
 import org.elmline.core.engine.StreamInfo;
 
@@ -31,7 +33,7 @@
      *
      * @param registered attempts that a live entry has registered
      */
-    public List<Cancel> find(
+    public Strays find(
             BackendServerId server,
             List<StreamInfo> streams,
             List<KvExport> exports,
@@ -39,14 +41,12 @@
             Predicate<AttemptId> registered,
             long now) {
         Set<Cancel> suspects = new HashSet<>();
-        for (StreamInfo each : streams) {
-            if (hosts.gone(each.host(), each.incarnation()) && !registered.test(each.attempt())) {
-                suspects.add(Cancel.stream(server, each.attempt()));
-            }
-        }
-        for (KvExport each : exports) {
-            if (hosts.gone(each.host(), each.incarnation()) && !registered.test(each.attempt())) {
-                suspects.add(Cancel.export(server, each.attempt(), each.id()));
+        List<Doubt> doubts = new ArrayList<>();
+        for (Doubt each : unregistered(server, streams, exports, registered)) {
+            if (hosts.gone(each.host(), each.incarnation())) {
+                suspects.add(each.cancel());
+            } else {
+                doubts.add(each);
             }
         }
         firstSeen.keySet().removeIf(each -> each.server().equals(server) && !suspects.contains(each));
@@ -57,11 +57,39 @@
                 strays.add(each);
             }
         }
-        return strays;
+        return new Strays(strays, doubts);
+    }
+
+    private static List<Doubt> unregistered(
+            BackendServerId server, List<StreamInfo> streams, List<KvExport> exports, Predicate<AttemptId> registered) {
+        List<Doubt> found = new ArrayList<>();
+        for (StreamInfo each : streams) {
+            if (!registered.test(each.attempt())) {
+                found.add(new Doubt(Cancel.stream(server, each.attempt()), each.host(), each.incarnation()));
+            }
+        }
+        for (KvExport each : exports) {
+            if (!registered.test(each.attempt())) {
+                Cancel cancel = Cancel.export(server, each.attempt(), each.id());
+                found.add(new Doubt(cancel, each.host(), each.incarnation()));
+            }
+        }
+        return found;
     }
 
     /** Forgets what was seen on a server that this owner no longer owns. */
     public void forget(BackendServerId server) {
         firstSeen.keySet().removeIf(each -> each.server().equals(server));
     }
+
+    /**
+     * What a listing showed.
+     *
+     * @param strays to cancel now
+     * @param doubts held in the name of live entries, which alone know whether they still run it
+     */
+    public record Strays(List<Cancel> strays, List<Doubt> doubts) {}
+
+    /** One thing an engine holds without a grant. */
+    public record Doubt(Cancel cancel, HostId host, Incarnation incarnation) {}
 }
