--- a/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
@@ -31,6 +31,7 @@
 import org.elmline.core.ledger.EngineLedger;
 import org.elmline.core.ledger.Ledger;
 import org.elmline.core.placement.PlacementPolicy;
+import org.elmline.core.route.AuditAnswer;
 import org.elmline.core.route.AuditRequest;
 import org.elmline.core.route.FirstToken;
 import org.elmline.core.route.Grant;
