--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/admission/DeadlinesTest.java
@@ -0,0 +1,46 @@
+package org.elmline.core.admission;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class DeadlinesTest {
+    private static final long TICK = 10;
+
+    /** Against a plain map: nothing expires early, nothing later than the first call after its deadline and a tick. */
+    @Property(tries = 300, seed = "5002")
+    void expiresLikeAPlainMap(@ForAll long seed) {
+        Random random = new Random(seed);
+        Deadlines<Integer> wheel = new Deadlines<>(TICK, 8);
+        Map<Integer, Long> plain = new HashMap<>();
+        long now = random.nextInt(1_000) - 500;
+        for (int step = 0; step < 200; step++) {
+            int key = random.nextInt(20);
+            if (random.nextInt(4) == 0) {
+                assertEquals(plain.remove(key) != null, wheel.clear(key));
+            } else if (random.nextBoolean()) {
+                long deadline = now + random.nextInt(300) - 20;
+                wheel.set(key, deadline, now);
+                plain.put(key, deadline);
+            }
+            now += random.nextInt(random.nextInt(10) == 0 ? 500 : 15);
+            check(new HashSet<>(wheel.expire(now)), plain, now);
+            assertEquals(plain.size(), wheel.size());
+        }
+    }
+
+    private static void check(Set<Integer> expired, Map<Integer, Long> plain, long now) {
+        for (Integer each : expired) {
+            assertTrue(plain.remove(each) <= now, "expired early");
+        }
+        assertTrue(plain.values().stream().allMatch(each -> each + TICK > now), "kept past its deadline and a tick");
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/ledger/SpeedMeterTest.java
@@ -0,0 +1,119 @@
+package org.elmline.core.ledger;
+
+import java.util.List;
+import java.util.Set;
+
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.engine.CacheEvents;
+import org.elmline.core.owner.OwnerFixture;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.ReleaseCause;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What an owner learns of its engines from their answers and cache events. */
+class SpeedMeterTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long CAPACITY = 1_000_000;
+    private static final int ANNOUNCED = 10_000;
+
+    /**
+     * An engine runs at a tenth of its speed and reports no load. It owes the first token of a 4,000-token prompt, which
+     * should take 0.4 s, for 2 s. Nothing it says shows it; the answer it owes must.
+     */
+    @Test
+    void overdueAnswerShowsASlowEngine() {
+        SpeedMeter meter = new SpeedMeter();
+        meter.announced(ANNOUNCED);
+        assertEquals(ANNOUNCED, meter.tokensPerSecond(), 1);
+        OwnerFixture fixture = new OwnerFixture().engines(1, CAPACITY);
+        fixture.place(fixture.request("org", 4_000, 0, 60_000));
+        int before = speed(fixture);
+        fixture.advanceWithBeats(2_000, 1, CAPACITY);
+        assertTrue(speed(fixture) < before / 3, "still believed at " + speed(fixture));
+    }
+
+    @Test
+    void answersGivenLateShowASlowEngine() {
+        SpeedMeter meter = new SpeedMeter();
+        meter.announced(ANNOUNCED);
+        long now = 0;
+        for (int i = 0; i < 10; i++) {
+            meter.start(now);
+            now += SECOND;
+            meter.finish(ANNOUNCED / 10, now);
+        }
+        assertTrue(meter.tokensPerSecond() < 0.2 * ANNOUNCED);
+        meter.start(now + 120 * SECOND);
+        assertTrue(meter.tokensPerSecond() > 0.8 * ANNOUNCED, "after two idle minutes it is tried again");
+    }
+
+    @Test
+    void abandonedPromptsLeaveNoBoundBehind() {
+        OwnerFixture fixture = new OwnerFixture().engines(1, CAPACITY);
+        PlaceRequest request = fixture.request("org", 4_000, 0, 60_000);
+        fixture.place(request);
+        fixture.advanceWithBeats(5_000, 1, CAPACITY);
+        int slow = speed(fixture);
+        fixture.release(request.attempt(), ReleaseCause.CANCELLED);
+        fixture.advanceWithBeats(120_000, 1, CAPACITY);
+        assertTrue(speed(fixture) > slow);
+    }
+
+    @Test
+    void cacheIsBelievedFromWhatWasReadAndForgottenAfterAGap() {
+        Ledger ledger = new Ledger(LedgerSettings.DEFAULT);
+        BackendServerId id = BackendServerId.of("engine-0");
+        ledger.announce(OwnerFixture.engine("engine-0", 1, CAPACITY, false));
+        EngineLedger engine = ledger.engine(id).orElseThrow();
+        Demand demand = new Demand(OwnerFixture.MODEL, "", 1_600, 10, List.of(11L, 12L, 13L), 0, 1_000, Set.of());
+        ledger.cacheEvents(id, events(2, 1, 2));
+        assertEquals(2 * 512, engine.cachedTokens(demand));
+        ledger.cacheEvents(id, events(4, 4));
+        assertFalse(engine.cacheKnown());
+        assertEquals(0, engine.cachedTokens(demand), "number 3 is missing and may have evicted the first block");
+        ledger.cacheEvents(id, events(7, 5, 6, 7));
+        assertTrue(engine.cacheKnown());
+        ledger.cacheEvents(id, events(9, 8));
+        assertFalse(engine.cacheKnown(), "the last event of the batch is missing");
+    }
+
+    @Test
+    void beliefIsBounded() {
+        PrefixBelief belief = new PrefixBelief();
+        for (long i = 0; i < 20_000; i += 4) {
+            belief.stored(List.of(i, i + 1, i + 2, i + 3));
+        }
+        assertEquals(4_096, belief.size());
+        assertEquals(4, belief.leadingBlocks(List.of(19_996L, 19_997L, 19_998L, 19_999L)));
+        assertEquals(16, belief.firstBlocks(100).size());
+    }
+
+    /** Stores block 10 + sequence for each number. */
+    private static CacheEvents events(long last, long... sequences) {
+        List<CacheEvents.Event> events = java.util.Arrays.stream(sequences)
+                .mapToObj(each -> new CacheEvents.Event(each, 10 + each, true))
+                .toList();
+        return new CacheEvents(events, last);
+    }
+
+    private static int speed(OwnerFixture fixture) {
+        return fixture.owner
+                .summary(OwnerFixture.MODEL, fixture.now)
+                .orElseThrow()
+                .prefillTokensPerSecond();
+    }
+
+    @Test
+    void tombstoneForestallsALateRequest() {
+        Ledger ledger = new Ledger(LedgerSettings.DEFAULT);
+        AttemptId attempt = AttemptId.of("late");
+        ledger.release(attempt, false, 0);
+        assertTrue(ledger.released(attempt));
+    }
+}
