Print the merged time line, log JSON lines, and let a ticket leave out removed

Cause: operators see a request or a ticket over all hosts; log lines go to a collector; a ticket file without "removed" was refused.

Change: elmline timeline asks the operator ports given and every entry host they know, names those that don't answer, and merges by hybrid time. Logback is set up in code (JSON lines on the standard error; elmline's own lines follow log.level, libraries' only warnings) and each line carries host and role. In strict JSON a boolean left out is false; a number left out stays an error.

Failed first: ticket apply of a service without "removed" ended with exit code 3, "Cannot map null into type boolean" (2 tests); the log test wrote nothing until its own Logback context had an MDC adapter.

--- a/elmline-cli/src/main/java/org/elmline/cli/CommandGroup.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/CommandGroup.java
@@ -3,9 +3,7 @@
 /** Commands that plug-ins add to. A group is shown only when a plug-in brings something for it. */
 public enum CommandGroup {
     PROGRAM("", ""),
-    BENCH("bench", "Measures elmline and its policies."),
-    CONTROL("control", "Runs and inspects a control host."),
-    STANDIN("standin", "Runs stand-ins for model engines and plain services.");
+    BENCH("bench", "Measures elmline and its policies.");
 
     private final String word;
     private final String description;
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/log/JsonLogs.java
@@ -0,0 +1,40 @@
+package org.elmline.cli.log;
+
+import java.io.OutputStream;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.OutputStreamAppender;
+import net.logstash.logback.encoder.LogstashEncoder;
+import org.elmline.daemon.settings.LogLevel;
+
+/** Writes log lines as JSON, one object a line. elmline's own lines follow the given level, libraries' only warnings. */
+final class JsonLogs {
+    private static final String OWN = "org.elmline";
+
+    private JsonLogs() {}
+
+    /** Sends all lines of the context to the stream, and stops sending them anywhere else. */
+    static void install(LoggerContext context, OutputStream out, LogLevel level) {
+        LogstashEncoder encoder = new LogstashEncoder();
+        encoder.setContext(context);
+        encoder.setVersion(null);
+        encoder.start();
+        OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
+        appender.setContext(context);
+        appender.setEncoder(encoder);
+        appender.setOutputStream(out);
+        appender.start();
+        Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.detachAndStopAllAppenders();
+        root.addAppender(appender);
+        root.setLevel(Level.WARN);
+        level(context, level);
+    }
+
+    static void level(LoggerContext context, LogLevel level) {
+        context.getLogger(OWN).setLevel(Level.valueOf(level.name()));
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/log/JsonLogsConfigurator.java
@@ -0,0 +1,15 @@
+package org.elmline.cli.log;
+
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.core.spi.ContextAwareBase;
+import org.elmline.daemon.settings.LogLevel;
+
+/** Found by Logback by {@link java.util.ServiceLoader}: JSON lines on the standard error from the first line on. */
+public final class JsonLogsConfigurator extends ContextAwareBase implements Configurator {
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        JsonLogs.install(context, System.err, LogLevel.INFO);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/log/Logs.java
@@ -0,0 +1,36 @@
+package org.elmline.cli.log;
+
+import ch.qos.logback.classic.LoggerContext;
+import org.elmline.daemon.settings.ControlSettings;
+import org.elmline.daemon.settings.EntrySettings;
+import org.elmline.daemon.settings.Settings;
+import org.elmline.daemon.settings.StandinEngineSettings;
+import org.elmline.daemon.settings.StandinServiceSettings;
+import org.slf4j.LoggerFactory;
+
+/** Applies a process's settings to its log lines. */
+public final class Logs {
+    private Logs() {}
+
+    /** Sets the level, and puts the process's name and role on every line. */
+    public static void apply(Settings settings) {
+        if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+            context.putProperty("host", name(settings));
+            context.putProperty("role", settings.role().word());
+            JsonLogs.level(context, settings.log().level());
+        }
+    }
+
+    private static String name(Settings settings) {
+        if (settings instanceof EntrySettings entry) {
+            return entry.host().value();
+        }
+        if (settings instanceof ControlSettings control) {
+            return control.host().value();
+        }
+        if (settings instanceof StandinEngineSettings engine) {
+            return engine.id().value();
+        }
+        return ((StandinServiceSettings) settings).id().value();
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/log/package-info.java
@@ -0,0 +1,2 @@
+/** Where log lines go. */
+package org.elmline.cli.log;
--- a/elmline-cli/src/main/java/org/elmline/cli/operator/OperatorPlugin.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/operator/OperatorPlugin.java
@@ -8,6 +8,6 @@
 public final class OperatorPlugin implements CommandPlugin {
     @Override
     public List<Object> commands() {
-        return List.of(new TicketCommand(), new StatusCommand());
+        return List.of(new TicketCommand(), new StatusCommand(), new TimelineCommand());
     }
 }
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/operator/Timeline.java
@@ -0,0 +1,20 @@
+package org.elmline.cli.operator;
+
+import java.util.List;
+
+import org.elmline.core.timeline.EventPage;
+import org.elmline.core.timeline.StampedEvent;
+
+/**
+ * The merged events of many hosts.
+ *
+ * @param events causes before effects
+ * @param pages what each host answered
+ * @param missing why a host's events are not among them, one line for each such host
+ */
+record Timeline(List<StampedEvent> events, List<EventPage> pages, List<String> missing) {
+    /** Events that hosts had already overwritten. */
+    long dropped() {
+        return pages.stream().mapToLong(EventPage::dropped).sum();
+    }
+}
--- a/elmline-cli/src/main/java/org/elmline/cli/role/RoleCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/RoleCommand.java
@@ -6,6 +6,7 @@
 
 import org.elmline.cli.ExitCode;
 import org.elmline.cli.ExitingCommand;
+import org.elmline.cli.log.Logs;
 import org.elmline.daemon.settings.KeyFiles;
 import org.elmline.daemon.settings.Problem;
 import org.elmline.daemon.settings.Settings;
@@ -46,6 +47,7 @@
             err.println(file + ": is of role " + settings.role().word() + ", not for this command");
             return ExitCode.INVALID;
         }
+        Logs.apply(settings);
         run(start(type.cast(settings)), spec.commandLine().getOut());
         return ExitCode.OK;
     }
--- a/elmline-wire/src/main/java/org/elmline/wire/codec/Codecs.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/Codecs.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.module.SimpleModule;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** The codecs elmline uses. Each is safe for use by many threads. */
@@ -34,7 +35,8 @@
     }
 
     private static ObjectMapper strictMapper() {
-        return common(JsonMapper.builder().build())
+        SimpleModule booleans = new SimpleModule().addDeserializer(boolean.class, new AbsentIsFalse());
+        return common(JsonMapper.builder().addModule(booleans).build())
                 .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                 .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                 .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
