--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
@@ -0,0 +1,307 @@
+package org.elmline.cli.local;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.Closer;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.ModelName;
+import org.elmline.core.common.OrganisationId;
+import org.elmline.core.common.Region;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.common.TicketNumber;
+import org.elmline.core.config.Model;
+import org.elmline.core.config.Organisation;
+import org.elmline.core.config.Service;
+import org.elmline.core.control.Ticket;
+import org.elmline.core.control.TicketAnswer;
+import org.elmline.daemon.control.ControlDaemon;
+import org.elmline.daemon.entry.EntryDaemon;
+import org.elmline.daemon.http.BearerKey;
+import org.elmline.daemon.settings.CallerSettings;
+import org.elmline.daemon.settings.ControlAddresses;
+import org.elmline.daemon.settings.ControlHost;
+import org.elmline.daemon.settings.ControlKeys;
+import org.elmline.daemon.settings.ControlSettings;
+import org.elmline.daemon.settings.EntryAddresses;
+import org.elmline.daemon.settings.EntryKeys;
+import org.elmline.daemon.settings.EntrySettings;
+import org.elmline.daemon.settings.ListenAddress;
+import org.elmline.daemon.settings.Secret;
+import org.elmline.standin.engine.EngineServer;
+import org.elmline.standin.service.ServiceServer;
+
+/**
+ * Control hosts, entries and stand-ins in this process. Its first ticket creates one model, one plain service and one
+ * organisation; the deployment counts as started once that is in force.
+ */
+public final class LocalDeployment implements AutoCloseable {
+    public static final String MODEL = "elm-small";
+    public static final String SERVICE = "booking";
+    private static final String ORGANISATION = "local";
+    private static final Region REGION = Region.of("local");
+    private static final Duration START_LIMIT = Duration.ofSeconds(60);
+    private static final long PAUSE_MILLIS = 20;
+    private static final int MAX_PROMPT_TOKENS = 1_000_000;
+    private static final int MAX_OUTPUT_TOKENS = 4_096;
+    private static final int SERVICE_MILLIS = 10_000;
+
+    private final Closer closer = new Closer();
+    private final Builder plan;
+    private final LocalKeys keys;
+    private final List<ControlDaemon> controls = new ArrayList<>();
+    private final List<EntryDaemon> entries = new ArrayList<>();
+    private final List<EngineServer> engines = new ArrayList<>();
+    private ServiceServer service;
+
+    private LocalDeployment(Builder plan, LocalKeys keys) {
+        this.plan = plan;
+        this.keys = keys;
+    }
+
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    private void open() throws IOException, InterruptedException {
+        List<ControlHost> seats = seats();
+        for (ControlHost each : seats) {
+            controls.add(closer.register(ControlDaemon.start(control(each, seats))));
+        }
+        for (int i = 0; i < plan.entries; i++) {
+            entries.add(closer.register(EntryDaemon.start(entry(i, seats))));
+        }
+        for (int i = 0; i < plan.engines; i++) {
+            engines.add(closer.register(engine(i)));
+        }
+        ServiceServer.Builder builder = ServiceServer.builder()
+                .id("booking-1")
+                .incarnation(System.currentTimeMillis())
+                .service(SERVICE)
+                .region(REGION.value())
+                .failureDomain(domain(0).value())
+                .backendKey(keys.backend());
+        entries.forEach(each -> builder.announceTo(each.callers()));
+        service = closer.register(builder.start());
+        applyFirstTicket();
+    }
+
+    private List<ControlHost> seats() throws IOException {
+        List<ControlHost> seats = new ArrayList<>();
+        for (int i = 0; i < plan.controlHosts; i++) {
+            Address peers = new Address("127.0.0.1", plan.controlPort(i));
+            seats.add(new ControlHost(HostId.of("control-" + (i + 1)), peers, domain(i)));
+        }
+        return seats;
+    }
+
+    private ControlSettings control(ControlHost seat, List<ControlHost> seats) {
+        return ControlSettings.builder()
+                .host(seat.host())
+                .region(REGION)
+                .failureDomain(seat.failureDomain())
+                .dataFolder(plan.dataFolder.resolve(seat.host().value()))
+                .addresses(new ControlAddresses(
+                        ListenAddress.anyLoopback(),
+                        ListenAddress.loopback(seat.peers().port())))
+                .control(seats)
+                .keys(new ControlKeys(Secret.of(keys.peer()), List.of(Secret.of(keys.operator()))))
+                .build();
+    }
+
+    private EntrySettings entry(int number, List<ControlHost> seats) {
+        int callerPort = number == 0 ? plan.callerPort : 0;
+        int operatorPort = number == 0 ? plan.operatorPort : 0;
+        return EntrySettings.builder()
+                .host(HostId.of("entry-" + (number + 1)))
+                .region(REGION)
+                .failureDomain(domain(number))
+                .addresses(new EntryAddresses(
+                        ListenAddress.loopback(callerPort),
+                        ListenAddress.loopback(operatorPort),
+                        ListenAddress.anyLoopback()))
+                .control(seats)
+                .keys(new EntryKeys(
+                        Secret.of(keys.peer()),
+                        List.of(Secret.of(keys.operator())),
+                        List.of(Secret.of(keys.backend()))))
+                .callers(new CallerSettings(
+                        plan.keepSeconds,
+                        CallerSettings.DEFAULT.defaultTimeoutMillis(),
+                        CallerSettings.DEFAULT.maxTimeoutMillis()))
+                .build();
+    }
+
+    private EngineServer engine(int number) {
+        EngineServer.Builder builder = EngineServer.builder()
+                .id("engine-" + (number + 1))
+                .incarnation(System.currentTimeMillis())
+                .model(MODEL)
+                .version("1")
+                .region(REGION.value())
+                .failureDomain(domain(number).value())
+                .timeScale(plan.timeScale)
+                .backendKey(keys.backend());
+        entries.forEach(each -> builder.announceTo(each.callers()));
+        return builder.start();
+    }
+
+    private static FailureDomain domain(int number) {
+        return FailureDomain.of("domain-" + (number % 3 + 1));
+    }
+
+    private void applyFirstTicket() throws IOException, InterruptedException {
+        Model model = new Model(ModelName.of(MODEL), "1", List.of(), MAX_PROMPT_TOKENS, MAX_OUTPUT_TOKENS, 1, false);
+        Service booking = new Service(ServiceName.of(SERVICE), List.of("GET", "HEAD"), SERVICE_MILLIS, false);
+        Organisation organisation = new Organisation(
+                OrganisationId.of(ORGANISATION), 1, 1, List.of(BearerKey.hash(keys.caller())), 0, 0, false);
+        Ticket ticket = new Ticket(TicketNumber.of(1), "local", List.of(model, booking, organisation));
+        long end = System.nanoTime() + START_LIMIT.toNanos();
+        while (System.nanoTime() < end) {
+            CallResult<TicketAnswer> answer =
+                    entries.get(0).control().submit(ticket).join();
+            if (inForce(answer)) {
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        }
+        throw new IOException("the first ticket was not in force within " + START_LIMIT.toSeconds() + " s");
+    }
+
+    /** On a data folder that has moved on, the first ticket is stale or superseded, which is as good. */
+    private static boolean inForce(CallResult<TicketAnswer> answer) {
+        return answer instanceof CallResult.Answered<TicketAnswer> answered
+                && answered.value() instanceof TicketAnswer.Decided decided
+                && decided.status().inForce();
+    }
+
+    public List<ControlDaemon> controls() {
+        return List.copyOf(controls);
+    }
+
+    public List<EntryDaemon> entries() {
+        return List.copyOf(entries);
+    }
+
+    public List<EngineServer> engines() {
+        return List.copyOf(engines);
+    }
+
+    public ServiceServer service() {
+        return service;
+    }
+
+    public String callerKey() {
+        return keys.caller();
+    }
+
+    public String operatorKey() {
+        return keys.operator();
+    }
+
+    public String backendKey() {
+        return keys.backend();
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    /** How large the deployment is; one of each when nothing is said. */
+    public static final class Builder {
+        private int controlHosts = 1;
+        private int entries = 1;
+        private int engines = 1;
+        private int callerPort;
+        private int operatorPort;
+        private int keepSeconds = CallerSettings.DEFAULT.keepSeconds();
+        private double timeScale = 1;
+        private Path dataFolder;
+
+        private Builder() {}
+
+        public Builder controlHosts(int value) {
+            controlHosts = value;
+            return this;
+        }
+
+        public Builder entries(int value) {
+            entries = value;
+            return this;
+        }
+
+        public Builder engines(int value) {
+            engines = value;
+            return this;
+        }
+
+        /** Port of the first entry for callers; 0 takes a free one. */
+        public Builder callerPort(int value) {
+            callerPort = value;
+            return this;
+        }
+
+        /** Port of the first entry for operators; 0 takes a free one. */
+        public Builder operatorPort(int value) {
+            operatorPort = value;
+            return this;
+        }
+
+        /** Seconds for which callers keep the addresses they were given, and so a stopping entry still serves. */
+        public Builder keepSeconds(int value) {
+            keepSeconds = value;
+            return this;
+        }
+
+        /** How many times as fast as real time the engines run. */
+        public Builder timeScale(double value) {
+            timeScale = value;
+            return this;
+        }
+
+        /** Where the control hosts keep their state; a new temporary folder when not said. */
+        public Builder dataFolder(Path value) {
+            dataFolder = value;
+            return this;
+        }
+
+        /** Returns once the first ticket is in force. */
+        public LocalDeployment start() throws IOException, InterruptedException {
+            if (dataFolder == null) {
+                dataFolder = Files.createTempDirectory("elmline-local");
+            }
+            LocalDeployment deployment = new LocalDeployment(this, LocalKeys.in(dataFolder));
+            try {
+                deployment.open();
+                return deployment;
+            } catch (IOException | InterruptedException | RuntimeException e) {
+                deployment.close();
+                throw e;
+            }
+        }
+
+        /** A port for a control host's peers. It must stay the same over restarts, so it is kept with the data. */
+        private int controlPort(int number) throws IOException {
+            Path file = dataFolder.resolve("control-" + (number + 1) + ".port");
+            if (Files.exists(file)) {
+                return Integer.parseInt(Files.readString(file).trim());
+            }
+            Files.createDirectories(dataFolder);
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                Files.writeString(file, Integer.toString(free.getLocalPort()));
+                return free.getLocalPort();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/elmline-cli/src/main/java/org/elmline/cli/local/LocalKeys.java
@@ -0,0 +1,42 @@
+package org.elmline.cli.local;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+
+import org.elmline.wire.codec.Codecs;
+import org.elmline.wire.codec.Decoded;
+
+/** The keys of one local deployment. They are kept with its data, since its first ticket holds the caller key's hash. */
+record LocalKeys(String caller, String operator, String backend, String peer) {
+    private static final String FILE = "local-keys.json";
+    private static final int KEY_BYTES = 16;
+
+    static LocalKeys random() {
+        return new LocalKeys(key("caller"), key("operator"), key("backend"), key("peer"));
+    }
+
+    /** The keys in a data folder, made anew when it has none. */
+    static LocalKeys in(Path folder) throws IOException {
+        Path file = folder.resolve(FILE);
+        if (!Files.exists(file)) {
+            LocalKeys keys = random();
+            Files.createDirectories(folder);
+            Files.write(file, Codecs.STRICT_JSON.encode(keys));
+            return keys;
+        }
+        Decoded<LocalKeys> read = Codecs.STRICT_JSON.decode(Files.readAllBytes(file), LocalKeys.class);
+        if (read instanceof Decoded.Value<LocalKeys> value) {
+            return value.value();
+        }
+        throw new IOException(file + ": " + ((Decoded.Malformed<LocalKeys>) read).why());
+    }
+
+    private static String key(String use) {
+        byte[] bytes = new byte[KEY_BYTES];
+        new SecureRandom().nextBytes(bytes);
+        return use + "-" + HexFormat.of().formatHex(bytes);
+    }
+}
--- a/elmline-cli/src/main/java/org/elmline/cli/role/RoleCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/RoleCommand.java
@@ -16,7 +16,7 @@
 import picocli.CommandLine.Spec;
 
 /** Reads one settings file, starts the role it describes and runs it until SIGTERM or SIGINT. */
-abstract class RoleCommand<S extends Settings> implements ExitingCommand {
+public abstract class RoleCommand<S extends Settings> implements ExitingCommand {
     @Spec
     private CommandSpec spec;
 
@@ -51,7 +51,7 @@
     }
 
     /** Returns only when the process is being stopped. */
-    static void run(RunningRole role, PrintWriter out) throws InterruptedException {
+    public static void run(RunningRole role, PrintWriter out) throws InterruptedException {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(role), "stop"));
         out.println(role.readyLine());
         out.flush();
--- a/elmline-cli/src/main/java/org/elmline/cli/role/RunningRole.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/RunningRole.java
@@ -1,7 +1,7 @@
 package org.elmline.cli.role;
 
 /** A role that serves, from its start to its graceful stop. */
-interface RunningRole {
+public interface RunningRole {
     /** What is printed once it serves: {@code ready} and the addresses bound. */
     String readyLine();
 
--- /dev/null
+++ b/elmline-cli/src/test/java/org/elmline/cli/local/BrokenStreamsTest.java
@@ -0,0 +1,142 @@
+package org.elmline.cli.local;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.elmline.cli.process.Client;
+import org.elmline.core.common.ModelName;
+import org.elmline.standin.AnswerText;
+import org.elmline.standin.engine.EngineServer;
+import org.elmline.standin.engine.PieceFault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Answers stay whole and exact while engines, connections and entries fail under them. */
+class BrokenStreamsTest {
+    private static final int TOKENS = 400;
+
+    private LocalDeployment deployment;
+    private Client caller;
+
+    @BeforeEach
+    void start() throws Exception {
+        deployment =
+                LocalDeployment.builder().entries(2).engines(2).keepSeconds(1).start();
+        caller = new Client(deployment.callerKey());
+        Client.await(
+                "an answer from each entry",
+                () -> ask(0, "warm up", 4).status() == 200
+                        && ask(1, "warm up", 4).status() == 200);
+    }
+
+    @AfterEach
+    void stop() {
+        deployment.close();
+    }
+
+    /** Pieces come doubled, swapped, crossed with another caller's, or are left out; the caller gets the exact answer. */
+    @Test
+    void damagedStreamsGiveTheExactAnswer() throws Exception {
+        int exact = 0;
+        for (PieceFault fault : PieceFault.values()) {
+            deployment.engines().forEach(each -> each.faults().pieces(fault));
+            assertExact("damaged by " + fault, caller.stream(url(0), body("damaged by " + fault, 60)), 60);
+            exact++;
+        }
+        assertEquals(PieceFault.values().length, exact);
+    }
+
+    /** The connection to the engine breaks amid the answer: it is read on from the first missing piece. */
+    @Test
+    void aBrokenConnectionIsResumed() throws Exception {
+        CompletableFuture<Client.Stream> answer = streaming("broken connection", TOKENS);
+        awaitStreams(1);
+        deployment.engines().forEach(each -> each.faults().dropReaders());
+        assertExact("broken connection", answer.get(), TOKENS);
+    }
+
+    /** The engine dies amid the answer: another engine continues from the pieces that the caller has. */
+    @Test
+    void aDeadEngineIsReplaced() throws Exception {
+        CompletableFuture<Client.Stream> answer = streaming("dead engine", TOKENS);
+        awaitStreams(1);
+        for (EngineServer each : deployment.engines()) {
+            if (each.openStreams() > 0) {
+                each.close();
+                break;
+            }
+        }
+        assertExact("dead engine", answer.get(), TOKENS);
+    }
+
+    /** The caller hangs up amid the answer: its engine must not go on, nor keep its memory. */
+    @Test
+    void aCallerThatLeavesFreesTheEngine() throws Exception {
+        caller.leaveDuring(url(0), body("left early", 4000));
+        awaitStreams(0);
+    }
+
+    /**
+     * An entry dies with long answers in flight. Nobody cancels them: the owner finds them once the dead entry's lease
+     * is over, and frees their memory.
+     */
+    @Test
+    void aDeadEntryLeavesNoMemoryTaken() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            streaming("orphan " + i, 4000).exceptionally(lost -> null);
+        }
+        awaitStreams(3);
+        deployment.entries().get(0).close();
+        awaitStreams(0);
+    }
+
+    /** A planned stop of an entry while it streams: each caller gets its whole answer. */
+    @Test
+    void aStoppingEntryFinishesItsAnswers() throws Exception {
+        CompletableFuture<Client.Stream> answer = streaming("graceful", TOKENS);
+        awaitStreams(1);
+        deployment.entries().get(0).stop();
+        assertExact("graceful", answer.get(), TOKENS);
+    }
+
+    private CompletableFuture<Client.Stream> streaming(String prompt, int tokens) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return caller.stream(url(0), body(prompt, tokens));
+            } catch (java.io.IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+    }
+
+    private void awaitStreams(int count) throws InterruptedException {
+        Client.await(count + " open streams", () -> openStreams() == count);
+    }
+
+    private int openStreams() {
+        return deployment.engines().stream().mapToInt(EngineServer::openStreams).sum();
+    }
+
+    private Client.Reply ask(int entry, String prompt, int tokens) throws Exception {
+        return caller.post(url(entry), body(prompt, tokens).replace("\"stream\":true", "\"stream\":false"));
+    }
+
+    private static void assertExact(String prompt, Client.Stream stream, int tokens) {
+        String whole = AnswerText.of(ModelName.of(LocalDeployment.MODEL), "", prompt, tokens)
+                .text();
+        assertEquals(whole, stream.text());
+        assertTrue(stream.done(), "the end mark is missing");
+    }
+
+    private static String body(String prompt, int tokens) {
+        return "{\"model\":\"%s\",\"prompt\":\"%s\",\"max_tokens\":%d,\"stream\":true}"
+                .formatted(LocalDeployment.MODEL, prompt, tokens);
+    }
+
+    private String url(int entry) {
+        return "http://" + deployment.entries().get(entry).callers() + "/v1/completions";
+    }
+}
--- a/elmline-cli/src/test/java/org/elmline/cli/process/Client.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/Client.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import okhttp3.Call;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -15,7 +16,7 @@
 import static org.junit.jupiter.api.Assertions.fail;
 
 /** An ordinary HTTP client with one key. */
-final class Client {
+public final class Client {
     private static final Duration LIMIT = Duration.ofSeconds(60);
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final MediaType JSON = MediaType.get("application/json");
@@ -24,45 +25,55 @@
             new OkHttpClient.Builder().callTimeout(LIMIT).readTimeout(LIMIT).build();
     private final String key;
 
-    Client(String key) {
+    public Client(String key) {
         this.key = key;
     }
 
     /** A whole answer. */
-    record Reply(int status, String body) {
-        JsonNode json() throws IOException {
+    public record Reply(int status, String body) {
+        public JsonNode json() throws IOException {
             return MAPPER.readTree(body);
         }
     }
 
     /** What came of a streamed answer, and whether its end mark came. */
-    record Stream(int status, String text, boolean done) {}
+    public record Stream(int status, String text, boolean done) {}
 
-    Reply get(String url) throws IOException {
+    public Reply get(String url) throws IOException {
         return send(new Request.Builder().url(url).get());
     }
 
-    Reply put(String url, String json) throws IOException {
+    public Reply put(String url, String json) throws IOException {
         return send(new Request.Builder().url(url).put(RequestBody.create(json, JSON)));
     }
 
-    Reply post(String url, String json) throws IOException {
+    public Reply post(String url, String json) throws IOException {
         return send(new Request.Builder().url(url).post(RequestBody.create(json, JSON)));
     }
 
-    Reply send(Request.Builder request) throws IOException {
+    public Reply send(Request.Builder request) throws IOException {
         try (Response response = http.newCall(authorised(request)).execute()) {
             return new Reply(response.code(), response.body().string());
         }
     }
 
-    Stream stream(String url, String json) throws IOException {
+    public Stream stream(String url, String json) throws IOException {
         Request.Builder request = new Request.Builder().url(url).post(RequestBody.create(json, JSON));
         try (Response response = http.newCall(authorised(request)).execute()) {
             return read(response);
         }
     }
 
+    /** Reads the first bytes of a streamed answer, then hangs up. */
+    public void leaveDuring(String url, String json) throws IOException {
+        Request.Builder request = new Request.Builder().url(url).post(RequestBody.create(json, JSON));
+        Call call = http.newCall(authorised(request));
+        try (Response response = call.execute()) {
+            response.body().source().require(1);
+            call.cancel();
+        }
+    }
+
     private Request authorised(Request.Builder request) {
         return request.header("Authorization", "Bearer " + key).build();
     }
@@ -85,7 +96,7 @@
     }
 
     /** Waits until the condition holds; a failed try counts as not yet. */
-    static void await(String what, Callable<Boolean> condition) throws InterruptedException {
+    public static void await(String what, Callable<Boolean> condition) throws InterruptedException {
         long deadline = System.nanoTime() + LIMIT.toNanos();
         Exception last = null;
         while (System.nanoTime() < deadline) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
@@ -32,6 +32,7 @@
 final class Exchange {
     private static final long IDLE_MILLIS = 500;
     private static final long RETRY_MILLIS = 1_000;
+    private static final Assembled MISSING = new Assembled.Broken(Ran.YES, "pieces of the answer are missing");
     private static final AttemptId NO_ATTEMPT = AttemptId.of("none");
 
     private final Gateway gateway;
@@ -179,11 +180,15 @@
                 return new Ending.Expired();
             }
             StreamEvent event = events.poll(Math.min(left, IDLE_MILLIS));
-            if (event == null) {
+            if (event == null && !answer.missing()) {
                 sink.idle();
                 continue;
             }
-            Assembled assembled = answer.accept(event);
+            // A piece that was left out never comes by itself: waiting for it would use up the whole time limit.
+            Assembled assembled = event == null ? MISSING : answer.accept(event);
+            if (event instanceof StreamEvent.End && answer.missing()) {
+                assembled = MISSING;
+            }
             if (assembled instanceof Assembled.Deliver deliver) {
                 everStarted = true;
                 resumes = 0;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -83,6 +83,7 @@
     private Gate gate;
     private LeaseRenewer renewer;
     private Owner owner;
+    private ControlCalls control;
 
     private EntryDaemon(EntrySettings settings) {
         this.settings = settings;
@@ -113,13 +114,14 @@
         TcpPeerNetwork network = closer.register(new TcpPeerNetwork(
                 key, PeerLimits.DEFAULT, workers.connections(), workers.timer(), workers.handlers()));
         SharedView view = new SharedView(clock);
-        List<Address> control =
+        List<Address> seeds =
                 settings.control().stream().map(each -> each.peers()).toList();
-        ControlClient client = new ControlClient(network, clock, workers.timer(), control);
+        ControlClient client = new ControlClient(network, clock, workers.timer(), seeds);
         gate = new Gate(self, view, clock, settings.callers(), settings.limits().maxConcurrentRequests(), metrics);
         BodyReader bodies = new BodyReader(workers.streams());
-        openBackends(workers, channels, network, view, bodies, new ControlCalls(client));
-        openOperators(view, client, bodies);
+        control = new ControlCalls(client);
+        openBackends(workers, channels, network, view, bodies);
+        openOperators(view, bodies);
         renewer = new LeaseRenewer(
                 client,
                 view,
@@ -150,12 +152,7 @@
     }
 
     private void openBackends(
-            Workers workers,
-            HandlerRegistry channels,
-            PeerNetwork network,
-            SharedView view,
-            BodyReader bodies,
-            ControlCalls control) {
+            Workers workers, HandlerRegistry channels, PeerNetwork network, SharedView view, BodyReader bodies) {
         EngineClients engines = closer.register(new EngineClients());
         OwnerSettings ownerSettings = OwnerSettings.builder()
                 .announceIntervalMillis(settings.backend().announceMillis())
@@ -202,8 +199,8 @@
         }
     }
 
-    private void openOperators(SharedView view, ControlClient client, BodyReader bodies) {
-        TicketsHandler tickets = new TicketsHandler(new ControlCalls(client), bodies);
+    private void openOperators(SharedView view, BodyReader bodies) {
+        TicketsHandler tickets = new TicketsHandler(control, bodies);
         operatorRoutes
                 .put("/v1/tickets/{number}", tickets::put)
                 .get("/v1/tickets/{number}", tickets::show)
@@ -251,6 +248,11 @@
         return operators.address();
     }
 
+    /** The control calls, for a program that embeds this entry. */
+    public ControlCalls control() {
+        return control;
+    }
+
     /**
      * Stops gracefully: says that it leaves, so that no caller is sent here and its backend servers get other owners;
      * serves on for as long as callers keep an answer that names it; then refuses new calls and waits for those inside.
--- a/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceClient.java
@@ -26,6 +26,9 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final int MAX_IDLE = 64;
     private static final long IDLE_SECONDS = 30;
+    /** A service that refuses before anything ran says so in this header; nothing else counts as "did not run". */
+    private static final String RAN_HEADER = "Elmline-Ran";
+
     private static final Set<String> NOT_PASSED_BACK = hopByHop();
 
     private final OkHttpClient http = new OkHttpClient.Builder()
@@ -69,6 +72,9 @@
                 .writeTimeout(timeout)
                 .build();
         try (Response response = bounded.newCall(request).execute()) {
+            if ("no".equals(response.header(RAN_HEADER))) {
+                return new CallResult.NotSent<>("the service refused with status " + response.code());
+            }
             return new CallResult.Answered<>(RecordedAnswer.of(
                     response.code(), headers(response), response.body().bytes()));
         } catch (IOException e) {
