Prove answers in time, pieces in order, retries, fairness and limits

Cause found by a test that failed first: while nothing waited, the virtual counters of organisations served at once were never forgotten (20,000 of 20,000 kept), since the counter of the request served last stood still; they now end with each busy time.

--- a/elmline-core/src/main/java/org/elmline/core/fairness/VirtualCounters.java
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/VirtualCounters.java
@@ -37,6 +37,12 @@
         served = Math.max(served, start);
     }
 
+    /** Nobody waits: all had what they asked for, so nobody owes or is owed. Ends what the counters remember. */
+    public void idle() {
+        finishes.clear();
+        served = 0;
+    }
+
     int size() {
         return finishes.size();
     }
--- a/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
@@ -101,6 +101,9 @@
             }
             next = queue.next(blocked);
         }
+        if (queue.size() == 0) {
+            counters.idle();
+        }
     }
 
     /** Refuses every waiting request that can no longer meet its deadline, so that its caller can go elsewhere. */
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/fairness/FairnessTest.java
@@ -0,0 +1,262 @@
+package org.elmline.core.fairness;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.ConfigVersion;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.OrganisationId;
+import org.elmline.core.common.TicketNumber;
+import org.elmline.core.config.ConfigDelta;
+import org.elmline.core.config.Configuration;
+import org.elmline.core.config.Organisation;
+import org.elmline.core.config.VersionedObject;
+import org.elmline.core.owner.OwnerFixture;
+import org.elmline.core.owner.OwnerSettings;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.ReleaseCause;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class FairnessTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final int MOST_TOKENS = 5_000;
+
+    /**
+     * Organisations with weights 1 to 4 always have requests waiting. At any moment, what two of them got, each over its
+     * weight, differs by no more than one longest request of each over its weight.
+     */
+    @Property(tries = 100, seed = "5006")
+    void sharesUnderContentionStayWithinOneRequestEach(@ForAll long seed) {
+        Random random = new Random(seed);
+        VirtualCounters counters = new VirtualCounters();
+        int organisations = 4;
+        double[] starts = new double[organisations];
+        long[] tokens = new long[organisations];
+        double[] served = new double[organisations];
+        for (int i = 0; i < organisations; i++) {
+            tokens[i] = 1 + random.nextInt(MOST_TOKENS);
+            starts[i] = counters.charge(id(i), i + 1, tokens[i]);
+        }
+        for (int step = 0; step < 500; step++) {
+            int least = 0;
+            for (int i = 1; i < organisations; i++) {
+                least = starts[i] < starts[least] ? i : least;
+            }
+            counters.serve(starts[least]);
+            served[least] += (double) tokens[least] / (least + 1);
+            tokens[least] = 1 + random.nextInt(MOST_TOKENS);
+            starts[least] = counters.charge(id(least), least + 1, tokens[least]);
+            for (int i = 1; i < organisations; i++) {
+                double bound = MOST_TOKENS + (double) MOST_TOKENS / (i + 1);
+                assertTrue(Math.abs(served[0] - served[i]) <= bound, "organisations 0 and " + i);
+            }
+        }
+    }
+
+    @Test
+    void idleOrganisationGainsNoCredit() {
+        VirtualCounters counters = new VirtualCounters();
+        for (int i = 0; i < 100; i++) {
+            counters.serve(counters.charge(id(1), 1, 1_000));
+        }
+        assertTrue(counters.charge(id(2), 1, 1_000) >= 99_000, "starts where the busy one is served, not at zero");
+    }
+
+    @Test
+    void countersOfIdleOrganisationsAreForgotten() {
+        VirtualCounters counters = new VirtualCounters();
+        for (int i = 0; i < 20_000; i++) {
+            counters.serve(counters.charge(id(i), 1, 1));
+            counters.serve(counters.charge(OrganisationId.of("always-busy"), 1, 1));
+        }
+        assertTrue(counters.size() <= 1_400, counters.size() + " counters kept in a busy time");
+        for (int i = 0; i < 20_000; i++) {
+            counters.serve(counters.charge(id(i), 1, 1));
+        }
+        counters.idle();
+        assertEquals(0, counters.size());
+    }
+
+    /**
+     * A greedy organisation keeps the queue full with 50 requests a step; a small one, of the same weight, sends one
+     * request at a time, longer than the greedy one's. The small one's requests must all be served, and quickly.
+     */
+    @Test
+    void greedyOrganisationCannotStarveASmallOne() {
+        OwnerFixture fixture = new OwnerFixture(
+                OwnerSettings.builder().queueCapacity(64).engineQueueMillis(200).build());
+        Map<AttemptId, Long> reading = new HashMap<>();
+        fixture.engines(1, 1_000_000);
+        int greedyServed = 0;
+        int smallServed = 0;
+        int smallSent = 0;
+        AttemptId small = null;
+        for (int step = 0; step < 1_000; step++) {
+            for (int i = 0; i < 50; i++) {
+                greedyServed += take(fixture, fixture.request("greedy", 1_000, 0, 10_000), reading) ? 1 : 0;
+            }
+            if (small == null) {
+                PlaceRequest request = fixture.request("small", 2_000, 0, 10_000);
+                smallSent++;
+                small = take(fixture, request, reading) ? null : request.attempt();
+                smallServed += small == null ? 1 : 0;
+            }
+            fixture.engines(1, 1_000_000);
+            for (var each : fixture.advance(100)) {
+                boolean placed = each.answer() instanceof PlaceAnswer.Placed;
+                if (placed) {
+                    reading.put(each.request().attempt(), fixture.now);
+                }
+                boolean own = each.request().attempt().equals(small);
+                smallServed += own && placed ? 1 : 0;
+                greedyServed += !own && placed ? 1 : 0;
+                small = own ? null : small;
+            }
+            reading.keySet().forEach(each -> {
+                fixture.firstToken(each);
+                fixture.release(each, ReleaseCause.FINISHED);
+            });
+            reading.clear();
+        }
+        assertTrue(greedyServed > 500, "the greedy one uses what is left: " + greedyServed);
+        assertTrue(smallSent > 100 && smallServed >= smallSent - 1, smallServed + " of " + smallSent + " served");
+    }
+
+    private static boolean take(OwnerFixture fixture, PlaceRequest request, Map<AttemptId, Long> reading) {
+        boolean placed = fixture.place(request).orElse(null) instanceof PlaceAnswer.Placed;
+        if (placed) {
+            reading.put(request.attempt(), fixture.now);
+        }
+        return placed;
+    }
+
+    /** Entries renew with changing wishes, late or not at all; the shares in force never sum to more than the limit. */
+    @Property(tries = 200, seed = "5007")
+    void sharesNeverSumToMoreThanTheLimit(@ForAll long seed) {
+        Random random = new Random(seed);
+        int limit = 1 + random.nextInt(40);
+        Organisation organisation = organisation(limit, 60_000L);
+        LimitShares shares = new LimitShares(2_000);
+        Map<Integer, ShareAnswer> held = new HashMap<>();
+        Map<Integer, Long> until = new HashMap<>();
+        long now = 0;
+        for (int step = 0; step < 300; step++) {
+            now += random.nextInt(300) * 1_000_000L;
+            int entry = random.nextInt(18);
+            int use = held.containsKey(entry) && until.get(entry) > now
+                    ? random.nextInt(held.get(entry).maxRequests() + 1)
+                    : 0;
+            ShareRequest request = new ShareRequest(
+                    HostId.of("entry-" + entry),
+                    Incarnation.of(1),
+                    organisation.id(),
+                    use,
+                    use + random.nextInt(20),
+                    random.nextInt(100_000));
+            held.put(entry, shares.renew(organisation, request, now));
+            until.put(entry, now + 2 * SECOND);
+            assertTrue(held.get(entry).maxRequests() >= use, "what runs can't be taken back");
+            long time = now;
+            held.keySet().removeIf(each -> until.get(each) <= time);
+            assertTrue(held.values().stream().mapToInt(ShareAnswer::maxRequests).sum() <= limit);
+            assertTrue(held.values().stream()
+                            .mapToLong(ShareAnswer::maxTokensPerMinute)
+                            .sum()
+                    <= 60_000);
+        }
+        shares.expire(now + 2 * SECOND);
+        assertEquals(0, shares.organisations());
+    }
+
+    @Test
+    void oneEntryOfManyGetsTheWholeLimitAndHandsItOver() {
+        Organisation organisation = organisation(10, 0);
+        LimitShares shares = new LimitShares(2_000);
+        assertEquals(
+                10, shares.renew(organisation, ask("a", organisation, 0, 20), 0).maxRequests());
+        assertEquals(
+                0, shares.renew(organisation, ask("b", organisation, 0, 20), 1).maxRequests());
+        assertEquals(
+                5, shares.renew(organisation, ask("a", organisation, 2, 20), 2).maxRequests());
+        assertEquals(
+                5, shares.renew(organisation, ask("b", organisation, 0, 20), 3).maxRequests());
+    }
+
+    /** Over any minute an entry admits at most its share, ten seconds' worth of it, and one request. */
+    @Test
+    void tokensAMinuteStayWithinTheStatedBound() {
+        Organisation organisation = organisation(0, 600_000);
+        OrganisationLimits limits = new OrganisationLimits(HostId.of("a"), Incarnation.of(1));
+        Random random = new Random(9);
+        long[] admitted = new long[300];
+        for (int second = 0; second < admitted.length; second++) {
+            long now = second * SECOND;
+            limits.granted(new ShareAnswer(organisation.id(), 0, 600_000, 5_000), now, now);
+            for (int i = 0; i < 20; i++) {
+                long tokens = 1_000 + random.nextInt(99_000);
+                if (limits.admit(organisation, tokens, now) == LimitAnswer.ADMITTED) {
+                    admitted[second] += tokens;
+                    limits.finished(organisation.id());
+                }
+            }
+        }
+        for (int from = 0; from + 60 <= admitted.length; from++) {
+            long sum = 0;
+            for (int i = from; i < from + 60; i++) {
+                sum += admitted[i];
+            }
+            assertTrue(sum <= 600_000 + 100_000 + 100_000, sum + " tokens in a minute");
+            assertTrue(sum >= 450_000, "the limit is used: " + sum);
+        }
+    }
+
+    @Test
+    void zeroIsNoLimitAndNeedsNoShare() {
+        OrganisationLimits limits = new OrganisationLimits(HostId.of("a"), Incarnation.of(1));
+        for (int i = 0; i < 1_000; i++) {
+            assertEquals(LimitAnswer.ADMITTED, limits.admit(organisation(0, 0), 1_000_000, 0));
+        }
+        assertEquals(LimitAnswer.NO_SHARE, limits.admit(organisation("other", 1, 0), 1, 0));
+        limits.granted(new ShareAnswer(OrganisationId.of("other"), 1, 0, 1_000), 0, 0);
+        assertEquals(LimitAnswer.ADMITTED, limits.admit(organisation("other", 1, 0), 1, 0));
+        assertEquals(LimitAnswer.TOO_MANY_REQUESTS, limits.admit(organisation("other", 1, 0), 1, 0));
+    }
+
+    @Test
+    void weightComesFromTheConfiguration() {
+        OwnerFixture fixture = new OwnerFixture().engines(1, 1_000_000);
+        Organisation heavy = new Organisation(OrganisationId.of("heavy"), 3, 0, List.of(), 0, 0, false);
+        fixture.owner.configure(Configuration.EMPTY.with(new ConfigDelta(
+                ConfigVersion.of(0),
+                ConfigVersion.of(1),
+                List.of(new VersionedObject(heavy, TicketNumber.of(1), ConfigVersion.of(1))))));
+        assertTrue(
+                fixture.place(fixture.request("heavy", 1_000, 0, 10_000)).orElseThrow() instanceof PlaceAnswer.Placed);
+    }
+
+    private static ShareRequest ask(String host, Organisation organisation, int inFlight, int wanted) {
+        return new ShareRequest(HostId.of(host), Incarnation.of(1), organisation.id(), inFlight, wanted, 0);
+    }
+
+    private static Organisation organisation(int requests, long tokens) {
+        return organisation("org", requests, tokens);
+    }
+
+    private static Organisation organisation(String id, int requests, long tokens) {
+        return new Organisation(OrganisationId.of(id), 1, 0, List.of(), requests, tokens, false);
+    }
+
+    private static OrganisationId id(int number) {
+        return OrganisationId.of("org-" + number);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/stream/AnswerAssemblerTest.java
@@ -0,0 +1,125 @@
+package org.elmline.core.stream;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.Ran;
+import org.elmline.core.engine.FinishReason;
+import org.elmline.core.engine.StreamEvent;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class AnswerAssemblerTest {
+    private static final AttemptId FIRST = AttemptId.of("attempt-0");
+    private static final AttemptId CROSSED = AttemptId.of("other");
+
+    /**
+     * Pieces of the right stream come out of order, doubled and with losses; between them come pieces and ends of
+     * another caller's attempt, and late ones of attempts given up. The stream breaks now and then, is read again from
+     * the offset, or continues on another engine. The caller must see pieces 0 to n, each once, and then the end.
+     */
+    @Property(tries = 500, seed = "5004")
+    void callerGetsEachPieceOnceInOrder(@ForAll long seed) {
+        Random random = new Random(seed);
+        int count = random.nextInt(40);
+        AnswerAssembler assembler = new AnswerAssembler(FIRST);
+        List<String> caller = new ArrayList<>();
+        List<StreamEvent> late = new ArrayList<>();
+        for (int read = 0; !assembler.complete(); read++) {
+            assertTrue(read < 500, "never completes");
+            List<StreamEvent> events = events(assembler, count, random, read > 400);
+            events.addAll(late);
+            Collections.shuffle(events, random);
+            for (StreamEvent each : events) {
+                deliver(assembler.accept(each), caller, count);
+            }
+            if (!assembler.complete() && random.nextInt(3) == 0) {
+                late = events;
+                assembler.continueWith(AttemptId.of("attempt-" + (read + 1)));
+            }
+        }
+        assertEquals(expected(count), caller);
+        assertInstanceOf(Assembled.Ignored.class, assembler.accept(piece(assembler.attempt(), 0)));
+    }
+
+    private static List<StreamEvent> events(AnswerAssembler assembler, int count, Random random, boolean kind) {
+        List<StreamEvent> events = new ArrayList<>();
+        for (int i = assembler.offset(); i < count; i++) {
+            int copies = kind ? 1 : random.nextInt(3);
+            for (int copy = 0; copy < copies; copy++) {
+                events.add(piece(assembler.attempt(), i));
+            }
+            if (random.nextInt(4) == 0) {
+                events.add(new StreamEvent.Piece(CROSSED, i, "crossed"));
+            }
+        }
+        if (kind || random.nextBoolean()) {
+            events.add(new StreamEvent.End(assembler.attempt(), count, FinishReason.STOP));
+        }
+        events.add(new StreamEvent.End(CROSSED, random.nextInt(count + 1), FinishReason.LENGTH));
+        return events;
+    }
+
+    private static void deliver(Assembled assembled, List<String> caller, int count) {
+        if (assembled instanceof Assembled.Deliver deliver) {
+            caller.addAll(deliver.pieces());
+        }
+        if (assembled instanceof Assembled.Complete complete) {
+            caller.addAll(complete.pieces());
+            assertEquals(count, caller.size(), "ended before all pieces came");
+            assertEquals(FinishReason.STOP, complete.reason());
+        }
+        assertTrue(!(assembled instanceof Assembled.Broken), () -> "broke on " + assembled);
+    }
+
+    @Test
+    void contradictionsBreakTheStream() {
+        StreamEvent[][] cases = {
+            {piece(FIRST, 3), new StreamEvent.End(FIRST, 2, FinishReason.STOP)},
+            {new StreamEvent.End(FIRST, 2, FinishReason.STOP), piece(FIRST, 2)},
+            {piece(FIRST, 0), new StreamEvent.Failed(FIRST, Ran.UNKNOWN, "connection lost")},
+        };
+        int broken = 0;
+        for (StreamEvent[] each : cases) {
+            AnswerAssembler assembler = new AnswerAssembler(FIRST);
+            assembler.accept(each[0]);
+            broken += assembler.accept(each[1]) instanceof Assembled.Broken ? 1 : 0;
+        }
+        assertEquals(3, broken);
+    }
+
+    @Test
+    void holdsABoundedNumberOfPieces() {
+        AnswerAssembler assembler = new AnswerAssembler(FIRST);
+        for (int i = 1; i <= 256; i++) {
+            assembler.accept(piece(FIRST, i));
+        }
+        assertTrue(assembler.missing());
+        assertInstanceOf(Assembled.Broken.class, assembler.accept(piece(FIRST, 257)));
+        assertEquals(
+                257,
+                assertInstanceOf(Assembled.Deliver.class, assembler.accept(piece(FIRST, 0)))
+                        .pieces()
+                        .size());
+    }
+
+    private static StreamEvent piece(AttemptId attempt, int index) {
+        return new StreamEvent.Piece(attempt, index, "piece " + index);
+    }
+
+    private static List<String> expected(int count) {
+        List<String> pieces = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            pieces.add("piece " + i);
+        }
+        return pieces;
+    }
+}
