--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/route/OwnershipTest.java
@@ -0,0 +1,148 @@
+package org.elmline.core.route;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.common.HostId;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.owner.OwnerFixture;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class OwnershipTest {
+    private static final int HOSTS = 20;
+    private static final int SERVERS = 400;
+
+    private final Map<HostId, List<Integer>> loads = new HashMap<>();
+    private final Map<Announcement, HostId> owners = new HashMap<>();
+
+    @Test
+    void everyHostComputesTheSameWhateverTheOrderOfItsMemberList() {
+        List<HostRecord> members = hosts(HOSTS);
+        List<HostRecord> shuffled = new ArrayList<>(members);
+        Collections.shuffle(shuffled, new Random(3));
+        for (Announcement each : servers()) {
+            List<HostRecord> order = new Ownership(members).candidates(each);
+            assertEquals(order, new Ownership(shuffled).candidates(each));
+            assertEquals(order.get(0), new Ownership(shuffled).owner(each).orElseThrow());
+        }
+    }
+
+    @Test
+    void ownDomainFirstThenRegionAndNeverALeavingHost() {
+        HostRecord same = OwnerFixture.host("same", "a");
+        HostRecord region = OwnerFixture.host("region", "b");
+        HostRecord leaving = new HostRecord(
+                HostId.of("leaving"),
+                same.incarnation(),
+                same.failureDomain(),
+                same.region(),
+                same.callers(),
+                same.peers(),
+                same.operators(),
+                true);
+        for (Announcement each : servers().subList(0, 50)) {
+            assertEquals(List.of(same, region), new Ownership(List.of(region, leaving, same)).candidates(each));
+            assertEquals(
+                    region, new Ownership(List.of(region, leaving)).owner(each).orElseThrow());
+        }
+    }
+
+    /** A host that joins takes over only from owners, moves nothing between them; one that leaves moves only its own. */
+    @Test
+    void unboundedOrderMovesOnlyWhatMust() {
+        Ownership before = new Ownership(hosts(HOSTS));
+        Ownership after = new Ownership(hosts(HOSTS + 1));
+        int moved = 0;
+        for (Announcement each : servers()) {
+            HostId then = before.owner(each).orElseThrow().id();
+            HostId now = after.owner(each).orElseThrow().id();
+            moved += then.equals(now) ? 0 : 1;
+            assertTrue(then.equals(now) || now.equals(HostId.of("host-" + HOSTS)));
+        }
+        assertTrue(moved > 0 && moved <= 2 * SERVERS / (HOSTS + 1), moved + " moved");
+    }
+
+    /** Announcements come round after round, each judged on the loads of that moment, as entries do. */
+    @Test
+    void noOwnerAboveItsBoundAndChangesMoveLittle() {
+        List<HostRecord> members = new ArrayList<>(hosts(HOSTS));
+        settle(members);
+        int bound = Ownership.bound(SERVERS, HOSTS);
+        assertEquals(25, bound);
+        assertTrue(loads.values().stream().allMatch(each -> each.size() <= bound));
+        assertEquals(0, round(members), "settled: nothing moves any more");
+
+        members.add(OwnerFixture.host("host-" + HOSTS, "a"));
+        int joined = settle(members);
+        assertTrue(joined <= 2 * SERVERS / HOSTS, joined + " moved on a join");
+        assertTrue(loads.get(HostId.of("host-" + HOSTS)).size() >= SERVERS / HOSTS / 2, "the new host gets a share");
+
+        HostRecord lost = members.remove(4);
+        int own = loads.get(lost.id()).size();
+        loads.put(lost.id(), List.of());
+        int left = settle(members);
+        assertTrue(left <= own + SERVERS / HOSTS, left + " moved when a host with " + own + " left");
+        int lastBound = Ownership.bound(SERVERS, members.size());
+        assertTrue(loads.values().stream().allMatch(each -> each.size() <= lastBound));
+    }
+
+    private int settle(List<HostRecord> members) {
+        int moved = 0;
+        int last = 1;
+        for (int round = 0; last > 0; round++) {
+            assertTrue(round < 10, "doesn't settle");
+            last = round(members);
+            moved += last;
+        }
+        return moved;
+    }
+
+    private int round(List<HostRecord> members) {
+        Ownership ownership = new Ownership(members);
+        int moved = 0;
+        for (Announcement each : servers()) {
+            HostId owner = ownership
+                    .owner(each, host -> loads.getOrDefault(host, List.of()))
+                    .orElseThrow()
+                    .id();
+            HostId before = owners.put(each, owner);
+            if (!owner.equals(before)) {
+                moved++;
+                Integer key = Ownership.shortHash(each.id());
+                if (before != null) {
+                    List<Integer> rest = new ArrayList<>(loads.get(before));
+                    rest.remove(key);
+                    loads.put(before, rest);
+                }
+                List<Integer> more = new ArrayList<>(loads.getOrDefault(owner, List.of()));
+                more.add(key);
+                loads.put(owner, more);
+            }
+        }
+        return moved;
+    }
+
+    private static List<HostRecord> hosts(int count) {
+        List<HostRecord> hosts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            hosts.add(OwnerFixture.host("host-" + i, "a"));
+        }
+        return hosts;
+    }
+
+    private static List<Announcement> servers() {
+        List<Announcement> servers = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            servers.add(OwnerFixture.engine("engine-" + i, 1, 1_000, false));
+        }
+        return servers;
+    }
+}
