--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/SummarySender.java
@@ -0,0 +1,75 @@
+package org.elmline.daemon.backend;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.owner.Owner;
+import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.route.OwnerSummary;
+import org.elmline.core.route.OwnerTable;
+import org.elmline.core.route.RouteChannels;
+import org.elmline.core.route.SummarySchedule;
+import org.elmline.daemon.entry.SharedView;
+import org.elmline.wire.codec.Codecs;
+import org.jboss.logging.Logger;
+
+/** Tells other entries what this owner has, whenever {@link SummarySchedule} says so. */
+public final class SummarySender {
+    private static final Logger LOG = Logger.getLogger(SummarySender.class);
+    private static final long CHECK_MILLIS = 200;
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+    private final Owner owner;
+    private final OwnerTable table;
+    private final SummarySchedule schedule;
+    private final SharedView view;
+    private final PeerNetwork network;
+    private final MonotonicClock clock;
+    private final Counter sent;
+    private final Counter bytesSent;
+
+    public SummarySender(
+            Owner owner,
+            OwnerTable table,
+            SummarySchedule schedule,
+            SharedView view,
+            PeerNetwork network,
+            MonotonicClock clock,
+            MetricRegistry metrics) {
+        this.owner = owner;
+        this.table = table;
+        this.schedule = schedule;
+        this.view = view;
+        this.network = network;
+        this.clock = clock;
+        this.sent = metrics.counter("owner.summaries.sent");
+        this.bytesSent = metrics.counter("owner.summaries.bytes");
+    }
+
+    public void start(ScheduledExecutorService timer) {
+        timer.scheduleWithFixedDelay(this::check, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void check() {
+        try {
+            long now = clock.nanos();
+            OwnerSummary summary = owner.summary(now);
+            table.accept(summary, now);
+            int bytes = Codecs.MESSAGE_PACK.encode(summary).length;
+            List<HostRecord> members = view.members().hosts();
+            for (HostRecord each : schedule.targets(summary, bytes, members, now)) {
+                sent.inc();
+                bytesSent.inc(bytes);
+                network.call(each.peers(), RouteChannels.SUMMARY, summary, TIMEOUT);
+            }
+        } catch (RuntimeException e) {
+            LOG.error("sending the summary failed; it is tried again", e);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -0,0 +1,278 @@
+package org.elmline.daemon.entry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Handlers;
+import io.undertow.server.RoutingHandler;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.Closer;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.owner.Owner;
+import org.elmline.core.owner.OwnerSettings;
+import org.elmline.core.peer.HandlerRegistry;
+import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.route.OwnerTable;
+import org.elmline.core.route.OwnerTableSettings;
+import org.elmline.core.route.RouteChannels;
+import org.elmline.core.route.SummarySchedule;
+import org.elmline.daemon.backend.AnnounceHandler;
+import org.elmline.daemon.backend.EngineClients;
+import org.elmline.daemon.backend.OwnerDuties;
+import org.elmline.daemon.backend.OwnerService;
+import org.elmline.daemon.backend.Policies;
+import org.elmline.daemon.backend.SummarySender;
+import org.elmline.daemon.caller.CompletionsHandler;
+import org.elmline.daemon.caller.EngineCancels;
+import org.elmline.daemon.caller.EntryHostsHandler;
+import org.elmline.daemon.caller.Gate;
+import org.elmline.daemon.caller.Gateway;
+import org.elmline.daemon.caller.GrantBook;
+import org.elmline.daemon.caller.ModelsHandler;
+import org.elmline.daemon.caller.Placer;
+import org.elmline.daemon.http.Answers;
+import org.elmline.daemon.http.BodyReader;
+import org.elmline.daemon.http.HttpLimits;
+import org.elmline.daemon.http.HttpListener;
+import org.elmline.daemon.openai.ApiKind;
+import org.elmline.daemon.operator.OperatorKeys;
+import org.elmline.daemon.operator.StatusHandler;
+import org.elmline.daemon.operator.TicketsHandler;
+import org.elmline.daemon.runtime.SystemClock;
+import org.elmline.daemon.runtime.Workers;
+import org.elmline.daemon.service.IdempotencyKeysHandler;
+import org.elmline.daemon.service.ServiceGateway;
+import org.elmline.daemon.service.ServiceHandler;
+import org.elmline.daemon.settings.EntrySettings;
+import org.elmline.daemon.settings.ListenAddress;
+import org.elmline.daemon.settings.Secret;
+import org.elmline.wire.tcp.PeerKey;
+import org.elmline.wire.tcp.PeerLimits;
+import org.elmline.wire.tcp.TcpPeerNetwork;
+import org.elmline.wire.tcp.TcpPeerServer;
+import org.jboss.logging.Logger;
+
+/** One entry host: everything it opens, how it is put together, and its graceful stop. */
+public final class EntryDaemon implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
+    private static final int BODY_MILLIS = 30_000;
+    private static final int IDLE_MILLIS = 60_000;
+    private static final long SUMMARY_BEAT_MILLIS = 2_000;
+    private static final double SUMMARY_BYTES_PER_SECOND = 2_000;
+
+    private final Closer closer = new Closer();
+    private final EntrySettings settings;
+    private final MonotonicClock clock = new SystemClock();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final AtomicBoolean leaving = new AtomicBoolean();
+    private final HostIdentity self;
+    private final RoutingHandler callerRoutes = routes();
+    private final RoutingHandler operatorRoutes = routes();
+    private HttpListener callers;
+    private HttpListener operators;
+    private TcpPeerServer peers;
+    private Gate gate;
+    private LeaseRenewer renewer;
+    private Owner owner;
+
+    private EntryDaemon(EntrySettings settings) {
+        this.settings = settings;
+        this.self = new HostIdentity(
+                settings.host(),
+                Incarnation.of(System.currentTimeMillis()),
+                settings.failureDomain(),
+                settings.region());
+    }
+
+    /** Opens everything and begins to serve; closes what was opened when any of it fails. */
+    public static EntryDaemon start(EntrySettings settings) throws IOException {
+        EntryDaemon daemon = new EntryDaemon(settings);
+        try {
+            daemon.open();
+            return daemon;
+        } catch (IOException | RuntimeException e) {
+            daemon.close();
+            throw e;
+        }
+    }
+
+    private void open() throws IOException {
+        Workers workers = closer.register(new Workers("entry", settings.limits().maxConcurrentRequests()));
+        PeerKey key = new PeerKey(settings.keys().peerKey().value());
+        org.elmline.wire.tcp.Handlers channels = new org.elmline.wire.tcp.Handlers(workers.handlers());
+        bind(workers, key, channels);
+        TcpPeerNetwork network = closer.register(new TcpPeerNetwork(
+                key, PeerLimits.DEFAULT, workers.connections(), workers.timer(), workers.handlers()));
+        SharedView view = new SharedView(clock);
+        List<Address> control =
+                settings.control().stream().map(each -> each.peers()).toList();
+        ControlClient client = new ControlClient(network, clock, workers.timer(), control);
+        gate = new Gate(self, view, clock, settings.callers(), settings.limits().maxConcurrentRequests(), metrics);
+        BodyReader bodies = new BodyReader(workers.streams());
+        openBackends(workers, channels, network, view, bodies, new ControlCalls(client));
+        openOperators(view, client, bodies);
+        renewer = new LeaseRenewer(
+                client,
+                view,
+                clock,
+                this::record,
+                Duration.ofMillis(settings.lease().renewMillis()),
+                metrics,
+                gate::close);
+        renewer.start(workers.timer());
+        LOG.infof("entry host %s serves callers at %s", self.host(), callers.address());
+    }
+
+    /** Binds all ports first, since this host's record carries them; their routes follow. */
+    private void bind(Workers workers, PeerKey key, org.elmline.wire.tcp.Handlers channels) throws IOException {
+        ListenAddress bind = settings.addresses().peers();
+        peers = closer.register(TcpPeerServer.start(
+                new InetSocketAddress(bind.ip(), bind.port()),
+                channels,
+                key,
+                PeerLimits.DEFAULT,
+                workers.connections(),
+                workers.timer()));
+        callers = closer.register(http(settings.addresses().callers(), callerRoutes));
+        List<String> operatorKeys =
+                settings.keys().operatorKeys().stream().map(Secret::value).toList();
+        operators =
+                closer.register(http(settings.addresses().operators(), new OperatorKeys(operatorKeys, operatorRoutes)));
+    }
+
+    private void openBackends(
+            Workers workers,
+            HandlerRegistry channels,
+            PeerNetwork network,
+            SharedView view,
+            BodyReader bodies,
+            ControlCalls control) {
+        EngineClients engines = closer.register(new EngineClients());
+        OwnerSettings ownerSettings = OwnerSettings.builder()
+                .announceIntervalMillis(settings.backend().announceMillis())
+                .leaseMillis(settings.backend().leaseMillis())
+                .build();
+        HostRecord record = record();
+        owner = new Owner(record, Policies.find(settings.placement()), new Random(), ownerSettings);
+        OwnerTable table = new OwnerTable(record, OwnerTableSettings.DEFAULT);
+        view.onMembers(() -> table.members(view.members().hosts()));
+        OwnerService service = new OwnerService(self, owner, view, network, clock);
+        service.register(channels);
+        channels.register(
+                RouteChannels.SUMMARY,
+                summary ->
+                        java.util.concurrent.CompletableFuture.completedFuture(table.accept(summary, clock.nanos())));
+        new OwnerDuties(owner, service, engines, clock).start(workers.timer());
+        SummarySchedule schedule = new SummarySchedule(record, SUMMARY_BEAT_MILLIS, SUMMARY_BYTES_PER_SECOND);
+        new SummarySender(owner, table, schedule, view, network, clock, metrics).start(workers.timer());
+        GrantBook grants = new GrantBook(self, view, clock, network, service, table, metrics);
+        grants.start(workers.timer());
+        EngineCancels cancels = new EngineCancels(engines, table, grants, clock, metrics);
+        cancels.start(workers.timer());
+        Placer placer = new Placer(self, view, clock, network, service, table, grants, metrics);
+        Gateway gateway = new Gateway(self, clock, placer, grants, engines, cancels, metrics);
+        ServiceGateway services = closer.register(new ServiceGateway(clock, table, control, metrics));
+        openCallers(view, service, gateway, services, bodies);
+    }
+
+    private void openCallers(
+            SharedView view, OwnerService service, Gateway gateway, ServiceGateway services, BodyReader bodies) {
+        List<String> backendKeys =
+                settings.keys().backendKeys().stream().map(Secret::value).toList();
+        int keepSeconds = settings.callers().keepSeconds();
+        ServiceHandler serviceHandler = new ServiceHandler(self, gate, view, bodies, services);
+        callerRoutes
+                .get("/v1/entry-hosts", new EntryHostsHandler(view, self.region(), keepSeconds))
+                .get("/v1/models", new ModelsHandler(gate, view))
+                .post("/v1/completions", new CompletionsHandler(ApiKind.COMPLETIONS, gate, view, bodies, gateway))
+                .post("/v1/chat/completions", new CompletionsHandler(ApiKind.CHAT, gate, view, bodies, gateway))
+                .post("/v1/idempotency-keys", new IdempotencyKeysHandler(gate))
+                .post("/v1/backend-servers/announce", new AnnounceHandler(backendKeys, bodies, service));
+        for (String method : List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")) {
+            callerRoutes.add(method, "/v1/services/{service}/*", serviceHandler);
+        }
+    }
+
+    private void openOperators(SharedView view, ControlClient client, BodyReader bodies) {
+        TicketsHandler tickets = new TicketsHandler(new ControlCalls(client), bodies);
+        operatorRoutes
+                .put("/v1/tickets/{number}", tickets::put)
+                .get("/v1/tickets/{number}", tickets::show)
+                .get("/v1/tickets", tickets::list)
+                .get("/v1/status", new StatusHandler(self, view, gate));
+    }
+
+    private static RoutingHandler routes() {
+        return Handlers.routing()
+                .setFallbackHandler(exchange ->
+                        Answers.refuse(exchange, Refusal.didNotRun(RefusalReason.NOT_FOUND, "no such path")))
+                .setInvalidMethodHandler(exchange -> Answers.refuse(
+                        exchange, Refusal.didNotRun(RefusalReason.METHOD_NOT_ALLOWED, "no such method on this path")));
+    }
+
+    private HttpListener http(ListenAddress address, io.undertow.server.HttpHandler handler) {
+        HttpLimits limits = new HttpLimits(
+                settings.limits().maxBodyBytes(),
+                settings.limits().maxHeaderBytes(),
+                settings.limits().maxConcurrentRequests(),
+                IDLE_MILLIS,
+                BODY_MILLIS);
+        return HttpListener.start(address.ip(), address.port(), limits, handler);
+    }
+
+    private HostRecord record() {
+        return new HostRecord(
+                self.host(),
+                self.incarnation(),
+                self.failureDomain(),
+                self.region(),
+                callers.address(),
+                peers.address(settings.addresses().peers().ip()),
+                operators.address(),
+                leaving.get());
+    }
+
+    /** Where callers connect. */
+    public Address callers() {
+        return callers.address();
+    }
+
+    /** Where operators connect. */
+    public Address operators() {
+        return operators.address();
+    }
+
+    /**
+     * Stops gracefully: says that it leaves, so that no caller is sent here and its backend servers get other owners;
+     * serves on for as long as callers keep an answer that names it; then refuses new calls and waits for those inside.
+     */
+    public void stop() throws InterruptedException {
+        leaving.set(true);
+        LOG.infof("entry host %s is leaving", self.host());
+        renewer.renew();
+        Thread.sleep(Duration.ofSeconds(settings.callers().keepSeconds()).toMillis());
+        gate.close();
+        long limit = clock.millis() + settings.callers().maxTimeoutMillis();
+        while (gate.inside() > 0 && clock.millis() < limit) {
+            Thread.sleep(STOP_CHECK_MILLIS);
+        }
+        owner.leave(clock.nanos());
+        close();
+    }
+
+    private static final long STOP_CHECK_MILLIS = 20;
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
