--- /dev/null
+++ b/elmline-storage/src/main/java/org/elmline/storage/Frame.java
@@ -0,0 +1,57 @@
+package org.elmline.storage;
+
+import java.nio.ByteBuffer;
+import java.util.zip.CRC32C;
+
+/**
+ * How a record stands in a segment, big-endian: int length of the payload, int CRC32C of all that follows it, int
+ * offset at which the record's batch starts, byte type, payload. All before the batch's start was synced before any of
+ * the batch was written, which tells a torn tail from damage.
+ */
+record Frame(int batchStart, Record record, int end) {
+    static final int HEADER = 3 * Integer.BYTES + 1;
+
+    private static final int CRC_END = 2 * Integer.BYTES;
+
+    static int length(Record record) {
+        return HEADER + record.payload().length;
+    }
+
+    static void write(ByteBuffer to, int batchStart, Record record) {
+        int start = to.position();
+        to.putInt(record.payload().length).putInt(0).putInt(batchStart);
+        to.put(record.type().code()).put(record.payload());
+        to.putInt(start + Integer.BYTES, checksum(to.array(), start + CRC_END, to.position()));
+    }
+
+    /** The frame that starts at an offset, null when there is no whole one. */
+    static Frame read(ByteBuffer from, int start) {
+        if (from.limit() - start < HEADER) {
+            return null;
+        }
+        int length = from.getInt(start);
+        int batchStart = from.getInt(start + CRC_END);
+        RecordType type = RecordType.ofCode(from.get(start + HEADER - 1));
+        boolean possible = length >= 0
+                && length <= from.limit() - start - HEADER
+                && type != null
+                && batchStart >= 0
+                && batchStart <= start;
+        if (!possible) {
+            return null;
+        }
+        int end = start + HEADER + length;
+        if (from.getInt(start + Integer.BYTES) != checksum(from.array(), start + CRC_END, end)) {
+            return null;
+        }
+        byte[] payload = new byte[length];
+        from.get(start + HEADER, payload);
+        return new Frame(batchStart, new Record(type, payload), end);
+    }
+
+    private static int checksum(byte[] bytes, int from, int until) {
+        CRC32C crc = new CRC32C();
+        crc.update(bytes, from, until - from);
+        return (int) crc.getValue();
+    }
+}
--- /dev/null
+++ b/elmline-storage/src/main/java/org/elmline/storage/IdentityFile.java
@@ -0,0 +1,35 @@
+package org.elmline.storage;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+import org.elmline.core.raft.ReplicaId;
+
+/**
+ * The file {@code identity}: one line of text, {@code elmline-replica-1 HOST@HEX}. Written after the first segment, so
+ * an identity without a log means that a log was lost.
+ */
+final class IdentityFile {
+    static final String NAME = "identity";
+
+    private static final String FORM = "elmline-replica-1 ";
+
+    private IdentityFile() {}
+
+    static ByteBuffer write(ReplicaId id) {
+        return ByteBuffer.wrap((FORM + id + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Null when the bytes are not an identity. */
+    static ReplicaId read(byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.UTF_8);
+        if (!text.startsWith(FORM) || !text.endsWith("\n")) {
+            return null;
+        }
+        try {
+            return ReplicaId.parse(text.substring(FORM.length(), text.length() - 1));
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/elmline-storage/src/main/java/org/elmline/storage/Record.java
@@ -0,0 +1,59 @@
+package org.elmline.storage;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+import org.elmline.core.raft.Entry;
+import org.elmline.core.raft.EntryKind;
+import org.elmline.core.raft.HardState;
+import org.elmline.core.raft.ReplicaId;
+import org.elmline.core.raft.Snapshot;
+
+/** One record's type and payload, laid out as {@link RecordType} says, big-endian. */
+record Record(RecordType type, byte[] payload) {
+    static final Record CLOSED = new Record(RecordType.CLOSED, new byte[0]);
+
+    private static final int POSITION = 2 * Long.BYTES;
+
+    static Record of(Entry entry) {
+        ByteBuffer to = ByteBuffer.allocate(POSITION + 1 + entry.data().length);
+        to.putLong(entry.index()).putLong(entry.term()).put((byte) entry.kind().code());
+        return new Record(RecordType.ENTRY, to.put(entry.data()).array());
+    }
+
+    static Record of(HardState state) {
+        String vote = state.vote() == null ? "" : state.vote().toString();
+        byte[] text = vote.getBytes(StandardCharsets.UTF_8);
+        ByteBuffer to = ByteBuffer.allocate(Long.BYTES + text.length);
+        return new Record(
+                RecordType.HARD_STATE, to.putLong(state.term()).put(text).array());
+    }
+
+    static Record resetTo(Snapshot snapshot) {
+        ByteBuffer to = ByteBuffer.allocate(POSITION);
+        return new Record(
+                RecordType.RESET,
+                to.putLong(snapshot.index()).putLong(snapshot.term()).array());
+    }
+
+    Entry entry() {
+        ByteBuffer from = ByteBuffer.wrap(payload);
+        long index = from.getLong();
+        long term = from.getLong();
+        EntryKind kind = EntryKind.ofCode(from.get());
+        byte[] data = new byte[from.remaining()];
+        from.get(data);
+        return new Entry(index, term, kind, data);
+    }
+
+    HardState hardState() {
+        ByteBuffer from = ByteBuffer.wrap(payload);
+        long term = from.getLong();
+        String vote = StandardCharsets.UTF_8.decode(from).toString();
+        return new HardState(term, vote.isEmpty() ? null : ReplicaId.parse(vote));
+    }
+
+    long resetIndex() {
+        return ByteBuffer.wrap(payload).getLong();
+    }
+}
--- /dev/null
+++ b/elmline-storage/src/main/java/org/elmline/storage/SegmentFile.java
@@ -0,0 +1,87 @@
+package org.elmline.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * The segment that is being written. The file starts with long magic and long sequence number; then records as {@link
+ * Frame} lays them out, the first of them the hard state, so that older segments can go. Files are named {@code
+ * log-SEQUENCE.seg} with 16 hex digits and appear whole, by renaming.
+ */
+final class SegmentFile implements AutoCloseable {
+    static final int HEADER = 2 * Long.BYTES;
+
+    private static final long MAGIC = 0x454c_4d4c_4f47_0001L;
+    private static final String PREFIX = "log-";
+    private static final String SUFFIX = ".seg";
+    private static final int HEX = 16;
+
+    private final FileOperations.OutputFile file;
+    private int length;
+
+    private SegmentFile(FileOperations.OutputFile file, int length) {
+        this.file = file;
+        this.length = length;
+    }
+
+    static boolean isName(String name) {
+        return name.matches(PREFIX + "[0-9a-f]{" + HEX + "}\\" + SUFFIX);
+    }
+
+    static String name(long sequence) {
+        return String.format("%s%016x%s", PREFIX, sequence, SUFFIX);
+    }
+
+    static long sequence(String name) {
+        return Long.parseUnsignedLong(name.substring(PREFIX.length(), name.length() - SUFFIX.length()), HEX);
+    }
+
+    /** Null when the header is whole. */
+    static Damage headerDamage(String file, ByteBuffer bytes, long sequence) {
+        if (bytes.limit() < HEADER) {
+            return new Damage(file, bytes.limit(), "the segment's header is cut off");
+        }
+        if (bytes.getLong(0) != MAGIC) {
+            return new Damage(file, 0, "not a segment of this version");
+        }
+        return bytes.getLong(Long.BYTES) == sequence ? null : new Damage(file, Long.BYTES, "not the named sequence");
+    }
+
+    /** Creates a segment that starts with the given records, synced. */
+    static SegmentFile create(FileOperations files, Path folder, long sequence, List<Record> first) throws IOException {
+        int length = HEADER + first.stream().mapToInt(Frame::length).sum();
+        ByteBuffer bytes = ByteBuffer.allocate(length).putLong(MAGIC).putLong(sequence);
+        first.forEach(each -> Frame.write(bytes, HEADER, each));
+        Path path = folder.resolve(name(sequence));
+        WholeFile.write(files, path, bytes.flip());
+        return new SegmentFile(files.open(path), length);
+    }
+
+    /** Adds one batch and syncs it. On a full disk nothing of it counts; any other failure leaves the file unusable. */
+    void append(List<Record> batch) throws IOException {
+        int bytes = batch.stream().mapToInt(Frame::length).sum();
+        ByteBuffer buffer = ByteBuffer.allocate(bytes);
+        batch.forEach(each -> Frame.write(buffer, length, each));
+        try {
+            file.write(buffer.flip());
+        } catch (DiskFullException e) {
+            file.truncate(length);
+            throw e;
+        }
+        // A failed sync may have dropped the pages it could not write; a second one would then report success for
+        // bytes that are not on the disk. So it is never tried again on this file.
+        file.sync();
+        length += bytes;
+    }
+
+    int length() {
+        return length;
+    }
+
+    @Override
+    public void close() throws IOException {
+        file.close();
+    }
+}
--- /dev/null
+++ b/elmline-storage/src/main/java/org/elmline/storage/SnapshotFile.java
@@ -0,0 +1,60 @@
+package org.elmline.storage;
+
+import java.nio.ByteBuffer;
+import java.util.zip.CRC32C;
+
+import org.elmline.core.raft.Membership;
+import org.elmline.core.raft.Snapshot;
+
+/**
+ * A snapshot's file {@code snapshot-INDEX.snap} with 16 hex digits, big-endian: long magic, int CRC32C of all that
+ * follows it, long index, long term, int length of the membership, membership as text, the state.
+ */
+final class SnapshotFile {
+    private static final long MAGIC = 0x454c_4d53_4e41_0001L;
+    private static final String PREFIX = "snapshot-";
+    private static final String SUFFIX = ".snap";
+    private static final int CRC_END = Long.BYTES + Integer.BYTES;
+    private static final int HEADER = CRC_END + 2 * Long.BYTES + Integer.BYTES;
+
+    private SnapshotFile() {}
+
+    static boolean isName(String name) {
+        return name.startsWith(PREFIX) && name.endsWith(SUFFIX);
+    }
+
+    static String name(Snapshot snapshot) {
+        return String.format("%s%016x%s", PREFIX, snapshot.index(), SUFFIX);
+    }
+
+    static ByteBuffer write(Snapshot snapshot) {
+        byte[] members = snapshot.membership().toBytes();
+        ByteBuffer to = ByteBuffer.allocate(HEADER + members.length + snapshot.data().length);
+        to.putLong(MAGIC).putInt(0).putLong(snapshot.index()).putLong(snapshot.term());
+        to.putInt(members.length).put(members).put(snapshot.data());
+        to.putInt(Long.BYTES, checksum(to.array()));
+        return to.flip();
+    }
+
+    /** Null when the bytes are not a whole snapshot. */
+    static Snapshot read(byte[] bytes) {
+        ByteBuffer from = ByteBuffer.wrap(bytes);
+        boolean whole = bytes.length >= HEADER && from.getLong() == MAGIC && from.getInt() == checksum(bytes);
+        if (!whole) {
+            return null;
+        }
+        long index = from.getLong();
+        long term = from.getLong();
+        byte[] members = new byte[from.getInt()];
+        from.get(members);
+        byte[] data = new byte[from.remaining()];
+        from.get(data);
+        return new Snapshot(index, term, Membership.ofBytes(members), data);
+    }
+
+    private static int checksum(byte[] bytes) {
+        CRC32C crc = new CRC32C();
+        crc.update(bytes, CRC_END, bytes.length - CRC_END);
+        return (int) crc.getValue();
+    }
+}
--- /dev/null
+++ b/elmline-storage/src/main/java/org/elmline/storage/StoreResult.java
@@ -0,0 +1,13 @@
+package org.elmline.storage;
+
+/** How a write ended. */
+public sealed interface StoreResult {
+    /** Synced; it lasts. */
+    record Done() implements StoreResult {}
+
+    /** No room; nothing of it counts, and the same write may be tried again later. */
+    record DiskFull(String why) implements StoreResult {}
+
+    /** The disk failed; what is on it is unknown, and this opening of the folder takes no more writes. */
+    record Failed(String why) implements StoreResult {}
+}
--- /dev/null
+++ b/elmline-storage/src/test/java/org/elmline/storage/CrashTest.java
@@ -0,0 +1,139 @@
+package org.elmline.storage;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.elmline.core.common.HostId;
+import org.elmline.core.raft.Entry;
+import org.elmline.core.raft.HardState;
+import org.elmline.core.raft.Restored;
+import org.elmline.core.raft.Snapshot;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * The host dies at any file operation of any write and comes back with any part of what was not synced. What was
+ * answered as done must be there, in the order and with the cuts of a naive list; of the write under way, all, nothing
+ * or its first records.
+ */
+class CrashTest {
+    private static final Path FOLDER = Path.of("/data");
+
+    private final MemoryFiles files = new MemoryFiles();
+    private List<Entry> entries = new ArrayList<>();
+    private Snapshot snapshot;
+    private long term = 1;
+    private long doneTerm;
+
+    @Property(seed = "20260419", tries = 500)
+    void whatWasAnsweredLastsThroughCrashes(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        CrashTest run = new CrashTest();
+        DataFolder folder = run.open(random);
+        for (int i = 0; i < 40; i++) {
+            boolean dies = random.nextInt(4) == 0;
+            run.files.operationsLeft = dies ? random.nextInt(8) : Long.MAX_VALUE;
+            if (!run.write(folder, random)) {
+                run.files.crash(random);
+                folder = run.open(random);
+            }
+        }
+    }
+
+    private DataFolder open(SplittableRandom random) {
+        OpenResult result = DataFolder.open(files, FOLDER, HostId.of("h1"), random, 400);
+        OpenResult.Opened opened = assertInstanceOf(OpenResult.Opened.class, result, result::toString);
+        Restored found = opened.restored();
+        long floor = snapshot == null ? 0 : snapshot.index();
+        List<Entry> expected =
+                entries.stream().filter(each -> each.index() > floor).toList();
+        if (pending == null) {
+            assertEquals(expected, found.entries());
+        } else {
+            pending.check(expected, found);
+        }
+        assertTrue(found.hardState().term() >= doneTerm, "no answered term is forgotten");
+        // Go on from what was found.
+        pending = null;
+        entries = new ArrayList<>(found.entries());
+        snapshot = found.snapshot();
+        term = Math.max(1, found.hardState().term());
+        return opened.folder();
+    }
+
+    private interface Pending {
+        void check(List<Entry> before, Restored found);
+    }
+
+    private Pending pending;
+
+    private long last() {
+        long floor = snapshot == null ? 0 : snapshot.index();
+        return entries.isEmpty() ? floor : entries.get(entries.size() - 1).index();
+    }
+
+    /** Returns whether the write was answered as done. */
+    private boolean write(DataFolder folder, SplittableRandom random) {
+        int kind = random.nextInt(10);
+        if (kind == 0 && !entries.isEmpty()) {
+            Entry at = entries.get(random.nextInt(entries.size()));
+            return snapshot(folder, DataFolderTest.snapshot(at.index(), at.term()), false);
+        }
+        if (kind == 1) {
+            return snapshot(folder, DataFolderTest.snapshot(last() + 1 + random.nextInt(5), term + 1), true);
+        }
+        return append(folder, random);
+    }
+
+    private boolean snapshot(DataFolder folder, Snapshot newer, boolean installed) {
+        pending = (before, found) -> {
+            boolean old = found.entries().equals(before);
+            List<Entry> kept = before.stream()
+                    .filter(each -> !installed && each.index() > newer.index())
+                    .toList();
+            assertTrue(old || found.entries().equals(kept), "snapshot is there or not");
+        };
+        boolean done = (installed ? folder.install(newer) : folder.compact(newer)) instanceof StoreResult.Done;
+        if (done) {
+            entries.removeIf(each -> installed || each.index() <= newer.index());
+            snapshot = newer;
+            pending = null;
+        }
+        return done;
+    }
+
+    private boolean append(DataFolder folder, SplittableRandom random) {
+        long floor = snapshot == null ? 0 : snapshot.index();
+        long first = last() + 1 - random.nextLong(Math.min(3, last() + 1 - floor));
+        term++;
+        List<Entry> batch = new ArrayList<>();
+        for (long i = first; i <= first + random.nextInt(4); i++) {
+            batch.add(DataFolderTest.entry(i, term));
+        }
+        List<Entry> kept = new ArrayList<>(entries);
+        kept.removeIf(each -> each.index() >= first);
+        pending = (before, found) -> {
+            List<Entry> partly = new ArrayList<>(kept);
+            boolean fits = found.entries().equals(before);
+            for (Entry each : batch) {
+                partly.add(each);
+                fits |= found.entries().equals(partly);
+            }
+            assertTrue(fits, "the first records of the batch or none: " + found.entries());
+        };
+        boolean done = folder.append(new HardState(term, null), batch) instanceof StoreResult.Done;
+        if (done) {
+            doneTerm = term;
+            kept.addAll(batch);
+            entries = kept;
+            pending = null;
+        }
+        return done;
+    }
+}
--- /dev/null
+++ b/elmline-storage/src/test/java/org/elmline/storage/DataFolderTest.java
@@ -0,0 +1,202 @@
+package org.elmline.storage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+
+import org.elmline.core.common.HostId;
+import org.elmline.core.raft.Entry;
+import org.elmline.core.raft.EntryKind;
+import org.elmline.core.raft.HardState;
+import org.elmline.core.raft.Membership;
+import org.elmline.core.raft.ReplicaId;
+import org.elmline.core.raft.Restored;
+import org.elmline.core.raft.Snapshot;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class DataFolderTest {
+    private static final HostId HOST = HostId.of("h1");
+    private static final Path FOLDER = Path.of("/data");
+    private static final int SEGMENT = 100_000;
+    private static final StoreResult DONE = new StoreResult.Done();
+
+    private final MemoryFiles files = new MemoryFiles();
+
+    static Entry entry(long index, long term) {
+        return new Entry(index, term, EntryKind.COMMAND, ("command " + index + "/" + term).getBytes());
+    }
+
+    static Snapshot snapshot(long index, long term) {
+        Membership members = Membership.ofVoters(List.of(new ReplicaId(HOST, 7)));
+        return new Snapshot(index, term, members, ("state at " + index).getBytes());
+    }
+
+    private static OpenResult tryOpen(FileOperations files, Path folder) {
+        return DataFolder.open(files, folder, HOST, new SplittableRandom(1), SEGMENT);
+    }
+
+    private static OpenResult.Opened open(FileOperations files) {
+        return assertInstanceOf(OpenResult.Opened.class, tryOpen(files, FOLDER));
+    }
+
+    private static Path segment(int sequence) {
+        return FOLDER.resolve(SegmentFile.name(sequence));
+    }
+
+    /** Writes three batches and returns the segment's length after each. */
+    private List<Integer> writeThreeBatches() {
+        DataFolder folder = open(files).folder();
+        List<Integer> ends = new ArrayList<>();
+        for (long i = 1; i <= 3; i++) {
+            assertEquals(DONE, folder.append(new HardState(i, folder.identity()), List.of(entry(i, i))));
+            ends.add(files.bytes(segment(1)).length);
+        }
+        return ends;
+    }
+
+    /**
+     * The host dies while a batch is written, so any part of it may be on the disk. The unfinished batch was answered
+     * to nobody and goes; all before it stays, and the log goes on from there.
+     */
+    @Test
+    void aTornTailIsCutOffAtEveryByte() throws IOException {
+        List<Integer> ends = writeThreeBatches();
+        byte[] whole = files.bytes(segment(1));
+        for (int length = ends.get(1); length < whole.length; length++) {
+            MemoryFiles torn = files.copy();
+            torn.put(segment(1), java.util.Arrays.copyOf(whole, length));
+            OpenResult.Opened opened = open(torn);
+            // The state and the entry of a batch are two records, and the first may be whole.
+            assertTrue(opened.restored().hardState().term() <= 3);
+            assertEquals(List.of(entry(1, 1), entry(2, 2)), opened.restored().entries());
+            assertEquals(DONE, opened.folder().append(null, List.of(entry(3, 9))));
+            opened.folder().close();
+            assertEquals(entry(3, 9), open(torn).restored().entries().get(2));
+        }
+    }
+
+    /**
+     * A byte changes on the disk in what was synced long ago. Cut off there, the replica would forget entries and votes
+     * that others count on; it must refuse to start and name the place.
+     */
+    @Test
+    void aFlippedByteBeforeTheLastBatchIsRefusedAtEveryOffset() {
+        List<Integer> ends = writeThreeBatches();
+        for (int offset = 0; offset < ends.get(1); offset++) {
+            MemoryFiles flipped = files.copy();
+            flipped.bytes(segment(1))[offset] ^= 0x10;
+            OpenResult.Corrupt corrupt = assertInstanceOf(OpenResult.Corrupt.class, tryOpen(flipped, FOLDER));
+            assertEquals(SegmentFile.name(1), corrupt.damage().file());
+            assertTrue(corrupt.damage().offset() <= offset);
+        }
+    }
+
+    /** After an orderly close the last batch counts as synced too. */
+    @Test
+    void aFlippedByteInAClosedLogIsRefused() throws IOException {
+        OpenResult.Opened opened = open(files);
+        opened.folder().append(null, List.of(entry(1, 1)));
+        int end = files.bytes(segment(1)).length;
+        opened.folder().close();
+        files.bytes(segment(1))[end - 1] ^= 1;
+        assertInstanceOf(OpenResult.Corrupt.class, tryOpen(files, FOLDER));
+    }
+
+    @Test
+    void damagedSnapshotMissingSegmentAndLostLogAreRefused() {
+        DataFolder folder = open(files).folder();
+        folder.append(new HardState(1, null), List.of(entry(1, 1), entry(2, 1)));
+        folder.compact(snapshot(1, 1));
+        open(files).folder().append(null, List.of(entry(3, 1)));
+        MemoryFiles damaged = files.copy();
+        damaged.bytes(FOLDER.resolve(SnapshotFile.name(snapshot(1, 1))))[30] ^= 1;
+        assertInstanceOf(OpenResult.Corrupt.class, tryOpen(damaged, FOLDER));
+        MemoryFiles hole = files.copy();
+        hole.put(segment(9), hole.bytes(segment(1)));
+        assertInstanceOf(OpenResult.Corrupt.class, tryOpen(hole, FOLDER));
+        MemoryFiles identityOnly = new MemoryFiles();
+        identityOnly.put(FOLDER.resolve("identity"), files.bytes(FOLDER.resolve("identity")));
+        assertInstanceOf(OpenResult.Corrupt.class, tryOpen(identityOnly, FOLDER));
+    }
+
+    /** The disk fills up in the middle of a batch: the write is refused as a value, and goes through once there is room. */
+    @Test
+    void aFullDiskIsAnsweredAndTheSameWriteSucceedsLater() {
+        DataFolder folder = open(files).folder();
+        List<Entry> batch = List.of(entry(1, 1), entry(2, 1));
+        for (int room = 0; room < 50; room++) {
+            files.room = room;
+            assertInstanceOf(StoreResult.DiskFull.class, folder.append(new HardState(1, null), batch));
+        }
+        files.room = Long.MAX_VALUE;
+        assertEquals(DONE, folder.append(new HardState(1, null), batch));
+        assertEquals(batch, open(files).restored().entries());
+    }
+
+    /** After a failed sync nobody knows what is on the disk; a later success would be a lie. */
+    @Test
+    void afterAFailedSyncNothingIsTakenAnyMore() {
+        DataFolder folder = open(files).folder();
+        files.syncFails = true;
+        assertInstanceOf(StoreResult.Failed.class, folder.append(null, List.of(entry(1, 1))));
+        files.syncFails = false;
+        assertInstanceOf(StoreResult.Failed.class, folder.append(null, List.of(entry(1, 1))));
+    }
+
+    /** A host that lost its disk must not come back as the replica that it was. */
+    @Test
+    void anEmptyFolderGetsAnIdentityOfItsOwn() {
+        ReplicaId first = open(files).folder().identity();
+        assertEquals(first, open(files).folder().identity());
+        OpenResult lost = DataFolder.open(new MemoryFiles(), FOLDER, HOST, new SplittableRandom(2), SEGMENT);
+        DataFolder fresh = assertInstanceOf(OpenResult.Opened.class, lost).folder();
+        assertNotEquals(first, fresh.identity());
+        assertEquals(first.host(), fresh.identity().host());
+    }
+
+    @Test
+    void realFilesAreLockedRestoredAndInspectedUnchanged(@TempDir Path folder) throws IOException {
+        FileOperations system = new SystemFiles();
+        OpenResult.Opened opened = assertInstanceOf(OpenResult.Opened.class, tryOpen(system, folder));
+        assertEquals(Restored.NOTHING, opened.restored());
+        assertInstanceOf(OpenResult.Locked.class, tryOpen(system, folder));
+        Membership first = Membership.ofVoters(List.of(opened.folder().identity()));
+        assertEquals(DONE, opened.folder().bootstrap(first));
+        opened.folder().append(new HardState(2, null), List.of(entry(2, 2), entry(3, 2)));
+        assertEquals(DONE, opened.folder().compact(snapshot(2, 2)));
+        opened.folder().close();
+        List<byte[]> before = contents(folder);
+        Inspection inspection = Inspection.of(system, folder);
+        assertEquals(List.of(), inspection.damages());
+        assertEquals(2, inspection.snapshotIndex());
+        assertEquals(3, inspection.lastIndex());
+        assertEquals(new HardState(2, null), inspection.hardState());
+        List<byte[]> after = contents(folder);
+        for (int i = 0; i < before.size(); i++) {
+            assertTrue(java.util.Arrays.equals(before.get(i), after.get(i)));
+        }
+        Restored again = ((OpenResult.Opened) tryOpen(system, folder)).restored();
+        assertEquals(List.of(entry(3, 2)), again.entries());
+        assertEquals("state at 2", new String(again.snapshot().data()));
+    }
+
+    private static List<byte[]> contents(Path folder) throws IOException {
+        List<byte[]> result = new ArrayList<>();
+        try (Stream<Path> all = Files.list(folder)) {
+            for (Path each : all.sorted().toList()) {
+                result.add(Files.readAllBytes(each));
+            }
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/elmline-storage/src/test/java/org/elmline/storage/MemoryFiles.java
@@ -0,0 +1,142 @@
+package org.elmline.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/** A disk that keeps after a crash what was synced, and any part of the rest; its room and its operations can run out. */
+final class MemoryFiles implements FileOperations {
+    private static final class Content {
+        private byte[] bytes = new byte[0];
+        private int synced;
+    }
+
+    private TreeMap<Path, Content> names = new TreeMap<>();
+    private TreeMap<Path, Content> syncedNames = new TreeMap<>();
+    long room = Long.MAX_VALUE;
+    long operationsLeft = Long.MAX_VALUE;
+    boolean syncFails;
+
+    /** The host dies and comes back. */
+    void crash(RandomGenerator random) {
+        names = new TreeMap<>(syncedNames);
+        for (Content each : names.values()) {
+            int kept = each.synced + random.nextInt(each.bytes.length - each.synced + 1);
+            each.bytes = Arrays.copyOf(each.bytes, kept);
+            each.synced = kept;
+        }
+        operationsLeft = Long.MAX_VALUE;
+        room = Long.MAX_VALUE;
+    }
+
+    byte[] bytes(Path file) {
+        return names.get(file).bytes;
+    }
+
+    void put(Path file, byte[] bytes) {
+        Content content = new Content();
+        content.bytes = bytes;
+        names.put(file, content);
+    }
+
+    MemoryFiles copy() {
+        MemoryFiles copy = new MemoryFiles();
+        names.forEach((path, content) -> copy.put(path, content.bytes.clone()));
+        return copy;
+    }
+
+    private void operation() throws IOException {
+        if (operationsLeft-- <= 0) {
+            throw new IOException("the host is down");
+        }
+    }
+
+    @Override
+    public void createFolder(Path folder) {}
+
+    @Override
+    public List<String> list(Path folder) {
+        return names.keySet().stream()
+                .map(each -> each.getFileName().toString())
+                .toList();
+    }
+
+    @Override
+    public byte[] read(Path file) {
+        return bytes(file).clone();
+    }
+
+    @Override
+    public OutputFile open(Path file) throws IOException {
+        operation();
+        return new MemoryFile(names.computeIfAbsent(file, path -> new Content()));
+    }
+
+    @Override
+    public void rename(Path from, Path to) throws IOException {
+        operation();
+        names.put(to, names.remove(from));
+    }
+
+    @Override
+    public void delete(Path file) throws IOException {
+        operation();
+        names.remove(file);
+    }
+
+    @Override
+    public void syncFolder(Path folder) throws IOException {
+        operation();
+        syncedNames = new TreeMap<>(names);
+    }
+
+    @Override
+    public AutoCloseable tryLock(Path file) {
+        return () -> {};
+    }
+
+    private final class MemoryFile implements OutputFile {
+        private final Content content;
+
+        private MemoryFile(Content content) {
+            this.content = content;
+        }
+
+        @Override
+        public void write(ByteBuffer from) throws IOException {
+            operation();
+            int fitting = (int) Math.min(room, from.remaining());
+            boolean full = fitting < from.remaining();
+            int old = content.bytes.length;
+            content.bytes = Arrays.copyOf(content.bytes, old + fitting);
+            from.get(content.bytes, old, fitting);
+            room -= fitting;
+            if (full) {
+                throw new DiskFullException("no room");
+            }
+        }
+
+        @Override
+        public void sync() throws IOException {
+            operation();
+            if (syncFails) {
+                throw new IOException("sync failed");
+            }
+            content.synced = content.bytes.length;
+        }
+
+        @Override
+        public void truncate(long length) throws IOException {
+            operation();
+            content.bytes = Arrays.copyOf(content.bytes, (int) length);
+            content.synced = Math.min(content.synced, (int) length);
+        }
+
+        @Override
+        public void close() {}
+    }
+}
