--- a/elmline-cli/src/main/java/org/elmline/cli/settings/SettingsCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/settings/SettingsCommand.java
@@ -6,7 +6,10 @@
 import picocli.CommandLine.Spec;
 
 /** Groups the commands on settings files. */
-@Command(name = "settings", description = "Checks settings files.", subcommands = SettingsCheckCommand.class)
+@Command(
+        name = "settings",
+        description = "Checks settings files and lists all settings.",
+        subcommands = {SettingsCheckCommand.class, SettingsReferenceCommand.class})
 final class SettingsCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/settings/SettingsSchema.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/SettingsSchema.java
@@ -40,6 +40,10 @@
         }
     }
 
+    JsonNode document() {
+        return document;
+    }
+
     List<Problem> check(JsonNode settings, Role role) {
         List<Problem> problems = new ArrayList<>();
         for (Error error : schemas.get(role).validate(settings)) {
