Stamp calls with hybrid time and record requests, leases and tickets on the time line

Cause: the time line merges processes, and only a stamp on each call keeps causes before effects (docs/measurements/timeline.md). Change: the envelope carries the sender's time, both ends merge it; the entry records a request's stages, leases and followed tickets, and serves /v1/events and /metrics.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
@@ -12,6 +12,7 @@
 import org.elmline.core.common.Ran;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
+import org.elmline.core.common.RequestId;
 import org.elmline.core.engine.EngineClient;
 import org.elmline.core.engine.EngineRequest;
 import org.elmline.core.engine.PromptBlocks;
@@ -23,6 +24,7 @@
 import org.elmline.core.stream.Assembled;
 import org.elmline.core.stream.RetryDecision;
 import org.elmline.core.stream.StreamFailure;
+import org.elmline.core.timeline.RequestEvent;
 import org.elmline.daemon.openai.CompletionRequest;
 
 /**
@@ -67,15 +69,31 @@
     }
 
     void run() throws IOException, InterruptedException {
+        gateway.record(new RequestEvent.Received(
+                id(),
+                work.call().organisation().id(),
+                work.request().model().value(),
+                work.promptTokens(),
+                remainingMillis()));
         try {
             attempts();
         } finally {
             if (grant != null) {
+                gateway.record(new RequestEvent.Cancelled(id(), grant.attempt()));
                 gateway.cancels().cancel(grant);
             }
         }
     }
 
+    private RequestId id() {
+        return work.call().id();
+    }
+
+    private void refuse(Refusal refusal) throws IOException {
+        gateway.record(new RequestEvent.Refused(id(), refusal.reason(), refusal.ran()));
+        sink.refuse(refusal);
+    }
+
     private void attempts() throws IOException, InterruptedException {
         boolean resume = false;
         while (true) {
@@ -84,13 +102,14 @@
             }
             Ending ending = stream(resume);
             if (ending instanceof Ending.Whole) {
+                gateway.record(new RequestEvent.Finished(id(), answer.offset()));
                 gateway.grants().close(grant.attempt(), ReleaseCause.FINISHED);
                 grant = null;
                 return;
             }
             if (ending instanceof Ending.Expired) {
                 gateway.counter("deadline").inc();
-                sink.refuse(expired());
+                refuse(expired());
                 return;
             }
             Ending.Broken broken = (Ending.Broken) ending;
@@ -98,7 +117,7 @@
             gateway.counter("broken." + decision.name().toLowerCase(java.util.Locale.ROOT))
                     .inc();
             if (decision == RetryDecision.GIVE_UP) {
-                sink.refuse(failed(broken));
+                refuse(failed(broken));
                 return;
             }
             resume = decision == RetryDecision.RESUME;
@@ -124,10 +143,12 @@
         Placement placement = gateway.placer().place(work.call(), tries, demand);
         if (placement instanceof Placement.None none) {
             gateway.counter("refused").inc();
-            sink.refuse(withRan(none.refusal()));
+            refuse(withRan(none.refusal()));
             return false;
         }
-        grant = ((Placement.Found) placement).grant();
+        Placement.Found found = (Placement.Found) placement;
+        grant = found.grant();
+        gateway.record(new RequestEvent.Placed(id(), grant.attempt(), grant.server(), found.owner()));
         answer.continueWith(grant.attempt());
         resumes = 0;
         return true;
@@ -222,6 +243,7 @@
         long nanos = gateway.clock().nanos() - startedNanos;
         gateway.grants().firstToken(grant.attempt(), TimeUnit.NANOSECONDS.toMillis(nanos));
         if (ofTheAnswer) {
+            gateway.record(new RequestEvent.FirstToken(id(), grant.attempt()));
             long sinceReceived = gateway.clock().nanos() - work.call().receivedNanos();
             gateway.firstTokenTimer(org.elmline.core.common.LengthClass.of(work.promptTokens()))
                     .update(sinceReceived, TimeUnit.NANOSECONDS);
@@ -243,6 +265,7 @@
 
     private void giveUpAttempt(Ending.Broken broken) {
         failedServers.add(grant.server());
+        gateway.record(new RequestEvent.Retried(id(), grant.attempt(), RefusalReason.BACKEND_FAILED, broken.ran()));
         if (broken.ran() == Ran.NO) {
             gateway.grants().close(grant.attempt(), ReleaseCause.ENGINE_FAILED);
         } else {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Gateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Gateway.java
@@ -11,6 +11,8 @@
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
 import org.elmline.core.stream.RetryBudget;
+import org.elmline.core.timeline.EventRing;
+import org.elmline.core.timeline.RequestEvent;
 import org.elmline.daemon.backend.EngineClients;
 import org.elmline.daemon.entry.HostIdentity;
 
@@ -27,6 +29,7 @@
     private final EngineClients engines;
     private final EngineCancels cancels;
     private final RetryBudget budget = new RetryBudget(RETRY_SHARE, RETRY_BURST);
+    private final EventRing events;
     private final MetricRegistry metrics;
     private final Counter callersLeft;
 
@@ -37,6 +40,7 @@
             GrantBook grants,
             EngineClients engines,
             EngineCancels cancels,
+            EventRing events,
             MetricRegistry metrics) {
         this.self = self;
         this.clock = clock;
@@ -44,6 +48,7 @@
         this.grants = grants;
         this.engines = engines;
         this.cancels = cancels;
+        this.events = events;
         this.metrics = metrics;
         this.callersLeft = metrics.counter("gateway.callers.left");
     }
@@ -95,6 +100,10 @@
         return cancels;
     }
 
+    void record(RequestEvent event) {
+        events.record(event);
+    }
+
     RetryBudget budget() {
         return budget;
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
@@ -10,6 +10,7 @@
 import org.elmline.core.control.ControlChannels;
 import org.elmline.core.control.ControlLimits;
 import org.elmline.core.control.LeaseSettings;
+import org.elmline.core.timeline.HybridClock;
 import org.elmline.daemon.runtime.SystemClock;
 import org.elmline.daemon.runtime.Workers;
 import org.elmline.daemon.settings.ControlSettings;
@@ -48,6 +49,7 @@
     private static ControlDaemon start(ControlSettings settings, Closer closer) throws IOException {
         MonotonicClock clock = new SystemClock();
         MetricRegistry metrics = new MetricRegistry();
+        HybridClock hybridClock = new HybridClock(System::currentTimeMillis);
         Workers workers = closer.register(new Workers("control", MAX_STREAMS));
         Handlers handlers = new Handlers(workers.handlers());
         ControlMachine machine = new ControlMachine();
@@ -58,7 +60,8 @@
                 new PeerKey(settings.keys().peerKey().value()),
                 PeerLimits.DEFAULT,
                 workers.connections(),
-                workers.timer()));
+                workers.timer(),
+                hybridClock));
         Address peers = server.address(bind.ip());
         CommandLog log = closer.register(new SoloLog(machine, peers, clock));
         LeaseSettings leases = new LeaseSettings(settings.lease().leaseMillis(), LEASE_GRACE_MILLIS);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -25,6 +25,9 @@
 import org.elmline.core.route.OwnerTableSettings;
 import org.elmline.core.route.RouteChannels;
 import org.elmline.core.route.SummarySchedule;
+import org.elmline.core.timeline.EventRing;
+import org.elmline.core.timeline.HostEvent;
+import org.elmline.core.timeline.HybridClock;
 import org.elmline.daemon.backend.AnnounceHandler;
 import org.elmline.daemon.backend.EngineClients;
 import org.elmline.daemon.backend.OwnerDuties;
@@ -44,7 +47,10 @@
 import org.elmline.daemon.http.HttpLimits;
 import org.elmline.daemon.http.HttpListener;
 import org.elmline.daemon.openai.ApiKind;
+import org.elmline.daemon.operator.EventsHandler;
+import org.elmline.daemon.operator.MetricsHandler;
 import org.elmline.daemon.operator.OperatorKeys;
+import org.elmline.daemon.operator.ProcessMetrics;
 import org.elmline.daemon.operator.StatusHandler;
 import org.elmline.daemon.operator.TicketsHandler;
 import org.elmline.daemon.runtime.SystemClock;
@@ -66,6 +72,7 @@
     private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
     private static final int BODY_MILLIS = 30_000;
     private static final int IDLE_MILLIS = 60_000;
+    private static final long STOP_CHECK_MILLIS = 20;
     private static final long SUMMARY_BEAT_MILLIS = 2_000;
     private static final double SUMMARY_BYTES_PER_SECOND = 2_000;
 
@@ -73,6 +80,8 @@
     private final EntrySettings settings;
     private final MonotonicClock clock = new SystemClock();
     private final MetricRegistry metrics = new MetricRegistry();
+    private final HybridClock hybridClock = new HybridClock(System::currentTimeMillis);
+    private final EventRing events;
     private final AtomicBoolean leaving = new AtomicBoolean();
     private final HostIdentity self;
     private final RoutingHandler callerRoutes = routes();
@@ -92,6 +101,13 @@
                 Incarnation.of(System.currentTimeMillis()),
                 settings.failureDomain(),
                 settings.region());
+        this.events = new EventRing(
+                self.host(),
+                self.incarnation(),
+                hybridClock,
+                System::currentTimeMillis,
+                settings.timeline().events());
+        ProcessMetrics.register(metrics, events, hybridClock);
     }
 
     /** Opens everything and begins to serve; closes what was opened when any of it fails. */
@@ -112,7 +128,7 @@
         org.elmline.wire.tcp.Handlers channels = new org.elmline.wire.tcp.Handlers(workers.handlers());
         bind(workers, key, channels);
         TcpPeerNetwork network = closer.register(new TcpPeerNetwork(
-                key, PeerLimits.DEFAULT, workers.connections(), workers.timer(), workers.handlers()));
+                key, PeerLimits.DEFAULT, workers.connections(), workers.timer(), workers.handlers(), hybridClock));
         SharedView view = new SharedView(clock);
         List<Address> seeds =
                 settings.control().stream().map(each -> each.peers()).toList();
@@ -129,8 +145,10 @@
                 this::record,
                 Duration.ofMillis(settings.lease().renewMillis()),
                 metrics,
+                events,
                 gate::close);
         renewer.start(workers.timer());
+        events.record(new HostEvent.Started(self.host(), self.incarnation(), "entry"));
         LOG.infof("entry host %s serves callers at %s", self.host(), callers.address());
     }
 
@@ -143,7 +161,8 @@
                 key,
                 PeerLimits.DEFAULT,
                 workers.connections(),
-                workers.timer()));
+                workers.timer(),
+                hybridClock));
         callers = closer.register(http(settings.addresses().callers(), callerRoutes));
         List<String> operatorKeys =
                 settings.keys().operatorKeys().stream().map(Secret::value).toList();
@@ -176,7 +195,7 @@
         EngineCancels cancels = new EngineCancels(engines, table, grants, clock, metrics);
         cancels.start(workers.timer());
         Placer placer = new Placer(self, view, clock, network, service, table, grants, metrics);
-        Gateway gateway = new Gateway(self, clock, placer, grants, engines, cancels, metrics);
+        Gateway gateway = new Gateway(self, clock, placer, grants, engines, cancels, events, metrics);
         ServiceGateway services = closer.register(new ServiceGateway(clock, table, control, metrics));
         openCallers(view, service, gateway, services, bodies);
     }
@@ -186,7 +205,7 @@
         List<String> backendKeys =
                 settings.keys().backendKeys().stream().map(Secret::value).toList();
         int keepSeconds = settings.callers().keepSeconds();
-        ServiceHandler serviceHandler = new ServiceHandler(self, gate, view, bodies, services);
+        ServiceHandler serviceHandler = new ServiceHandler(self, gate, view, bodies, services, events);
         callerRoutes
                 .get("/v1/entry-hosts", new EntryHostsHandler(view, self.region(), keepSeconds))
                 .get("/v1/models", new ModelsHandler(gate, view))
@@ -205,7 +224,9 @@
                 .put("/v1/tickets/{number}", tickets::put)
                 .get("/v1/tickets/{number}", tickets::show)
                 .get("/v1/tickets", tickets::list)
-                .get("/v1/status", new StatusHandler(self, view, gate));
+                .get("/v1/status", new StatusHandler(self, view, gate))
+                .get("/v1/events", new EventsHandler(events))
+                .get("/metrics", new MetricsHandler(metrics));
     }
 
     private static RoutingHandler routes() {
@@ -259,6 +280,7 @@
      */
     public void stop() throws InterruptedException {
         leaving.set(true);
+        events.record(new HostEvent.Stopping(self.host()));
         LOG.infof("entry host %s is leaving", self.host());
         renewer.renew();
         Thread.sleep(Duration.ofSeconds(settings.callers().keepSeconds()).toMillis());
@@ -271,8 +293,6 @@
         close();
     }
 
-    private static final long STOP_CHECK_MILLIS = 20;
-
     @Override
     public void close() {
         closer.close();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/LeaseRenewer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/LeaseRenewer.java
@@ -10,12 +10,17 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.common.CallResult;
+import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.config.ConfigDelta;
+import org.elmline.core.config.VersionedObject;
 import org.elmline.core.control.ControlChannels;
 import org.elmline.core.control.HostRecord;
 import org.elmline.core.control.LeaseAnswer;
 import org.elmline.core.control.LeaseRequest;
+import org.elmline.core.timeline.EventRing;
+import org.elmline.core.timeline.HostEvent;
+import org.elmline.core.timeline.TicketEvent;
 import org.jboss.logging.Logger;
 
 /** Renews this entry's lease at a steady beat, and at once after a change so that it is acknowledged early. */
@@ -30,6 +35,7 @@
     private final AtomicBoolean asking = new AtomicBoolean();
     private final Counter renewed;
     private final Counter missed;
+    private final EventRing events;
     private final Runnable onReplaced;
     private volatile boolean held;
 
@@ -40,6 +46,7 @@
             Supplier<HostRecord> self,
             Duration beat,
             MetricRegistry metrics,
+            EventRing events,
             Runnable onReplaced) {
         this.control = control;
         this.view = view;
@@ -48,6 +55,7 @@
         this.beat = beat;
         this.renewed = metrics.counter("entry.lease.renewed");
         this.missed = metrics.counter("entry.lease.missed");
+        this.events = events;
         this.onReplaced = onReplaced;
     }
 
@@ -91,6 +99,9 @@
             ConfigDelta config = granted.config();
             boolean news = config.to().compareTo(view.configuration().version()) > 0;
             view.granted(asked, granted);
+            for (VersionedObject each : config.changed()) {
+                events.record(new TicketEvent.Followed(each.ticket(), each.version()));
+            }
             if (news) {
                 // The next renewal acknowledges the change; asking now spares the operator the rest of the beat.
                 renew();
@@ -102,6 +113,8 @@
         boolean now = view.mayServe();
         if (now != held) {
             held = now;
+            HostId host = self.get().id();
+            events.record(now ? new HostEvent.LeaseGranted(host) : new HostEvent.LeaseLost(host));
             LOG.infof(now ? "lease held" : "lease lost: nothing new is admitted until it is held again");
         }
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceHandler.java
@@ -27,6 +27,8 @@
 import org.elmline.core.control.ClaimSession;
 import org.elmline.core.control.IdempotencyKey;
 import org.elmline.core.control.RecordedAnswer;
+import org.elmline.core.timeline.EventRing;
+import org.elmline.core.timeline.RequestEvent;
 import org.elmline.daemon.caller.Admitted;
 import org.elmline.daemon.caller.Gate;
 import org.elmline.daemon.entry.HostIdentity;
@@ -52,14 +54,22 @@
     private final SharedView view;
     private final BodyReader bodies;
     private final ServiceGateway gateway;
+    private final EventRing events;
     private final AtomicLong sessions = new AtomicLong();
 
-    public ServiceHandler(HostIdentity self, Gate gate, SharedView view, BodyReader bodies, ServiceGateway gateway) {
+    public ServiceHandler(
+            HostIdentity self,
+            Gate gate,
+            SharedView view,
+            BodyReader bodies,
+            ServiceGateway gateway,
+            EventRing events) {
         this.self = self;
         this.gate = gate;
         this.view = view;
         this.bodies = bodies;
         this.gateway = gateway;
+        this.events = events;
     }
 
     @Override
@@ -93,8 +103,14 @@
                 query.isEmpty() ? path : path + "?" + query,
                 headers(exchange.getRequestHeaders()),
                 body);
+        events.record(new RequestEvent.Received(
+                admitted.id(),
+                admitted.organisation().id(),
+                name,
+                0,
+                service.get().timeoutMillis()));
         if (repeatable(exchange, service.get())) {
-            reply(exchange, gateway.repeatable(service.get(), call, admitted.deadlineNanos()));
+            reply(exchange, admitted, gateway.repeatable(service.get(), call, admitted.deadlineNanos()));
             return;
         }
         once(exchange, admitted, service.get(), call);
@@ -117,7 +133,8 @@
                 view.lease(),
                 admitted.deadlineNanos(),
                 FINISH_TRIES);
-        gateway.once(service, call, session, admitted.deadlineNanos(), reply -> reply(exchange, reply));
+        events.record(new RequestEvent.ClaimBegun(admitted.id()));
+        gateway.once(service, call, session, admitted.deadlineNanos(), reply -> reply(exchange, admitted, reply));
     }
 
     private Optional<Service> find(String name) {
@@ -147,11 +164,14 @@
         return headers;
     }
 
-    private static void reply(HttpServerExchange exchange, ClaimReply reply) {
+    private void reply(HttpServerExchange exchange, Admitted admitted, ClaimReply reply) {
         if (reply instanceof ClaimReply.Refused refused) {
+            events.record(new RequestEvent.Refused(
+                    admitted.id(), refused.refusal().reason(), refused.refusal().ran()));
             Answers.refuse(exchange, refused.refusal());
             return;
         }
+        events.record(new RequestEvent.Finished(admitted.id(), 0));
         ClaimReply.Answered answered = (ClaimReply.Answered) reply;
         RecordedAnswer answer = answered.answer();
         exchange.setStatusCode(answer.status());
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/Connection.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/Connection.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 
 import org.elmline.core.common.CallResult;
+import org.elmline.core.timeline.HybridClock;
 import org.elmline.wire.codec.Codecs;
 import org.elmline.wire.codec.Decoded;
 
@@ -18,6 +19,7 @@
     private final Handshake handshake;
     private final Handlers handlers;
     private final PeerLimits limits;
+    private final HybridClock hybridClock;
     private final Consumer<Connection> onClose;
     private final AtomicLong nextCall = new AtomicLong();
     private final AtomicInteger handling = new AtomicInteger();
@@ -31,10 +33,12 @@
             Handshake.Role role,
             Handlers handlers,
             PeerLimits limits,
+            HybridClock hybridClock,
             Consumer<Connection> onClose) {
         this.handshake = new Handshake(key, role);
         this.handlers = handlers;
         this.limits = limits;
+        this.hybridClock = hybridClock;
         this.onClose = onClose;
         this.frames = new FrameChannel(socket, limits, this::receive, this::ended);
     }
@@ -67,7 +71,8 @@
             return new PendingCall(result, () -> {});
         }
         unanswered.put(number, result);
-        byte[] frame = Codecs.MESSAGE_PACK.encode(new Envelope(number, Envelope.Kind.CALL, channel, body));
+        byte[] frame =
+                Codecs.MESSAGE_PACK.encode(new Envelope(number, Envelope.Kind.CALL, channel, hybridClock.now(), body));
         if (!frames.send(frame)) {
             unanswered.remove(number);
             result.complete(new CallResult.NotSent<>("the connection is closed or its queue is full"));
@@ -90,6 +95,9 @@
             close("malformed envelope");
             return;
         }
+        if (envelope.value().stamp() != null) {
+            hybridClock.merge(envelope.value().stamp());
+        }
         dispatch(envelope.value());
     }
 
@@ -140,7 +148,8 @@
     }
 
     private void reply(Envelope call, Envelope.Kind kind, String why, byte[] body) {
-        boolean sent = frames.send(Codecs.MESSAGE_PACK.encode(new Envelope(call.call(), kind, why, body)));
+        boolean sent =
+                frames.send(Codecs.MESSAGE_PACK.encode(new Envelope(call.call(), kind, why, hybridClock.now(), body)));
         if (!sent) {
             // A peer that doesn't read its answers would otherwise wait for one that never comes.
             close("answer could not be queued");
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/Envelope.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/Envelope.java
@@ -1,13 +1,16 @@
 package org.elmline.wire.tcp;
 
+import org.elmline.core.timeline.HybridTime;
+
 /**
  * What one frame carries.
  *
  * @param call number of the call on its connection; an answer carries its call's number
  * @param channel name of the channel; empty in answers
+ * @param stamp the sender's hybrid logical time, so that the time line shows causes before their effects
  * @param body the message, in MessagePack
  */
-record Envelope(long call, Kind kind, String channel, byte[] body) {
+record Envelope(long call, Kind kind, String channel, HybridTime stamp, byte[] body) {
     /** What the receiver does with a frame. */
     enum Kind {
         CALL,
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
@@ -19,6 +19,7 @@
 import org.elmline.core.common.CallResult;
 import org.elmline.core.peer.Channel;
 import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.timeline.HybridClock;
 import org.elmline.wire.codec.Codecs;
 import org.elmline.wire.codec.Decoded;
 
@@ -36,6 +37,7 @@
     private final AsynchronousChannelGroup group;
     private final ScheduledExecutorService timer;
     private final Executor workers;
+    private final HybridClock hybridClock;
     private final Handlers noHandlers;
     private final Map<Address, Link> links = new ConcurrentHashMap<>();
     private volatile boolean closed;
@@ -45,12 +47,14 @@
             PeerLimits limits,
             AsynchronousChannelGroup group,
             ScheduledExecutorService timer,
-            Executor workers) {
+            Executor workers,
+            HybridClock hybridClock) {
         this.key = key;
         this.limits = limits;
         this.group = group;
         this.timer = timer;
         this.workers = workers;
+        this.hybridClock = hybridClock;
         this.noHandlers = new Handlers(workers);
     }
 
@@ -238,8 +242,8 @@
             socket.connect(target, null, new CompletionHandler<Void, Void>() {
                 @Override
                 public void completed(Void done, Void nothing) {
-                    Connection connection =
-                            new Connection(socket, key, Handshake.Role.CLIENT, noHandlers, limits, each -> {});
+                    Connection connection = new Connection(
+                            socket, key, Handshake.Role.CLIENT, noHandlers, limits, hybridClock, each -> {});
                     connection.ready().thenAccept(proven -> opened.complete(proven ? connection : null));
                     connection.start();
                 }
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerServer.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerServer.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.elmline.core.common.Address;
+import org.elmline.core.timeline.HybridClock;
 
 /** Accepts connections of other elmline processes and answers their calls. */
 public final class TcpPeerServer implements AutoCloseable {
@@ -22,6 +23,7 @@
     private final PeerKey key;
     private final PeerLimits limits;
     private final ScheduledExecutorService timer;
+    private final HybridClock hybridClock;
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean closed;
 
@@ -30,12 +32,14 @@
             Handlers handlers,
             PeerKey key,
             PeerLimits limits,
-            ScheduledExecutorService timer) {
+            ScheduledExecutorService timer,
+            HybridClock hybridClock) {
         this.server = server;
         this.handlers = handlers;
         this.key = key;
         this.limits = limits;
         this.timer = timer;
+        this.hybridClock = hybridClock;
     }
 
     /** Binds and begins to accept; port 0 takes a free port, see {@link #port()}. */
@@ -45,7 +49,8 @@
             PeerKey key,
             PeerLimits limits,
             AsynchronousChannelGroup group,
-            ScheduledExecutorService timer)
+            ScheduledExecutorService timer,
+            HybridClock hybridClock)
             throws IOException {
         AsynchronousServerSocketChannel socket = AsynchronousServerSocketChannel.open(group);
         try {
@@ -55,7 +60,7 @@
             socket.close();
             throw new IOException("can't listen on " + bind + ": " + e.getMessage(), e);
         }
-        TcpPeerServer server = new TcpPeerServer(socket, handlers, key, limits, timer);
+        TcpPeerServer server = new TcpPeerServer(socket, handlers, key, limits, timer, hybridClock);
         server.accept();
         return server;
     }
@@ -119,7 +124,7 @@
         }
         SocketOptions.apply(socket);
         Connection connection =
-                new Connection(socket, key, Handshake.Role.SERVER, handlers, limits, connections::remove);
+                new Connection(socket, key, Handshake.Role.SERVER, handlers, limits, hybridClock, connections::remove);
         connections.add(connection);
         connection.start();
         // A peer that connects and says nothing would otherwise hold its place for ever.
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -20,6 +20,7 @@
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.Closer;
 import org.elmline.core.peer.Channel;
+import org.elmline.core.timeline.HybridClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +32,7 @@
 class TcpPeerNetworkTest {
     private static final Duration LONG = Duration.ofSeconds(20);
     private static final Duration SHORT = Duration.ofMillis(300);
+    private static final HybridClock CLOCK = new HybridClock(System::currentTimeMillis);
     private static final String SECRET = "a peer key of tests";
 
     record Ask(String text) {}
@@ -63,8 +65,8 @@
         handlers.register(THROWS, ask -> {
             throw new IllegalStateException("broken on purpose");
         });
-        server = closer.register(
-                TcpPeerServer.start(loopback(), handlers, new PeerKey(SECRET), PeerLimits.DEFAULT, group, timer));
+        server = closer.register(TcpPeerServer.start(
+                loopback(), handlers, new PeerKey(SECRET), PeerLimits.DEFAULT, group, timer, CLOCK));
         address = server.address("127.0.0.1");
     }
 
@@ -214,7 +216,7 @@
     }
 
     private TcpPeerNetwork network(String secret, PeerLimits limits) {
-        return closer.register(new TcpPeerNetwork(new PeerKey(secret), limits, group, timer, workers));
+        return closer.register(new TcpPeerNetwork(new PeerKey(secret), limits, group, timer, workers, CLOCK));
     }
 
     private static InetSocketAddress loopback() {
