--- a/elmline-core/src/main/java/org/elmline/core/control/LeaseKeeper.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/LeaseKeeper.java
@@ -32,13 +32,15 @@
         }
     }
 
-    private static final class Holder {
-        private long untilNanos;
+    private final class Holder {
+        private long untilNanos = settledNanos;
         private ConfigVersion inForce = ConfigVersion.of(0);
         private long endingAt = -1;
 
-        private Holder(long untilNanos) {
-            this.untilNanos = untilNanos;
+        /** A process that is about to join gets this too, or its membership would end before its first grant. */
+        private void extend(long askedNanos) {
+            long until = askedNanos + settings.leaderNanos();
+            untilNanos = untilNanos - until >= 0 ? untilNanos : until;
         }
     }
 
@@ -69,14 +71,15 @@
         }
         Optional<Member> member = state.member(host.id());
         if (member.isEmpty() || !member.get().host().equals(state.merged(host)) || ending(member.get())) {
+            holder(Process.of(host)).extend(nowNanos);
             return new LeaseDecision.Join(new Command.JoinHost(host));
         }
         return new LeaseDecision.Answer(grant(request, nowNanos, controlHosts));
     }
 
     private LeaseAnswer grant(LeaseRequest request, long nowNanos, List<Address> controlHosts) {
-        Holder holder = holders.computeIfAbsent(Process.of(request.host()), p -> new Holder(settledNanos));
-        holder.untilNanos = later(holder.untilNanos, nowNanos + settings.leaderNanos());
+        Holder holder = holder(Process.of(request.host()));
+        holder.extend(nowNanos);
         holder.inForce = request.inForce().compareTo(holder.inForce) > 0 ? request.inForce() : holder.inForce;
         return new LeaseAnswer.Granted(
                 settings.leaseMillis(),
@@ -102,7 +105,7 @@
                 continue;
             }
             Process process = Process.of(each.host());
-            holders.computeIfAbsent(process, p -> new Holder(settledNanos)).endingAt = each.version();
+            holder(process).endingAt = each.version();
             over.add(new Command.EndHost(process.host(), process.incarnation(), each.version()));
         }
         forgetPast(nowNanos);
@@ -168,7 +171,7 @@
         return List.copyOf(found);
     }
 
-    private static long later(long a, long b) {
-        return a - b >= 0 ? a : b;
+    private Holder holder(Process process) {
+        return holders.computeIfAbsent(process, p -> new Holder());
     }
 }
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/control/LeaseKeeperTest.java
@@ -0,0 +1,241 @@
+package org.elmline.core.control;
+
+import java.util.List;
+import java.util.Set;
+
+import org.elmline.core.common.ConfigVersion;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.config.ConfigDelta;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+import static org.elmline.core.control.ControlFixture.host;
+import static org.elmline.core.control.ControlFixture.model;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class LeaseKeeperTest {
+    private static final LeaseSettings SETTINGS = new LeaseSettings(4_000, 500);
+    private static final long FOR_LONG = Long.MAX_VALUE / 2;
+
+    private final ControlFixture control = new ControlFixture();
+    private LeaseKeeper keeper;
+
+    @BeforeEach
+    void lead() {
+        keeper = new LeaseKeeper(control.state, SETTINGS, 0);
+    }
+
+    @Test
+    void firstRenewalJoinsAndThenBringsEverything() {
+        control.submit(1, model("elm-desk", "v1"));
+
+        LeaseDecision first = keeper.renew(request("a", 1, 0), at(10), FOR_LONG, List.of());
+        control.apply(assertInstanceOf(LeaseDecision.Join.class, first).command());
+        LeaseAnswer.Granted granted = granted("a", 1, 0, 20);
+
+        assertEquals(4_000, granted.leaseMillis());
+        assertEquals(1, granted.config().changed().size());
+        assertEquals(List.of(host("a", 1)), granted.members().changed());
+        ConfigDelta next = granted("a", 1, 1, 30).config();
+        assertTrue(next.changed().isEmpty());
+    }
+
+    // Two leaders could grant at once, and a ticket be called in force by the new one while entries renew under the
+    // old one's configuration. A leader grants nothing once its own lease is over, whatever it believes.
+    @Test
+    void grantsOnlyInsideTheLeadersOwnLease() {
+        join("a", 1, 0);
+
+        LeaseDecision late = keeper.renew(request("a", 1, 0), at(100), at(100), List.of());
+
+        assertEquals(new LeaseDecision.Answer(new LeaseAnswer.NotLeader(null)), late);
+    }
+
+    // Host "a" is restarted while its first process is only frozen. That process wakes and asks again; a grant would
+    // leave two processes serving under one name.
+    @Test
+    void laterIncarnationReplacesAnEarlierOne() {
+        join("a", 1, 0);
+        join("a", 2, 1_000);
+
+        LeaseDecision old = keeper.renew(request("a", 1, 0), at(2_000), FOR_LONG, List.of());
+        assertEquals(new LeaseDecision.Answer(new LeaseAnswer.Replaced(Incarnation.of(2))), old);
+
+        control.apply(end("a", 60_000));
+        old = keeper.renew(request("a", 1, 0), at(61_000), FOR_LONG, List.of());
+        assertEquals(new LeaseDecision.Answer(new LeaseAnswer.Replaced(Incarnation.of(2))), old);
+    }
+
+    @Test
+    void ticketIsInForceOnceAcknowledgedOrTheLeaseIsOver() {
+        join("a", 1, 5_000);
+        join("b", 1, 5_000);
+        control.submit(1, model("elm-desk", "v1"));
+
+        assertEquals(List.of(HostId.of("a"), HostId.of("b")), status(5_100).outstanding());
+        granted("a", 1, 1, 5_200);
+        assertEquals(List.of(HostId.of("b")), status(9_400).outstanding());
+        assertFalse(status(9_499).inForce());
+        assertTrue(status(9_500).inForce());
+    }
+
+    // A new leader has no memory of leases. Calling a ticket in force at once would be wrong for the entries that hold
+    // leases of its predecessor and run the old configuration, members and replaced processes alike.
+    @Test
+    void newLeaderWaitsOutEveryLeaseItMayNotKnow() {
+        join("a", 1, 0);
+        control.submit(1, model("elm-desk", "v1"));
+
+        keeper = new LeaseKeeper(control.state, SETTINGS, at(1_000));
+
+        assertEquals(List.of(HostId.of("a")), status(5_499).outstanding());
+        assertTrue(keeper.ended(at(5_499)).isEmpty());
+        granted("a", 1, 1, 2_000);
+        assertFalse(status(5_499).inForce());
+        assertTrue(status(5_499).settling());
+        assertTrue(status(5_500).inForce());
+    }
+
+    // The frozen first process of "a" still holds its lease when the second has acknowledged a ticket. It may admit
+    // under the old configuration until that lease is over.
+    @Test
+    void replacedProcessCountsUntilItsLeaseIsOver() {
+        join("a", 1, 10_000);
+        control.submit(1, model("elm-desk", "v1"));
+        join("a", 2, 11_000);
+        granted("a", 2, 1, 12_000);
+        keeper.ended(at(12_000));
+
+        assertEquals(List.of(HostId.of("a")), status(14_499).outstanding());
+        assertTrue(status(14_500).inForce());
+    }
+
+    // A renewal arrives after the end of its membership was proposed and before it is applied. Granted, the entry would
+    // serve for seconds as no member: no ticket would wait for it. It must join again first, and a late copy of the
+    // end must leave the new membership alone.
+    @Test
+    void noGrantBetweenAnEndProposedAndApplied() {
+        join("a", 1, 0);
+        Command.EndHost end = end("a", 60_000);
+
+        LeaseDecision decision = keeper.renew(request("a", 1, 0), at(60_001), FOR_LONG, List.of());
+        Command.JoinHost rejoin =
+                assertInstanceOf(LeaseDecision.Join.class, decision).command();
+        control.apply(rejoin);
+
+        assertEquals(new CommandResult.HostEnded(false), control.apply(end));
+        granted("a", 1, 0, 60_100);
+        assertTrue(keeper.ended(at(60_200)).isEmpty());
+    }
+
+    // A stopping entry says leaving. An older renewal, delayed on the way, arrives afterwards: taken at its word, the
+    // entry would be offered to callers again and break off their requests when it exits.
+    @Test
+    void leavingIsFinalForAProcess() {
+        join("a", 1, 0);
+        HostRecord leaving = leaving(host("a", 1));
+        control.apply(new Command.JoinHost(leaving));
+
+        granted("a", 1, 0, 100);
+        control.apply(new Command.JoinHost(host("a", 1)));
+
+        assertTrue(control.state.member(HostId.of("a")).orElseThrow().host().leaving());
+    }
+
+    // The leader's tick may run between a join's commit and the grant that follows it.
+    @Test
+    void joinedHostIsNotEndedBeforeItsFirstGrant() {
+        keeper.renew(request("a", 1, 0), at(60_000), FOR_LONG, List.of());
+        control.apply(new Command.JoinHost(host("a", 1)));
+
+        assertTrue(keeper.ended(at(64_499)).isEmpty());
+        assertEquals(1, keeper.ended(at(64_500)).size());
+    }
+
+    @Test
+    void twinOfOneIncarnationIsRefused() {
+        join("a", 1, 0);
+        HostRecord other = host("b", 1);
+        HostRecord twin = new HostRecord(
+                HostId.of("a"),
+                Incarnation.of(1),
+                other.failureDomain(),
+                other.region(),
+                other.callers(),
+                other.peers(),
+                other.operators(),
+                false);
+
+        assertInstanceOf(CommandResult.HostReplaced.class, control.apply(new Command.JoinHost(twin)));
+    }
+
+    @Test
+    void membersChangesBringAnyHolderUpToDate() {
+        control.limits(new ControlLimits(10, 10, 10, 1_000, 10, 1));
+        join("a", 1, 0);
+        join("b", 1, 0);
+        join("c", 1, 0);
+        assertEquals(List.of(host("c", 1)), control.state.membersSince(2).changed());
+
+        control.apply(end("a", 60_000));
+        assertEquals(List.of(HostId.of("a")), control.state.membersSince(3).removed());
+        control.apply(end("b", 60_000));
+        control.restart();
+
+        MembersDelta tooOld = control.state.membersSince(3);
+        assertTrue(tooOld.full());
+        assertEquals(Set.of(host("c", 1)), Set.copyOf(tooOld.changed()));
+        assertEquals(List.of(HostId.of("b")), control.state.membersSince(4).removed());
+        assertTrue(control.state.membersSince(99).full());
+    }
+
+    private void join(String id, long incarnation, long millis) {
+        control.apply(new Command.JoinHost(host(id, incarnation)));
+        granted(id, incarnation, 0, millis);
+    }
+
+    private LeaseAnswer.Granted granted(String id, long incarnation, long inForce, long millis) {
+        LeaseDecision decision = keeper.renew(request(id, incarnation, inForce), at(millis), FOR_LONG, List.of());
+        LeaseAnswer answer =
+                assertInstanceOf(LeaseDecision.Answer.class, decision).answer();
+        return assertInstanceOf(LeaseAnswer.Granted.class, answer);
+    }
+
+    private Command.EndHost end(String id, long millis) {
+        return keeper.ended(at(millis)).stream()
+                .filter(e -> e.host().equals(HostId.of(id)))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private TicketStatus status(long millis) {
+        TicketRecord record =
+                control.state.tickets(new TicketListQuery(null, 1)).tickets().get(0);
+        return keeper.status(record, at(millis));
+    }
+
+    private static LeaseRequest request(String id, long incarnation, long inForce) {
+        return new LeaseRequest(host(id, incarnation), ConfigVersion.of(inForce), 0);
+    }
+
+    private static HostRecord leaving(HostRecord host) {
+        return new HostRecord(
+                host.id(),
+                host.incarnation(),
+                host.failureDomain(),
+                host.region(),
+                host.callers(),
+                host.peers(),
+                host.operators(),
+                true);
+    }
+
+    private static long at(long millis) {
+        return MILLISECONDS.toNanos(millis);
+    }
+}
