--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
@@ -0,0 +1,125 @@
+package org.elmline.daemon.backend;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.elmline.core.backend.AnnounceAnswer;
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.owner.Decided;
+import org.elmline.core.owner.Owner;
+import org.elmline.core.peer.HandlerRegistry;
+import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.route.GrantReport;
+import org.elmline.core.route.GrantReportAnswer;
+import org.elmline.core.route.Ownership;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.RegisterAnswer;
+import org.elmline.core.route.RegisterGrants;
+import org.elmline.core.route.RouteChannels;
+import org.elmline.daemon.entry.HostIdentity;
+import org.elmline.daemon.entry.SharedView;
+
+/** Serves the decisions of this entry's {@link Owner} to other entries, and passes on what belongs to other owners. */
+public final class OwnerService {
+    private static final Duration FORWARD_TIMEOUT = Duration.ofMillis(500);
+    private static final int MAX_CANDIDATES = 3;
+
+    private final HostIdentity self;
+    private final Owner owner;
+    private final SharedView view;
+    private final PeerNetwork network;
+    private final MonotonicClock clock;
+    private final Map<AttemptId, CompletableFuture<PlaceAnswer>> waiting = new ConcurrentHashMap<>();
+
+    public OwnerService(HostIdentity self, Owner owner, SharedView view, PeerNetwork network, MonotonicClock clock) {
+        this.self = self;
+        this.owner = owner;
+        this.view = view;
+        this.network = network;
+        this.clock = clock;
+        view.onRenewal(this::renewed);
+        view.onMembers(() -> owner.members(view.members().hosts(), clock.nanos()));
+    }
+
+    public void register(HandlerRegistry handlers) {
+        handlers.register(RouteChannels.ANNOUNCE, this::forwarded);
+        handlers.register(RouteChannels.PLACE, this::place);
+        handlers.register(RouteChannels.RELEASE, report -> CompletableFuture.completedFuture(report(report)));
+        handlers.register(RouteChannels.REGISTER, grants -> CompletableFuture.completedFuture(takeOver(grants)));
+    }
+
+    /**
+     * Takes an announcement made here, or passes it to the owner. A candidate that can't be reached is passed over: a
+     * backend server without an owner would get no work until the dead candidate's lease has run out, while two owners
+     * for a moment cost accuracy only.
+     */
+    CompletionStage<AnnounceAnswer> announced(Announcement announcement) {
+        List<HostRecord> candidates = new Ownership(view.members().hosts()).candidates(announcement);
+        return announce(announcement, candidates.subList(0, Math.min(MAX_CANDIDATES, candidates.size())));
+    }
+
+    private CompletionStage<AnnounceAnswer> announce(Announcement announcement, List<HostRecord> candidates) {
+        if (candidates.isEmpty() || candidates.get(0).id().equals(self.host())) {
+            return CompletableFuture.completedFuture(owner.announce(announcement, clock.nanos()));
+        }
+        List<HostRecord> others = new ArrayList<>(candidates.subList(1, candidates.size()));
+        return network.call(candidates.get(0).peers(), RouteChannels.ANNOUNCE, announcement, FORWARD_TIMEOUT)
+                .thenCompose(result -> result instanceof CallResult.Answered<AnnounceAnswer> answered
+                        ? CompletableFuture.completedFuture(answered.value())
+                        : announce(announcement, others));
+    }
+
+    private CompletionStage<AnnounceAnswer> forwarded(Announcement announcement) {
+        return CompletableFuture.completedFuture(owner.announce(announcement, clock.nanos()));
+    }
+
+    /** Decides one placement on the engines owned here; completes at the latest at the request's deadline. */
+    public CompletableFuture<PlaceAnswer> place(PlaceRequest request) {
+        CompletableFuture<PlaceAnswer> answer =
+                waiting.computeIfAbsent(request.attempt(), attempt -> new CompletableFuture<>());
+        owner.place(request, clock.nanos()).ifPresent(known -> complete(request.attempt(), known));
+        return answer;
+    }
+
+    /** Takes an entry's news of its grants; a release may let a waiting request in at once. */
+    public GrantReportAnswer report(GrantReport report) {
+        GrantReportAnswer answer = owner.report(report, clock.nanos());
+        report.releases().forEach(each -> waiting.remove(each.attempt()));
+        advance();
+        return answer;
+    }
+
+    /** Reserves again what an earlier owner granted. */
+    public RegisterAnswer takeOver(RegisterGrants grants) {
+        return owner.register(grants, clock.nanos());
+    }
+
+    /** Moves the owner's time on and delivers what became known. */
+    void advance() {
+        for (Decided each : owner.advance(clock.nanos())) {
+            complete(each.request().attempt(), each.answer());
+        }
+    }
+
+    private void complete(AttemptId attempt, PlaceAnswer answer) {
+        CompletableFuture<PlaceAnswer> future = waiting.remove(attempt);
+        if (future != null) {
+            future.complete(answer);
+        }
+    }
+
+    private void renewed() {
+        owner.configure(view.configuration());
+        owner.leaseUntil(clock.nanos() + view.leaseRemainingNanos());
+    }
+}
