Run a replica of the log on one thread over files and the peer network

Inputs are taken in batches from a bounded queue, one sync serves a batch, a full disk makes the replica give way until there is room, a failed disk or a broken invariant stops it. A fresh data folder asks to become a member and replaces the lost replica of its host. SystemFiles can be extended, so that a test can fill the disk.

--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
@@ -0,0 +1,320 @@
+package org.elmline.daemon.raft;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.raft.Entry;
+import org.elmline.core.raft.EntryKind;
+import org.elmline.core.raft.JoinPlan;
+import org.elmline.core.raft.Membership;
+import org.elmline.core.raft.ProposeOutcome;
+import org.elmline.core.raft.ProposeRefusal;
+import org.elmline.core.raft.RaftNode;
+import org.elmline.core.raft.ReadOutcome;
+import org.elmline.core.raft.Ready;
+import org.elmline.core.raft.Snapshot;
+import org.elmline.storage.DataFolder;
+import org.elmline.storage.StoreResult;
+import org.jboss.logging.Logger;
+
+/**
+ * The log's thread: takes inputs in batches, syncs once for all of them, sends, applies. A full disk stops it until
+ * there is room, so that this replica promises nothing meanwhile and another can lead.
+ */
+final class RaftLoop implements Runnable {
+    private static final Logger LOG = Logger.getLogger(RaftLoop.class);
+    private static final int MAX_BATCH = 1_024;
+    private static final long FULL_DISK_RETRY_MILLIS = 100;
+    private static final byte[] NOTHING = new byte[0];
+
+    private final RaftDriver.Builder parts;
+    private final RaftNode node;
+    private final DataFolder folder;
+    private final StateMachine machine;
+    private final MonotonicClock clock;
+    private final BlockingQueue<Input> queue;
+    private final Sender sender;
+    private final Waiters waiters = new Waiters();
+    private final long tickNanos;
+    private final Counter syncs;
+    private final Counter committed;
+    private final Counter snapshots;
+    private volatile RaftStatus status;
+    private volatile boolean stopping;
+    private long snapshotIndex;
+    private long joinAt;
+
+    RaftLoop(RaftDriver.Builder parts, RaftNode node, BlockingQueue<Input> queue, Sender sender) {
+        this.parts = parts;
+        this.node = node;
+        this.folder = parts.folder;
+        this.machine = parts.machine;
+        this.clock = parts.clock;
+        this.queue = queue;
+        this.sender = sender;
+        this.tickNanos = parts.settings.heartbeat().toNanos() / 4;
+        MetricRegistry metrics = parts.metrics;
+        this.syncs = metrics.counter("raft.syncs");
+        this.committed = metrics.counter("raft.committed");
+        this.snapshots = metrics.counter("raft.snapshots");
+        this.status = RaftStatus.of(node);
+        this.snapshotIndex = node.snapshot() == null ? 0 : node.snapshot().index();
+        this.joinAt = clock.nanos();
+    }
+
+    RaftStatus status() {
+        return status;
+    }
+
+    void stop() {
+        stopping = true;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!stopping) {
+                turn();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (StorageFailure e) {
+            LOG.errorf("replica %s stops: %s", node.self(), e.getMessage());
+            parts.onFailure.run();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "replica %s stops on a broken invariant", node.self());
+            parts.onFailure.run();
+        } finally {
+            end();
+        }
+    }
+
+    private void end() {
+        stopping = true;
+        status = status.withoutLeader();
+        waiters.deposed(Long.MAX_VALUE, null, "the replica stopped");
+        List<Input> left = new ArrayList<>();
+        queue.drainTo(left);
+        left.forEach(each -> refuse(each, ProposeRefusal.CLOSED));
+    }
+
+    private void turn() throws InterruptedException {
+        List<Input> inputs = new ArrayList<>();
+        Input first = queue.poll(tickNanos, TimeUnit.NANOSECONDS);
+        if (first != null) {
+            inputs.add(first);
+            queue.drainTo(inputs, MAX_BATCH - 1);
+        }
+        // The clock is read after the messages were taken, as the node demands.
+        long now = clock.nanos();
+        node.tick(now);
+        takeAll(inputs, now);
+        work();
+        askToJoin(now);
+    }
+
+    private void takeAll(List<Input> inputs, long now) {
+        List<Input.Propose> proposals = new ArrayList<>();
+        for (Input each : inputs) {
+            if (each instanceof Input.Propose propose) {
+                proposals.add(propose);
+            } else {
+                take(each, now);
+            }
+        }
+        propose(proposals, now);
+    }
+
+    private void take(Input input, long now) {
+        if (input instanceof Input.Received received) {
+            node.step(now, received.message());
+        } else if (input instanceof Input.Change change) {
+            ProposeOutcome outcome = node.propose(now, change.change());
+            if (outcome instanceof ProposeOutcome.Appended at) {
+                waiters.add(at.firstIndex(), at.term(), change.done());
+            } else {
+                change.done().complete(result(outcome));
+            }
+        } else if (input instanceof Input.Read read) {
+            read(read, now);
+        } else if (input instanceof Input.Join join) {
+            JoinPlan.next(node.membership(), join.replica(), node.isCaughtUp(join.replica()))
+                    .filter(change -> node.isLeader())
+                    .ifPresent(change -> node.propose(now, change));
+        } else if (input instanceof Input.Transfer transfer) {
+            boolean started = transfer.target() == null
+                    ? node.transferLeadership(now)
+                    : node.transferLeadership(now, transfer.target());
+            transfer.started().complete(started);
+        }
+    }
+
+    private void read(Input.Read read, long now) {
+        ReadOutcome outcome = node.readIndex(now);
+        if (outcome instanceof ReadOutcome.Waiting waiting) {
+            waiters.addRead(waiting.number(), node.term(), read.done());
+        } else if (outcome instanceof ReadOutcome.NotLeader not) {
+            read.done().complete(new ReadResult.NotLeader(not.leader()));
+        } else {
+            read.done().complete(new ReadResult.NotReady());
+        }
+    }
+
+    /** All in one batch, or each on its own when the batch as a whole is too much. */
+    private void propose(List<Input.Propose> proposals, long now) {
+        if (proposals.isEmpty()) {
+            return;
+        }
+        ProposeOutcome outcome =
+                node.propose(now, proposals.stream().map(Input.Propose::command).toList());
+        if (outcome instanceof ProposeOutcome.Appended at) {
+            for (int i = 0; i < proposals.size(); i++) {
+                waiters.add(at.firstIndex() + i, at.term(), proposals.get(i).done());
+            }
+        } else if (outcome instanceof ProposeOutcome.Refused && proposals.size() > 1) {
+            proposals.forEach(each -> propose(List.of(each), now));
+        } else {
+            proposals.forEach(each -> each.done().complete(result(outcome)));
+        }
+    }
+
+    private static ProposeResult result(ProposeOutcome outcome) {
+        if (outcome instanceof ProposeOutcome.NotLeader not) {
+            return new ProposeResult.NotLeader(not.leader());
+        }
+        return new ProposeResult.Refused(((ProposeOutcome.Refused) outcome).why());
+    }
+
+    private void work() throws InterruptedException {
+        while (node.hasReady() && !stopping) {
+            Ready ready = node.ready();
+            sender.send(ready.before());
+            if (!sync(ready)) {
+                return;
+            }
+            sender.send(ready.after());
+            if (ready.install() != null) {
+                machine.restore(ready.install().data());
+                snapshotIndex = ready.install().index();
+            }
+            ready.committed().forEach(this::apply);
+            ready.reads().forEach(waiters::confirmed);
+            node.advance(clock.nanos(), ready);
+            // A sync may have waited for room; without a look at the time a leader would be published as such although
+            // another leads meanwhile.
+            node.tick(clock.nanos());
+        }
+        publish();
+        compact();
+    }
+
+    /** Returns false when the replica was stopped before there was room. */
+    private boolean sync(Ready ready) throws InterruptedException {
+        if (ready.install() != null && !write(() -> folder.install(ready.install()))) {
+            return false;
+        }
+        boolean records = ready.hardState() != null || !ready.entries().isEmpty();
+        return !records || write(() -> folder.append(ready.hardState(), ready.entries()));
+    }
+
+    private boolean write(Supplier<StoreResult> write) throws InterruptedException {
+        boolean full = false;
+        while (!stopping) {
+            StoreResult result = write.get();
+            if (result instanceof StoreResult.Done) {
+                syncs.inc();
+                return true;
+            }
+            if (result instanceof StoreResult.Failed failed) {
+                throw new StorageFailure(failed.why());
+            }
+            if (!full) {
+                LOG.warnf("replica %s waits: its disk is full", node.self());
+                full = true;
+            }
+            waitForRoom();
+        }
+        return false;
+    }
+
+    private void waitForRoom() throws InterruptedException {
+        status = status.withoutLeader();
+        List<Input> waiting = new ArrayList<>();
+        queue.drainTo(waiting);
+        waiting.forEach(each -> refuse(each, ProposeRefusal.DISK_FULL));
+        Thread.sleep(FULL_DISK_RETRY_MILLIS);
+    }
+
+    /** Messages are dropped: what is not answered counts as lost. */
+    private static void refuse(Input input, ProposeRefusal why) {
+        if (input instanceof Input.Propose propose) {
+            propose.done().complete(new ProposeResult.Refused(why));
+        } else if (input instanceof Input.Change change) {
+            change.done().complete(new ProposeResult.Refused(why));
+        } else if (input instanceof Input.Read read) {
+            read.done().complete(new ReadResult.NotReady());
+        } else if (input instanceof Input.Transfer transfer) {
+            transfer.started().complete(false);
+        }
+    }
+
+    private void apply(Entry entry) {
+        committed.inc();
+        boolean command = entry.kind() == EntryKind.COMMAND;
+        byte[] result = command ? machine.apply(entry.index(), entry.data()) : NOTHING;
+        waiters.applied(entry, result, node.leader());
+    }
+
+    private void publish() {
+        RaftStatus before = status;
+        RaftStatus after = RaftStatus.of(node);
+        status = after;
+        long firstLedTerm = after.leads() ? after.term() : Long.MAX_VALUE;
+        waiters.deposed(firstLedTerm, after.leader(), "this replica leads no more");
+        if (after.role() != before.role() && (after.leads() || before.leads())) {
+            LOG.infof("replica %s is %s in term %d", after.self(), after.role(), after.term());
+        }
+    }
+
+    private void compact() {
+        if (node.appliedIndex() - snapshotIndex < parts.snapshotEntries || stopping) {
+            return;
+        }
+        Snapshot snapshot = node.compact(node.appliedIndex(), machine.snapshot());
+        snapshotIndex = snapshot.index();
+        StoreResult result = folder.compact(snapshot);
+        if (result instanceof StoreResult.Failed failed) {
+            throw new StorageFailure(failed.why());
+        }
+        // With a full disk the log stays as it is, and the next snapshot stands in for this one.
+        snapshots.inc();
+    }
+
+    /** A fresh data folder asks to become a member until it is a voter; a removed replica does not ask again. */
+    private void askToJoin(long now) {
+        Membership membership = node.membership();
+        boolean fresh = membership.equals(Membership.EMPTY) || membership.isLearner(node.self());
+        if (!fresh || now < joinAt) {
+            return;
+        }
+        joinAt = now + parts.settings.electionTimeout().toNanos();
+        List<Address> members = parts.members.get();
+        sender.askToJoin(members, node.self());
+    }
+
+    /** The disk failed; nothing this replica says can be trusted any more. */
+    private static final class StorageFailure extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        private StorageFailure(String why) {
+            super(why);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftStatus.java
@@ -0,0 +1,55 @@
+package org.elmline.daemon.raft;
+
+import org.elmline.core.raft.Membership;
+import org.elmline.core.raft.RaftNode;
+import org.elmline.core.raft.ReplicaId;
+import org.elmline.core.raft.Role;
+
+/**
+ * A replica's standing after its last input.
+ *
+ * @param leader null when none is known
+ * @param leaseUntilNanos end of the own lease on the own monotonic clock, {@link RaftNode#NO_LEASE} without one
+ */
+public record RaftStatus(
+        ReplicaId self,
+        Role role,
+        long term,
+        ReplicaId leader,
+        long leaseUntilNanos,
+        Membership membership,
+        long committedIndex,
+        long appliedIndex,
+        long lastIndex) {
+
+    static RaftStatus of(RaftNode node) {
+        return new RaftStatus(
+                node.self(),
+                node.role(),
+                node.term(),
+                node.leader(),
+                node.leaseUntilNanos(),
+                node.membership(),
+                node.committedIndex(),
+                node.appliedIndex(),
+                node.lastIndex());
+    }
+
+    /** The same replica while its disk is full: it can promise nothing, so it does not count as leader. */
+    RaftStatus withoutLeader() {
+        return new RaftStatus(
+                self,
+                Role.FOLLOWER,
+                term,
+                null,
+                RaftNode.NO_LEASE,
+                membership,
+                committedIndex,
+                appliedIndex,
+                lastIndex);
+    }
+
+    public boolean leads() {
+        return role == Role.LEADER;
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/Sender.java
@@ -0,0 +1,66 @@
+package org.elmline.daemon.raft;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.HostId;
+import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.raft.Message;
+import org.elmline.core.raft.ReplicaId;
+
+/** Sends messages to the hosts of other replicas, those of one step to one host in one call. A lost one is not resent. */
+final class Sender {
+    /** Calls to one host that may be unanswered; a host that does not answer must not pile up messages here. */
+    private static final int MAX_CALLS = 64;
+
+    private final PeerNetwork network;
+    private final Function<HostId, Address> addresses;
+    private final Duration timeout;
+    private final Map<HostId, AtomicInteger> calls = new ConcurrentHashMap<>();
+    private final Counter sent;
+    private final Counter dropped;
+
+    Sender(PeerNetwork network, Function<HostId, Address> addresses, Duration timeout, MetricRegistry metrics) {
+        this.network = network;
+        this.addresses = addresses;
+        this.timeout = timeout;
+        this.sent = metrics.counter("raft.messages.sent");
+        this.dropped = metrics.counter("raft.messages.unsent");
+    }
+
+    void send(List<Message> messages) {
+        Map<HostId, List<Message>> byHost = new LinkedHashMap<>();
+        for (Message each : messages) {
+            byHost.computeIfAbsent(each.to().host(), host -> new ArrayList<>()).add(each);
+        }
+        byHost.forEach(this::send);
+    }
+
+    private void send(HostId host, List<Message> messages) {
+        Address address = addresses.apply(host);
+        AtomicInteger unanswered = calls.computeIfAbsent(host, key -> new AtomicInteger());
+        if (address == null || unanswered.get() >= MAX_CALLS) {
+            dropped.inc(messages.size());
+            return;
+        }
+        sent.inc(messages.size());
+        unanswered.incrementAndGet();
+        network.call(address, RaftChannels.MESSAGES, new RaftChannels.Messages(messages), timeout)
+                .whenComplete((answer, failure) -> unanswered.decrementAndGet());
+    }
+
+    void askToJoin(List<Address> members, ReplicaId self) {
+        for (Address each : members) {
+            network.call(each, RaftChannels.JOIN, new RaftChannels.Join(self), timeout);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/Waiters.java
@@ -0,0 +1,55 @@
+package org.elmline.daemon.raft;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.elmline.core.raft.ConfirmedRead;
+import org.elmline.core.raft.Entry;
+import org.elmline.core.raft.ReplicaId;
+
+/** Callers whose proposals or reads are under way. Used by the log's thread only. */
+final class Waiters {
+    private record Proposal(long term, CompletableFuture<ProposeResult> done) {}
+
+    private record Read(long term, CompletableFuture<ReadResult> done) {}
+
+    private final Map<Long, Proposal> proposals = new HashMap<>();
+    private final Map<Long, Read> reads = new HashMap<>();
+
+    void add(long index, long term, CompletableFuture<ProposeResult> done) {
+        proposals.put(index, new Proposal(term, done));
+    }
+
+    void addRead(long number, long term, CompletableFuture<ReadResult> done) {
+        reads.put(number, new Read(term, done));
+    }
+
+    void applied(Entry entry, byte[] result, ReplicaId leader) {
+        Proposal waiting = proposals.remove(entry.index());
+        if (waiting == null) {
+            return;
+        }
+        // Another entry was committed in this place, so the proposed one never can be.
+        boolean own = waiting.term() == entry.term();
+        waiting.done()
+                .complete(
+                        own ? new ProposeResult.Committed(entry.index(), result) : new ProposeResult.NotLeader(leader));
+    }
+
+    void confirmed(ConfirmedRead read) {
+        Read waiting = reads.remove(read.number());
+        if (waiting != null) {
+            waiting.done().complete(new ReadResult.Readable(read.index()));
+        }
+    }
+
+    /**
+     * This replica leads no term before {@code term} any more. What it put in the log then may be committed by another
+     * leader or not.
+     */
+    void deposed(long term, ReplicaId leader, String why) {
+        proposals.values().removeIf(each -> each.term() < term && each.done().complete(new ProposeResult.Unknown(why)));
+        reads.values().removeIf(each -> each.term() < term && each.done().complete(new ReadResult.NotLeader(leader)));
+    }
+}
--- /dev/null
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/raft/RaftDriverTest.java
@@ -0,0 +1,154 @@
+package org.elmline.daemon.raft;
+
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.raft.ProposeRefusal;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Three replicas with real threads, clocks and files. The first is bootstrapped, the others join. */
+class RaftDriverTest {
+    private final MemoryNetwork network = new MemoryNetwork();
+    private final List<TestReplica> replicas = new ArrayList<>();
+
+    @TempDir
+    Path data;
+
+    @BeforeEach
+    void startThree() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            TestReplica each = new TestReplica(network, i, this::members);
+            replicas.add(each);
+            each.start(data.resolve("first-" + i), i == 0);
+        }
+        await("three voters", () -> replicas.stream().allMatch(TestReplica::votes));
+    }
+
+    @AfterEach
+    void stopAll() {
+        replicas.forEach(TestReplica::stop);
+    }
+
+    private List<Address> members() {
+        return replicas.stream().map(each -> each.address).toList();
+    }
+
+    private static void await(String what, BooleanSupplier condition) throws Exception {
+        for (int i = 0; i < 3_000; i++) {
+            if (condition.getAsBoolean()) {
+                return;
+            }
+            Thread.sleep(10);
+        }
+        throw new AssertionError("never: " + what);
+    }
+
+    private TestReplica leader() throws Exception {
+        await("a leader", () -> replicas.stream().anyMatch(each -> each.driver.isLeader()));
+        return replicas.stream()
+                .filter(each -> each.driver.isLeader())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static CompletableFuture<ProposeResult> propose(TestReplica to, long number) {
+        return to.driver.propose(ByteBuffer.allocate(Long.BYTES).putLong(number).array());
+    }
+
+    /** Proposes until committed commands number so many more than before; returns how many were surely committed. */
+    private void commit(int commands) throws Exception {
+        int done = 0;
+        while (done < commands) {
+            List<CompletableFuture<ProposeResult>> batch = new ArrayList<>();
+            TestReplica leader = leader();
+            for (int i = done; i < commands; i++) {
+                batch.add(propose(leader, i));
+            }
+            for (CompletableFuture<ProposeResult> each : batch) {
+                done += each.get(30, TimeUnit.SECONDS) instanceof ProposeResult.Committed ? 1 : 0;
+            }
+        }
+    }
+
+    private boolean allAgree() {
+        TestReplica first = replicas.get(0);
+        return replicas.stream().allMatch(each -> each.votes() && each.count == first.count && each.sum == first.sum);
+    }
+
+    /**
+     * The leader's host stops, hundreds of changes pass, it comes back with its old folder; then another host comes
+     * back with an empty one. Each catches up, and the lost replica is replaced by the new one.
+     */
+    @Test
+    void aStoppedAndAnEmptiedHostCatchUp() throws Exception {
+        commit(50);
+        TestReplica stopped = leader();
+        int number = replicas.indexOf(stopped);
+        stopped.stop();
+        commit(500);
+        stopped.start(data.resolve("first-" + number), false);
+        await("caught up by snapshot", this::allAgree);
+        TestReplica emptied = replicas.get((number + 1) % 3);
+        emptied.stop();
+        emptied.start(data.resolve("second"), false);
+        await("replaced", this::allAgree);
+        assertEquals(3, leader().driver.status().membership().voters().size());
+        assertTrue(stopped.count >= 550);
+    }
+
+    @Test
+    void leadershipMovesAndReadsAreConfirmed() throws Exception {
+        commit(10);
+        TestReplica old = leader();
+        assertTrue(old.driver.transferLeadership().get(30, TimeUnit.SECONDS));
+        await("another leads", () -> replicas.stream().anyMatch(each -> each != old && each.driver.isLeader()));
+        commit(1);
+        ReadResult read = leader().driver.readIndex().get(30, TimeUnit.SECONDS);
+        assertInstanceOf(ReadResult.Readable.class, read);
+        assertInstanceOf(ReadResult.NotLeader.class, old.driver.readIndex().get(30, TimeUnit.SECONDS));
+    }
+
+    /**
+     * The leader's disk fills up. What it had not synced is unknown or refused, never answered as committed by it; it
+     * stops to lead, another takes over, and it follows again once there is room.
+     */
+    @Test
+    void aLeaderWithAFullDiskGivesWay() throws Exception {
+        commit(10);
+        TestReplica full = leader();
+        full.diskFull = true;
+        CompletableFuture<ProposeResult> caught = propose(full, 1);
+        await("does not lead", () -> !full.driver.isLeader());
+        assertEquals(
+                new ProposeResult.Refused(ProposeRefusal.DISK_FULL),
+                propose(full, 2).get(30, TimeUnit.SECONDS));
+        await("another leads", () -> replicas.stream().anyMatch(each -> each != full && each.driver.isLeader()));
+        commit(10);
+        full.diskFull = false;
+        await("follows again", this::allAgree);
+        caught.get(30, TimeUnit.SECONDS);
+    }
+
+    /** Many proposals at once share syncs. */
+    @Test
+    void oneSyncServesManyProposals() throws Exception {
+        commit(1);
+        long before = leader().driver.status().committedIndex();
+        commit(2_000);
+        assertTrue(leader().driver.status().committedIndex() >= before + 2_000);
+        await("all agree", this::allAgree);
+    }
+}
--- a/elmline-storage/src/main/java/org/elmline/storage/SystemFiles.java
+++ b/elmline-storage/src/main/java/org/elmline/storage/SystemFiles.java
@@ -13,7 +13,7 @@
 import java.util.stream.Stream;
 
 /** The file system of the host. */
-public final class SystemFiles implements FileOperations {
+public class SystemFiles implements FileOperations {
     private static final List<String> NO_ROOM = List.of("No space left on device", "Disk quota exceeded");
 
     @Override
--- a/elmline-storage/src/test/java/org/elmline/storage/CrashTest.java
+++ b/elmline-storage/src/test/java/org/elmline/storage/CrashTest.java
@@ -86,7 +86,9 @@
             return snapshot(folder, DataFolderTest.snapshot(at.index(), at.term()), false);
         }
         if (kind == 1) {
-            return snapshot(folder, DataFolderTest.snapshot(last() + 1 + random.nextInt(5), term + 1), true);
+            long floor = snapshot == null ? 0 : snapshot.index();
+            long index = floor + 1 + random.nextLong(last() - floor + 5);
+            return snapshot(folder, DataFolderTest.snapshot(index, term + 1), true);
         }
         return append(folder, random);
     }
