Place requests by predicted wait and harm, and measure policies on a manual clock

Cause: short questions must keep their time to first token while reads of up to a million tokens share the fleet.

Change: placement policies as plug-ins (round-robin, random, least-requests, power-of-two, fixed-split, shortest-wait, two-ended); PrefillBacklog and SpeedMeter estimate work left and an engine's speed from placements and first tokens alone; the bench drives the same policy classes against the engine model with the two bodies' mixes, faults and fixed seeds; an open-loop HTTP load tool that counts from the intended start.

--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/http/HttpLoadOptions.java
@@ -0,0 +1,54 @@
+package org.elmline.bench.http;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.elmline.core.common.Address;
+
+/**
+ * One run of open-loop load.
+ *
+ * @param targets callers' addresses to spread over, loopback only
+ * @param perSecond requests intended a second
+ * @param maxRequests most requests sent in all
+ * @param maxInFlight most requests open at one time; later ones wait, and the wait counts
+ * @param promptTokens lengths of prompts, used in turn
+ * @param timeout longest time one request may take
+ */
+public record HttpLoadOptions(
+        List<Address> targets,
+        String apiKey,
+        String model,
+        double perSecond,
+        Duration duration,
+        int maxRequests,
+        int maxInFlight,
+        List<Integer> promptTokens,
+        int maxOutputTokens,
+        Duration timeout) {
+    private static final double HIGHEST_RATE = 10_000;
+    private static final Duration LONGEST = Duration.ofMinutes(10);
+    private static final int MOST_REQUESTS = 1_000_000;
+
+    public HttpLoadOptions {
+        targets = List.copyOf(targets);
+        promptTokens = List.copyOf(promptTokens);
+        if (targets.isEmpty() || promptTokens.isEmpty()) {
+            throw new IllegalArgumentException("load needs at least one target and one prompt length");
+        }
+        for (Address each : targets) {
+            if (!each.ip().equals("127.0.0.1")) {
+                throw new IllegalArgumentException("load goes to 127.0.0.1 only, not to " + each);
+            }
+        }
+        if (!(perSecond > 0 && perSecond <= HIGHEST_RATE)) {
+            throw new IllegalArgumentException("perSecond must lie above 0 and up to " + HIGHEST_RATE);
+        }
+        if (duration.isNegative() || duration.compareTo(LONGEST) > 0) {
+            throw new IllegalArgumentException("a run lasts at most " + LONGEST);
+        }
+        if (maxRequests < 1 || maxRequests > MOST_REQUESTS || maxInFlight < 1) {
+            throw new IllegalArgumentException("maxRequests lies between 1 and 1,000,000, maxInFlight from 1");
+        }
+    }
+}
--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/http/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load over HTTP. */
+package org.elmline.bench.http;
--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/DecisionCost.java
@@ -0,0 +1,107 @@
+package org.elmline.bench.policy;
+
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.Set;
+
+import com.sun.management.ThreadMXBean;
+import org.elmline.core.common.LengthClass;
+import org.elmline.core.common.ModelName;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.PlacementPolicies;
+import org.elmline.core.placement.PlacementPolicy;
+import org.elmline.core.placement.PlacementSettings;
+import org.elmline.core.placement.Replica;
+import org.elmline.standin.model.EngineProfile;
+
+/**
+ * Time and allocation of one placement decision by number of replicas: a plain loop after a warm-up, the median of
+ * several rounds. Replicas are the bench's own, with a dozen prefills under way on each.
+ */
+public final class DecisionCost {
+    private static final int ROUNDS = 9;
+    private static final long ROUND_NANOS = 60_000_000;
+    private static final int PREFILLS = 12;
+    private static final int CHUNK = 16;
+
+    private final EngineProfile profile = EngineProfile.builder().build();
+    private int sink;
+
+    /** Measures every policy and prints one Markdown table. */
+    public void run(List<Integer> sizes, PrintStream out) {
+        out.println("| policy | replicas | ns a decision | bytes a decision |\n|---|---|---|---|");
+        for (String name : PlacementPolicies.names()) {
+            PlacementPolicy policy =
+                    PlacementPolicies.named(name, PlacementSettings.defaults()).orElseThrow();
+            for (int size : sizes) {
+                out.println(line(policy, size));
+            }
+        }
+        if (sink == Integer.MIN_VALUE) {
+            out.println();
+        }
+    }
+
+    private String line(PlacementPolicy policy, int size) {
+        List<Replica> replicas = replicas(size);
+        List<Demand> demands = demands();
+        Random random = new Random(1);
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        double[] nanos = new double[ROUNDS];
+        double bytes = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            long decisions = 0;
+            long allocated =
+                    threads.getThreadAllocatedBytes(Thread.currentThread().getId());
+            long start = System.nanoTime();
+            long end = start;
+            while (end - start < ROUND_NANOS) {
+                for (int i = 0; i < CHUNK; i++) {
+                    Demand demand = demands.get((int) (decisions++ % demands.size()));
+                    sink += policy.choose(demand, replicas, random).isPresent() ? 1 : 0;
+                }
+                end = System.nanoTime();
+            }
+            nanos[round] = (double) (end - start) / decisions;
+            bytes = (double) (threads.getThreadAllocatedBytes(
+                                    Thread.currentThread().getId())
+                            - allocated)
+                    / decisions;
+        }
+        Arrays.sort(nanos);
+        return String.format(
+                Locale.ROOT, "| %s | %,d | %,.0f | %,.0f |", policy.name(), size, nanos[ROUNDS / 2], bytes);
+    }
+
+    private List<Replica> replicas(int size) {
+        List<Replica> replicas = new ArrayList<>();
+        Random random = new Random(size);
+        for (int i = 0; i < size; i++) {
+            BenchReplica replica = new BenchReplica(i, profile, 1, 0);
+            for (int k = 0; k < PREFILLS; k++) {
+                LengthClass lengthClass = LengthClass.values()[random.nextInt(3)];
+                replica.backlog().placed(lengthClass, 1_000 + random.nextInt(20_000), 1, 0);
+                replica.placed(lengthClass, 10_000);
+            }
+            replicas.add(replica);
+        }
+        return replicas;
+    }
+
+    private static List<Demand> demands() {
+        List<Demand> demands = new ArrayList<>();
+        for (int tokens : new int[] {1_500, 3_000, 2_000, 20_000, 1_000, 60_000, 2_500, 200_000}) {
+            List<Long> hashes = new ArrayList<>();
+            for (long block = 0; block < tokens / 512; block++) {
+                hashes.add(block + tokens);
+            }
+            demands.add(new Demand(ModelName.of("elm"), "", tokens, 200, hashes, 0, 10_000, Set.of()));
+        }
+        return demands;
+    }
+}
--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/PolicyBench.java
@@ -0,0 +1,121 @@
+package org.elmline.bench.policy;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import org.elmline.bench.workload.Arrival;
+import org.elmline.bench.workload.Mix;
+import org.elmline.bench.workload.Workload;
+import org.elmline.core.common.LengthClass;
+import org.elmline.standin.model.EngineProfile;
+
+/**
+ * Measures every placement variant on the same requests: both fleets, every load, every fault. Deterministic: same
+ * options, same figures, on any machine.
+ */
+public final class PolicyBench {
+    private final EngineProfile profile = EngineProfile.builder().build();
+
+    /** Runs the measurement, prints its tables and writes them with plots to the options' folder. */
+    public void run(PolicyOptions options, PrintStream out) throws IOException, InterruptedException {
+        List<Row> rows = measure(options);
+        String tables = new Tables(rows).markdown();
+        out.print(tables);
+        if (options.output() != null) {
+            new Report(options.output()).write(rows, tables);
+        }
+    }
+
+    List<Row> measure(PolicyOptions options) throws InterruptedException {
+        List<Point> points = new ArrayList<>();
+        for (Mix mix : options.mixes()) {
+            for (double load : options.loads()) {
+                points.add(new Point(mix, load, Fault.NONE));
+            }
+            for (Fault fault : Fault.values()) {
+                if (fault != Fault.NONE && options.faultLoad() > 0) {
+                    points.add(new Point(mix, options.faultLoad(), fault));
+                }
+            }
+        }
+        ExecutorService pool = Executors.newFixedThreadPool(options.threads());
+        try {
+            List<Row> rows = new ArrayList<>();
+            for (Point each : points) {
+                rows.addAll(rows(each, options, pool));
+            }
+            return rows;
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    private record Point(Mix mix, double load, Fault fault) {
+        Point withoutFault() {
+            return new Point(mix, load, Fault.NONE);
+        }
+    }
+
+    private List<Row> rows(Point point, PolicyOptions options, ExecutorService pool) throws InterruptedException {
+        List<List<Arrival>> arrivals = new ArrayList<>();
+        for (long seed : options.seeds()) {
+            arrivals.add(new Workload(point.mix(), profile).draw(point.load(), options.seconds(), seed));
+        }
+        List<Variant> variants = Variant.all();
+        List<Callable<RunResult>> shared = new ArrayList<>();
+        List<Callable<RunResult>> alone = new ArrayList<>();
+        for (Variant each : variants) {
+            shared.add(() -> result(point, options, arrivals, each, false));
+            alone.add(() -> result(point.withoutFault(), options, arrivals, each, true));
+        }
+        List<Future<RunResult>> sharedResults = pool.invokeAll(shared);
+        List<Future<RunResult>> aloneResults = pool.invokeAll(alone);
+        double shortAlone = Double.POSITIVE_INFINITY;
+        for (Future<RunResult> each : aloneResults) {
+            shortAlone = Math.min(shortAlone, of(each).firstTokenSeconds(LengthClass.SHORT, 95));
+        }
+        List<Row> rows = new ArrayList<>();
+        for (int i = 0; i < variants.size(); i++) {
+            rows.add(new Row(
+                    point.mix(), point.load(), point.fault(), variants.get(i), of(sharedResults.get(i)), shortAlone));
+        }
+        return rows;
+    }
+
+    private RunResult result(
+            Point point, PolicyOptions options, List<List<Arrival>> arrivals, Variant variant, boolean shortOnly) {
+        RunResult sum = null;
+        for (int i = 0; i < arrivals.size(); i++) {
+            Scenario scenario = new Scenario(
+                    point.mix().engines(),
+                    profile,
+                    arrivals.get(i),
+                    options.seconds(),
+                    point.fault(),
+                    variant.settings(),
+                    options.seeds().get(i));
+            RunResult one = new FleetRun(shortOnly ? scenario.shortOnly() : scenario, variant.newPolicy()).run();
+            if (sum == null) {
+                sum = one;
+            } else {
+                sum.add(one);
+            }
+        }
+        return sum;
+    }
+
+    private static RunResult of(Future<RunResult> future) throws InterruptedException {
+        try {
+            return future.get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a run failed", e.getCause());
+        }
+    }
+}
--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/Variant.java
@@ -0,0 +1,60 @@
+package org.elmline.bench.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.elmline.core.placement.PlacementPolicies;
+import org.elmline.core.placement.PlacementPolicy;
+import org.elmline.core.placement.PlacementSettings;
+
+/**
+ * One way to serve a workload.
+ *
+ * @param title its name in tables
+ * @param policy name of the placement policy
+ * @param lengthBlind whether nothing in it looks at a prompt's length
+ */
+public record Variant(String title, String policy, PlacementSettings settings, boolean lengthBlind) {
+    private static final List<String> BLIND = List.of("round-robin", "random", "least-requests", "power-of-two");
+
+    /** All that a measurement compares: blind placement without and with class priorities in the engines, then the rest. */
+    public static List<Variant> all() {
+        List<Variant> all = new ArrayList<>();
+        for (String each : BLIND) {
+            all.add(blind(each));
+        }
+        for (String each : List.of("round-robin", "least-requests", "power-of-two", "fixed-split", "shortest-wait")) {
+            all.add(prioritised(each));
+        }
+        all.add(chosen());
+        all.add(new Variant("shortest-wait, no priorities", "shortest-wait", noPriorities(0.95), false));
+        all.add(new Variant("two-ended 0.8, no priorities", "two-ended", noPriorities(0.8), false));
+        return all;
+    }
+
+    /** Blind placement, and engines that serve in order of arrival. */
+    public static Variant blind(String policy) {
+        return new Variant(policy, policy, noPriorities(0.95), true);
+    }
+
+    /** A placement policy with engines that serve shorter classes first. */
+    public static Variant prioritised(String policy) {
+        return new Variant(policy + " + class priorities", policy, PlacementSettings.defaults(), false);
+    }
+
+    /** What elmline does by default. */
+    public static Variant chosen() {
+        return prioritised(PlacementPolicies.DEFAULT);
+    }
+
+    PlacementPolicy newPolicy() {
+        return PlacementPolicies.named(policy, settings).orElseThrow();
+    }
+
+    private static PlacementSettings noPriorities(double maxLongShare) {
+        return PlacementSettings.builder()
+                .priorities(0, 0, 0, 0)
+                .maxLongShare(maxLongShare)
+                .build();
+    }
+}
--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/workload/Workload.java
@@ -0,0 +1,131 @@
+package org.elmline.bench.workload;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.elmline.standin.model.EngineProfile;
+
+/**
+ * Draws a run's requests: Poisson arrivals with bursts, organisations of very unlike size (Zipf), prefixes shared within
+ * an organisation. The same arguments give the same requests.
+ */
+public final class Workload {
+    /** Organisations that share the fleet. */
+    public static final int ORGANISATIONS = 10;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final int BLOCK_TOKENS = 512;
+    private static final double BURST_FACTOR = 2.5;
+    private static final double BURST_PERIOD_SECONDS = 50;
+    private static final double BURST_SECONDS = 5;
+    private static final int COST_SAMPLES = 20_000;
+    private static final int PREFIXES_EACH = 3;
+    private static final double SHARED_SHORT = 0.4;
+    private static final double SHARED_LONG = 0.3;
+    private static final int MEAN_DECODE_BATCH = 16;
+
+    private final Mix mix;
+    private final EngineProfile profile;
+
+    public Workload(Mix mix, EngineProfile profile) {
+        this.mix = mix;
+        this.profile = profile;
+    }
+
+    /**
+     * Requests of one run.
+     *
+     * @param load offered work over what the engines can do, 1 for just as much, prefix hits not counted
+     */
+    public List<Arrival> draw(double load, double seconds, long seed) {
+        double perSecond = load * mix.engines() / meanCostSeconds(seed);
+        double quiet = perSecond / (1 + (BURST_FACTOR - 1) * BURST_SECONDS / BURST_PERIOD_SECONDS);
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Arrival> arrivals = new ArrayList<>();
+        double now = 0;
+        while (true) {
+            // Candidates come at the burst's rate; outside bursts most are thinned out (Lewis and Shedler 1979).
+            now += -Math.log(1 - random.nextDouble()) / (quiet * BURST_FACTOR);
+            if (now >= seconds) {
+                return arrivals;
+            }
+            boolean burst = now % BURST_PERIOD_SECONDS < BURST_SECONDS;
+            if (burst || random.nextDouble() < 1 / BURST_FACTOR) {
+                arrivals.add(arrival((long) (now * NANOS_PER_SECOND), random));
+            }
+        }
+    }
+
+    private double meanCostSeconds(long seed) {
+        SplittableRandom random = new SplittableRandom(seed ^ 0x5eedL);
+        double nanos = 0;
+        for (int i = 0; i < COST_SAMPLES; i++) {
+            int prompt = mix.promptTokens(random.nextDouble(), random.nextDouble());
+            nanos += costNanos(prompt, output(prompt, random));
+        }
+        return nanos / COST_SAMPLES / NANOS_PER_SECOND;
+    }
+
+    /** Engine time of one request: its prefill alone, and its part of the steps that decode it. */
+    double costNanos(int promptTokens, int outputTokens) {
+        double decode = profile.decodeNanosPerToken(promptTokens, MEAN_DECODE_BATCH);
+        return profile.wholePrefillNanos(promptTokens, 0) + outputTokens * decode;
+    }
+
+    private static int output(int promptTokens, SplittableRandom random) {
+        int most = promptTokens > 32_000 ? 512 : 256;
+        return 16 + random.nextInt(most - 16);
+    }
+
+    private Arrival arrival(long atNanos, SplittableRandom random) {
+        int prompt = mix.promptTokens(random.nextDouble(), random.nextDouble());
+        int output = output(prompt, random);
+        int organisation = organisation(random.nextDouble());
+        return new Arrival(atNanos, organisation, prompt, output, blocks(prompt, organisation, random));
+    }
+
+    /** Zipf: organisation k sends in proportion to 1/(k+1). */
+    private static int organisation(double draw) {
+        double total = 0;
+        for (int k = 0; k < ORGANISATIONS; k++) {
+            total += 1.0 / (k + 1);
+        }
+        double left = draw * total;
+        for (int k = 0; k < ORGANISATIONS; k++) {
+            left -= 1.0 / (k + 1);
+            if (left < 0) {
+                return k;
+            }
+        }
+        return ORGANISATIONS - 1;
+    }
+
+    private static List<Long> blocks(int prompt, int organisation, SplittableRandom random) {
+        int count = prompt / BLOCK_TOKENS;
+        int shared = sharedBlocks(prompt, random);
+        long hash = 31L * organisation + random.nextInt(PREFIXES_EACH) + (shared > 8 ? 1_000 : 0);
+        long own = random.nextLong();
+        List<Long> blocks = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            hash = mix(hash + (i < shared ? i : own + i));
+            blocks.add(hash);
+        }
+        return blocks;
+    }
+
+    /** A system prompt before short questions; a manual or roster of up to 64k tokens before long ones. */
+    private static int sharedBlocks(int prompt, SplittableRandom random) {
+        double draw = random.nextDouble();
+        if (prompt <= 32_000) {
+            return draw < SHARED_SHORT ? 2 : 0;
+        }
+        return draw < SHARED_LONG ? Math.min(prompt, 64_000) / BLOCK_TOKENS : 0;
+    }
+
+    private static long mix(long value) {
+        long bits = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+        bits = (bits ^ (bits >>> 27)) * 0x94d049bb133111ebL;
+        return bits ^ (bits >>> 31);
+    }
+}
--- /dev/null
+++ b/elmline-bench/src/test/java/org/elmline/bench/policy/PolicyBenchTest.java
@@ -0,0 +1,103 @@
+package org.elmline.bench.policy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.util.List;
+
+import org.elmline.bench.workload.Mix;
+import org.elmline.bench.workload.Workload;
+import org.elmline.core.common.LengthClass;
+import org.elmline.core.placement.PlacementPolicies;
+import org.elmline.core.placement.PlacementSettings;
+import org.elmline.standin.model.EngineProfile;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Regression bounds on small deterministic runs: same figures on any machine, so the bounds are tight. */
+class PolicyBenchTest {
+    private static final double SECONDS = 150;
+    private static final EngineProfile PROFILE = EngineProfile.builder().build();
+
+    private static Scenario scenario(Mix mix, double load, Fault fault, Variant variant) {
+        return new Scenario(
+                mix.engines(),
+                PROFILE,
+                new Workload(mix, PROFILE).draw(load, SECONDS, 5),
+                SECONDS,
+                fault,
+                variant.settings(),
+                5);
+    }
+
+    private static RunResult run(Mix mix, double load, Fault fault, Variant variant) {
+        return new FleetRun(scenario(mix, load, fault, variant), variant.newPolicy()).run();
+    }
+
+    private static double shortP95(RunResult result) {
+        return result.firstTokenSeconds(LengthClass.SHORT, 95);
+    }
+
+    @Test
+    void sameOptionsSameFigures() {
+        RunResult one = run(Mix.ZRNO, 0.8, Fault.HALF_DIE, Variant.chosen());
+        RunResult two = run(Mix.ZRNO, 0.8, Fault.HALF_DIE, Variant.chosen());
+        for (LengthClass each : LengthClass.values()) {
+            assertEquals(one.firstTokenSeconds(each, 99), two.firstTokenSeconds(each, 99));
+        }
+        assertEquals(one.jainIndex(), two.jainIndex());
+        assertEquals(one.prefixHits(), two.prefixHits());
+    }
+
+    /** The aim: short questions keep their time to first token while long reads share the fleet. */
+    @Test
+    void shortRequestsAreSlowedDownByLessThanAFifth() {
+        for (Mix mix : Mix.values()) {
+            Scenario shared = scenario(mix, 0.8, Fault.NONE, Variant.chosen());
+            double alone =
+                    shortP95(new FleetRun(shared.shortOnly(), Variant.chosen().newPolicy()).run());
+            RunResult result = new FleetRun(shared, Variant.chosen().newPolicy()).run();
+            double slowdown = shortP95(result) / alone;
+            assertTrue(slowdown <= 1.2, mix + ": " + slowdown);
+            assertTrue(result.shareInLimit() >= 0.999, mix + ": " + result.shareInLimit());
+            for (String blind : List.of("round-robin", "random", "least-requests", "power-of-two")) {
+                double other = shortP95(run(mix, 0.8, Fault.NONE, Variant.blind(blind)));
+                assertTrue(other > 3 * shortP95(result), mix + ", " + blind + ": " + other);
+            }
+        }
+    }
+
+    @Test
+    void shortWorkIsServedThroughOverloadAndFaults() {
+        for (Fault each : Fault.values()) {
+            RunResult result = run(Mix.SNOWPAW, 1.2, each, Variant.chosen());
+            assertTrue(result.shareInLimit(LengthClass.SHORT) >= 0.99, each + ": " + result.shareInLimit());
+        }
+    }
+
+    /** Every request ends by its limit and every reservation is given back: FleetRun checks it at the end of each run. */
+    @Test
+    void everyPolicyEndsEveryRequest() {
+        for (String name : PlacementPolicies.names()) {
+            for (Fault fault : Fault.values()) {
+                Variant variant = new Variant(name, name, PlacementSettings.defaults(), false);
+                RunResult result = run(Mix.ZRNO, 1.2, fault, variant);
+                assertEquals(0, result.open(), name + ", " + fault);
+            }
+        }
+    }
+
+    @Test
+    void tablesAndDecisionCostArePrinted() throws Exception {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PolicyOptions small = new PolicyOptions(List.of(Mix.SNOWPAW), List.of(0.8), 0, 20, List.of(1L), 2, null);
+        new PolicyBench().run(small, new PrintStream(bytes));
+        new DecisionCost().run(List.of(2), new PrintStream(bytes));
+        String text = bytes.toString();
+        for (Variant each : Variant.all()) {
+            assertTrue(text.contains("| " + each.title() + " |"), each.title());
+        }
+        assertTrue(text.contains("| two-ended | 2 |"));
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/placement/PlacementPolicies.java
@@ -0,0 +1,31 @@
+package org.elmline.core.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.ServiceLoader;
+
+/** Finds the registered policies by name. */
+public final class PlacementPolicies {
+    /** The policy used where settings name none. */
+    public static final String DEFAULT = "two-ended";
+
+    private PlacementPolicies() {}
+
+    /** A new policy of that name with these weights, or empty when none is registered. */
+    public static Optional<PlacementPolicy> named(String name, PlacementSettings settings) {
+        for (PlacementPolicy each : ServiceLoader.load(PlacementPolicy.class)) {
+            if (each.name().equals(name)) {
+                return Optional.of(each.with(settings));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Names of all registered policies, sorted. */
+    public static List<String> names() {
+        return ServiceLoader.load(PlacementPolicy.class).stream()
+                .map(each -> each.get().name())
+                .sorted()
+                .toList();
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/placement/PlacementPolicy.java
+++ b/elmline-core/src/main/java/org/elmline/core/placement/PlacementPolicy.java
@@ -18,4 +18,9 @@
      * @param replicas ready replicas of the model, ordered by id, none of them excluded by the demand
      */
     Optional<Replica> choose(Demand demand, List<Replica> replicas, RandomGenerator random);
+
+    /** This policy under other weights; policies without weights are returned as they are. */
+    default PlacementPolicy with(PlacementSettings settings) {
+        return this;
+    }
 }
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/placement/PlacementSettings.java
@@ -0,0 +1,119 @@
+package org.elmline.core.placement;
+
+import org.elmline.core.common.LengthClass;
+
+/** Weights of the policies that predict; see docs/POLICY.md for how to choose them. */
+public final class PlacementSettings {
+    private final double harmWeight;
+    private final double displacementWeight;
+    private final double maxLongShare;
+    private final double attentionDoublingTokens;
+    private final double longStepSeconds;
+    private final int[] priorities;
+
+    private PlacementSettings(Builder builder) {
+        harmWeight = builder.harmWeight;
+        displacementWeight = builder.displacementWeight;
+        maxLongShare = builder.maxLongShare;
+        attentionDoublingTokens = builder.attentionDoublingTokens;
+        longStepSeconds = builder.longStepSeconds;
+        priorities = builder.priorities.clone();
+    }
+
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    public static PlacementSettings defaults() {
+        return builder().build();
+    }
+
+    /** Seconds of own wait that a read accepts for each second in which it would slow short requests down. */
+    public double harmWeight() {
+        return harmWeight;
+    }
+
+    /** Seconds of own wait that a request accepts for each second by which it would hold up a longer prefill. */
+    public double displacementWeight() {
+        return displacementWeight;
+    }
+
+    /** Largest share of a model's replicas that prompts over 32k tokens may use, above 0 and below 1. */
+    public double maxLongShare() {
+        return maxLongShare;
+    }
+
+    /** Context length at which attention has doubled the time of one prefilled token. */
+    public double attentionDoublingTokens() {
+        return attentionDoublingTokens;
+    }
+
+    /** Seconds of own wait that a request accepts to stay off an engine that prefills a prompt over 128k tokens. */
+    public double longStepSeconds() {
+        return longStepSeconds;
+    }
+
+    /** Priority under which engines are asked to serve a class; 0 is the most urgent. */
+    public int priority(LengthClass lengthClass) {
+        return priorities[lengthClass.ordinal()];
+    }
+
+    /** Builds settings; every value has a default. */
+    public static final class Builder {
+        private double harmWeight = 0.2;
+        private double displacementWeight = 0.5;
+        private double maxLongShare = 0.95;
+        private double attentionDoublingTokens = 200_000;
+        private double longStepSeconds = 0.15;
+        private int[] priorities = {0, 1, 2, 2};
+
+        private Builder() {}
+
+        public Builder harmWeight(double value) {
+            harmWeight = value;
+            return this;
+        }
+
+        public Builder displacementWeight(double value) {
+            displacementWeight = value;
+            return this;
+        }
+
+        public Builder maxLongShare(double value) {
+            maxLongShare = value;
+            return this;
+        }
+
+        public Builder attentionDoublingTokens(double value) {
+            attentionDoublingTokens = value;
+            return this;
+        }
+
+        public Builder longStepSeconds(double value) {
+            longStepSeconds = value;
+            return this;
+        }
+
+        /** Engine priority of each class, the shortest class first; all equal where engines honour none. */
+        public Builder priorities(int... value) {
+            priorities = value.clone();
+            return this;
+        }
+
+        public PlacementSettings build() {
+            if (!(harmWeight >= 0) || !(displacementWeight >= 0) || !(longStepSeconds >= 0)) {
+                throw new IllegalArgumentException("placement weights must not be negative");
+            }
+            if (!(maxLongShare > 0 && maxLongShare < 1)) {
+                throw new IllegalArgumentException("maxLongShare must lie between 0 and 1: " + maxLongShare);
+            }
+            if (priorities.length != LengthClass.values().length) {
+                throw new IllegalArgumentException("each length class needs a priority");
+            }
+            if (!(attentionDoublingTokens > 0)) {
+                throw new IllegalArgumentException("attentionDoublingTokens must be above 0");
+            }
+            return new PlacementSettings(this);
+        }
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/placement/Replica.java
+++ b/elmline-core/src/main/java/org/elmline/core/placement/Replica.java
@@ -13,7 +13,10 @@
     /** KV tokens promised to open attempts and exports. */
     long reservedKvTokens();
 
-    /** Prompt tokens placed here whose first answer token has not come. */
+    /**
+     * Prefill work placed here and not yet done, as estimated by a {@link PrefillBacklog}: in tokens of a short prompt, so
+     * that a long one counts for more than its length.
+     */
     long prefillBacklogTokens();
 
     /** The part of {@link #prefillBacklogTokens()} that belongs to prompts of a class. */
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/placement/ShortestWait.java
@@ -0,0 +1,45 @@
+package org.elmline.core.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Takes the replica with the least predicted time to first token; knows lengths but keeps no work apart. */
+public final class ShortestWait implements PlacementPolicy {
+    private final WaitPredictor predictor;
+
+    public ShortestWait() {
+        this(PlacementSettings.defaults());
+    }
+
+    public ShortestWait(PlacementSettings settings) {
+        predictor = new WaitPredictor(settings);
+    }
+
+    @Override
+    public String name() {
+        return "shortest-wait";
+    }
+
+    @Override
+    public PlacementPolicy with(PlacementSettings settings) {
+        return new ShortestWait(settings);
+    }
+
+    @Override
+    public Optional<Replica> choose(Demand demand, List<Replica> replicas, RandomGenerator random) {
+        Replica best = null;
+        double least = Double.POSITIVE_INFINITY;
+        for (Replica each : replicas) {
+            if (!Fit.holds(each, demand)) {
+                continue;
+            }
+            double wait = predictor.secondsToFirstToken(demand, each);
+            if (wait < least) {
+                least = wait;
+                best = each;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/placement/TwoEnded.java
@@ -0,0 +1,75 @@
+package org.elmline.core.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.elmline.core.common.LengthClass;
+
+/**
+ * Long work fills a model's replicas from one end of their order and leaves the other end to short work, so that the
+ * boundary moves with the load. Each request takes the replica with the least sum of its own predicted time to first
+ * token and the weighted harm that it does to others there. A cached prefix shortens the prediction, and so is followed
+ * only as long as waiting for it pays.
+ */
+public final class TwoEnded implements PlacementPolicy {
+    private final PlacementSettings settings;
+    private final WaitPredictor predictor;
+    private final ReplicaOrders orders = new ReplicaOrders();
+
+    public TwoEnded() {
+        this(PlacementSettings.defaults());
+    }
+
+    public TwoEnded(PlacementSettings settings) {
+        this.settings = settings;
+        predictor = new WaitPredictor(settings);
+    }
+
+    @Override
+    public String name() {
+        return "two-ended";
+    }
+
+    @Override
+    public PlacementPolicy with(PlacementSettings other) {
+        return new TwoEnded(other);
+    }
+
+    @Override
+    public Optional<Replica> choose(Demand demand, List<Replica> replicas, RandomGenerator random) {
+        int size = replicas.size();
+        ReplicaOrder order = orders.of(demand.model(), replicas);
+        int reach = LongBound.isLong(demand) ? LongBound.replicasForLong(size, settings.maxLongShare()) : size;
+        Replica best = null;
+        double least = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < size; i++) {
+            Replica each = replicas.get(i);
+            int rank = order.rank(i);
+            if (rank >= reach || !Fit.holds(each, demand)) {
+                continue;
+            }
+            double score = score(demand, each, (rank + 0.5) / size);
+            if (score < least) {
+                least = score;
+                best = each;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Seconds; {@code position} runs from 0 at the long end to 1 at the short end. */
+    private double score(Demand demand, Replica replica, double position) {
+        double wait = predictor.secondsToFirstToken(demand, replica);
+        double own = predictor.ownSeconds(demand, replica);
+        double weight = 0;
+        if (predictor.lessUrgentPresent(demand, replica)) {
+            weight += settings.displacementWeight();
+        }
+        if (demand.lengthClass() != LengthClass.SHORT) {
+            // Short requests come to a replica the more, the nearer it is to their end.
+            weight += settings.harmWeight() * position;
+        }
+        return wait + weight * own;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/placement/WaitPredictor.java
@@ -0,0 +1,76 @@
+package org.elmline.core.placement;
+
+import org.elmline.core.common.LengthClass;
+
+/** Predicts from a replica's ledger when a request placed there would have its first token. Allocates nothing. */
+public final class WaitPredictor {
+    private static final LengthClass[] CLASSES = LengthClass.values();
+    /** Share by which each open stream's decoding slows a step. */
+    private static final double SLOWDOWN_PER_STREAM = 0.003;
+
+    private static final double MEDIUM_STEP = 0.1;
+    private static final double LONG_STEP = 0.3;
+
+    private final PlacementSettings settings;
+
+    public WaitPredictor(PlacementSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Seconds until the first token: the work that the engine does before, and the prompt's own prefill. */
+    public double secondsToFirstToken(Demand demand, Replica replica) {
+        double alone = ownSeconds(demand, replica) + aheadSeconds(demand.lengthClass(), replica);
+        return alone * (1 + replica.openStreams() * SLOWDOWN_PER_STREAM);
+    }
+
+    /** Seconds of prefill that the demand asks of the replica, cached prefix subtracted. */
+    public double ownSeconds(Demand demand, Replica replica) {
+        return costTokens(demand.promptTokens(), replica.cachedTokens(demand)) / rate(replica);
+    }
+
+    /** Cost of a prefill in tokens of a short prompt: attention makes each token dearer, the more come before it. */
+    public double costTokens(int promptTokens, int cachedTokens) {
+        int uncached = Math.max(1, promptTokens - cachedTokens);
+        double meanContext = (promptTokens + (double) cachedTokens) / 2;
+        return uncached * (1 + meanContext / settings.attentionDoublingTokens());
+    }
+
+    private double aheadSeconds(LengthClass own, Replica replica) {
+        double tokens = 0;
+        double step = 0;
+        for (LengthClass each : CLASSES) {
+            long backlog = replica.prefillBacklogTokens(each);
+            if (settings.priority(each) > settings.priority(own)) {
+                step = backlog > 0 ? stepSeconds(each) : step;
+                continue;
+            }
+            tokens += backlog;
+        }
+        // A longer prefill gives way only between steps, and its chunks make those steps long.
+        return tokens / rate(replica) + step;
+    }
+
+    /** Whether prefills of a less urgent class are under way on the replica; they give way to the demand. */
+    boolean lessUrgentPresent(Demand demand, Replica replica) {
+        int own = settings.priority(demand.lengthClass());
+        for (LengthClass each : CLASSES) {
+            if (settings.priority(each) > own && replica.prefillBacklogTokens(each) > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Longer prefills attend to more, and make longer steps. */
+    private double stepSeconds(LengthClass present) {
+        return switch (present) {
+            case SHORT, MEDIUM -> settings.longStepSeconds() * MEDIUM_STEP;
+            case LONG -> settings.longStepSeconds() * LONG_STEP;
+            case HUGE -> settings.longStepSeconds();
+        };
+    }
+
+    private static double rate(Replica replica) {
+        return Math.max(1, replica.prefillTokensPerSecond());
+    }
+}
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/placement/PlacementPoliciesTest.java
@@ -0,0 +1,203 @@
+package org.elmline.core.placement;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.LengthClass;
+import org.elmline.core.common.ModelName;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class PlacementPoliciesTest {
+    private static final ModelName MODEL = ModelName.of("elm");
+
+    private static Demand demand(int promptTokens, Set<BackendServerId> excluded) {
+        return new Demand(MODEL, "", promptTokens, 256, List.of(), 0, 10_000, excluded);
+    }
+
+    private static List<Replica> fleet(int size, Random random) {
+        List<Replica> fleet = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            fleet.add(FakeReplica.random("engine-" + i, random));
+        }
+        return fleet;
+    }
+
+    private static PlacementPolicy policy(String name) {
+        return PlacementPolicies.named(name, PlacementSettings.defaults()).orElseThrow();
+    }
+
+    @Test
+    void allPoliciesAreRegistered() {
+        assertEquals(
+                List.of(
+                        "fixed-split",
+                        "least-requests",
+                        "power-of-two",
+                        "random",
+                        "round-robin",
+                        "shortest-wait",
+                        "two-ended"),
+                PlacementPolicies.names());
+        assertTrue(PlacementPolicies.named("none-such", PlacementSettings.defaults())
+                .isEmpty());
+    }
+
+    @Property(tries = 400, seed = "101")
+    void neverAnExcludedOrOverfullReplica(
+            @ForAll @IntRange(max = 1_000_000) int seed,
+            @ForAll @IntRange(max = 12) int size,
+            @ForAll @IntRange(min = 1, max = 500_000) int promptTokens) {
+        Random random = new Random(seed);
+        List<Replica> fleet = fleet(size, random);
+        Set<BackendServerId> excluded = new HashSet<>();
+        fleet.stream().filter(r -> random.nextInt(4) == 0).forEach(r -> excluded.add(r.id()));
+        Demand demand = demand(promptTokens, excluded);
+        for (String name : PlacementPolicies.names()) {
+            Optional<Replica> chosen = policy(name).choose(demand, fleet, random);
+            chosen.ifPresent(replica -> {
+                assertFalse(excluded.contains(replica.id()), name);
+                assertTrue(replica.freeKvTokens() >= demand.kvTokens(), name);
+            });
+            boolean splits = name.equals("two-ended") || name.equals("fixed-split");
+            if (!splits && chosen.isEmpty()) {
+                assertTrue(fleet.stream().noneMatch(r -> Fit.holds(r, demand)), name + " missed a replica with room");
+            }
+        }
+    }
+
+    @Property(tries = 200, seed = "102")
+    void sameSeedSameChoice(@ForAll @IntRange(max = 1_000_000) int seed) {
+        List<Replica> fleet = fleet(9, new Random(seed));
+        Demand demand = demand(1 + seed % 90_000, Set.of());
+        for (String name : PlacementPolicies.names()) {
+            assertEquals(
+                    policy(name).choose(demand, fleet, new Random(seed)),
+                    policy(name).choose(demand, fleet, new Random(seed)),
+                    name);
+        }
+    }
+
+    /** Whatever the ledgers say, long work leaves one and the same replica free of it: the refuge of short work. */
+    @Property(tries = 60, seed = "103")
+    void longWorkNeverTakesTheRefuge(
+            @ForAll @IntRange(min = 2, max = 30) int size, @ForAll @IntRange(max = 1_000_000) int seed) {
+        Random random = new Random(seed);
+        PlacementPolicy policy = policy("two-ended");
+        Set<BackendServerId> used = new HashSet<>();
+        for (int i = 0; i < 300; i++) {
+            policy.choose(demand(33_000 + random.nextInt(200_000), Set.of()), fleet(size, random), random)
+                    .ifPresent(r -> used.add(r.id()));
+        }
+        assertTrue(used.size() <= LongBound.replicasForLong(size, 0.95));
+        assertTrue(used.size() < size);
+    }
+
+    @Test
+    void aSingleReplicaServesAllLengths() {
+        List<Replica> one = List.of(FakeReplica.idle("engine-1"));
+        assertTrue(policy("two-ended")
+                .choose(demand(200_000, Set.of()), one, new Random(1))
+                .isPresent());
+        assertTrue(policy("fixed-split")
+                .choose(demand(1_000, Set.of()), one, new Random(1))
+                .isPresent());
+    }
+
+    /** Against a plain search that scores every replica by the formula written out. */
+    @Property(tries = 500, seed = "104")
+    void twoEndedEqualsANaiveSearch(
+            @ForAll @IntRange(max = 1_000_000) int seed,
+            @ForAll @IntRange(min = 1, max = 8) int size,
+            @ForAll @IntRange(min = 1_000, max = 400_000) int promptTokens) {
+        List<Replica> fleet = fleet(size, new Random(seed));
+        Demand demand = demand(promptTokens, Set.of());
+        Optional<Replica> chosen = policy("two-ended").choose(demand, fleet, new Random(seed));
+        assertEquals(naive(demand, fleet), chosen);
+    }
+
+    private static Optional<Replica> naive(Demand demand, List<Replica> fleet) {
+        ReplicaOrder order = ReplicaOrder.of(MODEL, fleet);
+        int size = fleet.size();
+        boolean isLong = demand.promptTokens() > 32_000;
+        int reach = isLong && size > 1 ? Math.min(size - 1, Math.max(1, (int) Math.round(size * 0.95))) : size;
+        Replica best = null;
+        double least = Double.MAX_VALUE;
+        for (int i = 0; i < size; i++) {
+            Replica each = fleet.get(i);
+            if (order.rank(i) >= reach || each.reservedKvTokens() + demand.kvTokens() > each.capacityKvTokens()) {
+                continue;
+            }
+            double score = naiveScore(demand, each, (order.rank(i) + 0.5) / size);
+            if (score < least - 1e-9) {
+                least = score;
+                best = each;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static double naiveScore(Demand demand, Replica replica, double position) {
+        int[] priorities = {0, 1, 2, 2};
+        double[] steps = {0.015, 0.015, 0.045, 0.15};
+        int cached = replica.cachedTokens(demand);
+        double cost = (demand.promptTokens() - cached) * (1 + (demand.promptTokens() + cached) / 2.0 / 200_000);
+        double own = cost / replica.prefillTokensPerSecond();
+        int ownClass = demand.lengthClass().ordinal();
+        double ahead = 0;
+        double step = 0;
+        for (int k = 0; k < priorities.length; k++) {
+            long backlog = replica.prefillBacklogTokens(LengthClass.values()[k]);
+            if (priorities[k] <= priorities[ownClass]) {
+                ahead += backlog / replica.prefillTokensPerSecond();
+            } else if (backlog > 0) {
+                step = steps[k];
+            }
+        }
+        double wait = (own + ahead + step) * (1 + 0.003 * replica.openStreams());
+        double harm = (step > 0 ? 0.5 : 0) + (ownClass > 0 ? 0.2 * position : 0);
+        return wait + harm * own;
+    }
+
+    /** A cached prefix is worth its prefill, no more: the engine that holds it is left once its queue costs more. */
+    @Test
+    void prefixAffinityYieldsToLoad() {
+        FakeReplica holder = FakeReplica.idle("engine-1").withCached(20_000);
+        FakeReplica other = FakeReplica.idle("engine-2");
+        Demand demand = demand(24_000, Set.of());
+        PlacementPolicy policy = policy("shortest-wait");
+        Random random = new Random(1);
+        assertEquals(
+                holder, policy.choose(demand, List.of(holder, other), random).orElseThrow());
+        FakeReplica busy = holder.withBacklog(LengthClass.SHORT, 30_000);
+        assertEquals(other, policy.choose(demand, List.of(busy, other), random).orElseThrow());
+    }
+
+    @Test
+    void orderIsAPermutationThatKeepsNeighboursWhenAReplicaLeaves() {
+        List<Replica> fleet = fleet(50, new Random(1));
+        ReplicaOrder order = ReplicaOrder.of(MODEL, fleet);
+        Set<Integer> ranks = new HashSet<>();
+        for (int i = 0; i < fleet.size(); i++) {
+            ranks.add(order.rank(i));
+        }
+        assertEquals(50, ranks.size());
+        ReplicaOrder without = ReplicaOrder.of(MODEL, fleet.subList(1, 50));
+        for (int i = 1; i < 50; i++) {
+            int expected = order.rank(i) - (order.rank(i) > order.rank(0) ? 1 : 0);
+            assertEquals(expected, without.rank(i - 1));
+        }
+        assertFalse(order.matches(fleet.subList(1, 50)));
+    }
+}
