Keep the control state in a replicated log on disk

Cause: tickets, leases and claims lived in one process's memory. Change: a control host runs a Raft replica over its data folder; 'control bootstrap' makes the first voter once, others join; claims are batched while a sync runs; a leader is asked to hand over at a planned stop; 'control inspect' shows a data folder. Before: any kill of the control host lost every ticket.

--- a/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
@@ -26,6 +26,7 @@
 import org.elmline.core.control.Ticket;
 import org.elmline.core.control.TicketAnswer;
 import org.elmline.daemon.control.ControlDaemon;
+import org.elmline.daemon.control.ControlData;
 import org.elmline.daemon.entry.EntryDaemon;
 import org.elmline.daemon.http.BearerKey;
 import org.elmline.daemon.settings.CallerSettings;
@@ -76,7 +77,11 @@
     private void open() throws IOException, InterruptedException {
         List<ControlHost> seats = seats();
         for (ControlHost each : seats) {
-            controls.add(closer.register(ControlDaemon.start(control(each, seats))));
+            ControlSettings settings = control(each, seats);
+            if (controls.isEmpty() && !Files.exists(settings.dataFolder())) {
+                ControlData.bootstrap(settings);
+            }
+            controls.add(closer.register(ControlDaemon.start(settings, this::close)));
         }
         for (int i = 0; i < plan.entries; i++) {
             entries.add(closer.register(EntryDaemon.start(entry(i, seats))));
--- a/elmline-cli/src/main/java/org/elmline/cli/role/ControlCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/ControlCommand.java
@@ -9,7 +9,7 @@
 @Command(
         name = "control",
         description = "Runs a control host, or looks into its data folder.",
-        subcommands = {ControlRunCommand.class})
+        subcommands = {ControlRunCommand.class, ControlBootstrapCommand.class, ControlInspectCommand.class})
 final class ControlCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/elmline-cli/src/main/java/org/elmline/cli/role/ControlRunCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/ControlRunCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 
+import org.elmline.cli.ExitCode;
 import org.elmline.daemon.control.ControlDaemon;
 import org.elmline.daemon.settings.ControlSettings;
 import picocli.CommandLine.Command;
@@ -15,17 +16,22 @@
 
     @Override
     RunningRole start(ControlSettings settings) throws IOException {
-        ControlDaemon daemon = ControlDaemon.start(settings);
+        ControlDaemon daemon = ControlDaemon.start(settings, ControlRunCommand::end);
         return new RunningRole() {
             @Override
             public String readyLine() {
-                return "ready peers=" + daemon.peers();
+                return "ready peers=" + daemon.peers() + " operator=http://" + daemon.operators();
             }
 
             @Override
             public void stop() {
-                daemon.close();
+                daemon.stop();
             }
         };
     }
+
+    /** A replica that can't keep its promises must not look alive: the process ends, and its supervisor decides. */
+    private static void end() {
+        Runtime.getRuntime().halt(ExitCode.FAILED.code());
+    }
 }
--- a/elmline-cli/src/main/java/org/elmline/cli/role/RoleCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/RoleCommand.java
@@ -2,16 +2,12 @@
 
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 
 import org.elmline.cli.ExitCode;
 import org.elmline.cli.ExitingCommand;
-import org.elmline.cli.log.Logs;
-import org.elmline.daemon.settings.KeyFiles;
-import org.elmline.daemon.settings.Problem;
 import org.elmline.daemon.settings.Settings;
-import org.elmline.daemon.settings.SettingsReader;
-import org.elmline.daemon.settings.SettingsResult;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
@@ -34,21 +30,11 @@
 
     @Override
     public ExitCode execute() throws Exception {
-        PrintWriter err = spec.commandLine().getErr();
-        SettingsResult read = new SettingsReader(KeyFiles.READ).read(file);
-        if (read instanceof SettingsResult.Invalid invalid) {
-            for (Problem problem : invalid.problems()) {
-                err.println(file + ": " + problem);
-            }
+        Optional<S> settings = SettingsFile.read(file, type, spec.commandLine().getErr());
+        if (settings.isEmpty()) {
             return ExitCode.INVALID;
         }
-        Settings settings = ((SettingsResult.Valid) read).settings();
-        if (!type.isInstance(settings)) {
-            err.println(file + ": is of role " + settings.role().word() + ", not for this command");
-            return ExitCode.INVALID;
-        }
-        Logs.apply(settings);
-        run(start(type.cast(settings)), spec.commandLine().getOut());
+        run(start(settings.get()), spec.commandLine().getOut());
         return ExitCode.OK;
     }
 
--- a/elmline-cli/src/test/java/org/elmline/cli/process/ElmlineProcess.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/ElmlineProcess.java
@@ -26,14 +26,8 @@
 
     /** Starts the command and returns once its ready line is out. */
     static ElmlineProcess start(Path folder, String name, String... arguments) throws IOException {
-        List<String> command = new ArrayList<>();
-        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp"));
-        command.add(System.getProperty("java.class.path"));
-        command.add("org.elmline.cli.Main");
-        command.addAll(List.of(arguments));
         Path log = folder.resolve(name + ".log");
-        Process process = new ProcessBuilder(command)
+        Process process = new ProcessBuilder(command(arguments))
                 .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
                 .start();
         BufferedReader out =
@@ -46,6 +40,26 @@
         throw new IOException(name + " ended without a ready line; its log:\n" + Files.readString(log));
     }
 
+    /** Runs a command that ends by itself and returns its exit code. */
+    static int run(Path folder, String... arguments) throws IOException, InterruptedException {
+        return new ProcessBuilder(command(arguments))
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve("commands.log").toFile()))
+                .start()
+                .waitFor();
+    }
+
+    private static List<String> command(String... arguments) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp"));
+        command.add(System.getProperty("java.class.path"));
+        command.add("org.elmline.cli.Main");
+        command.addAll(List.of(arguments));
+        return command;
+    }
+
     private static Map<String, String> words(String line) {
         Map<String, String> words = new HashMap<>();
         for (String each : line.split(" ")) {
--- a/elmline-cli/src/test/java/org/elmline/cli/process/WholePathTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/WholePathTest.java
@@ -38,12 +38,9 @@
         SettingsFiles files = new SettingsFiles(folder);
         int port = freePort();
         List<SettingsFiles.ControlSeat> seats = List.of(new SettingsFiles.ControlSeat("c1", "127.0.0.1:" + port, "d1"));
-        start(
-                "c1",
-                "control",
-                "run",
-                "--settings",
-                files.control("c1", "d1", seats, port).toString());
+        String control = files.control("c1", "d1", seats, port).toString();
+        assertEquals(0, ElmlineProcess.run(folder, "control", "bootstrap", "--settings", control));
+        start("c1", "control", "run", "--settings", control);
         ElmlineProcess a =
                 start("a", "entry", "--settings", files.entry("a", "d1", seats).toString());
         ElmlineProcess b =
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ClaimService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ClaimService.java
@@ -1,45 +1,95 @@
 package org.elmline.daemon.control;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.control.ClaimAnswer;
+import org.elmline.core.control.ClaimBatch;
+import org.elmline.core.control.ClaimBatcher;
 import org.elmline.core.control.ClaimBegin;
 import org.elmline.core.control.ClaimFinish;
-import org.elmline.core.control.Command;
 import org.elmline.core.control.CommandResult;
 
-/** Begins and finishes claims through the log. */
+/** Begins and finishes claims through the log, many in one command while earlier ones are being synced. */
 final class ClaimService {
     private static final long OVERLOADED_RETRY_MILLIS = 500;
+    private static final int MAX_BATCH = 256;
+    private static final int MAX_WAITING = 4096;
 
     private final CommandLog log;
-    private final LongSupplier wallMillis;
+    private final LongSupplier stampMillis;
+    private final Histogram batchSizes;
+    private final ClaimBatcher<CompletableFuture<ClaimAnswer>> batcher = new ClaimBatcher<>(MAX_BATCH, MAX_WAITING);
 
-    ClaimService(CommandLog log, LongSupplier wallMillis) {
+    ClaimService(CommandLog log, LongSupplier stampMillis, MetricRegistry metrics) {
         this.log = log;
-        this.wallMillis = wallMillis;
+        this.stampMillis = stampMillis;
+        this.batchSizes = metrics.histogram("control.claims.batch");
     }
 
     CompletionStage<ClaimAnswer> begin(ClaimBegin claim) {
-        return propose(new Command.BeginClaims(wallMillis.getAsLong(), List.of(claim)));
+        return submit(claim, batcher::begin);
     }
 
     CompletionStage<ClaimAnswer> finish(ClaimFinish claim) {
-        return propose(new Command.FinishClaims(wallMillis.getAsLong(), List.of(claim)));
+        return submit(claim, batcher::finish);
     }
 
-    private CompletionStage<ClaimAnswer> propose(Command command) {
+    private <C> CompletionStage<ClaimAnswer> submit(
+            C claim, BiFunction<C, CompletableFuture<ClaimAnswer>, Boolean> offer) {
         Standing standing = log.standing();
         if (!standing.leads()) {
             return CompletableFuture.completedFuture(new ClaimAnswer.NotLeader(standing.leader()));
         }
-        return log.propose(command).thenApply(ClaimService::answer);
+        CompletableFuture<ClaimAnswer> waiter = new CompletableFuture<>();
+        boolean taken;
+        synchronized (batcher) {
+            taken = offer.apply(claim, waiter);
+        }
+        if (!taken) {
+            return CompletableFuture.completedFuture(new ClaimAnswer.Overloaded(OVERLOADED_RETRY_MILLIS));
+        }
+        proposeNext();
+        return waiter;
+    }
+
+    private void proposeNext() {
+        List<ClaimBatch<CompletableFuture<ClaimAnswer>>> ready;
+        synchronized (batcher) {
+            ready = batcher.next(stampMillis.getAsLong());
+        }
+        for (ClaimBatch<CompletableFuture<ClaimAnswer>> each : ready) {
+            batchSizes.update(each.waiters().size());
+            log.propose(each.command()).thenAccept(result -> decided(each, result));
+        }
+    }
+
+    private void decided(ClaimBatch<CompletableFuture<ClaimAnswer>> batch, Proposed result) {
+        synchronized (batcher) {
+            batcher.done(batch);
+        }
+        List<ClaimAnswer> answers = answers(batch.waiters().size(), result);
+        for (int i = 0; i < answers.size(); i++) {
+            batch.waiters().get(i).complete(answers.get(i));
+        }
+        proposeNext();
+    }
+
+    private static List<ClaimAnswer> answers(int count, Proposed result) {
+        List<ClaimAnswer> answers = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            answers.add(answer(i, result));
+        }
+        return answers;
     }
 
-    private static ClaimAnswer answer(Proposed result) {
+    private static ClaimAnswer answer(int position, Proposed result) {
         if (result instanceof Proposed.NotLeader not) {
             return new ClaimAnswer.NotLeader(not.leader());
         }
@@ -51,6 +101,6 @@
         }
         CommandResult applied = ((Proposed.Applied) result).result();
         return new ClaimAnswer.Decided(
-                ((CommandResult.ClaimsDecided) applied).outcomes().get(0));
+                ((CommandResult.ClaimsDecided) applied).outcomes().get(position));
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
@@ -2,97 +2,199 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 
 import com.codahale.metrics.MetricRegistry;
+import io.undertow.Handlers;
+import io.undertow.server.RoutingHandler;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.Closer;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.control.ControlChannels;
 import org.elmline.core.control.ControlLimits;
 import org.elmline.core.control.LeaseSettings;
+import org.elmline.core.raft.RaftSettings;
+import org.elmline.core.timeline.EventRing;
+import org.elmline.core.timeline.HostEvent;
 import org.elmline.core.timeline.HybridClock;
+import org.elmline.daemon.http.Answers;
+import org.elmline.daemon.http.HttpLimits;
+import org.elmline.daemon.http.HttpListener;
+import org.elmline.daemon.operator.EventsHandler;
+import org.elmline.daemon.operator.MetricsHandler;
+import org.elmline.daemon.operator.OperatorKeys;
+import org.elmline.daemon.operator.ProcessMetrics;
+import org.elmline.daemon.raft.RaftDriver;
 import org.elmline.daemon.runtime.SystemClock;
 import org.elmline.daemon.runtime.Workers;
 import org.elmline.daemon.settings.ControlSettings;
 import org.elmline.daemon.settings.ListenAddress;
-import org.elmline.wire.tcp.Handlers;
+import org.elmline.daemon.settings.Secret;
+import org.elmline.storage.OpenResult;
 import org.elmline.wire.tcp.PeerKey;
 import org.elmline.wire.tcp.PeerLimits;
+import org.elmline.wire.tcp.TcpPeerNetwork;
 import org.elmline.wire.tcp.TcpPeerServer;
 import org.jboss.logging.Logger;
 
-/** One control host. */
+/** One control host: everything it opens, how it is put together, and its graceful stop. */
 public final class ControlDaemon implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(ControlDaemon.class);
     private static final int MAX_STREAMS = 16;
     private static final long LEASE_GRACE_MILLIS = 500;
 
-    private final Closer closer;
-    private final Address peers;
+    private final Closer closer = new Closer();
+    private final ControlSettings settings;
+    private final MonotonicClock clock = new SystemClock();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final HybridClock hybridClock = new HybridClock(System::currentTimeMillis);
+    private final Incarnation incarnation = Incarnation.of(System.currentTimeMillis());
+    private final EventRing events;
+    private final Runnable onFailure;
+    private TcpPeerServer server;
+    private HttpListener operators;
+    private RaftDriver driver;
+    private RaftCommandLog log;
 
-    private ControlDaemon(Closer closer, Address peers) {
-        this.closer = closer;
-        this.peers = peers;
+    private ControlDaemon(ControlSettings settings, Runnable onFailure) {
+        this.settings = settings;
+        this.onFailure = onFailure;
+        this.events = new EventRing(
+                settings.host(),
+                incarnation,
+                hybridClock,
+                System::currentTimeMillis,
+                settings.timeline().events());
+        ProcessMetrics.register(metrics, events, hybridClock);
     }
 
-    /** Opens everything and begins to serve; closes what was opened when any of it fails. */
-    public static ControlDaemon start(ControlSettings settings) throws IOException {
-        Closer closer = new Closer();
+    /**
+     * Opens everything and begins to serve; closes what was opened when any of it fails.
+     *
+     * @param onFailure called when the disk failed or an invariant broke; the process must end then
+     */
+    public static ControlDaemon start(ControlSettings settings, Runnable onFailure) throws IOException {
+        ControlDaemon daemon = new ControlDaemon(settings, onFailure);
         try {
-            return start(settings, closer);
+            daemon.open();
+            return daemon;
         } catch (IOException | RuntimeException e) {
-            closer.close();
+            daemon.close();
             throw e;
         }
     }
 
-    private static ControlDaemon start(ControlSettings settings, Closer closer) throws IOException {
-        MonotonicClock clock = new SystemClock();
-        MetricRegistry metrics = new MetricRegistry();
-        HybridClock hybridClock = new HybridClock(System::currentTimeMillis);
+    private void open() throws IOException {
+        OpenResult.Opened opened = ControlData.open(settings.dataFolder(), settings.host());
         Workers workers = closer.register(new Workers("control", MAX_STREAMS));
-        Handlers handlers = new Handlers(workers.handlers());
-        ControlMachine machine = new ControlMachine();
+        org.elmline.wire.tcp.Handlers channels = new org.elmline.wire.tcp.Handlers(workers.handlers());
+        PeerKey key = new PeerKey(settings.keys().peerKey().value());
         ListenAddress bind = settings.addresses().peers();
-        TcpPeerServer server = closer.register(TcpPeerServer.start(
+        server = closer.register(TcpPeerServer.start(
                 new InetSocketAddress(bind.ip(), bind.port()),
-                handlers,
-                new PeerKey(settings.keys().peerKey().value()),
+                channels,
+                key,
                 PeerLimits.DEFAULT,
                 workers.connections(),
                 workers.timer(),
                 hybridClock));
-        Address peers = server.address(bind.ip());
-        CommandLog log = closer.register(new SoloLog(machine, peers, clock));
+        TcpPeerNetwork network = closer.register(new TcpPeerNetwork(
+                key, PeerLimits.DEFAULT, workers.connections(), workers.timer(), workers.handlers(), hybridClock));
+        ControlMachine machine = new ControlMachine();
+        Map<HostId, Address> peers = new LinkedHashMap<>();
+        settings.control().forEach(each -> peers.put(each.host(), each.peers()));
+        driver = RaftDriver.builder()
+                .folder(opened.folder(), opened.restored())
+                .machine(machine)
+                .network(network, channels)
+                .addresses(peers::get, () -> List.copyOf(peers.values()))
+                .clock(clock)
+                .metrics(metrics)
+                .settings(raft())
+                .snapshotEntries(settings.raft().snapshotEntries())
+                .onFailure(this::failed)
+                .start();
+        log = closer.register(new RaftCommandLog(driver, settings.control()));
+        serve(workers, channels, machine);
+        operators = closer.register(http());
+        events.record(new HostEvent.Started(settings.host(), incarnation, "control"));
+        LOG.infof("control host %s serves peers at %s", settings.host(), peers());
+    }
+
+    private RaftSettings raft() {
+        return RaftSettings.builder()
+                .electionTimeout(Duration.ofMillis(settings.raft().electionMillis()))
+                .heartbeat(Duration.ofMillis(settings.raft().heartbeatMillis()))
+                .build();
+    }
+
+    private void serve(Workers workers, org.elmline.wire.tcp.Handlers channels, ControlMachine machine) {
         LeaseSettings leases = new LeaseSettings(settings.lease().leaseMillis(), LEASE_GRACE_MILLIS);
-        LeaderWatch watch = new LeaderWatch(settings.host(), log, machine, clock, leases, ControlLimits.DEFAULT);
-        register(handlers, log, machine, watch, clock, metrics);
+        LeaderWatch watch = new LeaderWatch(settings.host(), events, log, machine, clock, leases, limits());
+        LeaseService leaseService = new LeaseService(log, watch, clock, metrics);
+        TicketService tickets = new TicketService(log, machine, watch, clock);
+        ClaimService claims = new ClaimService(log, watch::stampMillis, metrics);
+        channels.register(ControlChannels.LEASE_RENEW, leaseService::renew);
+        channels.register(ControlChannels.TICKET_SUBMIT, tickets::submit);
+        channels.register(ControlChannels.TICKET_READ, tickets::read);
+        channels.register(ControlChannels.TICKET_LIST, tickets::list);
+        channels.register(ControlChannels.CLAIM_BEGIN, claims::begin);
+        channels.register(ControlChannels.CLAIM_FINISH, claims::finish);
         watch.start(workers.timer());
-        LOG.infof("control host %s serves peers at %s", settings.host(), peers);
-        return new ControlDaemon(closer, peers);
     }
 
-    private static void register(
-            Handlers handlers,
-            CommandLog log,
-            ControlMachine machine,
-            LeaderWatch watch,
-            MonotonicClock clock,
-            MetricRegistry metrics) {
-        LeaseService leases = new LeaseService(log, watch, clock, metrics);
-        TicketService tickets = new TicketService(log, machine, watch, clock);
-        ClaimService claims = new ClaimService(log, System::currentTimeMillis);
-        handlers.register(ControlChannels.LEASE_RENEW, leases::renew);
-        handlers.register(ControlChannels.TICKET_SUBMIT, tickets::submit);
-        handlers.register(ControlChannels.TICKET_READ, tickets::read);
-        handlers.register(ControlChannels.TICKET_LIST, tickets::list);
-        handlers.register(ControlChannels.CLAIM_BEGIN, claims::begin);
-        handlers.register(ControlChannels.CLAIM_FINISH, claims::finish);
+    private ControlLimits limits() {
+        ControlLimits standard = ControlLimits.DEFAULT;
+        return new ControlLimits(
+                settings.retention().tickets(),
+                standard.claims(),
+                standard.claimsPerOrganisation(),
+                settings.retention().claimMillis(),
+                standard.recordedBodyBytes(),
+                standard.endedHosts());
+    }
+
+    private HttpListener http() {
+        RoutingHandler routes = Handlers.routing()
+                .get("/v1/status", exchange -> Answers.json(exchange, status()))
+                .get("/v1/events", new EventsHandler(events))
+                .get("/metrics", new MetricsHandler(metrics));
+        List<String> keys =
+                settings.keys().operatorKeys().stream().map(Secret::value).toList();
+        ListenAddress bind = settings.addresses().operators();
+        return HttpListener.start(bind.ip(), bind.port(), HttpLimits.DEFAULT, new OperatorKeys(keys, routes));
+    }
+
+    /** How this control host stands, for operators. */
+    public ControlStatus status() {
+        return ControlStatus.of(settings.host(), driver.status(), log.standing());
+    }
+
+    private void failed() {
+        LOG.errorf("control host %s can't go on", settings.host());
+        onFailure.run();
     }
 
     /** Where other elmline processes connect. */
     public Address peers() {
-        return peers;
+        return server.address(settings.addresses().peers().ip());
+    }
+
+    /** Where operators connect. */
+    public Address operators() {
+        return operators.address();
+    }
+
+    /** Hands leadership over, then closes. */
+    public void stop() {
+        events.record(new HostEvent.Stopping(settings.host()));
+        log.handOver();
+        close();
     }
 
     @Override
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlMachine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlMachine.java
@@ -6,6 +6,7 @@
 import org.elmline.core.control.CommandResult;
 import org.elmline.core.control.ControlSnapshot;
 import org.elmline.core.control.ControlState;
+import org.elmline.daemon.raft.StateMachine;
 import org.elmline.wire.codec.Codec;
 import org.elmline.wire.codec.Codecs;
 import org.elmline.wire.codec.Decoded;
@@ -14,20 +15,23 @@
  * Guards the replicated state: one lock for the applying thread and for all readers. The lock is held for short steps
  * only and no other lock is taken under it.
  */
-public final class ControlMachine {
+public final class ControlMachine implements StateMachine {
     private static final Codec CODEC = Codecs.MESSAGE_PACK;
 
     private ControlState state = new ControlState();
 
     /** Applies a committed command and returns its encoded {@link CommandResult}. */
+    @Override
     public synchronized byte[] apply(long index, byte[] command) {
         return CODEC.encode(state.apply(index, read(command, Command.class)));
     }
 
+    @Override
     public synchronized byte[] snapshot() {
         return CODEC.encode(state.snapshot());
     }
 
+    @Override
     public synchronized void restore(byte[] snapshot) {
         state = ControlState.restore(read(snapshot, ControlSnapshot.class));
     }
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlStatus.java
@@ -0,0 +1,40 @@
+package org.elmline.daemon.control;
+
+import java.util.List;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.HostId;
+import org.elmline.core.raft.ReplicaId;
+import org.elmline.core.raft.Role;
+import org.elmline.daemon.raft.RaftStatus;
+
+/**
+ * One control host as operators see it.
+ *
+ * @param replica its identity: the host and the incarnation of its data folder
+ * @param leader peer address of the leader, null when none is known
+ * @param appliedIndex last index of the log that its state holds
+ */
+public record ControlStatus(
+        HostId host,
+        ReplicaId replica,
+        Role role,
+        long term,
+        Address leader,
+        List<ReplicaId> voters,
+        List<ReplicaId> learners,
+        long committedIndex,
+        long appliedIndex) {
+    static ControlStatus of(HostId host, RaftStatus raft, Standing standing) {
+        return new ControlStatus(
+                host,
+                raft.self(),
+                raft.role(),
+                raft.term(),
+                standing.leader(),
+                raft.membership().voters(),
+                raft.membership().learners(),
+                raft.committedIndex(),
+                raft.appliedIndex());
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/LeaderWatch.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/LeaderWatch.java
@@ -10,10 +10,13 @@
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.control.Command;
+import org.elmline.core.control.CommandClock;
 import org.elmline.core.control.CommandResult;
 import org.elmline.core.control.ControlLimits;
 import org.elmline.core.control.LeaseKeeper;
 import org.elmline.core.control.LeaseSettings;
+import org.elmline.core.timeline.EventRing;
+import org.elmline.core.timeline.HostEvent;
 import org.jboss.logging.Logger;
 
 /**
@@ -24,8 +27,10 @@
     private static final Logger LOG = Logger.getLogger(LeaderWatch.class);
     private static final long CHECK_MILLIS = 20;
     private static final long SWEEP_EVERY_CHECKS = 10;
+    private static final long EXPIRE_EVERY_CHECKS = 3_000;
 
     private final HostId host;
+    private final EventRing events;
     private final CommandLog log;
     private final ControlMachine machine;
     private final MonotonicClock clock;
@@ -36,16 +41,18 @@
     private long checks;
 
     /** One term of this host as leader. Its keeper is used under the machine's lock only. */
-    private record Term(long number, FencingNumber fencing, LeaseKeeper keeper) {}
+    private record Term(long number, FencingNumber fencing, LeaseKeeper keeper, CommandClock commandClock) {}
 
     LeaderWatch(
             HostId host,
+            EventRing events,
             CommandLog log,
             ControlMachine machine,
             MonotonicClock clock,
             LeaseSettings leases,
             ControlLimits limits) {
         this.host = host;
+        this.events = events;
         this.log = log;
         this.machine = machine;
         this.clock = clock;
@@ -62,6 +69,13 @@
         return current().map(Term::fencing);
     }
 
+    /** Milliseconds since 1970 to stamp into a command; see {@link CommandClock}. */
+    long stampMillis() {
+        return current()
+                .map(each -> each.commandClock().stamp(System.currentTimeMillis(), clock.nanos()))
+                .orElseGet(System::currentTimeMillis);
+    }
+
     /** Uses the lease keeper under the machine's lock; empty when this host doesn't lead. */
     <T> Optional<T> withKeeper(Function<LeaseKeeper, T> use) {
         return current().map(each -> machine.read(state -> use.apply(each.keeper())));
@@ -106,11 +120,14 @@
             return;
         }
         LeaseKeeper keeper = machine.read(state -> new LeaseKeeper(state, leases, clock.nanos()));
+        CommandClock commandClock =
+                machine.read(state -> new CommandClock(state.timeMillis(), System.currentTimeMillis(), clock.nanos()));
         synchronized (this) {
             if (proposedTerm == number) {
-                term = new Term(number, started.fencing(), keeper);
+                term = new Term(number, started.fencing(), keeper, commandClock);
             }
         }
+        events.record(new HostEvent.LeaderElected(host, number));
         LOG.infof("leading as of term %d with fencing number %s", number, started.fencing());
     }
 
@@ -122,6 +139,7 @@
 
     private synchronized void lost() {
         if (term != null) {
+            events.record(new HostEvent.LeaderDeposed(host, term.number()));
             LOG.infof("no longer leading; last term %d", term.number());
         }
         term = null;
@@ -136,5 +154,8 @@
         List<Command.EndHost> ended =
                 withKeeper(keeper -> keeper.ended(clock.nanos())).orElse(List.of());
         ended.forEach(log::propose);
+        if (checks % EXPIRE_EVERY_CHECKS == 0 && current().isPresent()) {
+            log.propose(new Command.ExpireClaims(stampMillis()));
+        }
     }
 }
