--- a/elmline-core/src/main/java/org/elmline/core/ledger/EngineLedger.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/EngineLedger.java
@@ -12,7 +12,9 @@
 import org.elmline.core.common.ModelName;
 import org.elmline.core.engine.CacheEvents;
 import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.PrefillBacklog;
 import org.elmline.core.placement.Replica;
+import org.elmline.core.placement.WaitPredictor;
 import org.elmline.core.route.Grant;
 
 /** What one engine holds for its owner's grants, and how fast it has proved to be. Changed through {@link Ledger} only. */
@@ -21,34 +23,45 @@
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final long ANSWER_ALLOWANCE_NANOS = 150 * NANOS_PER_MILLI;
+    private static final long DEFAULT_SPEED = 8_000;
+    private static final double SLOWEST = 1;
     private static final long FIRST_REST_NANOS = 1_000 * NANOS_PER_MILLI;
     private static final int MOST_REST_DOUBLINGS = 5;
 
     private final LedgerSettings settings;
-    private final SpeedMeter speed = new SpeedMeter();
+    private final WaitPredictor predictor;
+    private final PrefillBacklog backlog;
     private final PrefixBelief prefixes = new PrefixBelief();
     private final Map<AttemptId, LedgerEntry> entries = new LinkedHashMap<>();
-    private final long[] backlogTokens = new long[LengthClass.values().length];
-    private final long[] backlogWork = new long[LengthClass.values().length];
+    private final long[] unread = new long[LengthClass.values().length];
     private final int[] streams = new int[LengthClass.values().length];
     private Announcement announcement;
     private long reserved;
     private long unregistered;
+    private double speedBound = Double.MAX_VALUE;
+    private long viewedAt;
     private long placedWork;
     private long finishedWork;
     private boolean reachable = true;
     private int faults;
     private long restUntil;
 
-    EngineLedger(Announcement announcement, LedgerSettings settings) {
+    EngineLedger(Announcement announcement, LedgerSettings settings, long now) {
         this.settings = settings;
+        this.predictor = new WaitPredictor(settings.placement());
+        this.backlog = new PrefillBacklog(speed(announcement), now);
+        this.viewedAt = now;
         update(announcement);
     }
 
+    /** The time that the views of backlog and speed are of. */
+    void viewAt(long now) {
+        viewedAt = now;
+    }
+
     void update(Announcement next) {
         announcement = next;
         reachable = true;
-        speed.announced(next.prefillTokensPerSecond());
     }
 
     void unreachable() {
@@ -60,9 +73,7 @@
         reserved += entry.grant().kvTokens();
         streams[entry.lengthClass().ordinal()]++;
         if (entry.awaitingFirstToken()) {
-            addBacklog(entry, 1);
-            placedWork += entry.cost();
-            speed.start(now);
+            startReading(entry, now);
         }
     }
 
@@ -74,9 +85,9 @@
         reserved -= entry.grant().kvTokens();
         streams[entry.lengthClass().ordinal()]--;
         if (entry.awaitingFirstToken()) {
-            addBacklog(entry, -1);
+            unread[entry.lengthClass().ordinal()] -= entry.grant().promptTokens();
             finishedWork += entry.cost();
-            speed.abandon(now);
+            backlog.dropped(entry.prefill(), now);
         }
         if (engineFault) {
             restAfterFault(now);
@@ -88,10 +99,10 @@
         if (!entry.awaitingFirstToken()) {
             return;
         }
-        addBacklog(entry, -1);
+        unread[entry.lengthClass().ordinal()] -= entry.grant().promptTokens();
         entry.finishReading();
         finishedWork += entry.cost();
-        speed.finish(entry.cost(), now);
+        backlog.firstToken(entry.prefill(), now);
         prefixes.stored(entry.prefixHashes());
         faults = 0;
     }
@@ -101,9 +112,7 @@
         if (!entry.begin(now, finishedWork)) {
             return;
         }
-        addBacklog(entry, 1);
-        placedWork += entry.cost();
-        speed.start(now);
+        startReading(entry, now);
     }
 
     /** Memory that the engine holds for streams and exports without a grant here, by its last listing. */
@@ -115,16 +124,20 @@
         prefixes.apply(events);
     }
 
-    /** Takes the answers that are owed into account; see {@link SpeedMeter}. */
+    /**
+     * Takes the answers that are owed into account. While one prompt waits, the engine can't have done more than all the
+     * work that was open when it could begin to read that prompt, or was placed since; that over the time waited is an
+     * upper bound of its speed, in whatever order it reads. It shows an engine that has become slow before the first late
+     * answer comes.
+     */
     void check(long now) {
-        double bound = Double.MAX_VALUE;
+        speedBound = Double.MAX_VALUE;
         for (LedgerEntry each : entries.values()) {
             long waited = now - each.readFrom() - ANSWER_ALLOWANCE_NANOS;
             if (each.awaitingFirstToken() && waited > 0) {
-                bound = Math.min(bound, (placedWork - each.workBefore()) * NANOS_PER_SECOND / waited);
+                speedBound = Math.min(speedBound, (placedWork - each.workBefore()) * NANOS_PER_SECOND / waited);
             }
         }
-        speed.bound(bound);
     }
 
     long finishedWork() {
@@ -179,11 +192,12 @@
         return prefixes.known();
     }
 
-    /** Prompt work in the engine that it reads before a new prompt of the class: shorter classes come first. */
+    /** Prompt work in the engine that it reads before a new prompt of the class. */
     public long workAhead(LengthClass lengthClass) {
         long work = 0;
-        for (int i = 0; i <= lengthClass.ordinal(); i++) {
-            work += backlogWork[i];
+        int own = settings.placement().priority(lengthClass);
+        for (LengthClass each : LengthClass.values()) {
+            work += settings.placement().priority(each) <= own ? prefillBacklogTokens(each) : 0;
         }
         return work;
     }
@@ -195,9 +209,12 @@
 
     /** Milliseconds until the first token of a demand that is placed here now. */
     public long firstTokenMillis(Demand demand) {
-        long own = settings.cost().of(demand.promptTokens(), cachedTokens(demand));
-        double work = (double) workAhead(demand.lengthClass()) + own;
-        return Math.round(work * MILLIS_PER_SECOND / prefillTokensPerSecond());
+        return Math.round(predictor.secondsToFirstToken(demand, this) * MILLIS_PER_SECOND);
+    }
+
+    /** Prompt tokens placed here, and begun where they are a segment, whose first answer token has not come. */
+    public long unreadTokens(LengthClass lengthClass) {
+        return unread[lengthClass.ordinal()];
     }
 
     @Override
@@ -218,15 +235,15 @@
     @Override
     public long prefillBacklogTokens() {
         long sum = 0;
-        for (long each : backlogTokens) {
-            sum += each;
+        for (LengthClass each : LengthClass.values()) {
+            sum += prefillBacklogTokens(each);
         }
         return sum;
     }
 
     @Override
     public long prefillBacklogTokens(LengthClass lengthClass) {
-        return backlogTokens[lengthClass.ordinal()];
+        return (long) Math.ceil(backlog.tokens(lengthClass, viewedAt));
     }
 
     @Override
@@ -241,7 +258,7 @@
 
     @Override
     public double prefillTokensPerSecond() {
-        return speed.tokensPerSecond();
+        return Math.max(SLOWEST, Math.min(backlog.tokensPerSecond(viewedAt), speedBound));
     }
 
     @Override
@@ -265,10 +282,17 @@
         return entry == null ? null : entry.grant();
     }
 
-    private void addBacklog(LedgerEntry entry, int sign) {
-        int index = entry.lengthClass().ordinal();
-        backlogTokens[index] += (long) sign * entry.grant().promptTokens();
-        backlogWork[index] += sign * entry.cost();
+    private void startReading(LedgerEntry entry, long now) {
+        viewedAt = now;
+        double work = (double) workAhead(entry.lengthClass()) + entry.cost();
+        entry.reads(backlog.placed(entry.lengthClass(), entry.cost(), work / prefillTokensPerSecond(), now));
+        unread[entry.lengthClass().ordinal()] += entry.grant().promptTokens();
+        placedWork += entry.cost();
+    }
+
+    private static long speed(Announcement announcement) {
+        long announced = announcement.prefillTokensPerSecond();
+        return announced > 0 ? announced : DEFAULT_SPEED;
     }
 
     /** An engine that refuses each attempt at once looks idle and would draw all work to itself, so it rests first. */
--- a/elmline-core/src/main/java/org/elmline/core/ledger/Ledger.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/Ledger.java
@@ -42,14 +42,14 @@
     }
 
     /** Takes in what an engine says of itself. A later start begins with an empty account: its memory began empty. */
-    public void announce(Announcement announcement) {
+    public void announce(Announcement announcement, long now) {
         EngineLedger known = engines.get(announcement.id());
         if (known != null && !known.announcement().incarnation().equals(announcement.incarnation())) {
             remove(announcement.id());
             known = null;
         }
         if (known == null) {
-            engines.put(announcement.id(), new EngineLedger(announcement, settings));
+            engines.put(announcement.id(), new EngineLedger(announcement, settings, now));
             byModel.clear();
             return;
         }
@@ -193,6 +193,13 @@
         }
     }
 
+    /** Moves the views of all engines of a model to a time; call before predicting with them. */
+    public void viewAt(ModelName model, long now) {
+        for (EngineLedger each : engines(model)) {
+            each.viewAt(now);
+        }
+    }
+
     public Optional<EngineLedger> engine(BackendServerId server) {
         return Optional.ofNullable(engines.get(server));
     }
--- a/elmline-core/src/main/java/org/elmline/core/ledger/LedgerEntry.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/LedgerEntry.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.elmline.core.common.LengthClass;
+import org.elmline.core.placement.PrefillBacklog;
 import org.elmline.core.route.Grant;
 
 /** One open grant on one engine. Changed by its {@link EngineLedger} only. */
@@ -16,6 +17,7 @@
     private long workBefore;
     private boolean awaitingFirstToken;
     private boolean read;
+    private PrefillBacklog.Prefill prefill;
 
     LedgerEntry(Grant grant, List<Long> prefixHashes, long cost, long placedAt, long deadline, long workBefore) {
         this.grant = grant;
@@ -74,6 +76,15 @@
         return true;
     }
 
+    /** Its place in the engine's estimated backlog; null for one that is not read yet. */
+    PrefillBacklog.Prefill prefill() {
+        return prefill;
+    }
+
+    void reads(PrefillBacklog.Prefill place) {
+        prefill = place;
+    }
+
     void finishReading() {
         awaitingFirstToken = false;
         read = true;
--- a/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
@@ -60,6 +60,7 @@
 
     /** Takes a request in; its answer, if there is one yet, is among {@link #takeDecided}. */
     void add(PlaceRequest request, int weight, long now) {
+        ledger.viewAt(model, now);
         Demand demand = request.demand();
         long work = settings.ledger().cost().of(demand.promptTokens(), 0);
         double start = counters.charge(request.organisation(), weight, demand.kvTokens());
@@ -93,6 +94,7 @@
 
     /** Places what has room now, in order. */
     void place(long now) {
+        ledger.viewAt(model, now);
         Set<AdmissionQueue.Line> blocked = new HashSet<>();
         Optional<Waiting> next = queue.next(blocked);
         while (next.isPresent()) {
@@ -134,6 +136,7 @@
 
     /** Empty when no engine here serves the model. */
     Optional<ModelSummary> summary(long now) {
+        ledger.viewAt(model, now);
         List<EngineLedger> ready = ready(now);
         if (ready.isEmpty()) {
             return Optional.empty();
--- a/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
@@ -136,7 +136,7 @@
                 cancels.forget(announcement.id());
                 strays.forget(announcement.id());
             }
-            ledger.announce(announcement);
+            ledger.announce(announcement, now);
             ledger.models().forEach(each -> placers.computeIfAbsent(each, this::newPlacer));
         }
         return new AnnounceAnswer(settings.announceIntervalMillis(), settings.leaseMillis(), announceTo(announcement));
