--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Gateway.java
@@ -0,0 +1,119 @@
+package org.elmline.daemon.caller;
+
+import java.io.IOException;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import org.elmline.core.common.LengthClass;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.common.Ran;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.stream.RetryBudget;
+import org.elmline.core.timeline.EventRing;
+import org.elmline.core.timeline.RequestEvent;
+import org.elmline.daemon.backend.EngineClients;
+import org.elmline.daemon.entry.HostIdentity;
+
+/** Serves requests for answers; what all of them share. */
+public final class Gateway {
+    private static final double RETRY_SHARE = 0.1;
+    private static final double RETRY_BURST = 20;
+    private static final long STOPPING_RETRY_MILLIS = 500;
+
+    private final HostIdentity self;
+    private final MonotonicClock clock;
+    private final Placer placer;
+    private final GrantBook grants;
+    private final EngineClients engines;
+    private final EngineCancels cancels;
+    private final RetryBudget budget = new RetryBudget(RETRY_SHARE, RETRY_BURST);
+    private final EventRing events;
+    private final MetricRegistry metrics;
+    private final Counter callersLeft;
+
+    public Gateway(
+            HostIdentity self,
+            MonotonicClock clock,
+            Placer placer,
+            GrantBook grants,
+            EngineClients engines,
+            EngineCancels cancels,
+            EventRing events,
+            MetricRegistry metrics) {
+        this.self = self;
+        this.clock = clock;
+        this.placer = placer;
+        this.grants = grants;
+        this.engines = engines;
+        this.cancels = cancels;
+        this.events = events;
+        this.metrics = metrics;
+        this.callersLeft = metrics.counter("gateway.callers.left");
+    }
+
+    /** Runs on a worker until the caller has the answer, a refusal, or has left. */
+    void serve(Work work, AnswerSink sink) {
+        budget.firstTry();
+        try {
+            new Exchange(this, work, sink).run();
+        } catch (IOException e) {
+            callersLeft.inc();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            refuseQuietly(
+                    sink,
+                    new Refusal(RefusalReason.LEAVING, "this host is stopping", Ran.UNKNOWN, STOPPING_RETRY_MILLIS));
+        }
+    }
+
+    private static void refuseQuietly(AnswerSink sink, Refusal refusal) {
+        try {
+            sink.refuse(refusal);
+        } catch (IOException e) {
+            // The caller has left as well.
+        }
+    }
+
+    HostIdentity self() {
+        return self;
+    }
+
+    MonotonicClock clock() {
+        return clock;
+    }
+
+    Placer placer() {
+        return placer;
+    }
+
+    GrantBook grants() {
+        return grants;
+    }
+
+    EngineClients engines() {
+        return engines;
+    }
+
+    EngineCancels cancels() {
+        return cancels;
+    }
+
+    void record(RequestEvent event) {
+        events.record(event);
+    }
+
+    RetryBudget budget() {
+        return budget;
+    }
+
+    /** Time to the first token, as callers have it, for prompts of one class. */
+    Timer firstTokenTimer(LengthClass lengthClass) {
+        return metrics.timer("gateway.first-token." + lengthClass.name().toLowerCase(java.util.Locale.ROOT));
+    }
+
+    Counter counter(String name) {
+        return metrics.counter("gateway." + name);
+    }
+}
