--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -27,7 +27,6 @@
 import org.elmline.core.route.SummarySchedule;
 import org.elmline.core.timeline.EventRing;
 import org.elmline.core.timeline.HostEvent;
-import org.elmline.core.timeline.HybridClock;
 import org.elmline.daemon.backend.AnnounceHandler;
 import org.elmline.daemon.backend.EngineClients;
 import org.elmline.daemon.backend.OwnerDuties;
@@ -42,18 +41,16 @@
 import org.elmline.daemon.caller.GrantBook;
 import org.elmline.daemon.caller.ModelsHandler;
 import org.elmline.daemon.caller.Placer;
+import org.elmline.daemon.component.DaggerProcessComponent;
+import org.elmline.daemon.component.ProcessComponent;
 import org.elmline.daemon.http.Answers;
 import org.elmline.daemon.http.BodyReader;
 import org.elmline.daemon.http.HttpLimits;
 import org.elmline.daemon.http.HttpListener;
 import org.elmline.daemon.openai.ApiKind;
-import org.elmline.daemon.operator.EventsHandler;
-import org.elmline.daemon.operator.MetricsHandler;
 import org.elmline.daemon.operator.OperatorKeys;
-import org.elmline.daemon.operator.ProcessMetrics;
 import org.elmline.daemon.operator.StatusHandler;
 import org.elmline.daemon.operator.TicketsHandler;
-import org.elmline.daemon.runtime.SystemClock;
 import org.elmline.daemon.runtime.Workers;
 import org.elmline.daemon.service.IdempotencyKeysHandler;
 import org.elmline.daemon.service.ServiceGateway;
@@ -78,9 +75,9 @@
 
     private final Closer closer = new Closer();
     private final EntrySettings settings;
-    private final MonotonicClock clock = new SystemClock();
-    private final MetricRegistry metrics = new MetricRegistry();
-    private final HybridClock hybridClock = new HybridClock(System::currentTimeMillis);
+    private final ProcessComponent process;
+    private final MonotonicClock clock;
+    private final MetricRegistry metrics;
     private final EventRing events;
     private final AtomicBoolean leaving = new AtomicBoolean();
     private final HostIdentity self;
@@ -101,13 +98,10 @@
                 Incarnation.of(System.currentTimeMillis()),
                 settings.failureDomain(),
                 settings.region());
-        this.events = new EventRing(
-                self.host(),
-                self.incarnation(),
-                hybridClock,
-                System::currentTimeMillis,
-                settings.timeline().events());
-        ProcessMetrics.register(metrics, events, hybridClock);
+        this.process = DaggerProcessComponent.factory().create(self.host(), self.incarnation(), settings.timeline());
+        this.clock = process.clock();
+        this.metrics = process.metrics();
+        this.events = process.events();
     }
 
     /** Opens everything and begins to serve; closes what was opened when any of it fails. */
@@ -128,7 +122,12 @@
         org.elmline.wire.tcp.Handlers channels = new org.elmline.wire.tcp.Handlers(workers.handlers());
         bind(workers, key, channels);
         TcpPeerNetwork network = closer.register(new TcpPeerNetwork(
-                key, PeerLimits.DEFAULT, workers.connections(), workers.timer(), workers.handlers(), hybridClock));
+                key,
+                PeerLimits.DEFAULT,
+                workers.connections(),
+                workers.timer(),
+                workers.handlers(),
+                process.hybridClock()));
         SharedView view = new SharedView(clock);
         List<Address> seeds =
                 settings.control().stream().map(each -> each.peers()).toList();
@@ -162,7 +161,7 @@
                 PeerLimits.DEFAULT,
                 workers.connections(),
                 workers.timer(),
-                hybridClock));
+                process.hybridClock()));
         callers = closer.register(http(settings.addresses().callers(), callerRoutes));
         List<String> operatorKeys =
                 settings.keys().operatorKeys().stream().map(Secret::value).toList();
@@ -225,8 +224,8 @@
                 .get("/v1/tickets/{number}", tickets::show)
                 .get("/v1/tickets", tickets::list)
                 .get("/v1/status", new StatusHandler(self, view, gate))
-                .get("/v1/events", new EventsHandler(events))
-                .get("/metrics", new MetricsHandler(metrics));
+                .get("/v1/events", process.eventsHandler())
+                .get("/metrics", process.metricsHandler());
     }
 
     private static RoutingHandler routes() {
