--- a/elmline-core/src/main/java/org/elmline/core/route/Ownership.java
+++ b/elmline-core/src/main/java/org/elmline/core/route/Ownership.java
@@ -93,8 +93,8 @@
     /**
      * The owner of a server when owners tell how many they have. An unowned server goes to its first candidate below the
      * bound. An owned one stays, but moves up to an earlier candidate that has less than the mean, and moves on when it
-     * is among those that its owner has above the bound. Between mean and bound nothing moves, so counts that lag can't
-     * send a server back and forth.
+     * is among those that its owner has above the bound.
+     * Between mean and bound nothing moves, so servers that stay keep their owner while others come and go.
      */
     public Optional<HostRecord> owner(Announcement server, OwnerLoads loads) {
         List<HostRecord> near = nearest(server);
--- a/elmline-core/src/test/java/org/elmline/core/route/OwnershipTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/route/OwnershipTest.java
@@ -21,6 +21,7 @@
     private static final int SERVERS = 400;
 
     private final Map<HostId, List<Integer>> loads = new HashMap<>();
+    private final List<Announcement> servers = servers();
     private final Map<Announcement, HostId> owners = new HashMap<>();
 
     @Test
@@ -94,6 +95,23 @@
         assertTrue(loads.values().stream().allMatch(each -> each.size() <= lastBound));
     }
 
+    /** Engines go and others come all day; the ones that stay must hardly ever change their owner for it. */
+    @Test
+    void serversThatStayKeepTheirOwnerWhileOthersComeAndGo() {
+        List<HostRecord> members = hosts(HOSTS);
+        settle(members);
+        Random random = new Random(5);
+        int moved = 0;
+        for (int change = 0; change < 400; change++) {
+            Announcement gone = servers.remove(random.nextInt(servers.size()));
+            HostId owner = owners.remove(gone);
+            loads.put(owner, without(loads.get(owner), Ownership.shortHash(gone.id())));
+            servers.add(OwnerFixture.engine("later-" + change, 1, 1_000, false));
+            moved += round(members) - 1;
+        }
+        assertTrue(moved <= 28, moved + " moves of servers that stayed, over 400 changes");
+    }
+
     /** All servers announce on the counts of the round before, so a host with room is seen by all at once. */
     @Test
     void countsThatLagDoNotSendServersBackAndForth() {
@@ -130,7 +148,7 @@
     private int round(List<HostRecord> members) {
         Ownership ownership = new Ownership(members);
         int moved = 0;
-        for (Announcement each : servers()) {
+        for (Announcement each : servers) {
             moved += announce(ownership, each, loads);
         }
         return moved;
@@ -147,9 +165,7 @@
         }
         Integer key = Ownership.shortHash(server.id());
         if (before != null) {
-            List<Integer> rest = new ArrayList<>(loads.get(before));
-            rest.remove(key);
-            loads.put(before, rest);
+            loads.put(before, without(loads.get(before), key));
         }
         List<Integer> more = new ArrayList<>(loads.getOrDefault(owner, List.of()));
         more.add(key);
@@ -157,6 +173,12 @@
         return 1;
     }
 
+    private static List<Integer> without(List<Integer> all, Integer one) {
+        List<Integer> rest = new ArrayList<>(all);
+        rest.remove(one);
+        return rest;
+    }
+
     private static List<HostRecord> hosts(int count) {
         List<HostRecord> hosts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
