Say once that a host follows a ticket

Failure: the time line of a local deployment showed the first ticket followed three times, once for each object, and again with each repeated answer. A ticket of many objects would push everything else out of the ring.

Failed first: the test got 6 events in place of 1 (two objects, three answers). Now one event for each ticket that is news; it passes.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/LeaseRenewer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/LeaseRenewer.java
@@ -1,6 +1,8 @@
 package org.elmline.daemon.entry;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -99,16 +101,23 @@
             ConfigDelta config = granted.config();
             boolean news = config.to().compareTo(view.configuration().version()) > 0;
             view.granted(asked, granted);
-            for (VersionedObject each : config.changed()) {
-                events.record(new TicketEvent.Followed(each.ticket(), each.version()));
-            }
             if (news) {
+                recordFollowed(config);
                 // The next renewal acknowledges the change; asking now spares the operator the rest of the beat.
                 renew();
             }
         }
     }
 
+    /** One event for each ticket, however many objects it changed. */
+    private void recordFollowed(ConfigDelta config) {
+        Set<TicketEvent> followed = new LinkedHashSet<>();
+        for (VersionedObject each : config.changed()) {
+            followed.add(new TicketEvent.Followed(each.ticket(), each.version()));
+        }
+        followed.forEach(events::record);
+    }
+
     private void watch() {
         boolean now = view.mayServe();
         if (now != held) {
