Order engines from the control leader

Cause: tickets with backend roles had no effect on engines. Change: the leader asks each entry what its engines serve, plans with the order planner and sends inside its own lease under its fencing number, with a connection limit no longer than the lease allows.

--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/control/EngineObservation.java
@@ -0,0 +1,20 @@
+package org.elmline.core.control;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.engine.EngineState;
+
+/**
+ * One engine as its owner reports it to the control leader.
+ *
+ * @param protocol name of the engine plug-in that speaks to it
+ * @param checksFencing whether it says that it refuses old fencing numbers
+ * @param state read from the engine for this report; null when it didn't answer
+ */
+public record EngineObservation(
+        BackendServerId id,
+        String protocol,
+        Address address,
+        boolean checksFencing,
+        boolean leaving,
+        EngineState state) {}
--- a/elmline-core/src/main/java/org/elmline/core/engine/EngineClient.java
+++ b/elmline-core/src/main/java/org/elmline/core/engine/EngineClient.java
@@ -1,5 +1,6 @@
 package org.elmline.core.engine;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
@@ -34,7 +35,12 @@
 
     CompletableFuture<CallResult<List<KvExport>>> exports();
 
-    CompletableFuture<CallResult<OrderAnswer>> order(EngineOrder order);
+    /**
+     * Sends an order.
+     *
+     * @param limit time after which the connection is given up, so that nothing of the order arrives later
+     */
+    CompletableFuture<CallResult<OrderAnswer>> order(EngineOrder order, Duration limit);
 
     CompletableFuture<CallResult<EngineState>> state();
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
@@ -18,10 +18,13 @@
 import org.elmline.core.control.ControlChannels;
 import org.elmline.core.control.ControlLimits;
 import org.elmline.core.control.LeaseSettings;
+import org.elmline.core.peer.HandlerRegistry;
+import org.elmline.core.peer.PeerNetwork;
 import org.elmline.core.raft.RaftSettings;
 import org.elmline.core.timeline.EventRing;
 import org.elmline.core.timeline.HostEvent;
 import org.elmline.core.timeline.HybridClock;
+import org.elmline.daemon.backend.EngineClients;
 import org.elmline.daemon.http.Answers;
 import org.elmline.daemon.http.HttpLimits;
 import org.elmline.daemon.http.HttpListener;
@@ -120,7 +123,7 @@
                 .onFailure(this::failed)
                 .start();
         log = closer.register(new RaftCommandLog(driver, settings.control()));
-        serve(workers, channels, machine);
+        serve(workers, channels, network, machine);
         operators = closer.register(http());
         events.record(new HostEvent.Started(settings.host(), incarnation, "control"));
         LOG.infof("control host %s serves peers at %s", settings.host(), peers());
@@ -133,7 +136,7 @@
                 .build();
     }
 
-    private void serve(Workers workers, org.elmline.wire.tcp.Handlers channels, ControlMachine machine) {
+    private void serve(Workers workers, HandlerRegistry channels, PeerNetwork network, ControlMachine machine) {
         LeaseSettings leases = new LeaseSettings(settings.lease().leaseMillis(), LEASE_GRACE_MILLIS);
         LeaderWatch watch = new LeaderWatch(settings.host(), events, log, machine, clock, leases, limits());
         LeaseService leaseService = new LeaseService(log, watch, clock, metrics);
@@ -146,6 +149,9 @@
         channels.register(ControlChannels.CLAIM_BEGIN, claims::begin);
         channels.register(ControlChannels.CLAIM_FINISH, claims::finish);
         watch.start(workers.timer());
+        EngineClients engines = closer.register(new EngineClients());
+        Duration leaderLease = Duration.ofMillis(settings.raft().electionMillis());
+        new OrderService(watch, log, machine, network, engines, clock, leaderLease, metrics).start(workers.timer());
     }
 
     private ControlLimits limits() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/engine/StandinEngineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/engine/StandinEngineClient.java
@@ -1,6 +1,7 @@
 package org.elmline.daemon.engine;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
@@ -118,10 +119,11 @@
     }
 
     @Override
-    public CompletableFuture<CallResult<OrderAnswer>> order(EngineOrder order) {
+    public CompletableFuture<CallResult<OrderAnswer>> order(EngineOrder order, Duration limit) {
         Request.Builder post =
                 new Request.Builder().url(url(EnginePaths.ORDERS).build()).post(body(order));
-        return call(post, OrderAnswer.class);
+        OkHttpClient limited = calls.newBuilder().callTimeout(limit).build();
+        return send(limited, post, json -> EngineJson.read(json, OrderAnswer.class));
     }
 
     @Override
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -29,6 +29,7 @@
 import org.elmline.core.timeline.HostEvent;
 import org.elmline.daemon.backend.AnnounceHandler;
 import org.elmline.daemon.backend.EngineClients;
+import org.elmline.daemon.backend.EngineObserver;
 import org.elmline.daemon.backend.OwnerDuties;
 import org.elmline.daemon.backend.OwnerService;
 import org.elmline.daemon.backend.Policies;
@@ -186,6 +187,7 @@
                 RouteChannels.SUMMARY,
                 summary ->
                         java.util.concurrent.CompletableFuture.completedFuture(table.accept(summary, clock.nanos())));
+        new EngineObserver(owner, engines).register(channels);
         new OwnerDuties(owner, service, engines, clock).start(workers.timer());
         SummarySchedule schedule = new SummarySchedule(record, SUMMARY_BEAT_MILLIS, SUMMARY_BYTES_PER_SECOND);
         new SummarySender(owner, table, schedule, view, network, clock, metrics).start(workers.timer());
