Ask engines to serve shorter prompts first, and use the measured policy and weights

Cause: engines were asked to serve by the organisation's priority, so among equal organisations in order of arrival. The settings' weights were read but not passed to the policy.

Change: EnginePriority by length for streams and segments; organisations' priorities go on deciding in the owner's queue. Policies.find passes the weights on, and the ledger predicts under the same ones; an unknown policy is named at the start.

--- /dev/null
+++ b/elmline-cli/src/test/java/org/elmline/cli/local/UnlikeLengthsTest.java
@@ -0,0 +1,65 @@
+package org.elmline.cli.local;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.elmline.cli.process.Client;
+import org.elmline.core.common.ModelName;
+import org.elmline.standin.AnswerText;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Prompts of very unlike lengths on one and the same engine, through the whole path. */
+class UnlikeLengthsTest {
+    private static final int LONG_TOKENS = 200_000;
+
+    /**
+     * A member pastes in a whole course archive, and the only engine begins to read it. A guide's question comes a moment
+     * later. It is answered while the read goes on, since the engine is asked to serve the shorter prompt first; without
+     * that it would wait for the whole read, whose answer would then come first.
+     */
+    @Test
+    void aShortQuestionOvertakesALongRead() throws Exception {
+        try (LocalDeployment deployment =
+                LocalDeployment.builder().engines(1).timeScale(2).start()) {
+            Client caller = new Client(deployment.callerKey());
+            String url = "http://" + deployment.entries().get(0).callers() + "/v1/completions";
+            Client.await("an answer", () -> caller.post(url, body("warm up", 1)).status() == 200);
+            String archive = "archive ".repeat(LONG_TOKENS / 2);
+            CompletableFuture<Client.Reply> read = CompletableFuture.supplyAsync(() -> post(caller, url, archive, 1));
+            Client.await("the read to begin", () -> deployment.engines().get(0).openStreams() == 1);
+            Client.Reply question = post(caller, url, "Is the trail open?", 20);
+            assertFalse(read.isDone(), "the question waited for the read");
+            assertExact("Is the trail open?", 20, question);
+            assertExact(archive, 1, read.get(60, TimeUnit.SECONDS));
+        }
+    }
+
+    private static void assertExact(String prompt, int tokens, Client.Reply reply) throws IOException {
+        assertEquals(200, reply.status(), reply.body());
+        String text = reply.json().path("choices").path(0).path("text").asText();
+        assertEquals(
+                AnswerText.of(ModelName.of(LocalDeployment.MODEL), "", prompt, tokens)
+                        .text(),
+                text);
+        assertTrue(text.length() > 1);
+    }
+
+    private static Client.Reply post(Client caller, String url, String prompt, int tokens) {
+        try {
+            return caller.post(url, body(prompt, tokens));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static String body(String prompt, int tokens) {
+        return "{\"model\":\"%s\",\"prompt\":\"%s\",\"max_tokens\":%d}"
+                .formatted(LocalDeployment.MODEL, prompt, tokens);
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/group/GroupRun.java
+++ b/elmline-core/src/main/java/org/elmline/core/group/GroupRun.java
@@ -13,6 +13,7 @@
 import org.elmline.core.engine.EngineRequest;
 import org.elmline.core.engine.KvExport;
 import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.EnginePriority;
 import org.elmline.core.route.Grant;
 import org.elmline.core.route.PlaceRequest;
 import org.elmline.core.stream.Cancel;
@@ -146,7 +147,7 @@
                 texts.get(index),
                 segment.contextTokens() + segment.promptTokens(),
                 maxOutputTokens,
-                demand.priority(),
+                EnginePriority.of(demand.lengthClass()),
                 delivered,
                 exports.stream().map(KvExport::id).toList());
     }
--- a/elmline-core/src/main/java/org/elmline/core/placement/PlacementSettings.java
+++ b/elmline-core/src/main/java/org/elmline/core/placement/PlacementSettings.java
@@ -38,7 +38,7 @@
         return displacementWeight;
     }
 
-    /** Largest share of a model's replicas that prompts over 32k tokens may use, above 0 and below 1. */
+    /** Largest share of a model's replicas that prompts over 32k tokens may use, 0 to 1; one is always left to short work. */
     public double maxLongShare() {
         return maxLongShare;
     }
@@ -65,7 +65,7 @@
         private double maxLongShare = 0.95;
         private double attentionDoublingTokens = 200_000;
         private double longStepSeconds = 0.15;
-        private int[] priorities = {0, 1, 2, 2};
+        private int[] priorities = defaultPriorities();
 
         private Builder() {}
 
@@ -100,12 +100,21 @@
             return this;
         }
 
+        private static int[] defaultPriorities() {
+            LengthClass[] classes = LengthClass.values();
+            int[] priorities = new int[classes.length];
+            for (LengthClass each : classes) {
+                priorities[each.ordinal()] = EnginePriority.of(each);
+            }
+            return priorities;
+        }
+
         public PlacementSettings build() {
             if (!(harmWeight >= 0) || !(displacementWeight >= 0) || !(longStepSeconds >= 0)) {
                 throw new IllegalArgumentException("placement weights must not be negative");
             }
-            if (!(maxLongShare > 0 && maxLongShare < 1)) {
-                throw new IllegalArgumentException("maxLongShare must lie between 0 and 1: " + maxLongShare);
+            if (!(maxLongShare >= 0 && maxLongShare <= 1)) {
+                throw new IllegalArgumentException("maxLongShare must be 0 to 1: " + maxLongShare);
             }
             if (priorities.length != LengthClass.values().length) {
                 throw new IllegalArgumentException("each length class needs a priority");
--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/Policies.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/Policies.java
@@ -1,44 +1,32 @@
 package org.elmline.daemon.backend;
 
-import java.util.List;
-import java.util.Optional;
-import java.util.ServiceLoader;
-import java.util.random.RandomGenerator;
-
-import org.elmline.core.placement.Demand;
+import org.elmline.core.ledger.LedgerSettings;
+import org.elmline.core.placement.PlacementPolicies;
 import org.elmline.core.placement.PlacementPolicy;
-import org.elmline.core.placement.Replica;
 import org.elmline.daemon.settings.PlacementSettings;
 
-/** Finds the placement policy that the settings name among those registered. */
+/** Turns the settings of placement into the policy and the weights that they name. */
 public final class Policies {
     private Policies() {}
 
+    /** Fails, naming what there is, when no such policy is registered. */
     public static PlacementPolicy find(PlacementSettings settings) {
-        for (PlacementPolicy each : ServiceLoader.load(PlacementPolicy.class)) {
-            if (each.name().equals(settings.policy())) {
-                return each;
-            }
-        }
-        return new LeastBacklog();
+        return PlacementPolicies.named(settings.policy(), weights(settings))
+                .orElseThrow(() -> new IllegalArgumentException(
+                        "no placement policy " + settings.policy() + "; there are " + PlacementPolicies.names()));
     }
 
-    private static final class LeastBacklog implements PlacementPolicy {
-        @Override
-        public String name() {
-            return "least-backlog";
-        }
+    /** The ledger predicts under the same weights as the policy. */
+    public static LedgerSettings ledger(PlacementSettings settings) {
+        return new LedgerSettings(weights(settings), LedgerSettings.DEFAULT.blockTokens());
+    }
 
-        @Override
-        public Optional<Replica> choose(Demand demand, List<Replica> replicas, RandomGenerator random) {
-            Replica best = null;
-            for (Replica each : replicas) {
-                boolean fits = each.freeKvTokens() >= demand.kvTokens();
-                if (fits && (best == null || each.prefillBacklogTokens() < best.prefillBacklogTokens())) {
-                    best = each;
-                }
-            }
-            return Optional.ofNullable(best);
-        }
+    private static org.elmline.core.placement.PlacementSettings weights(PlacementSettings settings) {
+        org.elmline.core.placement.PlacementSettings measured = org.elmline.core.placement.PlacementSettings.defaults();
+        return org.elmline.core.placement.PlacementSettings.builder()
+                .harmWeight(measured.harmWeight() * settings.shortSlowdownWeight())
+                .longStepSeconds(measured.longStepSeconds() * settings.shortSlowdownWeight())
+                .maxLongShare(settings.maxLongShare())
+                .build();
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
@@ -9,6 +9,7 @@
 
 import org.elmline.core.common.AttemptId;
 import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.LengthClass;
 import org.elmline.core.common.Ran;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
@@ -18,6 +19,7 @@
 import org.elmline.core.engine.PromptBlocks;
 import org.elmline.core.engine.StreamEvent;
 import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.EnginePriority;
 import org.elmline.core.route.Grant;
 import org.elmline.core.route.ReleaseCause;
 import org.elmline.core.stream.AnswerAssembler;
@@ -187,7 +189,7 @@
                 work.request().prompt(),
                 work.promptTokens(),
                 work.maxOutputTokens(),
-                work.call().organisation().priority(),
+                EnginePriority.of(LengthClass.of(work.promptTokens())),
                 answer.delivered(),
                 List.of());
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -176,6 +176,7 @@
         OwnerSettings ownerSettings = OwnerSettings.builder()
                 .announceIntervalMillis(settings.backend().announceMillis())
                 .leaseMillis(settings.backend().leaseMillis())
+                .ledger(Policies.ledger(settings.placement()))
                 .build();
         HostRecord record = record();
         owner = new Owner(record, Policies.find(settings.placement()), new Random(), ownerSettings);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/settings/PlacementSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/PlacementSettings.java
@@ -3,11 +3,11 @@
 /**
  * How requests are placed on engines.
  *
- * @param policy name of a placement policy, for example {@code two-ended}
+ * @param policy name of a placement policy, for example {@code shortest-wait}
  * @param shortSlowdownWeight how much the slowdown of short requests counts against time to first token; 1 counts both
  *     the same, more protects short requests
- * @param maxLongShare greatest share of a model's replicas that long prompts may take while short work is present, 0 to 1
+ * @param maxLongShare greatest share of a model's replicas that long prompts may take under {@code two-ended}, 0 to 1
  */
 public record PlacementSettings(String policy, double shortSlowdownWeight, double maxLongShare) {
-    public static final PlacementSettings DEFAULT = new PlacementSettings("two-ended", 1.0, 0.75);
+    public static final PlacementSettings DEFAULT = new PlacementSettings("shortest-wait", 1.0, 0.95);
 }
--- /dev/null
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/backend/PoliciesTest.java
@@ -0,0 +1,34 @@
+package org.elmline.daemon.backend;
+
+import org.elmline.core.placement.PlacementPolicies;
+import org.elmline.daemon.settings.PlacementSettings;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class PoliciesTest {
+    @Test
+    void theSettingsNameThePolicyAndItsWeights() {
+        for (String name : PlacementPolicies.names()) {
+            assertEquals(
+                    name, Policies.find(new PlacementSettings(name, 1, 0.5)).name());
+        }
+        assertEquals(PlacementPolicies.DEFAULT, PlacementSettings.DEFAULT.policy());
+        var weights =
+                Policies.ledger(new PlacementSettings("two-ended", 2, 0.5)).placement();
+        var measured = org.elmline.core.placement.PlacementSettings.defaults();
+        assertEquals(0.5, weights.maxLongShare());
+        assertEquals(2 * measured.harmWeight(), weights.harmWeight());
+        assertEquals(2 * measured.longStepSeconds(), weights.longStepSeconds());
+    }
+
+    @Test
+    void anUnknownPolicyIsNamedWithWhatThereIs() {
+        PlacementSettings misspelt = new PlacementSettings("two-eneded", 1, 0.5);
+        Exception failure = assertThrows(IllegalArgumentException.class, () -> Policies.find(misspelt));
+        assertTrue(failure.getMessage().contains("two-eneded"));
+        assertTrue(failure.getMessage().contains("shortest-wait"));
+    }
+}
