--- a/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
@@ -40,6 +40,7 @@
 import org.elmline.daemon.settings.ListenAddress;
 import org.elmline.daemon.settings.Secret;
 import org.elmline.standin.engine.EngineServer;
+import org.elmline.standin.model.EngineProfile;
 import org.elmline.standin.service.ServiceServer;
 
 /**
@@ -55,6 +56,7 @@
     private static final long PAUSE_MILLIS = 20;
     private static final int MAX_PROMPT_TOKENS = 1_000_000;
     private static final int MAX_OUTPUT_TOKENS = 4_096;
+    private static final long DEFAULT_KV_TOKENS = 500_000;
     private static final int SERVICE_MILLIS = 10_000;
 
     private final Closer closer = new Closer();
@@ -156,6 +158,9 @@
                 .region(REGION.value())
                 .failureDomain(domain(number).value())
                 .timeScale(plan.timeScale)
+                .profile(EngineProfile.builder()
+                        .capacityKvTokens(plan.engineKvTokens)
+                        .build())
                 .backendKey(keys.backend());
         entries.forEach(each -> builder.announceTo(each.callers()));
         return builder.start();
@@ -232,6 +237,7 @@
         private int operatorPort;
         private int keepSeconds = CallerSettings.DEFAULT.keepSeconds();
         private double timeScale = 1;
+        private long engineKvTokens = DEFAULT_KV_TOKENS;
         private Path dataFolder;
 
         private Builder() {}
@@ -275,6 +281,12 @@
             return this;
         }
 
+        /** KV memory of each engine, in tokens. */
+        public Builder engineKvTokens(long value) {
+            engineKvTokens = value;
+            return this;
+        }
+
         /** Where the control hosts keep their state; a new temporary folder when not said. */
         public Builder dataFolder(Path value) {
             dataFolder = value;
--- a/elmline-core/src/main/java/org/elmline/core/backend/Announcement.java
+++ b/elmline-core/src/main/java/org/elmline/core/backend/Announcement.java
@@ -56,4 +56,25 @@
         role = role == null ? "" : role;
         load = load == null ? new EngineLoad(0, 0, 0) : load;
     }
+
+    /** The same server, wanting no new work. */
+    public Announcement asLeaving() {
+        return new Announcement(
+                id,
+                incarnation,
+                kind,
+                protocol,
+                address,
+                failureDomain,
+                region,
+                names,
+                versions,
+                adapters,
+                role,
+                capacityKvTokens,
+                prefillTokensPerSecond,
+                load,
+                checksFencing,
+                true);
+    }
 }
--- a/elmline-core/src/main/java/org/elmline/core/group/GroupRun.java
+++ b/elmline-core/src/main/java/org/elmline/core/group/GroupRun.java
@@ -116,6 +116,11 @@
         return grants.stream().filter(each -> each.server().equals(server)).findFirst();
     }
 
+    /** The group's engines, in the order of the segments. */
+    public List<Grant> grants() {
+        return grants;
+    }
+
     /** Whether every grant was handed out for release. */
     public boolean done() {
         return ended && released.size() == grants.size();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerDuties.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerDuties.java
@@ -14,6 +14,7 @@
 import org.elmline.core.engine.KvExport;
 import org.elmline.core.engine.StreamInfo;
 import org.elmline.core.owner.Owner;
+import org.elmline.core.route.AuditRequest;
 import org.elmline.core.stream.Cancel;
 import org.jboss.logging.Logger;
 
@@ -84,11 +85,17 @@
         engine.streams().thenAcceptBoth(engine.exports(), (streams, exports) -> {
             if (streams instanceof CallResult.Answered<List<StreamInfo>> open
                     && exports instanceof CallResult.Answered<List<KvExport>> held) {
-                owner.listed(id, open.value(), held.value(), clock.nanos());
+                owner.listed(id, open.value(), held.value(), clock.nanos()).forEach(this::audit);
             }
         });
     }
 
+    /** Asks an entry whether it runs what an engine holds in its name. */
+    private void audit(AuditRequest request) {
+        service.audit(request)
+                .thenAccept(answer -> answer.ifPresent(known -> owner.audited(request, known, clock.nanos())));
+    }
+
     private void readCacheEvents() {
         for (Announcement each : owner.engines()) {
             engines.client(each.protocol(), each.address())
--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerService.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 
 import org.elmline.core.backend.AnnounceAnswer;
 import org.elmline.core.backend.Announcement;
@@ -18,8 +20,11 @@
 import org.elmline.core.owner.Owner;
 import org.elmline.core.peer.HandlerRegistry;
 import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.route.AuditAnswer;
+import org.elmline.core.route.AuditRequest;
 import org.elmline.core.route.GrantReport;
 import org.elmline.core.route.GrantReportAnswer;
+import org.elmline.core.route.OwnerTable;
 import org.elmline.core.route.Ownership;
 import org.elmline.core.route.PlaceAnswer;
 import org.elmline.core.route.PlaceRequest;
@@ -36,14 +41,23 @@
 
     private final HostIdentity self;
     private final Owner owner;
+    private final OwnerTable owners;
     private final SharedView view;
     private final PeerNetwork network;
     private final MonotonicClock clock;
+    private volatile Function<AuditRequest, AuditAnswer> localAudit = request -> new AuditAnswer(List.of());
     private final Map<AttemptId, CompletableFuture<PlaceAnswer>> waiting = new ConcurrentHashMap<>();
 
-    public OwnerService(HostIdentity self, Owner owner, SharedView view, PeerNetwork network, MonotonicClock clock) {
+    public OwnerService(
+            HostIdentity self,
+            Owner owner,
+            OwnerTable owners,
+            SharedView view,
+            PeerNetwork network,
+            MonotonicClock clock) {
         this.self = self;
         this.owner = owner;
+        this.owners = owners;
         this.view = view;
         this.network = network;
         this.clock = clock;
@@ -64,8 +78,15 @@
      * for a moment cost accuracy only.
      */
     CompletionStage<AnnounceAnswer> announced(Announcement announcement) {
-        List<HostRecord> candidates = new Ownership(view.members().hosts()).candidates(announcement);
-        return announce(announcement, candidates.subList(0, Math.min(MAX_CANDIDATES, candidates.size())));
+        Ownership ownership = new Ownership(view.members().hosts());
+        List<HostRecord> candidates = new ArrayList<>();
+        ownership.owner(announcement, owners).ifPresent(candidates::add);
+        for (HostRecord each : ownership.candidates(announcement)) {
+            if (candidates.size() < MAX_CANDIDATES && !candidates.contains(each)) {
+                candidates.add(each);
+            }
+        }
+        return announce(announcement, candidates);
     }
 
     private CompletionStage<AnnounceAnswer> announce(Announcement announcement, List<HostRecord> candidates) {
@@ -74,9 +95,22 @@
         }
         List<HostRecord> others = new ArrayList<>(candidates.subList(1, candidates.size()));
         return network.call(candidates.get(0).peers(), RouteChannels.ANNOUNCE, announcement, FORWARD_TIMEOUT)
-                .thenCompose(result -> result instanceof CallResult.Answered<AnnounceAnswer> answered
-                        ? CompletableFuture.completedFuture(answered.value())
-                        : announce(announcement, others));
+                .thenCompose(result -> {
+                    if (result instanceof CallResult.Answered<AnnounceAnswer> answered) {
+                        handedOver(announcement);
+                        return CompletableFuture.completedFuture(answered.value());
+                    }
+                    return announce(announcement, others);
+                });
+    }
+
+    /** Another owner has the server now; if it was owned here, it gets no more work from here at once. */
+    private void handedOver(Announcement announcement) {
+        for (Announcement each : owner.engines()) {
+            if (each.id().equals(announcement.id())) {
+                owner.announce(announcement.asLeaving(), clock.nanos());
+            }
+        }
     }
 
     private CompletionStage<AnnounceAnswer> forwarded(Announcement announcement) {
@@ -104,6 +138,26 @@
         return owner.register(grants, clock.nanos());
     }
 
+    /** What an entry says to an audit; empty when it can't be asked. */
+    CompletableFuture<Optional<AuditAnswer>> audit(AuditRequest request) {
+        if (request.host().equals(self.host())) {
+            return CompletableFuture.completedFuture(Optional.of(localAudit.apply(request)));
+        }
+        Optional<HostRecord> record = view.members().host(request.host());
+        if (record.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return network.call(record.get().peers(), RouteChannels.AUDIT, request, FORWARD_TIMEOUT)
+                .thenApply(result -> result instanceof CallResult.Answered<AuditAnswer> answered
+                        ? Optional.of(answered.value())
+                        : Optional.empty());
+    }
+
+    /** Who answers audits of this entry's own attempts. */
+    public void localAudit(Function<AuditRequest, AuditAnswer> audit) {
+        localAudit = audit;
+    }
+
     /** Moves the owner's time on and delivers what became known. */
     void advance() {
         for (Decided each : owner.advance(clock.nanos())) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/EngineCancels.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/EngineCancels.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.common.CallResult;
@@ -36,7 +38,7 @@
     private final CancelQueue queue = new CancelQueue();
     private final Map<Cancel, Given> given = new HashMap<>();
 
-    private record Given(Grant grant, long atMillis) {}
+    private record Given(Grant grant, long atMillis, Consumer<Cancel> onFreed) {}
 
     public EngineCancels(
             EngineClients engines, OwnerTable owners, GrantBook grants, MonotonicClock clock, MetricRegistry metrics) {
@@ -53,9 +55,14 @@
 
     /** Cancels an attempt on its engine and gives its grant back once that is acknowledged. */
     void cancel(Grant grant) {
+        Cancel cancel = Cancel.stream(grant.server(), grant.attempt());
+        free(cancel, grant, freed -> grants.close(freed.attempt(), ReleaseCause.CANCELLED));
+    }
+
+    /** Frees what an engine may hold, on the engine of the grant; tells once the engine holds nothing for it. */
+    void free(Cancel cancel, Grant grant, Consumer<Cancel> onFreed) {
         synchronized (this) {
-            Cancel cancel = Cancel.stream(grant.server(), grant.attempt());
-            given.putIfAbsent(cancel, new Given(grant, clock.millis()));
+            given.putIfAbsent(cancel, new Given(grant, clock.millis(), onFreed));
             queue.add(cancel, clock.nanos());
         }
         guardedSend();
@@ -94,25 +101,29 @@
         boolean old = clock.millis() - held.atMillis() > UNKNOWN_MILLIS;
         if (old && owners.ownerOf(grant.server()).isEmpty()) {
             // Every owner has dropped the engine: it is gone, and its memory with it.
-            done(cancel, ReleaseCause.ENGINE_FAILED);
+            done(cancel);
             return;
         }
         Optional<EngineClient> engine = engines.client(grant.protocol(), grant.engine());
-        engine.ifPresent(client -> client.cancel(cancel.attempt()).thenAccept(result -> {
+        engine.ifPresent(client -> release(client, cancel).thenAccept(result -> {
             if (result instanceof CallResult.Answered<Boolean>) {
-                done(cancel, ReleaseCause.CANCELLED);
+                done(cancel);
             }
         }));
     }
 
-    private void done(Cancel cancel, ReleaseCause cause) {
+    private static CompletableFuture<CallResult<Boolean>> release(EngineClient engine, Cancel cancel) {
+        return cancel.ofExport() ? engine.freeKv(cancel.exportId()) : engine.cancel(cancel.attempt());
+    }
+
+    private void done(Cancel cancel) {
         Given held;
         synchronized (this) {
             queue.acknowledge(cancel);
             held = given.remove(cancel);
         }
         if (held != null) {
-            grants.close(cancel.attempt(), cause);
+            held.onFreed().accept(cancel);
         }
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/GrantBook.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/GrantBook.java
@@ -17,6 +17,8 @@
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.control.HostRecord;
 import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.route.AuditAnswer;
+import org.elmline.core.route.AuditRequest;
 import org.elmline.core.route.FirstToken;
 import org.elmline.core.route.Grant;
 import org.elmline.core.route.GrantReport;
@@ -58,12 +60,13 @@
 
     /** What one owner must be told. */
     private static final class Outbox {
+        private List<AttemptId> begun = new ArrayList<>();
         private List<FirstToken> firstTokens = new ArrayList<>();
         private List<Release> releases = new ArrayList<>();
         private boolean sending;
 
         boolean empty() {
-            return firstTokens.isEmpty() && releases.isEmpty();
+            return begun.isEmpty() && firstTokens.isEmpty() && releases.isEmpty();
         }
     }
 
@@ -115,6 +118,39 @@
         report();
     }
 
+    /** The turn of a segment to be read has come. */
+    void begun(AttemptId attempt) {
+        synchronized (this) {
+            Held held = open.get(attempt);
+            if (held == null) {
+                return;
+            }
+            outbox(held.owner()).begun.add(attempt);
+        }
+        report();
+    }
+
+    /** Gives back a grant that was never used, whether this entry knows of it or not. */
+    void giveBack(AttemptId attempt, HostId owner) {
+        synchronized (this) {
+            open.remove(attempt);
+        }
+        withdraw(attempt, owner);
+    }
+
+    /** Those of the attempts that this entry doesn't run; an owner asks when an engine holds memory for them. */
+    public synchronized AuditAnswer audit(AuditRequest request) {
+        List<AttemptId> notRunning = new ArrayList<>();
+        boolean sameProcess =
+                request.host().equals(self.host()) && request.incarnation().equals(self.incarnation());
+        for (AttemptId each : request.attempts()) {
+            if (sameProcess && !open.containsKey(each)) {
+                notRunning.add(each);
+            }
+        }
+        return new AuditAnswer(notRunning);
+    }
+
     /** The engine holds nothing for the attempt any more. */
     void close(AttemptId attempt, ReleaseCause cause) {
         synchronized (this) {
@@ -153,7 +189,12 @@
                     outbox.sending = true;
                     due.put(
                             each.getKey(),
-                            new GrantReport(self.host(), self.incarnation(), outbox.firstTokens, outbox.releases));
+                            new GrantReport(
+                                    self.host(),
+                                    self.incarnation(),
+                                    outbox.begun,
+                                    outbox.firstTokens,
+                                    outbox.releases));
                 }
             }
         }
@@ -175,6 +216,8 @@
                 Outbox outbox = outbox(owner);
                 outbox.sending = false;
                 if (told) {
+                    outbox.begun = new ArrayList<>(outbox.begun);
+                    outbox.begun.removeAll(report.begun());
                     outbox.firstTokens = new ArrayList<>(outbox.firstTokens);
                     outbox.firstTokens.removeAll(report.firstTokens());
                     outbox.releases = new ArrayList<>(outbox.releases);
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/GroupExchange.java
@@ -0,0 +1,240 @@
+package org.elmline.daemon.caller;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.Ran;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.engine.EngineClient;
+import org.elmline.core.engine.KvExport;
+import org.elmline.core.group.GroupPlan;
+import org.elmline.core.group.GroupReservation;
+import org.elmline.core.group.GroupRun;
+import org.elmline.core.group.GroupStep;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.PrefillCost;
+import org.elmline.core.route.Grant;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.ReleaseCause;
+import org.elmline.core.stream.Cancel;
+import org.elmline.core.timeline.RequestEvent;
+
+/**
+ * Serves a prompt larger than any engine by a group of them: reserves all or nothing, reads the segments one after
+ * another, streams the answer from the last engine, and frees every engine however it ends.
+ */
+final class GroupExchange {
+    /** Part of a segment's memory that its import takes on another engine, as engines announce it to be at most. */
+    private static final double IMPORT_SHARE = 1.0 / 16;
+
+    private static final int MAX_RESERVATIONS = 20;
+    private static final int MAX_RESUMES = 3;
+    private static final long PAUSE_MILLIS = 200;
+    private static final long RETRY_MILLIS = 5_000;
+
+    private final Gateway gateway;
+    private final Work work;
+    private final AnswerPump pump;
+    private final Demand demand;
+
+    GroupExchange(Gateway gateway, Work work, AnswerPump pump, Demand demand) {
+        this.gateway = gateway;
+        this.work = work;
+        this.pump = pump;
+        this.demand = demand;
+    }
+
+    /** Empty once the caller has the whole answer, else the refusal to give. */
+    Optional<Refusal> run() throws IOException, InterruptedException {
+        for (int i = 0; i < MAX_RESERVATIONS && remainingMillis() > 0; i++) {
+            PlaceRequest whole = new PlaceRequest(
+                    AttemptId.of(work.call().id() + "/g" + i),
+                    gateway.self().host(),
+                    gateway.self().incarnation(),
+                    work.call().organisation().id(),
+                    demand);
+            Optional<GroupPlan> plan = GroupPlan.of(
+                    demand.promptTokens(),
+                    demand.maxOutputTokens(),
+                    gateway.placer().slots(demand.model()),
+                    IMPORT_SHARE,
+                    PrefillCost.DEFAULT);
+            if (plan.isPresent() && plan.get().predictedMillis() > remainingMillis()) {
+                return Optional.of(Refusal.comeBack(
+                        RefusalReason.DEADLINE,
+                        "reading " + demand.promptTokens() + " tokens takes about "
+                                + plan.get().predictedMillis() + " ms, more than the time limit",
+                        RETRY_MILLIS));
+            }
+            if (plan.isPresent()) {
+                GroupReservation reservation = reserve(whole, plan.get());
+                if (reservation.complete()) {
+                    return serve(whole, plan.get(), reservation.grants());
+                }
+            }
+            // Groups that meet hand back what they hold and come again at unlike times.
+            Thread.sleep(PAUSE_MILLIS + ThreadLocalRandom.current().nextLong(PAUSE_MILLIS));
+        }
+        return Optional.of(Refusal.comeBack(
+                RefusalReason.OVERLOADED, "no group of engines has room for this prompt now", RETRY_MILLIS));
+    }
+
+    private GroupReservation reserve(PlaceRequest whole, GroupPlan plan) throws InterruptedException {
+        GroupReservation reservation = new GroupReservation(whole, plan);
+        Optional<GroupReservation.Ask> ask = reservation.next();
+        while (ask.isPresent()) {
+            Optional<PlaceAnswer> answer =
+                    gateway.placer().ask(ask.get().owner(), ask.get().request(), work.call());
+            if (answer.isPresent()) {
+                reservation.answered(answer.get());
+            } else {
+                reservation.unanswered();
+            }
+            if (answer.isPresent() && answer.get() instanceof PlaceAnswer.Placed placed) {
+                gateway.grants().open(placed.grant(), ask.get().owner());
+            }
+            ask = reservation.next();
+        }
+        for (GroupReservation.Handback each : reservation.handbacks()) {
+            gateway.grants().giveBack(each.attempt(), each.owner());
+        }
+        return reservation;
+    }
+
+    private Optional<Refusal> serve(PlaceRequest whole, GroupPlan plan, List<Grant> grants)
+            throws IOException, InterruptedException {
+        gateway.counter("groups").inc();
+        GroupRun run = new GroupRun(whole, plan, grants, work.request().prompt());
+        try {
+            return steps(run);
+        } finally {
+            free(run);
+        }
+    }
+
+    private Optional<Refusal> steps(GroupRun run) throws IOException, InterruptedException {
+        Optional<GroupStep> next = run.step(pump.delivered());
+        while (next.isPresent()) {
+            GroupStep step = next.get();
+            Optional<EngineClient> engine = client(step.on());
+            if (engine.isEmpty()) {
+                return Optional.of(failed("no plug-in speaks " + step.on().protocol()));
+            }
+            if (step instanceof GroupStep.StreamAnswer stream) {
+                return answer(engine.get(), stream);
+            }
+            Optional<Refusal> refusal = step instanceof GroupStep.ImportKv transfer
+                    ? importKv(run, engine.get(), transfer)
+                    : exportKv(run, engine.get(), (GroupStep.ExportKv) step);
+            if (refusal.isPresent()) {
+                return refusal;
+            }
+            next = run.step(pump.delivered());
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Refusal> importKv(GroupRun run, EngineClient engine, GroupStep.ImportKv step)
+            throws InterruptedException {
+        Optional<EngineClient> from = client(step.from());
+        CallResult<Boolean> result = from.isEmpty()
+                ? new CallResult.NotSent<>("the exporting engine is gone")
+                : await(engine.importKv(step.export(), from.get()));
+        if (result instanceof CallResult.Answered<Boolean> answered && answered.value()) {
+            run.imported();
+            return Optional.empty();
+        }
+        return Optional.of(failed("an engine could not import a segment"));
+    }
+
+    private Optional<Refusal> exportKv(GroupRun run, EngineClient engine, GroupStep.ExportKv step)
+            throws InterruptedException {
+        gateway.grants().begun(step.on().attempt());
+        gateway.record(new RequestEvent.Placed(
+                work.call().id(),
+                step.on().attempt(),
+                step.on().server(),
+                step.on().host()));
+        long started = gateway.clock().millis();
+        CallResult<KvExport> result = await(engine.exportKv(step.request()));
+        if (result instanceof CallResult.Answered<KvExport> answered) {
+            gateway.grants().firstToken(step.on().attempt(), gateway.clock().millis() - started);
+            run.exported(answered.value());
+            return Optional.empty();
+        }
+        return Optional.of(failed("an engine failed to read its segment"));
+    }
+
+    private Optional<Refusal> answer(EngineClient engine, GroupStep.StreamAnswer step)
+            throws IOException, InterruptedException {
+        gateway.grants().begun(step.on().attempt());
+        StreamEnding ending = pump.start(engine, step.request());
+        while (ending instanceof StreamEnding.Broken broken && broken.reachable() && pump.resumes() < MAX_RESUMES) {
+            ending = pump.resume(engine);
+        }
+        if (ending instanceof StreamEnding.Whole) {
+            gateway.record(new RequestEvent.Finished(work.call().id(), pump.count()));
+            return Optional.empty();
+        }
+        return Optional.of(ending instanceof StreamEnding.Broken broken ? failed(broken.why()) : expired());
+    }
+
+    /** Engines are told until they acknowledge; a grant is given back with its engine's last acknowledgement. */
+    private void free(GroupRun run) {
+        for (Cancel each : run.end()) {
+            gateway.cancels().free(each, grantOn(run, each), freed -> {
+                Optional<Grant> last;
+                synchronized (run) {
+                    last = run.freed(freed);
+                }
+                last.ifPresent(grant -> gateway.grants().close(grant.attempt(), ReleaseCause.CANCELLED));
+            });
+        }
+    }
+
+    private static Grant grantOn(GroupRun run, Cancel cancel) {
+        return run.grants().stream()
+                .filter(each -> each.server().equals(cancel.server()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private <T> CallResult<T> await(CompletableFuture<CallResult<T>> future) throws InterruptedException {
+        try {
+            return future.get(Math.max(1, remainingMillis()), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            return new CallResult.Unknown<>("out of time");
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a call's result is always a value", e);
+        }
+    }
+
+    private Optional<EngineClient> client(Grant grant) {
+        return gateway.engines().client(grant.protocol(), grant.engine());
+    }
+
+    private Refusal failed(String why) {
+        if (remainingMillis() <= 0) {
+            return expired();
+        }
+        return new Refusal(RefusalReason.BACKEND_FAILED, why, Ran.YES, RETRY_MILLIS);
+    }
+
+    private static Refusal expired() {
+        return new Refusal(RefusalReason.DEADLINE, "the answer did not finish in time", Ran.YES, RETRY_MILLIS);
+    }
+
+    private long remainingMillis() {
+        return work.call().remainingMillis(gateway.clock());
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Placer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Placer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -15,17 +16,18 @@
 import org.elmline.core.common.AttemptId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.HostId;
+import org.elmline.core.common.ModelName;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
 import org.elmline.core.control.HostRecord;
 import org.elmline.core.peer.PeerNetwork;
 import org.elmline.core.placement.Demand;
+import org.elmline.core.route.GroupSlot;
 import org.elmline.core.route.OwnerChoice;
 import org.elmline.core.route.OwnerTable;
 import org.elmline.core.route.PlaceAnswer;
 import org.elmline.core.route.PlaceRequest;
-import org.elmline.core.route.ReleaseCause;
 import org.elmline.core.route.RouteChannels;
 import org.elmline.daemon.backend.OwnerService;
 import org.elmline.daemon.entry.HostIdentity;
@@ -103,6 +105,17 @@
         return new Placement.None(last != null ? last : noOwner(demand));
     }
 
+    /** The engines that may be free for segments of a prompt larger than one engine. */
+    List<GroupSlot> slots(ModelName model) {
+        return owners.slots(model, clock.nanos());
+    }
+
+    /** As the other, for an owner known by its id; empty when it is no member. */
+    Optional<PlaceAnswer> ask(HostId owner, PlaceRequest request, Admitted call) throws InterruptedException {
+        Optional<HostRecord> record = view.members().host(owner);
+        return record.isEmpty() ? Optional.empty() : ask(record.get(), request, call);
+    }
+
     /** Empty when the owner can't be reached, is no longer a member, or the time is up. */
     private Optional<PlaceAnswer> ask(HostRecord owner, PlaceRequest request, Admitted call)
             throws InterruptedException {
@@ -139,9 +152,4 @@
         String why = known ? "no engine of " + demand.model() + " is ready" : "no model " + demand.model();
         return Refusal.comeBack(RefusalReason.NO_BACKEND_SERVER, why, RETRY_MILLIS);
     }
-
-    /** Gives a place back that was never used. */
-    void giveBack(Placement.Found place) {
-        grants.close(place.grant().attempt(), ReleaseCause.NOT_STARTED);
-    }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
@@ -182,17 +183,18 @@
         owner = new Owner(record, Policies.find(settings.placement()), new Random(), ownerSettings);
         OwnerTable table = new OwnerTable(record, OwnerTableSettings.DEFAULT);
         view.onMembers(() -> table.members(view.members().hosts()));
-        OwnerService service = new OwnerService(self, owner, view, network, clock);
+        OwnerService service = new OwnerService(self, owner, table, view, network, clock);
         service.register(channels);
         channels.register(
                 RouteChannels.SUMMARY,
-                summary ->
-                        java.util.concurrent.CompletableFuture.completedFuture(table.accept(summary, clock.nanos())));
+                summary -> CompletableFuture.completedFuture(table.accept(summary, clock.nanos())));
         new EngineObserver(owner, engines).register(channels);
         new OwnerDuties(owner, service, engines, clock).start(workers.timer());
         SummarySchedule schedule = new SummarySchedule(record, SUMMARY_BEAT_MILLIS, SUMMARY_BYTES_PER_SECOND);
         new SummarySender(owner, table, schedule, view, network, clock, metrics).start(workers.timer());
         GrantBook grants = new GrantBook(self, view, clock, network, service, table, metrics);
+        service.localAudit(grants::audit);
+        channels.register(RouteChannels.AUDIT, request -> CompletableFuture.completedFuture(grants.audit(request)));
         grants.start(workers.timer());
         EngineCancels cancels = new EngineCancels(engines, table, grants, clock, metrics);
         cancels.start(workers.timer());
