--- a/elmline-bench/src/main/java/org/elmline/bench/policy/Job.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/Job.java
@@ -1,31 +1,29 @@
 package org.elmline.bench.policy;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.elmline.bench.workload.Arrival;
-import org.elmline.core.placement.PrefillBacklog;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.LengthClass;
 
 /** One request on its way through the fleet. */
 final class Job {
-    /** Where one segment of the prompt is placed; prompts that fit one engine have one segment. */
-    static final class Placed {
-        final int engine;
-        final long sequence;
-        final int promptTokens;
-        final int outputTokens;
-        final long contextTokens;
-        PrefillBacklog.Prefill prefill;
-        double predictedSeconds;
-
-        Placed(int engine, long sequence, int promptTokens, int outputTokens, long contextTokens) {
-            this.engine = engine;
-            this.sequence = sequence;
-            this.promptTokens = promptTokens;
-            this.outputTokens = outputTokens;
-            this.contextTokens = contextTokens;
-        }
-
+    /**
+     * Where one segment of the prompt is placed; prompts that fit one engine have one segment.
+     *
+     * @param sequence the engine model's number for it, unique in a run
+     * @param contextTokens tokens of the prompt before this segment
+     */
+    record Placed(
+            int engine,
+            long sequence,
+            LengthClass lengthClass,
+            int promptTokens,
+            int outputTokens,
+            long contextTokens) {
         long kvTokens() {
             return (long) promptTokens + outputTokens;
         }
@@ -33,11 +31,14 @@
 
     final Arrival arrival;
     final int number;
-    final List<Placed> placed = new ArrayList<>();
+    final Set<BackendServerId> failed = new HashSet<>();
+    List<Placed> placed = new ArrayList<>();
     int running;
+    int tries;
     int delivered;
     long firstTokenNanos = -1;
     long endNanos = -1;
+    boolean refused;
     boolean over;
 
     Job(Arrival arrival, int number) {
@@ -48,4 +49,13 @@
     long deadlineNanos() {
         return arrival.atNanos() + arrival.limitNanos();
     }
+
+    /** Tokens to prefill: the prompt, and after a loss the answer so far. */
+    int promptTokens() {
+        return arrival.promptTokens() + delivered;
+    }
+
+    int outputTokens() {
+        return arrival.outputTokens() - delivered;
+    }
 }
--- a/elmline-bench/src/main/java/org/elmline/bench/policy/PolicyBench.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/PolicyBench.java
@@ -101,7 +101,7 @@
                     point.fault(),
                     variant.settings(),
                     options.seeds().get(i));
-            RunResult one = new FleetRun(shortOnly ? scenario.shortOnly() : scenario, variant.newPolicy()).run();
+            RunResult one = variant.run(shortOnly ? scenario.shortOnly() : scenario);
             if (sum == null) {
                 sum = one;
             } else {
--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/PolicyDesk.java
@@ -0,0 +1,257 @@
+package org.elmline.bench.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.LengthClass;
+import org.elmline.core.common.ModelName;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.PlacementPolicy;
+import org.elmline.core.placement.PrefillBacklog;
+import org.elmline.core.placement.Replica;
+import org.elmline.core.placement.WaitPredictor;
+
+/**
+ * A placement policy alone, over exact accounts of all engines: no admission, no refusals, a dead engine known at once.
+ * What finds no room waits, in order of arrival with ten seconds for each length class. A prompt larger than one engine
+ * is cut evenly over the fewest engines, placed all or none.
+ */
+final class PolicyDesk implements Desk {
+    private static final ModelName MODEL = ModelName.of("elm");
+    private static final long CLASS_NANOS = 10_000_000_000L;
+    private static final long HUGE_PATIENCE_NANOS = 60_000_000_000L;
+    private static final int MOST_TRIED = 16;
+    private static final int SEGMENT_HEADROOM = 1_024;
+
+    private final Scenario scenario;
+    private final PlacementPolicy policy;
+    private final WaitPredictor predictor;
+    private final Random random;
+    private final BenchReplica[] replicas;
+    private final boolean[] alive;
+    private final Map<Long, PrefillBacklog.Prefill> prefills = new HashMap<>();
+    private final TreeSet<Job> waiting = new TreeSet<>(Comparator.<Job>comparingLong(
+                    j -> j.arrival.atNanos() + j.arrival.lengthClass().ordinal() * CLASS_NANOS)
+            .thenComparingInt(j -> j.number));
+    private final List<Decision> decided = new ArrayList<>();
+    private long lastSequence;
+    private boolean released;
+
+    PolicyDesk(Scenario scenario, PlacementPolicy policy) {
+        this.scenario = scenario;
+        this.policy = policy;
+        predictor = new WaitPredictor(scenario.settings());
+        random = new Random(scenario.seed());
+        replicas = new BenchReplica[scenario.engines()];
+        alive = new boolean[scenario.engines()];
+    }
+
+    @Override
+    public void arrive(Job job, long now) {
+        if (hugeWaits(job, now) || !place(job, now)) {
+            waiting.add(job);
+        }
+    }
+
+    @Override
+    public List<Decision> settle(long now) {
+        if (released && !waiting.isEmpty()) {
+            released = false;
+            placeWaiting(now);
+        }
+        List<Decision> taken = List.copyOf(decided);
+        decided.clear();
+        return taken;
+    }
+
+    @Override
+    public void tick(long now) {}
+
+    @Override
+    public void withdraw(Job job, long now) {
+        waiting.remove(job);
+    }
+
+    @Override
+    public void begun(Job.Placed placed, long now) {}
+
+    @Override
+    public void prefilled(Job.Placed placed, long now) {
+        PrefillBacklog.Prefill prefill = prefills.remove(placed.sequence());
+        if (prefill != null) {
+            replicas[placed.engine()].backlog().firstToken(prefill, now);
+        }
+    }
+
+    @Override
+    public void released(Job.Placed placed, boolean engineLost, long now) {
+        PrefillBacklog.Prefill prefill = prefills.remove(placed.sequence());
+        if (prefill != null) {
+            replicas[placed.engine()].backlog().dropped(prefill, now);
+        }
+        replicas[placed.engine()].released(placed.lengthClass(), placed.kvTokens());
+        released = true;
+    }
+
+    @Override
+    public void engineUp(int engine, long now) {
+        replicas[engine] = new BenchReplica(engine, scenario.profile(), scenario.seed(), now);
+        alive[engine] = true;
+        released = true;
+    }
+
+    @Override
+    public void engineDown(int engine, long now) {
+        alive[engine] = false;
+    }
+
+    @Override
+    public void cacheChanged(int engine, long hash, boolean stored, long atNanos) {
+        replicas[engine].cache().published(hash, stored, atNanos);
+    }
+
+    @Override
+    public long reservedTokens() {
+        long sum = 0;
+        for (BenchReplica each : replicas) {
+            sum += each.reservedKvTokens();
+        }
+        return sum;
+    }
+
+    /**
+     * Whether a prompt over 128k tokens must take its turn: once one has waited for long, later smaller ones may no longer
+     * pass it, or a group of engines would never find its room.
+     */
+    private boolean hugeWaits(Job job, long now) {
+        if (job.arrival.lengthClass() != LengthClass.HUGE) {
+            return false;
+        }
+        for (Job each : waiting) {
+            if (each.arrival.lengthClass() == LengthClass.HUGE && waitsLong(each, now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean waitsLong(Job job, long now) {
+        return now - job.arrival.atNanos() > HUGE_PATIENCE_NANOS;
+    }
+
+    private void placeWaiting(long now) {
+        int tried = 0;
+        boolean hugeFailed = false;
+        for (Job each : new ArrayList<>(waiting)) {
+            boolean huge = each.arrival.lengthClass() == LengthClass.HUGE;
+            if (huge && hugeFailed) {
+                continue;
+            }
+            if (tried++ == MOST_TRIED) {
+                return;
+            }
+            if (place(each, now)) {
+                waiting.remove(each);
+            } else {
+                hugeFailed |= huge && waitsLong(each, now);
+            }
+        }
+    }
+
+    /** Places all segments or none. */
+    private boolean place(Job job, long now) {
+        List<Replica> usable = usable(now);
+        List<Demand> demands = demands(job, now);
+        List<Integer> chosen = new ArrayList<>();
+        Set<BackendServerId> taken = new HashSet<>();
+        for (Demand each : demands) {
+            List<Replica> left =
+                    usable.stream().filter(r -> !taken.contains(r.id())).toList();
+            Optional<Replica> replica = policy.choose(each, left, random);
+            if (replica.isEmpty()) {
+                return false;
+            }
+            taken.add(replica.get().id());
+            chosen.add(indexOf(replica.get()));
+        }
+        decided.add(new Decision(job, reserve(job, demands, chosen, now)));
+        return true;
+    }
+
+    private List<Job.Placed> reserve(Job job, List<Demand> demands, List<Integer> chosen, long now) {
+        List<Job.Placed> all = new ArrayList<>();
+        long context = 0;
+        double previousSeconds = 0;
+        for (int i = 0; i < chosen.size(); i++) {
+            Demand demand = demands.get(i);
+            BenchReplica replica = replicas[chosen.get(i)];
+            Job.Placed placed = new Job.Placed(
+                    chosen.get(i),
+                    ++lastSequence,
+                    job.arrival.lengthClass(),
+                    demand.promptTokens(),
+                    demand.maxOutputTokens(),
+                    context);
+            double cost = predictor.costTokens(demand.promptTokens(), replica.cachedTokens(demand))
+                    * (1 + context / scenario.settings().attentionDoublingTokens());
+            // A segment starts after the one before it.
+            previousSeconds += predictor.secondsToFirstToken(demand, replica);
+            prefills.put(placed.sequence(), replica.backlog().placed(placed.lengthClass(), cost, previousSeconds, now));
+            replica.placed(placed.lengthClass(), placed.kvTokens());
+            all.add(placed);
+            context += demand.promptTokens();
+        }
+        return all;
+    }
+
+    private List<Replica> usable(long now) {
+        List<Replica> usable = new ArrayList<>(replicas.length);
+        for (int i = 0; i < replicas.length; i++) {
+            if (alive[i]) {
+                replicas[i].now(now);
+                usable.add(replicas[i]);
+            }
+        }
+        return usable;
+    }
+
+    private int indexOf(Replica replica) {
+        for (int i = 0; i < replicas.length; i++) {
+            if (replicas[i] == replica) {
+                return i;
+            }
+        }
+        throw new IllegalStateException("a policy chose a replica that it was not given");
+    }
+
+    private List<Demand> demands(Job job, long now) {
+        int prompt = job.promptTokens();
+        int largest = (int) scenario.profile().capacityKvTokens() - SEGMENT_HEADROOM;
+        int count = (prompt + largest - 1) / largest;
+        List<Demand> demands = new ArrayList<>(count);
+        int left = prompt;
+        for (int i = 0; i < count; i++) {
+            int tokens = left / (count - i);
+            left -= tokens;
+            demands.add(new Demand(
+                    MODEL,
+                    "",
+                    tokens,
+                    i == count - 1 ? job.outputTokens() : 0,
+                    count == 1 ? job.arrival.blockHashes() : List.of(),
+                    0,
+                    (job.deadlineNanos() - now) / 1_000_000,
+                    Set.of()));
+        }
+        return demands;
+    }
+}
--- a/elmline-bench/src/main/java/org/elmline/bench/policy/RunResult.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/RunResult.java
@@ -34,7 +34,7 @@
         }
     }
 
-    void arrived(Job job) {
+    void arrived() {
         open++;
     }
 
--- a/elmline-bench/src/main/java/org/elmline/bench/policy/Variant.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/Variant.java
@@ -47,8 +47,13 @@
         return prioritised(PlacementPolicies.DEFAULT);
     }
 
-    PlacementPolicy newPolicy() {
-        return PlacementPolicies.named(policy, settings).orElseThrow();
+    RunResult run(Scenario scenario) {
+        return new FleetRun(scenario, newDesk(scenario)).run();
+    }
+
+    private Desk newDesk(Scenario scenario) {
+        PlacementPolicy chosen = PlacementPolicies.named(policy, settings).orElseThrow();
+        return new PolicyDesk(scenario, chosen);
     }
 
     private static PlacementSettings noPriorities(double maxLongShare) {
--- a/elmline-bench/src/test/java/org/elmline/bench/policy/PolicyBenchTest.java
+++ b/elmline-bench/src/test/java/org/elmline/bench/policy/PolicyBenchTest.java
@@ -32,7 +32,7 @@
     }
 
     private static RunResult run(Mix mix, double load, Fault fault, Variant variant) {
-        return new FleetRun(scenario(mix, load, fault, variant), variant.newPolicy()).run();
+        return variant.run(scenario(mix, load, fault, variant));
     }
 
     private static double shortP95(RunResult result) {
@@ -55,9 +55,8 @@
     void shortRequestsAreSlowedDownByLessThanAFifth() {
         for (Mix mix : Mix.values()) {
             Scenario shared = scenario(mix, 0.8, Fault.NONE, Variant.chosen());
-            double alone =
-                    shortP95(new FleetRun(shared.shortOnly(), Variant.chosen().newPolicy()).run());
-            RunResult result = new FleetRun(shared, Variant.chosen().newPolicy()).run();
+            double alone = shortP95(Variant.chosen().run(shared.shortOnly()));
+            RunResult result = Variant.chosen().run(shared);
             double slowdown = shortP95(result) / alone;
             assertTrue(slowdown <= 1.2, mix + ": " + slowdown);
             assertTrue(result.shareInLimit() >= 0.999, mix + ": " + result.shareInLimit());
