--- /dev/null
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/raft/ProposalMeasurement.java
@@ -0,0 +1,79 @@
+package org.elmline.daemon.raft;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Prints committed proposals a second through three replicas in one process, by how many callers wait at once. */
+public final class ProposalMeasurement {
+    private static final int ROUNDS = 7;
+    private static final long ROUND_NANOS = 1_000_000_000L;
+    private static final int COMMAND_BYTES = 300;
+
+    private ProposalMeasurement() {}
+
+    /** @param args the folder to measure on */
+    public static void main(String[] args) throws Exception {
+        Path data = Files.createDirectories(Path.of(args[0]));
+        MemoryNetwork network = new MemoryNetwork();
+        List<TestReplica> replicas = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            replicas.add(new TestReplica(network, i, () -> replicas.stream()
+                    .map(each -> each.address)
+                    .toList()));
+            replicas.get(i).start(data.resolve("run-" + ProcessHandle.current().pid() + "-" + i), i == 0);
+        }
+        while (!replicas.stream().allMatch(TestReplica::votes)) {
+            Thread.sleep(10);
+        }
+        TestReplica leader = replicas.stream()
+                .filter(each -> each.driver.isLeader())
+                .findFirst()
+                .orElseThrow();
+        for (int callers : new int[] {1, 16, 256, 2_048}) {
+            measure(leader, callers);
+        }
+        replicas.forEach(TestReplica::stop);
+    }
+
+    private static void measure(TestReplica leader, int callers) throws Exception {
+        round(leader, callers);
+        double[] proposals = new double[ROUNDS];
+        double[] perSync = new double[ROUNDS];
+        for (int i = 0; i < ROUNDS; i++) {
+            long syncs = leader.metrics.counter("raft.syncs").getCount();
+            int done = round(leader, callers);
+            proposals[i] = done;
+            perSync[i] = done
+                    / (double) Math.max(1, leader.metrics.counter("raft.syncs").getCount() - syncs);
+        }
+        Arrays.sort(proposals);
+        Arrays.sort(perSync);
+        System.out.printf(
+                "%d callers: proposals a second median %.0f (least %.0f, most %.0f), per sync median %.1f%n",
+                callers, proposals[ROUNDS / 2], proposals[0], proposals[ROUNDS - 1], perSync[ROUNDS / 2]);
+    }
+
+    private static int round(TestReplica leader, int callers) throws InterruptedException {
+        Semaphore slots = new Semaphore(callers);
+        AtomicInteger committed = new AtomicInteger();
+        long until = System.nanoTime() + ROUND_NANOS;
+        while (System.nanoTime() < until) {
+            slots.acquire();
+            CompletableFuture<ProposeResult> result = leader.driver.propose(new byte[COMMAND_BYTES]);
+            result.thenAccept(each -> {
+                if (each instanceof ProposeResult.Committed) {
+                    committed.incrementAndGet();
+                }
+                slots.release();
+            });
+        }
+        slots.acquire(callers);
+        return committed.get();
+    }
+}
--- a/elmline-daemon/src/test/java/org/elmline/daemon/raft/TestReplica.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/raft/TestReplica.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
 
+import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.HostId;
 import org.elmline.core.raft.Membership;
@@ -26,6 +27,7 @@
     volatile long count;
     volatile long sum;
     final Address address;
+    final MetricRegistry metrics = new MetricRegistry();
     RaftDriver driver;
     private final MemoryNetwork network;
     private final HostId host;
@@ -67,6 +69,7 @@
                 .network(network, network.host(address))
                 .addresses(TestReplica::addressOf, members)
                 .clock(new SystemClock())
+                .metrics(metrics)
                 .settings(RaftSettings.builder()
                         .electionTimeout(Duration.ofMillis(300))
                         .heartbeat(Duration.ofMillis(40))
