--- a/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
@@ -55,8 +55,10 @@
     }
 
     private boolean hasQuorum() {
-        long answered = Quorum.reached(state.log().membership(), replicator::ackedSent);
-        return state.now() - Math.max(answered, electedAt) < state.settings().electionTimeoutNanos();
+        // Counted from the coming of answers, not from the sending as the lease is: a leader whose disk stalled for a
+        // moment would step down without need, though a majority still answers it.
+        long heard = Quorum.reached(state.log().membership(), replicator::heard);
+        return state.now() - Math.max(heard, electedAt) < state.settings().electionTimeoutNanos();
     }
 
     private void quorumAnswered() {
@@ -198,7 +200,7 @@
         if (progress == null) {
             return false;
         }
-        progress.acked(sentNanos);
+        progress.acked(sentNanos, state.now());
         quorumAnswered();
         return true;
     }
--- a/elmline-core/src/main/java/org/elmline/core/raft/Progress.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Progress.java
@@ -18,6 +18,7 @@
     private boolean probeSent;
     private long lastMove;
     private long ackedSent = NEVER;
+    private long heard = NEVER;
     private Snapshot snapshot;
     private long snapshotOffset;
 
@@ -44,8 +45,14 @@
         return ackedSent;
     }
 
-    void acked(long sentNanos) {
+    /** When the replica's last answer of this term came. */
+    long heard() {
+        return heard;
+    }
+
+    void acked(long sentNanos, long now) {
         ackedSent = Math.max(ackedSent, sentNanos);
+        heard = now;
     }
 
     boolean maySend(int maxInflightBytes) {
--- a/elmline-core/src/main/java/org/elmline/core/raft/Replicator.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Replicator.java
@@ -47,6 +47,15 @@
         return known == null ? Progress.NEVER : known.ackedSent();
     }
 
+    /** When the last answer of a replica came. */
+    long heard(ReplicaId id) {
+        if (id.equals(state.self())) {
+            return state.now();
+        }
+        Progress known = progress.get(id);
+        return known == null ? Progress.NEVER : known.heard();
+    }
+
     void sendToAll() {
         for (ReplicaId each : state.log().membership().all()) {
             sendTo(each);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
@@ -114,8 +114,9 @@
         }
         // The clock is read after the messages were taken, as the node demands.
         long now = clock.nanos();
-        node.tick(now);
+        // Answers that waited while this thread was held up must count before the node judges who is silent.
         takeAll(inputs, now);
+        node.tick(now);
         work();
         askToJoin(now);
     }
