--- a/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
@@ -87,6 +87,13 @@
         }
         boolean granted =
                 request.term() > state.term() && state.log().isCoveredBy(request.lastIndex(), request.lastTerm());
+        boolean yields =
+                granted && state.role() == Role.PRE_CANDIDATE && request.from().compareTo(state.self()) > 0;
+        if (yields) {
+            // Of two that ask at the same moment only one goes on; both would split the votes and wait out a timeout.
+            state.becomeFollower(state.term());
+            restartTimeout();
+        }
         long term = granted ? request.term() : state.term();
         state.send(new Message.PreVoteResponse(state.self(), request.from(), term, granted));
     }
