--- a/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
@@ -26,6 +26,7 @@
 import org.elmline.core.control.Ticket;
 import org.elmline.core.control.TicketAnswer;
 import org.elmline.daemon.control.ControlDaemon;
+import org.elmline.daemon.control.ControlData;
 import org.elmline.daemon.entry.EntryDaemon;
 import org.elmline.daemon.http.BearerKey;
 import org.elmline.daemon.settings.CallerSettings;
@@ -39,6 +40,7 @@
 import org.elmline.daemon.settings.ListenAddress;
 import org.elmline.daemon.settings.Secret;
 import org.elmline.standin.engine.EngineServer;
+import org.elmline.standin.model.EngineProfile;
 import org.elmline.standin.service.ServiceServer;
 
 /**
@@ -54,6 +56,7 @@
     private static final long PAUSE_MILLIS = 20;
     private static final int MAX_PROMPT_TOKENS = 1_000_000;
     private static final int MAX_OUTPUT_TOKENS = 4_096;
+    private static final long DEFAULT_KV_TOKENS = 500_000;
     private static final int SERVICE_MILLIS = 10_000;
 
     private final Closer closer = new Closer();
@@ -76,7 +79,11 @@
     private void open() throws IOException, InterruptedException {
         List<ControlHost> seats = seats();
         for (ControlHost each : seats) {
-            controls.add(closer.register(ControlDaemon.start(control(each, seats))));
+            ControlSettings settings = control(each, seats);
+            if (controls.isEmpty() && !Files.exists(settings.dataFolder())) {
+                ControlData.bootstrap(settings);
+            }
+            controls.add(closer.register(ControlDaemon.start(settings, this::close)));
         }
         for (int i = 0; i < plan.entries; i++) {
             entries.add(closer.register(EntryDaemon.start(entry(i, seats))));
@@ -151,6 +158,9 @@
                 .region(REGION.value())
                 .failureDomain(domain(number).value())
                 .timeScale(plan.timeScale)
+                .profile(EngineProfile.builder()
+                        .capacityKvTokens(plan.engineKvTokens)
+                        .build())
                 .backendKey(keys.backend());
         entries.forEach(each -> builder.announceTo(each.callers()));
         return builder.start();
@@ -227,6 +237,7 @@
         private int operatorPort;
         private int keepSeconds = CallerSettings.DEFAULT.keepSeconds();
         private double timeScale = 1;
+        private long engineKvTokens = DEFAULT_KV_TOKENS;
         private Path dataFolder;
 
         private Builder() {}
@@ -270,6 +281,12 @@
             return this;
         }
 
+        /** KV memory of each engine, in tokens. */
+        public Builder engineKvTokens(long value) {
+            engineKvTokens = value;
+            return this;
+        }
+
         /** Where the control hosts keep their state; a new temporary folder when not said. */
         public Builder dataFolder(Path value) {
             dataFolder = value;
