Measure the owner, and cut the cost of a placement

Cause: measured, a place() took 15.7 us and 10.8 KB at 20 engines and 1,150 us and 618 KB at 2,000, most of it for a summary made anew for each answer; the owner of a server with loads took 72 us, since all 370 hosts were sorted where 20 are near. Change: an answer carries a summary up to 20 ms old; only the nearest hosts are ranked; the list of replicas is wrapped, not copied.

--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/route/PlaceCost.java
@@ -0,0 +1,112 @@
+package org.elmline.bench.route;
+
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import com.sun.management.ThreadMXBean;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.OrganisationId;
+import org.elmline.core.owner.Owner;
+import org.elmline.core.owner.OwnerSettings;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.PlacementPolicies;
+import org.elmline.core.placement.PlacementPolicy;
+import org.elmline.core.placement.PlacementSettings;
+import org.elmline.core.route.FirstToken;
+import org.elmline.core.route.GrantReport;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.Release;
+import org.elmline.core.route.ReleaseCause;
+
+/** Time and allocation of {@link Owner#place} with the default policy, for prompts of 1,000 to 8,000 tokens. */
+final class PlaceCost {
+    private static final int ROUNDS = 11;
+    private static final int BATCH = 16;
+    private static final int BATCHES = 200;
+    private static final int WARM_UP_ROUNDS = 4;
+    private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+
+    private final Owner owner;
+    private final Random random = new Random(1);
+    private long now;
+    private int attempts;
+    private long nanos;
+    private long bytes;
+    private int refused;
+
+    PlaceCost(int engines) {
+        PlacementPolicy policy = PlacementPolicies.named(PlacementPolicies.DEFAULT, PlacementSettings.defaults())
+                .orElseThrow();
+        owner = new Owner(
+                Fleet.host(0, 1), policy, random, OwnerSettings.builder().build());
+        owner.leaseUntil(Long.MAX_VALUE);
+        owner.members(List.of(Fleet.host(0, 1)), now);
+        for (int i = 0; i < engines; i++) {
+            owner.announce(Fleet.engine(i, 1), now);
+        }
+    }
+
+    /** Nanoseconds and bytes for each place() of each round, after warming up. */
+    List<Samples> measure() {
+        double[] nanosEach = new double[ROUNDS];
+        double[] bytesEach = new double[ROUNDS];
+        for (int round = -WARM_UP_ROUNDS; round < ROUNDS; round++) {
+            nanos = 0;
+            bytes = 0;
+            for (int batch = 0; batch < BATCHES; batch++) {
+                batch();
+            }
+            if (round >= 0) {
+                nanosEach[round] = (double) nanos / (BATCH * BATCHES);
+                bytesEach[round] = (double) bytes / (BATCH * BATCHES);
+            }
+        }
+        return List.of(new Samples(nanosEach), new Samples(bytesEach));
+    }
+
+    int refused() {
+        return refused;
+    }
+
+    private void batch() {
+        List<PlaceRequest> requests = new ArrayList<>();
+        for (int i = 0; i < BATCH; i++) {
+            requests.add(request());
+        }
+        List<PlaceRequest> placed = new ArrayList<>();
+        long allocated = THREADS.getCurrentThreadAllocatedBytes();
+        long start = System.nanoTime();
+        for (PlaceRequest each : requests) {
+            if (owner.place(each, now).orElse(null) instanceof PlaceAnswer.Placed) {
+                placed.add(each);
+            }
+        }
+        nanos += System.nanoTime() - start;
+        bytes += THREADS.getCurrentThreadAllocatedBytes() - allocated;
+        refused += requests.size() - placed.size();
+        now += 1_000_000;
+        finish(placed);
+    }
+
+    private void finish(List<PlaceRequest> placed) {
+        List<FirstToken> firstTokens = new ArrayList<>();
+        List<Release> releases = new ArrayList<>();
+        for (PlaceRequest each : placed) {
+            firstTokens.add(new FirstToken(each.attempt(), 100));
+            releases.add(new Release(each.attempt(), ReleaseCause.FINISHED));
+        }
+        owner.report(new GrantReport(Fleet.host(0, 1).id(), Incarnation.of(1), firstTokens, releases), now);
+    }
+
+    private PlaceRequest request() {
+        Demand demand = new Demand(Fleet.MODEL, "", 1_000 + random.nextInt(7_000), 200, List.of(), 0, 30_000, Set.of());
+        AttemptId attempt = AttemptId.of("host-0/" + attempts++);
+        OrganisationId organisation = OrganisationId.of("org-" + random.nextInt(50));
+        return new PlaceRequest(attempt, Fleet.host(0, 1).id(), Incarnation.of(1), organisation, demand);
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -20,7 +21,6 @@
 import org.elmline.core.ledger.Ledger;
 import org.elmline.core.placement.Demand;
 import org.elmline.core.placement.PlacementPolicy;
-import org.elmline.core.placement.Replica;
 import org.elmline.core.route.Grant;
 import org.elmline.core.route.ModelSummary;
 import org.elmline.core.route.PlaceAnswer;
@@ -36,6 +36,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long LEAST_RETRY_MILLIS = 250;
     private static final long NO_ENGINE_RETRY_MILLIS = 1_000;
+    private static final long RECENT_NANOS = 20 * NANOS_PER_MILLI;
     private static final int SUMMARY_PREFIXES = 16;
 
     private final ModelName model;
@@ -47,6 +48,9 @@
     private final VirtualCounters counters = new VirtualCounters();
     private final List<Decided> decided = new ArrayList<>();
     private long arrivals;
+    private ModelSummary recent;
+    private long recentAt;
+    private boolean answered;
 
     ModelPlacer(
             ModelName model, Ledger ledger, PlacementPolicy policy, RandomGenerator random, OwnerSettings settings) {
@@ -158,6 +162,16 @@
                 new ModelSummary(model, ready.size(), waits(ready), speed, mostFree, allFree, List.copyOf(prefixes)));
     }
 
+    /** A summary looks at every engine; made for each answer, it would cost more than placing. */
+    private ModelSummary recentSummary(long now) {
+        if (!answered || now - recentAt >= RECENT_NANOS) {
+            recent = summary(now).orElse(null);
+            recentAt = now;
+            answered = true;
+        }
+        return recent;
+    }
+
     private List<Integer> waits(List<EngineLedger> ready) {
         long[] queued = new long[LengthClass.values().length];
         for (Waiting each : queue.all()) {
@@ -238,13 +252,11 @@
         }
         queue.remove(waiting);
         counters.serve(waiting.start());
-        decided.add(
-                new Decided(request, new PlaceAnswer.Placed(grant, summary(now).orElse(null))));
+        decided.add(new Decided(request, new PlaceAnswer.Placed(grant, recentSummary(now))));
     }
 
     private Optional<EngineLedger> choose(Demand demand, List<EngineLedger> ready) {
-        List<Replica> replicas = List.copyOf(ready);
-        return policy.choose(demand, replicas, random)
+        return policy.choose(demand, Collections.unmodifiableList(ready), random)
                 .map(EngineLedger.class::cast)
                 .filter(engine -> engine.freeKvTokens() >= demand.kvTokens());
     }
@@ -327,8 +339,7 @@
 
     private void refuse(Waiting waiting, Refusal refusal, long now) {
         drop(waiting);
-        ModelSummary summary = summary(now).orElse(null);
-        decided.add(new Decided(waiting.request(), new PlaceAnswer.Refused(refusal, summary)));
+        decided.add(new Decided(waiting.request(), new PlaceAnswer.Refused(refusal, recentSummary(now))));
     }
 
     private void drop(Waiting waiting) {
--- a/elmline-core/src/main/java/org/elmline/core/route/Ownership.java
+++ b/elmline-core/src/main/java/org/elmline/core/route/Ownership.java
@@ -78,6 +78,11 @@
     }
 
     public List<HostRecord> candidates(BackendServerId server, FailureDomain domain, Region region) {
+        return ranked(candidates, server, domain, region);
+    }
+
+    private static List<HostRecord> ranked(
+            List<Candidate> candidates, BackendServerId server, FailureDomain domain, Region region) {
         long key = hash(server.value());
         Comparator<Ranked> order = Comparator.comparingInt(Ranked::distance)
                 .thenComparing(Comparator.comparingLong(Ranked::weight).reversed())
@@ -125,17 +130,19 @@
 
     /** The candidates as near to the server as any, best first. */
     private List<HostRecord> nearest(Announcement server) {
-        List<HostRecord> near = new ArrayList<>();
-        int distance = Integer.MAX_VALUE;
-        for (HostRecord each : candidates(server)) {
-            int next = distance(each, server.failureDomain(), server.region());
-            if (next > distance) {
-                return near;
+        List<Candidate> near = new ArrayList<>();
+        int nearest = Integer.MAX_VALUE;
+        for (Candidate each : candidates) {
+            int distance = each.distance(server.failureDomain(), server.region());
+            if (distance < nearest) {
+                near.clear();
+                nearest = distance;
+            }
+            if (distance == nearest) {
+                near.add(each);
             }
-            distance = next;
-            near.add(each);
         }
-        return near;
+        return ranked(near, server.id(), server.failureDomain(), server.region());
     }
 
     /** Whether the server is among the first {@code bound} of its owner's. */
