--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/owner/HandOverTest.java
@@ -0,0 +1,117 @@
+package org.elmline.core.owner;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.engine.KvExport;
+import org.elmline.core.engine.StreamInfo;
+import org.elmline.core.route.AuditAnswer;
+import org.elmline.core.route.AuditRequest;
+import org.elmline.core.route.Grant;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.RegisterGrants;
+import org.elmline.core.route.ReleaseCause;
+import org.elmline.core.stream.Cancel;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** An engine changes its owner with streams open. */
+class HandOverTest {
+    private static final long CAPACITY = 100_000;
+    private static final BackendServerId ENGINE = BackendServerId.of("engine-0");
+
+    private final OwnerFixture before = new OwnerFixture().engines(1, CAPACITY);
+    private final OwnerFixture after = new OwnerFixture().engines(1, CAPACITY);
+
+    /**
+     * The old owner dies while an answer streams. The new one knows nothing of it and would promise its memory again.
+     * From the engine's listing it counts it as taken; once the gateway has registered, exactly the grant is reserved,
+     * and its release frees it once.
+     */
+    @Test
+    void registeredGrantsAreReservedOnceAndReleasedOnce() {
+        Grant grant = granted(before, 39_900);
+        List<StreamInfo> streams = List.of(stream(grant.attempt(), OwnerFixture.GATEWAY, 30_000));
+        List<AuditRequest> audits = after.owner.listed(ENGINE, streams, List.of(), after.now);
+        assertEquals(CAPACITY - 30_000, after.freeTokens());
+        assertEquals(List.of(grant.attempt()), audits.get(0).attempts());
+        after.owner.audited(audits.get(0), new AuditAnswer(List.of()), after.now);
+        assertEquals(List.of(), after.owner.cancels(after.now), "the gateway runs it");
+
+        RegisterGrants registration =
+                new RegisterGrants(OwnerFixture.GATEWAY, OwnerFixture.FIRST, List.of(grant.started()));
+        assertEquals(List.of(), after.owner.register(registration, after.now).notOwned());
+        assertEquals(List.of(), after.owner.register(registration, after.now).notOwned(), "repeated");
+        after.owner.listed(ENGINE, streams, List.of(), after.now);
+        assertEquals(CAPACITY - 40_000, after.freeTokens());
+
+        assertEquals(0, after.release(grant.attempt(), ReleaseCause.FINISHED));
+        assertEquals(List.of(), after.owner.register(registration, after.now).notOwned(), "late, after the release");
+        after.owner.listed(ENGINE, List.of(), List.of(), after.now);
+        assertEquals(CAPACITY, after.freeTokens());
+    }
+
+    /** The gateway gave a call up, and it reached the engine after the cancel: only the gateway knows that it is over. */
+    @Test
+    void whatItsEntryDoesNotRunIsCancelled() {
+        AttemptId lost = AttemptId.of("given-up");
+        KvExport export = new KvExport("kv", lost, OwnerFixture.GATEWAY, OwnerFixture.FIRST, 500);
+        List<StreamInfo> streams = List.of(stream(lost, OwnerFixture.GATEWAY, 1_000));
+        AuditRequest audit =
+                after.owner.listed(ENGINE, streams, List.of(export), after.now).get(0);
+        after.owner.audited(audit, new AuditAnswer(List.of(lost, AttemptId.of("never-asked"))), after.now);
+        List<Cancel> cancels = new ArrayList<>(after.owner.cancels(after.now));
+        assertEquals(2, cancels.size());
+        assertTrue(
+                cancels.contains(Cancel.stream(ENGINE, lost)) && cancels.contains(Cancel.export(ENGINE, lost, "kv")));
+        cancels.forEach(each -> after.owner.acknowledged(each, after.now));
+        after.advance(1_000);
+        assertEquals(List.of(), after.owner.cancels(after.now));
+    }
+
+    /** Neither the old entry nor anybody else registers: after two listings the engine is told to free it. */
+    @Test
+    void streamsOfADeadEntryAreSweptByTheNewOwner() {
+        List<StreamInfo> streams = List.of(stream(AttemptId.of("orphan"), HostId.of("dead"), 20_000));
+        after.owner.listed(ENGINE, streams, List.of(), after.now);
+        assertEquals(List.of(), after.owner.cancels(after.now));
+        after.engines(1, CAPACITY);
+        after.advance(3_000);
+        after.owner.listed(ENGINE, streams, List.of(), after.now);
+        assertEquals(List.of(Cancel.stream(ENGINE, AttemptId.of("orphan"))), after.owner.cancels(after.now));
+        assertEquals(CAPACITY - 20_000, after.freeTokens(), "taken until the engine says otherwise");
+        after.owner.listed(ENGINE, List.of(), List.of(), after.now);
+        assertEquals(CAPACITY, after.freeTokens());
+    }
+
+    /** The gateway froze past its request's deadline. Its grant must not hold memory for as long as it sleeps. */
+    @Test
+    void grantsOfASilentEntryAreReclaimedAfterTheDeadline() {
+        Grant grant = granted(before, 9_900);
+        before.advanceWithBeats(10_000 + 4_500, 1, CAPACITY);
+        assertEquals(List.of(), before.owner.cancels(before.now));
+        before.advanceWithBeats(1_000, 1, CAPACITY);
+        List<Cancel> cancels = before.owner.cancels(before.now);
+        assertEquals(List.of(Cancel.stream(ENGINE, grant.attempt())), cancels);
+        before.owner.acknowledged(cancels.get(0), before.now);
+        assertEquals(CAPACITY, before.freeTokens());
+        assertEquals(1, before.release(grant.attempt(), ReleaseCause.FINISHED), "the late end finds nothing");
+        assertEquals(CAPACITY, before.freeTokens());
+    }
+
+    private static Grant granted(OwnerFixture fixture, int promptTokens) {
+        PlaceAnswer answer =
+                fixture.place(fixture.request("org", promptTokens, 0, 10_000)).orElseThrow();
+        return ((PlaceAnswer.Placed) answer).grant();
+    }
+
+    private static StreamInfo stream(AttemptId attempt, HostId host, long tokens) {
+        return new StreamInfo(attempt, host, Incarnation.of(1), tokens);
+    }
+}
