--- a/elmline-core/src/test/java/org/elmline/core/route/OwnershipTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/route/OwnershipTest.java
@@ -21,6 +21,7 @@
     private static final int SERVERS = 400;
 
     private final Map<HostId, List<Integer>> loads = new HashMap<>();
+    private final List<Announcement> servers = servers();
     private final Map<Announcement, HostId> owners = new HashMap<>();
 
     @Test
@@ -94,6 +95,45 @@
         assertTrue(loads.values().stream().allMatch(each -> each.size() <= lastBound));
     }
 
+    /** Engines go and others come all day; the ones that stay must hardly ever change their owner for it. */
+    @Test
+    void serversThatStayKeepTheirOwnerWhileOthersComeAndGo() {
+        List<HostRecord> members = hosts(HOSTS);
+        settle(members);
+        Random random = new Random(5);
+        int moved = 0;
+        for (int change = 0; change < 400; change++) {
+            Announcement gone = servers.remove(random.nextInt(servers.size()));
+            HostId owner = owners.remove(gone);
+            loads.put(owner, without(loads.get(owner), Ownership.shortHash(gone.id())));
+            servers.add(OwnerFixture.engine("later-" + change, 1, 1_000, false));
+            moved += round(members) - 1;
+        }
+        assertTrue(moved <= 28, moved + " moves of servers that stayed, over 400 changes");
+    }
+
+    /** All servers announce on the counts of the round before, so a host with room is seen by all at once. */
+    @Test
+    void countsThatLagDoNotSendServersBackAndForth() {
+        List<HostRecord> members = new ArrayList<>(hosts(HOSTS));
+        settle(members);
+        members.add(OwnerFixture.host("host-" + HOSTS, "a"));
+        Ownership ownership = new Ownership(members);
+        Map<Announcement, Integer> moves = new HashMap<>();
+        int moved = 1;
+        for (int round = 0; moved > 0; round++) {
+            assertTrue(round < 10, "still moving " + moved);
+            moved = 0;
+            Map<HostId, List<Integer>> lagging = new HashMap<>(loads);
+            for (Announcement each : servers()) {
+                int changed = announce(ownership, each, lagging);
+                moved += changed;
+                moves.merge(each, changed, Integer::sum);
+            }
+        }
+        assertTrue(Collections.max(moves.values()) <= 2, "one server moved " + Collections.max(moves.values()));
+    }
+
     private int settle(List<HostRecord> members) {
         int moved = 0;
         int last = 1;
@@ -108,28 +148,37 @@
     private int round(List<HostRecord> members) {
         Ownership ownership = new Ownership(members);
         int moved = 0;
-        for (Announcement each : servers()) {
-            HostId owner = ownership
-                    .owner(each, host -> loads.getOrDefault(host, List.of()))
-                    .orElseThrow()
-                    .id();
-            HostId before = owners.put(each, owner);
-            if (!owner.equals(before)) {
-                moved++;
-                Integer key = Ownership.shortHash(each.id());
-                if (before != null) {
-                    List<Integer> rest = new ArrayList<>(loads.get(before));
-                    rest.remove(key);
-                    loads.put(before, rest);
-                }
-                List<Integer> more = new ArrayList<>(loads.getOrDefault(owner, List.of()));
-                more.add(key);
-                loads.put(owner, more);
-            }
+        for (Announcement each : servers) {
+            moved += announce(ownership, each, loads);
         }
         return moved;
     }
 
+    private int announce(Ownership ownership, Announcement server, Map<HostId, List<Integer>> seen) {
+        HostId owner = ownership
+                .owner(server, host -> seen.getOrDefault(host, List.of()))
+                .orElseThrow()
+                .id();
+        HostId before = owners.put(server, owner);
+        if (owner.equals(before)) {
+            return 0;
+        }
+        Integer key = Ownership.shortHash(server.id());
+        if (before != null) {
+            loads.put(before, without(loads.get(before), key));
+        }
+        List<Integer> more = new ArrayList<>(loads.getOrDefault(owner, List.of()));
+        more.add(key);
+        loads.put(owner, more);
+        return 1;
+    }
+
+    private static List<Integer> without(List<Integer> all, Integer one) {
+        List<Integer> rest = new ArrayList<>(all);
+        rest.remove(one);
+        return rest;
+    }
+
     private static List<HostRecord> hosts(int count) {
         List<HostRecord> hosts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -25,8 +25,11 @@
 import org.elmline.core.route.OwnerTableSettings;
 import org.elmline.core.route.RouteChannels;
 import org.elmline.core.route.SummarySchedule;
+import org.elmline.core.timeline.EventRing;
+import org.elmline.core.timeline.HostEvent;
 import org.elmline.daemon.backend.AnnounceHandler;
 import org.elmline.daemon.backend.EngineClients;
+import org.elmline.daemon.backend.EngineObserver;
 import org.elmline.daemon.backend.OwnerDuties;
 import org.elmline.daemon.backend.OwnerService;
 import org.elmline.daemon.backend.Policies;
@@ -39,6 +42,8 @@
 import org.elmline.daemon.caller.GrantBook;
 import org.elmline.daemon.caller.ModelsHandler;
 import org.elmline.daemon.caller.Placer;
+import org.elmline.daemon.component.DaggerProcessComponent;
+import org.elmline.daemon.component.ProcessComponent;
 import org.elmline.daemon.http.Answers;
 import org.elmline.daemon.http.BodyReader;
 import org.elmline.daemon.http.HttpLimits;
@@ -47,7 +52,6 @@
 import org.elmline.daemon.operator.OperatorKeys;
 import org.elmline.daemon.operator.StatusHandler;
 import org.elmline.daemon.operator.TicketsHandler;
-import org.elmline.daemon.runtime.SystemClock;
 import org.elmline.daemon.runtime.Workers;
 import org.elmline.daemon.service.IdempotencyKeysHandler;
 import org.elmline.daemon.service.ServiceGateway;
@@ -66,13 +70,16 @@
     private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
     private static final int BODY_MILLIS = 30_000;
     private static final int IDLE_MILLIS = 60_000;
+    private static final long STOP_CHECK_MILLIS = 20;
     private static final long SUMMARY_BEAT_MILLIS = 2_000;
     private static final double SUMMARY_BYTES_PER_SECOND = 2_000;
 
     private final Closer closer = new Closer();
     private final EntrySettings settings;
-    private final MonotonicClock clock = new SystemClock();
-    private final MetricRegistry metrics = new MetricRegistry();
+    private final ProcessComponent process;
+    private final MonotonicClock clock;
+    private final MetricRegistry metrics;
+    private final EventRing events;
     private final AtomicBoolean leaving = new AtomicBoolean();
     private final HostIdentity self;
     private final RoutingHandler callerRoutes = routes();
@@ -92,6 +99,10 @@
                 Incarnation.of(System.currentTimeMillis()),
                 settings.failureDomain(),
                 settings.region());
+        this.process = DaggerProcessComponent.factory().create(self.host(), self.incarnation(), settings.timeline());
+        this.clock = process.clock();
+        this.metrics = process.metrics();
+        this.events = process.events();
     }
 
     /** Opens everything and begins to serve; closes what was opened when any of it fails. */
@@ -112,7 +123,12 @@
         org.elmline.wire.tcp.Handlers channels = new org.elmline.wire.tcp.Handlers(workers.handlers());
         bind(workers, key, channels);
         TcpPeerNetwork network = closer.register(new TcpPeerNetwork(
-                key, PeerLimits.DEFAULT, workers.connections(), workers.timer(), workers.handlers()));
+                key,
+                PeerLimits.DEFAULT,
+                workers.connections(),
+                workers.timer(),
+                workers.handlers(),
+                process.hybridClock()));
         SharedView view = new SharedView(clock);
         List<Address> seeds =
                 settings.control().stream().map(each -> each.peers()).toList();
@@ -129,8 +145,10 @@
                 this::record,
                 Duration.ofMillis(settings.lease().renewMillis()),
                 metrics,
+                events,
                 gate::close);
         renewer.start(workers.timer());
+        events.record(new HostEvent.Started(self.host(), self.incarnation(), "entry"));
         LOG.infof("entry host %s serves callers at %s", self.host(), callers.address());
     }
 
@@ -143,7 +161,8 @@
                 key,
                 PeerLimits.DEFAULT,
                 workers.connections(),
-                workers.timer()));
+                workers.timer(),
+                process.hybridClock()));
         callers = closer.register(http(settings.addresses().callers(), callerRoutes));
         List<String> operatorKeys =
                 settings.keys().operatorKeys().stream().map(Secret::value).toList();
@@ -157,6 +176,7 @@
         OwnerSettings ownerSettings = OwnerSettings.builder()
                 .announceIntervalMillis(settings.backend().announceMillis())
                 .leaseMillis(settings.backend().leaseMillis())
+                .ledger(Policies.ledger(settings.placement()))
                 .build();
         HostRecord record = record();
         owner = new Owner(record, Policies.find(settings.placement()), new Random(), ownerSettings);
@@ -168,6 +188,7 @@
                 RouteChannels.SUMMARY,
                 summary ->
                         java.util.concurrent.CompletableFuture.completedFuture(table.accept(summary, clock.nanos())));
+        new EngineObserver(owner, engines).register(channels);
         new OwnerDuties(owner, service, engines, clock).start(workers.timer());
         SummarySchedule schedule = new SummarySchedule(record, SUMMARY_BEAT_MILLIS, SUMMARY_BYTES_PER_SECOND);
         new SummarySender(owner, table, schedule, view, network, clock, metrics).start(workers.timer());
@@ -176,7 +197,7 @@
         EngineCancels cancels = new EngineCancels(engines, table, grants, clock, metrics);
         cancels.start(workers.timer());
         Placer placer = new Placer(self, view, clock, network, service, table, grants, metrics);
-        Gateway gateway = new Gateway(self, clock, placer, grants, engines, cancels, metrics);
+        Gateway gateway = new Gateway(self, clock, placer, grants, engines, cancels, events, metrics);
         ServiceGateway services = closer.register(new ServiceGateway(clock, table, control, metrics));
         openCallers(view, service, gateway, services, bodies);
     }
@@ -186,7 +207,7 @@
         List<String> backendKeys =
                 settings.keys().backendKeys().stream().map(Secret::value).toList();
         int keepSeconds = settings.callers().keepSeconds();
-        ServiceHandler serviceHandler = new ServiceHandler(self, gate, view, bodies, services);
+        ServiceHandler serviceHandler = new ServiceHandler(self, gate, view, bodies, services, events);
         callerRoutes
                 .get("/v1/entry-hosts", new EntryHostsHandler(view, self.region(), keepSeconds))
                 .get("/v1/models", new ModelsHandler(gate, view))
@@ -205,7 +226,9 @@
                 .put("/v1/tickets/{number}", tickets::put)
                 .get("/v1/tickets/{number}", tickets::show)
                 .get("/v1/tickets", tickets::list)
-                .get("/v1/status", new StatusHandler(self, view, gate));
+                .get("/v1/status", new StatusHandler(self, view, gate))
+                .get("/v1/events", process.eventsHandler())
+                .get("/metrics", process.metricsHandler());
     }
 
     private static RoutingHandler routes() {
@@ -259,6 +282,7 @@
      */
     public void stop() throws InterruptedException {
         leaving.set(true);
+        events.record(new HostEvent.Stopping(self.host()));
         LOG.infof("entry host %s is leaving", self.host());
         renewer.renew();
         Thread.sleep(Duration.ofSeconds(settings.callers().keepSeconds()).toMillis());
@@ -271,8 +295,6 @@
         close();
     }
 
-    private static final long STOP_CHECK_MILLIS = 20;
-
     @Override
     public void close() {
         closer.close();
