Let no setting stand without effect

Cause: some settings were read and not used. Placement weights and the policy's name went nowhere (an unregistered name fell back to another policy without a word), callers' connections had no bound, and the stand-ins took times they had no use for.

The engine stand-in takes its prefill speed; tokenMillis and callMillis are gone.

Still without effect: none known in entry settings; raft and retention of a control host were not looked at.

--- a/elmline-cli/src/main/java/org/elmline/cli/role/StandinEngineCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/StandinEngineCommand.java
@@ -11,6 +11,7 @@
 /** Runs a model engine's stand-in. */
 @Command(name = "engine", description = "Runs a model engine's stand-in, which answers in made-up words.")
 final class StandinEngineCommand extends RoleCommand<StandinEngineSettings> {
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final Duration LEAVE_LIMIT = Duration.ofSeconds(30);
 
     StandinEngineCommand() {
@@ -29,6 +30,7 @@
                 .failureDomain(settings.failureDomain().value())
                 .profile(EngineProfile.builder()
                         .capacityKvTokens(settings.kvTokens())
+                        .prefillNanosPerToken((double) NANOS_PER_SECOND / settings.prefillTokensPerSecond())
                         .build())
                 .checksFencing(settings.checksFencing())
                 .port(settings.address().port())
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -240,7 +240,7 @@
         HttpLimits limits = new HttpLimits(
                 settings.limits().maxBodyBytes(),
                 settings.limits().maxHeaderBytes(),
-                settings.limits().maxConcurrentRequests(),
+                settings.limits().maxConnections(),
                 IDLE_MILLIS,
                 BODY_MILLIS);
         return HttpListener.start(address.ip(), address.port(), limits, handler);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpLimits.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpLimits.java
@@ -5,10 +5,10 @@
  *
  * @param maxBodyBytes longest body accepted
  * @param maxHeaderBytes longest request line and headers together
- * @param maxConcurrent requests handled at once; one more is refused
+ * @param maxConnections connections open at once; one more waits until another closes
  * @param idleMillis milliseconds after which an idle connection is closed
  * @param bodyMillis milliseconds that headers or a hanging body may take
  */
-public record HttpLimits(long maxBodyBytes, int maxHeaderBytes, int maxConcurrent, int idleMillis, int bodyMillis) {
-    public static final HttpLimits DEFAULT = new HttpLimits(64L * 1024 * 1024, 64 * 1024, 512, 60_000, 30_000);
+public record HttpLimits(long maxBodyBytes, int maxHeaderBytes, int maxConnections, int idleMillis, int bodyMillis) {
+    public static final HttpLimits DEFAULT = new HttpLimits(64L * 1024 * 1024, 64 * 1024, 1_024, 60_000, 30_000);
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
@@ -32,6 +32,8 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.bodyMillis())
                 .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
                 .setSocketOption(org.xnio.Options.READ_TIMEOUT, limits.bodyMillis())
+                .setSocketOption(org.xnio.Options.CONNECTION_HIGH_WATER, limits.maxConnections())
+                .setSocketOption(org.xnio.Options.CONNECTION_LOW_WATER, limits.maxConnections())
                 .setHandler(handler)
                 .build();
         server.start();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/settings/CombinationChecks.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/CombinationChecks.java
@@ -18,7 +18,8 @@
             new AddressCheck(),
             new ControlHostsCheck(),
             new OwnControlHostCheck(),
-            new KeysCheck());
+            new KeysCheck(),
+            new PolicyCheck());
 
     @Override
     public void check(ObjectNode settings, Consumer<Problem> problems) {
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/PolicyCheck.java
@@ -0,0 +1,22 @@
+package org.elmline.daemon.settings;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.elmline.core.placement.PlacementPolicies;
+
+/** The placement policy named is one that is registered in this program. */
+final class PolicyCheck implements CombinationCheck {
+    @Override
+    public void check(ObjectNode settings, Consumer<Problem> problems) {
+        JsonNode policy = settings.at("/placement/policy");
+        List<String> known = PlacementPolicies.names();
+        if (policy.isTextual() && !known.contains(policy.asText())) {
+            problems.accept(new Problem(
+                    "/placement/policy",
+                    "no policy " + policy.asText() + " is registered; there are " + String.join(", ", known)));
+        }
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/settings/StandinEngineSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/StandinEngineSettings.java
@@ -14,7 +14,6 @@
  * @param entries callers' addresses of entries, where it announces itself first
  * @param kvTokens memory for the KV cache, in tokens
  * @param prefillTokensPerSecond prompt tokens read in a second by an idle engine
- * @param tokenMillis time between the tokens of one stream on an idle engine, in milliseconds
  * @param checksFencing whether it refuses an order under an old fencing number
  */
 public record StandinEngineSettings(
@@ -29,7 +28,6 @@
         List<String> adapters,
         int kvTokens,
         int prefillTokensPerSecond,
-        double tokenMillis,
         boolean checksFencing,
         LogSettings log)
         implements Settings {
@@ -61,7 +59,6 @@
         builder.adapters = adapters;
         builder.kvTokens = kvTokens;
         builder.prefillTokensPerSecond = prefillTokensPerSecond;
-        builder.tokenMillis = tokenMillis;
         builder.checksFencing = checksFencing;
         builder.log = log;
         return builder;
@@ -78,9 +75,8 @@
         private ModelName model;
         private String version = "1";
         private List<String> adapters = List.of();
-        private int kvTokens = 400_000;
-        private int prefillTokensPerSecond = 20_000;
-        private double tokenMillis = 10.0;
+        private int kvTokens = 450_000;
+        private int prefillTokensPerSecond = 40_000;
         private boolean checksFencing = true;
         private LogSettings log = LogSettings.DEFAULT;
 
@@ -141,11 +137,6 @@
             return this;
         }
 
-        public Builder tokenMillis(double value) {
-            this.tokenMillis = value;
-            return this;
-        }
-
         public Builder checksFencing(boolean value) {
             this.checksFencing = value;
             return this;
@@ -169,7 +160,6 @@
                     adapters,
                     kvTokens,
                     prefillTokensPerSecond,
-                    tokenMillis,
                     checksFencing,
                     log);
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/settings/StandinServiceSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/StandinServiceSettings.java
@@ -12,7 +12,6 @@
  * Settings of a stand-in for a plain service.
  *
  * @param entries callers' addresses of entries, where it announces itself first
- * @param callMillis time one call takes, in milliseconds
  */
 public record StandinServiceSettings(
         BackendServerId id,
@@ -22,7 +21,6 @@
         List<Address> entries,
         Secret backendKey,
         ServiceName service,
-        int callMillis,
         LogSettings log)
         implements Settings {
     public StandinServiceSettings {
@@ -48,7 +46,6 @@
         builder.entries = entries;
         builder.backendKey = backendKey;
         builder.service = service;
-        builder.callMillis = callMillis;
         builder.log = log;
         return builder;
     }
@@ -62,7 +59,6 @@
         private List<Address> entries;
         private Secret backendKey;
         private ServiceName service;
-        private int callMillis = 5;
         private LogSettings log = LogSettings.DEFAULT;
 
         private Builder() {}
@@ -102,19 +98,13 @@
             return this;
         }
 
-        public Builder callMillis(int value) {
-            this.callMillis = value;
-            return this;
-        }
-
         public Builder log(LogSettings value) {
             this.log = value;
             return this;
         }
 
         public StandinServiceSettings build() {
-            return new StandinServiceSettings(
-                    id, region, failureDomain, address, entries, backendKey, service, callMillis, log);
+            return new StandinServiceSettings(id, region, failureDomain, address, entries, backendKey, service, log);
         }
     }
 }
--- a/elmline-daemon/src/test/java/org/elmline/daemon/settings/SettingsProblemsTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/settings/SettingsProblemsTest.java
@@ -25,7 +25,7 @@
     private static final Path FOLDER = Path.of("/etc/elmline");
     private static final int SCHEMA_CASES = 21;
     private static final int TIME_CASES = 6;
-    private static final int ADDRESS_AND_HOST_CASES = 15;
+    private static final int ADDRESS_AND_HOST_CASES = 16;
     private static final String CONTROL_LIST =
             """
             [{'host':'c1','peers':'10.0.0.1:7070','failureDomain':'a'},
@@ -85,7 +85,7 @@
                 .expect("/lease/leaseMillis", "integer expected"));
         cases.add(entry("share above one")
                 .set("/placement", "{'maxLongShare':1.5}")
-                .expect("/placement/maxLongShare", "maximum value of 1"));
+                .expect("/placement/maxLongShare", "maximum value of 0.99"));
         cases.add(entry("host missing").remove("/host").expect("/host", "missing"));
         cases.add(entry("host with a space").set("/host", "'e 1'").expect("/host", "1 to 128 letters"));
         cases.add(entry("host name for an IP")
@@ -101,7 +101,7 @@
                 .set("/addresses/callers", "'10.0.0.1:8080'")
                 .expect("/addresses/callers", "unknown key"));
         cases.add(engine("model missing").remove("/model").expect("/model", "missing"));
-        cases.add(service("negative time").set("/callMillis", "-1").expect("/callMillis", "minimum value of 0"));
+        cases.add(service("text for the address").set("/address", "9000").expect("/address", "string expected"));
         assertEquals(SCHEMA_CASES, cases.size());
         return cases.stream().map(Case::test);
     }
@@ -172,6 +172,9 @@
         cases.add(entry("key file missing")
                 .set("/keys/peerKey", "{'file':'no-such.key'}")
                 .expect("/keys/peerKey", "/etc/elmline/no-such.key cannot be read"));
+        cases.add(entry("unregistered policy")
+                .set("/placement", "{'policy':'best'}")
+                .expect("/placement/policy", "no policy best is registered; there are "));
         cases.add(engine("entry named twice")
                 .set("/entries", "['10.0.0.9:8080','10.0.0.9:8080']")
                 .expect("/entries/1", "also used by /entries/0"));
