--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/Policies.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/Policies.java
@@ -1,16 +1,32 @@
 package org.elmline.daemon.backend;
 
+import org.elmline.core.ledger.LedgerSettings;
 import org.elmline.core.placement.PlacementPolicies;
 import org.elmline.core.placement.PlacementPolicy;
 import org.elmline.daemon.settings.PlacementSettings;
 
-/** Makes the placement policy that the settings name. */
+/** Turns the settings of placement into the policy and the weights that they name. */
 public final class Policies {
     private Policies() {}
 
-    /** The settings were checked before, so a name that is not registered is a broken invariant. */
+    /** Fails, naming what there is, when no such policy is registered. */
     public static PlacementPolicy find(PlacementSettings settings) {
-        return PlacementPolicies.named(settings.policy(), settings.weights())
-                .orElseThrow(() -> new IllegalStateException("no placement policy " + settings.policy()));
+        return PlacementPolicies.named(settings.policy(), weights(settings))
+                .orElseThrow(() -> new IllegalArgumentException(
+                        "no placement policy " + settings.policy() + "; there are " + PlacementPolicies.names()));
+    }
+
+    /** The ledger predicts under the same weights as the policy. */
+    public static LedgerSettings ledger(PlacementSettings settings) {
+        return new LedgerSettings(weights(settings), LedgerSettings.DEFAULT.blockTokens());
+    }
+
+    private static org.elmline.core.placement.PlacementSettings weights(PlacementSettings settings) {
+        org.elmline.core.placement.PlacementSettings measured = org.elmline.core.placement.PlacementSettings.defaults();
+        return org.elmline.core.placement.PlacementSettings.builder()
+                .harmWeight(measured.harmWeight() * settings.shortSlowdownWeight())
+                .longStepSeconds(measured.longStepSeconds() * settings.shortSlowdownWeight())
+                .maxLongShare(settings.maxLongShare())
+                .build();
     }
 }
