--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/GroupExchange.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/GroupExchange.java
@@ -154,7 +154,7 @@
             run.imported();
             return Optional.empty();
         }
-        return Optional.of(failed("an engine could not import a segment"));
+        return Optional.of(failed("an engine could not import a segment: " + why(result)));
     }
 
     private Optional<Refusal> exportKv(GroupRun run, EngineClient engine, GroupStep.ExportKv step)
@@ -172,7 +172,7 @@
             run.exported(answered.value());
             return Optional.empty();
         }
-        return Optional.of(failed("an engine failed to read its segment"));
+        return Optional.of(failed("an engine failed to read its segment: " + why(result)));
     }
 
     private Optional<Refusal> answer(EngineClient engine, GroupStep.StreamAnswer step)
@@ -223,6 +223,13 @@
         return gateway.engines().client(grant.protocol(), grant.engine());
     }
 
+    private static String why(CallResult<?> result) {
+        if (result instanceof CallResult.NotSent<?> notSent) {
+            return notSent.why();
+        }
+        return result instanceof CallResult.Unknown<?> unknown ? unknown.why() : "it refused";
+    }
+
     private Refusal failed(String why) {
         if (remainingMillis() <= 0) {
             return expired();
