--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionsHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionsHandler.java
@@ -7,6 +7,7 @@
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
 import org.elmline.core.config.Model;
+import org.elmline.core.config.Organisation;
 import org.elmline.core.engine.PromptBlocks;
 import org.elmline.daemon.entry.SharedView;
 import org.elmline.daemon.http.Answers;
@@ -25,13 +26,16 @@
     private final SharedView view;
     private final BodyReader bodies;
     private final Gateway gateway;
+    private final LimitService limits;
 
-    public CompletionsHandler(ApiKind api, Gate gate, SharedView view, BodyReader bodies, Gateway gateway) {
+    public CompletionsHandler(
+            ApiKind api, Gate gate, SharedView view, BodyReader bodies, Gateway gateway, LimitService limits) {
         this.api = api;
         this.gate = gate;
         this.view = view;
         this.bodies = bodies;
         this.gateway = gateway;
+        this.limits = limits;
     }
 
     @Override
@@ -75,7 +79,21 @@
         CompletionWriter writer =
                 new CompletionWriter(request, call.id(), System.currentTimeMillis() / 1000, promptTokens);
         AnswerSink sink = request.stream() ? new StreamSink(exchange, writer) : new WholeSink(exchange, writer);
-        gateway.serve(new Work(call, request, promptTokens, maxOutput), sink);
+        serve(new Work(call, request, promptTokens, maxOutput), sink, exchange);
+    }
+
+    private void serve(Work work, AnswerSink sink, HttpServerExchange exchange) {
+        Organisation organisation = work.call().organisation();
+        Optional<Refusal> over = limits.admit(organisation, (long) work.promptTokens() + work.maxOutputTokens());
+        if (over.isPresent()) {
+            Answers.refuse(exchange, over.get());
+            return;
+        }
+        try {
+            gateway.serve(work, sink);
+        } finally {
+            limits.finished(organisation.id());
+        }
     }
 
     private static Optional<Refusal> unfit(CompletionRequest request, Model model, int promptTokens) {
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/LimitService.java
@@ -0,0 +1,143 @@
+package org.elmline.daemon.caller;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.elmline.core.common.CallResult;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.common.OrganisationId;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
+import org.elmline.core.config.Organisation;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.fairness.LimitAnswer;
+import org.elmline.core.fairness.LimitShares;
+import org.elmline.core.fairness.OrganisationLimits;
+import org.elmline.core.fairness.ShareAnswer;
+import org.elmline.core.fairness.ShareRequest;
+import org.elmline.core.peer.HandlerRegistry;
+import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.route.Ownership;
+import org.elmline.core.route.RouteChannels;
+import org.elmline.daemon.entry.HostIdentity;
+import org.elmline.daemon.entry.SharedView;
+import org.jboss.logging.Logger;
+
+/**
+ * Holds organisations to their limits over all entries: asks the entry that splits an organisation's limit for a share,
+ * and splits the limits that fall to this one.
+ */
+public final class LimitService {
+    private static final Logger LOG = Logger.getLogger(LimitService.class);
+    private static final long SHARE_MILLIS = 4_000;
+    private static final long RENEW_MILLIS = 250;
+    private static final Duration TIMEOUT = Duration.ofMillis(500);
+    private static final long REQUESTS_RETRY_MILLIS = 1_000;
+    private static final long TOKENS_RETRY_MILLIS = 5_000;
+
+    private final HostIdentity self;
+    private final SharedView view;
+    private final PeerNetwork network;
+    private final MonotonicClock clock;
+    private final OrganisationLimits limits;
+    private final LimitShares shares = new LimitShares(SHARE_MILLIS);
+    private final Counter refused;
+
+    public LimitService(
+            HostIdentity self, SharedView view, PeerNetwork network, MonotonicClock clock, MetricRegistry metrics) {
+        this.self = self;
+        this.view = view;
+        this.network = network;
+        this.clock = clock;
+        this.limits = new OrganisationLimits(self.host(), self.incarnation());
+        this.refused = metrics.counter("entry.limits.refused");
+    }
+
+    public void register(HandlerRegistry handlers) {
+        handlers.register(RouteChannels.LIMIT_SHARE, request -> CompletableFuture.completedFuture(split(request)));
+    }
+
+    public void start(ScheduledExecutorService timer) {
+        timer.scheduleWithFixedDelay(this::renew, RENEW_MILLIS, RENEW_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Admits a request, or says why not; {@link #finished} must follow an admission exactly once. May wait for a share
+     * on the calling worker, for at most half a second.
+     *
+     * @param tokens its prompt and longest answer
+     */
+    public Optional<Refusal> admit(Organisation organisation, long tokens) {
+        LimitAnswer answer = limits.admit(organisation, tokens, clock.nanos());
+        if (answer == LimitAnswer.NO_SHARE) {
+            askForShare(organisation.id()).join();
+            answer = limits.admit(organisation, tokens, clock.nanos());
+        }
+        return refusal(organisation, answer);
+    }
+
+    public void finished(OrganisationId organisation) {
+        limits.finished(organisation);
+    }
+
+    private Optional<Refusal> refusal(Organisation organisation, LimitAnswer answer) {
+        if (answer == LimitAnswer.ADMITTED) {
+            return Optional.empty();
+        }
+        refused.inc();
+        String who = "organisation " + organisation.id();
+        return Optional.of(
+                switch (answer) {
+                    case TOO_MANY_TOKENS -> Refusal.comeBack(
+                            RefusalReason.OVER_LIMIT,
+                            who + " is over its " + organisation.maxTokensPerMinute() + " tokens a minute",
+                            TOKENS_RETRY_MILLIS);
+                    case TOO_MANY_REQUESTS -> Refusal.comeBack(
+                            RefusalReason.OVER_LIMIT,
+                            who + " is over its " + organisation.maxConcurrentRequests() + " requests at once",
+                            REQUESTS_RETRY_MILLIS);
+                    default -> Refusal.comeBack(
+                            RefusalReason.OVER_LIMIT,
+                            "the share of " + who + " can't be learnt now",
+                            REQUESTS_RETRY_MILLIS);
+                });
+    }
+
+    private void renew() {
+        try {
+            shares.expire(clock.nanos());
+            limits.renewals(clock.nanos()).forEach(this::askForShare);
+        } catch (RuntimeException e) {
+            LOG.error("renewing shares of limits failed; it is tried again", e);
+        }
+    }
+
+    private CompletableFuture<Void> askForShare(OrganisationId organisation) {
+        long asked = clock.nanos();
+        ShareRequest request = limits.shareRequest(organisation, asked);
+        Optional<HostRecord> splitter = new Ownership(view.members().hosts()).splitter(organisation);
+        if (splitter.isEmpty() || splitter.get().id().equals(self.host())) {
+            limits.granted(split(request), asked, clock.nanos());
+            return CompletableFuture.completedFuture(null);
+        }
+        return network.call(splitter.get().peers(), RouteChannels.LIMIT_SHARE, request, TIMEOUT)
+                .thenAccept(result -> {
+                    if (result instanceof CallResult.Answered<ShareAnswer> answered) {
+                        limits.granted(answered.value(), asked, clock.nanos());
+                    }
+                });
+    }
+
+    /** An organisation this entry doesn't know yet gets nothing; its entry asks again. */
+    private ShareAnswer split(ShareRequest request) {
+        return view.configuration()
+                .organisation(request.organisation())
+                .map(known -> shares.renew(known, request, clock.nanos()))
+                .orElseGet(() -> new ShareAnswer(request.organisation(), 0, 0, 0));
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -41,6 +41,7 @@
 import org.elmline.daemon.caller.Gate;
 import org.elmline.daemon.caller.Gateway;
 import org.elmline.daemon.caller.GrantBook;
+import org.elmline.daemon.caller.LimitService;
 import org.elmline.daemon.caller.ModelsHandler;
 import org.elmline.daemon.caller.Placer;
 import org.elmline.daemon.component.DaggerProcessComponent;
@@ -201,11 +202,19 @@
         Placer placer = new Placer(self, view, clock, network, service, table, grants, metrics);
         Gateway gateway = new Gateway(self, clock, placer, grants, engines, cancels, events, metrics);
         ServiceGateway services = closer.register(new ServiceGateway(clock, table, control, metrics));
-        openCallers(view, service, gateway, services, bodies);
+        LimitService limits = new LimitService(self, view, network, clock, metrics);
+        limits.register(channels);
+        limits.start(workers.timer());
+        openCallers(view, service, gateway, services, limits, bodies);
     }
 
     private void openCallers(
-            SharedView view, OwnerService service, Gateway gateway, ServiceGateway services, BodyReader bodies) {
+            SharedView view,
+            OwnerService service,
+            Gateway gateway,
+            ServiceGateway services,
+            LimitService limits,
+            BodyReader bodies) {
         List<String> backendKeys =
                 settings.keys().backendKeys().stream().map(Secret::value).toList();
         int keepSeconds = settings.callers().keepSeconds();
@@ -213,8 +222,10 @@
         callerRoutes
                 .get("/v1/entry-hosts", new EntryHostsHandler(view, self.region(), keepSeconds))
                 .get("/v1/models", new ModelsHandler(gate, view))
-                .post("/v1/completions", new CompletionsHandler(ApiKind.COMPLETIONS, gate, view, bodies, gateway))
-                .post("/v1/chat/completions", new CompletionsHandler(ApiKind.CHAT, gate, view, bodies, gateway))
+                .post(
+                        "/v1/completions",
+                        new CompletionsHandler(ApiKind.COMPLETIONS, gate, view, bodies, gateway, limits))
+                .post("/v1/chat/completions", new CompletionsHandler(ApiKind.CHAT, gate, view, bodies, gateway, limits))
                 .post("/v1/idempotency-keys", new IdempotencyKeysHandler(gate))
                 .post("/v1/backend-servers/announce", new AnnounceHandler(backendKeys, bodies, service));
         for (String method : List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")) {
