--- a/elmline-core/src/main/java/org/elmline/core/ledger/Ledger.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/Ledger.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 import org.elmline.core.backend.Announcement;
@@ -158,6 +159,12 @@
         return found;
     }
 
+    public void forEachGrant(Consumer<Grant> visitor) {
+        for (EngineLedger engine : engines.values()) {
+            engine.entries().forEach(each -> visitor.accept(each.grant()));
+        }
+    }
+
     /** Grants whose deadline passed more than {@code graceNanos} ago: their entry should have released them. */
     public List<Grant> overdue(long now, long graceNanos) {
         List<Grant> found = new ArrayList<>();
--- a/elmline-core/src/main/java/org/elmline/core/ledger/LedgerEntry.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/LedgerEntry.java
@@ -8,7 +8,7 @@
 
 /** One open grant on one engine. Changed by its {@link EngineLedger} only. */
 final class LedgerEntry {
-    private final Grant grant;
+    private Grant grant;
     private final LengthClass lengthClass;
     private final List<Long> prefixHashes;
     private final long cost;
@@ -31,7 +31,7 @@
     }
 
     Grant grant() {
-        return grant.awaitingFirstToken() && read ? grant.started() : grant;
+        return grant;
     }
 
     LengthClass lengthClass() {
@@ -88,5 +88,6 @@
     void finishReading() {
         awaitingFirstToken = false;
         read = true;
+        grant = grant.started();
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -76,6 +78,7 @@
     private final Map<AttemptId, ModelName> waiting = new HashMap<>();
     private final List<Decided> undelivered = new ArrayList<>();
     private final CancelQueue cancels = new CancelQueue();
+    private final GoneHosts goneHosts;
     private final StrayFinder strays;
     private final Audits audits = new Audits();
     private Configuration configuration = Configuration.EMPTY;
@@ -98,6 +101,7 @@
         this.settings = settings;
         this.servers = new ServerTable(settings.leaseMillis());
         this.ledger = new Ledger(settings.ledger());
+        this.goneHosts = new GoneHosts(settings.strayGraceMillis() * NANOS_PER_MILLI);
         this.strays = new StrayFinder(settings.strayGraceMillis() * NANOS_PER_MILLI);
     }
 
@@ -112,12 +116,12 @@
         configuration = next;
     }
 
-    /** The live entries. Grants of a host that is no longer among them are cancelled on their engines and freed. */
+    /** The live entries. Grants of a host that stays missing are cancelled on their engines, then freed. */
     public synchronized void members(Collection<HostRecord> members, long now) {
         ownership = new Ownership(members);
         hosts = new LiveHosts(members);
         membersKnown = true;
-        reclaim(ledger.grants(grant -> hosts.gone(grant.host(), grant.incarnation())), now);
+        reclaimGone(now);
     }
 
     /** Refuses new work from now on; open grants go on. */
@@ -200,6 +204,7 @@
         ledger.check(now);
         long grace = settings.reclaimGraceMillis() * NANOS_PER_MILLI;
         reclaim(ledger.overdue(now, grace), now);
+        reclaimGone(now);
         forgetLostEngines(now, 2 * grace);
         for (AttemptId each : deadlines.expire(now)) {
             placers.get(waiting.get(each)).expire(each, now);
@@ -377,6 +382,21 @@
         return released.isPresent();
     }
 
+    private Set<GoneHosts.Start> holders() {
+        Set<GoneHosts.Start> holders = new HashSet<>();
+        ledger.forEachGrant(grant -> holders.add(new GoneHosts.Start(grant.host(), grant.incarnation())));
+        return holders;
+    }
+
+    private void reclaimGone(long now) {
+        if (membersKnown) {
+            goneHosts.look(holders(), hosts, now);
+            if (goneHosts.any()) {
+                reclaim(ledger.grants(goneHosts::includes), now);
+            }
+        }
+    }
+
     /** Their memory stays reserved until the engine has acknowledged the cancel. */
     private void reclaim(List<Grant> grants, long now) {
         for (Grant each : grants) {
--- a/elmline-core/src/test/java/org/elmline/core/owner/HandOverTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/owner/HandOverTest.java
@@ -90,6 +90,21 @@
         assertEquals(CAPACITY, after.freeTokens());
     }
 
+    /**
+     * A gateway restarts and places a request before this owner's member list shows its new start; then a change of some
+     * other host brings a list that still lacks it. Its stream must not be cancelled: the next list has it.
+     */
+    @Test
+    void grantsOfAnEntryThatTheListLacksForAMomentStay() {
+        granted(before, 9_900);
+        before.owner.members(List.of(OwnerFixture.host("owner", "a")), before.now);
+        before.advance(1_000);
+        assertEquals(List.of(), before.owner.cancels(before.now));
+        before.owner.members(List.of(OwnerFixture.host("owner", "a"), OwnerFixture.host("gateway", "b")), before.now);
+        before.advanceWithBeats(6_000, 1, CAPACITY);
+        assertEquals(List.of(), before.owner.cancels(before.now));
+    }
+
     /** The gateway froze past its request's deadline. Its grant must not hold memory for as long as it sleeps. */
     @Test
     void grantsOfASilentEntryAreReclaimedAfterTheDeadline() {
