Leave every entry a part of an organisation's limit

Cause: while an organisation wanted less than its limit, the first entry that asked was given all of it, and every other entry refused the organisation's callers until the first renewed. Change: a share is what is wanted and an even part of the rest over the live entries. Shares still never sum to more than the limit.

--- a/elmline-core/src/main/java/org/elmline/core/fairness/LimitShares.java
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/LimitShares.java
@@ -26,8 +26,12 @@
         this.leaseMillis = leaseMillis;
     }
 
-    /** Grants or renews a share. */
-    public synchronized ShareAnswer renew(Organisation organisation, ShareRequest request, long now) {
+    /**
+     * Grants or renews a share.
+     *
+     * @param entries live entries that may ask
+     */
+    public synchronized ShareAnswer renew(Organisation organisation, ShareRequest request, int entries, long now) {
         Map<HostId, Share> held = shares.computeIfAbsent(organisation.id(), id -> new HashMap<>());
         held.values().removeIf(each -> now - each.until >= 0);
         held.remove(request.host());
@@ -36,12 +40,14 @@
         share.wantedTokens = request.tokensPerMinute();
         share.until = now + leaseMillis * NANOS_PER_MILLI;
         share.requests = split(
+                entries,
                 organisation.maxConcurrentRequests(),
                 request.inFlight(),
                 share.wantedRequests,
                 held.values().stream().mapToLong(each -> each.wantedRequests).sum(),
                 held.values().stream().mapToLong(each -> each.requests).sum());
         share.tokens = split(
+                entries,
                 organisation.maxTokensPerMinute(),
                 0,
                 share.wantedTokens,
@@ -67,10 +73,15 @@
         return shares.size();
     }
 
-    /** In proportion to what is wanted while that is more than the limit; never more than the others leave. */
-    private static long split(long limit, long inUse, long wanted, long wantedByOthers, long heldByOthers) {
+    /**
+     * What is wanted and an even part of the rest; in proportion to what is wanted while that is more than the limit;
+     * never more than the others leave. The rest isn't given whole to whoever asks first: all others would have to refuse
+     * until that entry renews.
+     */
+    private static long split(
+            int entries, long limit, long inUse, long wanted, long wantedByOthers, long heldByOthers) {
         long all = wanted + wantedByOthers;
-        long fair = all <= limit ? limit - wantedByOthers : (long) ((double) limit * wanted / all);
+        long fair = all <= limit ? wanted + (limit - all) / entries : (long) ((double) limit * wanted / all);
         // What runs can't be taken back; and a limit of few requests must be usable on whichever entry is called.
         long least = Math.max(inUse, Math.min(1, limit));
         return Math.max(0, Math.min(Math.max(fair, least), limit - heldByOthers));
--- a/elmline-core/src/test/java/org/elmline/core/fairness/FairnessTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/fairness/FairnessTest.java
@@ -196,7 +196,7 @@
                     use,
                     use + random.nextInt(20),
                     random.nextInt(100_000));
-            held.put(entry, shares.renew(organisation, request, now));
+            held.put(entry, shares.renew(organisation, request, 18, now));
             until.put(entry, now + 2 * SECOND);
             assertTrue(held.get(entry).maxRequests() >= use, "what runs can't be taken back");
             long time = now;
@@ -216,13 +216,32 @@
         Organisation organisation = organisation(10, 0);
         LimitShares shares = new LimitShares(2_000);
         assertEquals(
-                10, shares.renew(organisation, ask("a", organisation, 0, 20), 0).maxRequests());
+                10,
+                shares.renew(organisation, ask("a", organisation, 0, 20), 18, 0).maxRequests());
         assertEquals(
-                0, shares.renew(organisation, ask("b", organisation, 0, 20), 1).maxRequests());
+                0,
+                shares.renew(organisation, ask("b", organisation, 0, 20), 18, 1).maxRequests());
         assertEquals(
-                5, shares.renew(organisation, ask("a", organisation, 2, 20), 2).maxRequests());
+                5,
+                shares.renew(organisation, ask("a", organisation, 2, 20), 18, 2).maxRequests());
         assertEquals(
-                5, shares.renew(organisation, ask("b", organisation, 0, 20), 3).maxRequests());
+                5,
+                shares.renew(organisation, ask("b", organisation, 0, 20), 18, 3).maxRequests());
+    }
+
+    /**
+     * An organisation far below its limit calls many entries one after another. The first must not take the whole limit:
+     * each later entry would refuse the caller until the first renews.
+     */
+    @Test
+    void everyEntryGetsAPartOfWhatIsSpare() {
+        Organisation organisation = organisation(40, 180_000);
+        LimitShares shares = new LimitShares(2_000);
+        for (int entry = 0; entry < 18; entry++) {
+            ShareAnswer answer = shares.renew(organisation, ask("entry-" + entry, organisation, 0, 1), 18, entry);
+            assertTrue(answer.maxRequests() >= 2, "entry " + entry + " got " + answer);
+            assertTrue(answer.maxTokensPerMinute() >= 10_000, "entry " + entry + " got " + answer);
+        }
     }
 
     /** Over any minute an entry admits at most its share, ten seconds' worth of it, and one request. */
