Put name and role on every log line again

Failure: lines of a real deployment carried neither host nor role and ignored log.level, since reading the settings had moved and the call that applies them to the logs was lost on the way.

Failed first: the test found no host (expected s7, was null); it passes now.

--- a/elmline-cli/src/main/java/org/elmline/cli/role/RoleCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/RoleCommand.java
@@ -7,6 +7,7 @@
 
 import org.elmline.cli.ExitCode;
 import org.elmline.cli.ExitingCommand;
+import org.elmline.cli.log.Logs;
 import org.elmline.daemon.settings.Settings;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -34,6 +35,7 @@
         if (settings.isEmpty()) {
             return ExitCode.INVALID;
         }
+        Logs.apply(settings.get());
         run(start(settings.get()), spec.commandLine().getOut());
         return ExitCode.OK;
     }
--- /dev/null
+++ b/elmline-cli/src/test/java/org/elmline/cli/role/RoleCommandTest.java
@@ -0,0 +1,60 @@
+package org.elmline.cli.role;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import org.elmline.cli.ExitCode;
+import org.elmline.cli.Main;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.slf4j.LoggerFactory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class RoleCommandTest {
+    @TempDir
+    Path folder;
+
+    private final LoggerContext logs = (LoggerContext) LoggerFactory.getILoggerFactory();
+
+    @AfterEach
+    void resetLogs() {
+        own().setLevel(Level.INFO);
+        logs.putProperty("host", "");
+        logs.putProperty("role", "");
+    }
+
+    /**
+     * Two processes of one host are given the same port; the second can't start. The operator finds its log lines
+     * among those of many hosts by the name and role from its settings, which are on every line from the first on, and
+     * at the level that the settings ask for.
+     */
+    @Test
+    void linesCarryNameRoleAndLevelOfTheSettingsBeforeAnythingOpens() throws IOException {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Path settings = Files.writeString(
+                    folder.resolve("service.json"),
+                    """
+                    {"role":"standin-service","id":"s7","region":"r","failureDomain":"a","address":"127.0.0.1:%d",
+                     "entries":["127.0.0.1:1"],"backendKey":"backend-key-0123456789","service":"booking",
+                     "log":{"level":"ERROR"}}"""
+                            .formatted(taken.getLocalPort()));
+            int code = Main.commandLine().execute("standin", "service", "--settings", settings.toString());
+            assertEquals(ExitCode.FAILED.code(), code);
+        }
+        assertEquals("s7", logs.getProperty("host"));
+        assertEquals("standin-service", logs.getProperty("role"));
+        assertEquals(Level.ERROR, own().getLevel());
+    }
+
+    private Logger own() {
+        return logs.getLogger("org.elmline");
+    }
+}
