Prove entries, engines and stops under kills and freezes with real processes

Four tests start seven processes each: an entry frozen amid a seat hold and a retry on the other entry hold one seat; a killed entry's streams are gone from the engines; a killed engine's answer goes on elsewhere, exact; each process stops under load and cuts none of twelve answers.

--- a/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
@@ -158,6 +158,7 @@
                 .region(REGION.value())
                 .failureDomain(domain(number).value())
                 .timeScale(plan.timeScale)
+                .checksFencing(number < plan.engines - plan.carelessEngines)
                 .profile(EngineProfile.builder()
                         .capacityKvTokens(plan.engineKvTokens)
                         .build())
@@ -233,6 +234,7 @@
         private int controlHosts = 1;
         private int entries = 1;
         private int engines = 1;
+        private int carelessEngines;
         private int callerPort;
         private int operatorPort;
         private int keepSeconds = CallerSettings.DEFAULT.keepSeconds();
@@ -257,6 +259,12 @@
             return this;
         }
 
+        /** How many of the engines, the last ones, ignore fencing numbers. */
+        public Builder carelessEngines(int value) {
+            carelessEngines = value;
+            return this;
+        }
+
         /** Port of the first entry for callers; 0 takes a free one. */
         public Builder callerPort(int value) {
             callerPort = value;
--- /dev/null
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
@@ -0,0 +1,157 @@
+package org.elmline.cli.process;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.elmline.core.common.ModelName;
+import org.elmline.standin.AnswerText;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Entries, engines and services as real processes that are killed, frozen and stopped while they serve. */
+class EntryFailureTest {
+    private static final int LONG_ANSWER = 300;
+
+    @TempDir
+    Path folder;
+
+    private ProcessDeployment deployment;
+
+    @BeforeEach
+    void start() throws Exception {
+        deployment = new ProcessDeployment(folder);
+        deployment.start();
+    }
+
+    @AfterEach
+    void stop() {
+        deployment.close();
+    }
+
+    /**
+     * A guide holds a seat through an entry that freezes before the service has answered. The guide's client retries on
+     * the other entry under the same key. It must hear "may have run", and when the frozen entry wakes the seat is held
+     * once: the claim was committed before the call was sent, so the second entry sends nothing.
+     */
+    @Test
+    void aFrozenEntryAndARetryHoldOneSeat() throws Exception {
+        Client caller = deployment.caller;
+        String key = caller.post(deployment.entries.get(0).ready("caller") + "/v1/idempotency-keys", "")
+                .json()
+                .path("key")
+                .asText();
+        caller.put(deployment.service.ready("service") + "/standin/faults", "{\"delayMillis\":3000}");
+        CompletableFuture<Client.Reply> first = holdLater(0, key);
+        Client.await("the claim is committed", () -> hold(1, key).status() == 409);
+        deployment.entries.get(0).freeze();
+        Thread.sleep(5_000);
+        Client.Reply retry = hold(1, key);
+        assertEquals(409, retry.status(), retry.body());
+        assertEquals("unknown", retry.json().path("error").path("ran").asText());
+        deployment.entries.get(0).thaw();
+        first.handle((reply, failure) -> reply).get();
+        assertEquals(1, runs(key));
+    }
+
+    /** An entry is killed with long answers in flight: within seconds the engines hold nothing for them. */
+    @Test
+    void aKilledEntryLeavesNoMemoryTaken() throws Exception {
+        List<CompletableFuture<Client.Stream>> lost = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            lost.add(deployment.stream(0, "orphan " + i, 4000));
+        }
+        Client.await("four open streams", () -> deployment.openStreams() == 4);
+        deployment.entries.get(0).kill();
+        Client.await("no open streams", () -> deployment.openStreams() == 0);
+        assertEquals(4, lost.size());
+    }
+
+    /** An engine is killed amid an answer: the caller gets the exact answer, continued on the other engine. */
+    @Test
+    void aKilledEngineDoesNotBreakAnAnswer() throws Exception {
+        CompletableFuture<Client.Stream> answer = deployment.stream(0, "killed engine", LONG_ANSWER);
+        Client.await("an open stream", () -> deployment.openStreams() == 1);
+        for (ElmlineProcess each : deployment.engines) {
+            if (deployment
+                            .caller
+                            .get(each.ready("engine") + "/v1/streams")
+                            .json()
+                            .size()
+                    == 1) {
+                each.kill();
+                break;
+            }
+        }
+        assertExact("killed engine", answer.get());
+    }
+
+    /** Each process in turn is asked to stop while answers stream: no answer is cut, and the process ends. */
+    @Test
+    void aStopInterruptsNoAnswer() throws Exception {
+        int whole = 0;
+        for (ElmlineProcess stopping :
+                List.of(deployment.engines.get(0), deployment.control, deployment.entries.get(1))) {
+            List<CompletableFuture<Client.Stream>> answers = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                answers.add(deployment.stream(i % 2, "stop " + i, LONG_ANSWER));
+            }
+            Client.await("open streams", () -> deployment.openStreams() == 4);
+            stopping.terminate();
+            for (int i = 0; i < 4; i++) {
+                assertExact("stop " + i, answers.get(i).get());
+                whole++;
+            }
+            assertTrue(stopping.waitForEnd(), "it did not end");
+        }
+        assertEquals(12, whole);
+    }
+
+    private CompletableFuture<Client.Reply> holdLater(int entry, String key) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return hold(entry, key);
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+    }
+
+    private Client.Reply hold(int entry, String key) throws IOException {
+        return deployment.caller.send(new Request.Builder()
+                .url(deployment.service(entry, "seats/s1/hold"))
+                .header("Idempotency-Key", key)
+                .post(RequestBody.create("{}", MediaType.get("application/json"))));
+    }
+
+    private int runs(String key) throws IOException {
+        int runs = 0;
+        for (com.fasterxml.jackson.databind.JsonNode each : deployment
+                .caller
+                .get(deployment.service.ready("service") + "/runs")
+                .json()
+                .path("runs")) {
+            runs += each.path("idempotencyKey").asText().equals(key)
+                    ? each.path("count").asInt()
+                    : 0;
+        }
+        return runs;
+    }
+
+    private static void assertExact(String prompt, Client.Stream stream) {
+        String whole = AnswerText.of(ModelName.of("elm-small"), "", prompt, LONG_ANSWER)
+                .text();
+        assertEquals(whole, stream.text());
+        assertTrue(stream.done(), "the end mark is missing");
+    }
+}
--- a/elmline-cli/src/test/java/org/elmline/cli/process/SettingsFiles.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/SettingsFiles.java
@@ -37,6 +37,7 @@
                 {"role":"entry","host":"%s","region":"local","failureDomain":"%s",
                  "addresses":{"callers":"127.0.0.1:0","operators":"127.0.0.1:0","peers":"127.0.0.1:0"},
                  "control":%s,
+                 "callers":{"keepSeconds":2},
                  "keys":{"peerKey":"%s","operatorKeys":["%s"],"backendKeys":["%s"]}}
                 """
                         .formatted(host, domain, json(seats), PEER_KEY, OPERATOR_KEY, BACKEND_KEY));
--- a/elmline-standin/src/main/java/org/elmline/standin/engine/EngineServer.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineServer.java
@@ -100,6 +100,11 @@
                 leaving || !state.ready());
     }
 
+    /** What it serves now. */
+    public EngineState state() {
+        return engine.state();
+    }
+
     /** Announces that it is leaving, waits for open streams up to the limit, and closes; true when none was cut. */
     public boolean leave(Duration limit) throws InterruptedException {
         leaving = true;
