Let an order fit into the leader's lease

Cause: an order's time limit was 1,000 ms by default and the leader's lease is 90 % of the election timeout, 900 ms, so every order was held back for want of lease. Ruled out: the engines' reports (they arrived) and the ready floor. Change: the time limit is a quarter of the lease; held orders are counted by reason. Before: no order in 60 s. After: both engines serve the new version, one after the other, with one always ready; the test passes in 17.2 s.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/OrderService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/OrderService.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -18,6 +20,7 @@
 import org.elmline.core.config.BackendRole;
 import org.elmline.core.config.Configuration;
 import org.elmline.core.control.EngineObservation;
+import org.elmline.core.control.HoldReason;
 import org.elmline.core.control.Leadership;
 import org.elmline.core.control.Member;
 import org.elmline.core.control.ObserveAnswer;
@@ -42,6 +45,8 @@
     private static final Logger LOG = Logger.getLogger(OrderService.class);
     private static final long ROUND_MILLIS = 1_000;
     private static final Duration OBSERVE_TIMEOUT = Duration.ofSeconds(4);
+    /** Parts of a leader's lease: an order must be over well inside it, and it is held back where less than this is left. */
+    private static final int LEASE_PARTS = 4;
 
     private final LeaderWatch watch;
     private final CommandLog log;
@@ -53,6 +58,7 @@
     private final Counter sent;
     private final Counter stale;
     private final Map<BackendServerId, Observed> observed = new HashMap<>();
+    private final AtomicReference<List<OrderPlan.Held>> held = new AtomicReference<>(List.of());
     private FencingNumber fencing;
     private OrderPlanner planner;
 
@@ -78,6 +84,10 @@
         this.leaderLease = leaderLease;
         this.sent = metrics.counter("control.orders.sent");
         this.stale = metrics.counter("control.orders.stale");
+        for (HoldReason reason : HoldReason.values()) {
+            String name = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            metrics.gauge("control.orders.held." + name, () -> () -> held(reason));
+        }
     }
 
     void start(ScheduledExecutorService timer) {
@@ -101,13 +111,28 @@
         synchronized (this) {
             if (!current.get().equals(fencing)) {
                 fencing = current.get();
-                planner = new OrderPlanner(
-                        OrderSettings.DEFAULT, new Leadership(fencing, clock.nanos(), leaderLease.toNanos()));
+                planner = new OrderPlanner(settings(), new Leadership(fencing, clock.nanos(), leaderLease.toNanos()));
                 observed.clear();
             }
         }
         observe(current.get());
-        plan(configuration).orders().forEach(this::send);
+        OrderPlan plan = plan(configuration);
+        held.set(plan.held());
+        plan.orders().forEach(this::send);
+    }
+
+    private OrderSettings settings() {
+        OrderSettings standard = OrderSettings.DEFAULT;
+        return new OrderSettings(
+                Math.max(1, leaderLease.toMillis() / LEASE_PARTS),
+                standard.repeatMillis(),
+                standard.freshMillis(),
+                standard.loadsPerMinute(),
+                standard.loadBurst());
+    }
+
+    private long held(HoldReason reason) {
+        return held.get().stream().filter(each -> each.reason() == reason).count();
     }
 
     private static boolean hasRoles(Configuration configuration) {
