--- a/elmline-bench/src/main/java/org/elmline/bench/control/ApplyCostExperiment.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/control/ApplyCostExperiment.java
@@ -18,8 +18,9 @@
 
     /** Microseconds for one ticket on a state of this many objects. */
     public Spread ticketMicros(int objects) {
+        byte[] snapshot = Codecs.MESSAGE_PACK.encode(samples.stateOf(objects).snapshot());
         return Spread.of(() -> {
-            ControlState state = samples.stateOf(objects);
+            ControlState state = Decoding.restore(snapshot);
             List<byte[]> log = new ArrayList<>();
             for (int i = 0; i < TICKETS; i++) {
                 log.add(Codecs.MESSAGE_PACK.encode(samples.object(objects + i + 1L, 1 + i % (objects - 1))));
--- a/elmline-bench/src/main/java/org/elmline/bench/control/Decoding.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/control/Decoding.java
@@ -1,5 +1,7 @@
 package org.elmline.bench.control;
 
+import org.elmline.core.control.ControlSnapshot;
+import org.elmline.core.control.ControlState;
 import org.elmline.wire.codec.Codecs;
 import org.elmline.wire.codec.Decoded;
 
@@ -13,4 +15,8 @@
         }
         throw new IllegalStateException("a " + type.getSimpleName() + " can't be read back");
     }
+
+    static ControlState restore(byte[] snapshot) {
+        return ControlState.restore(require(snapshot, ControlSnapshot.class));
+    }
 }
--- a/elmline-core/src/main/java/org/elmline/core/control/ControlLimits.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/ControlLimits.java
@@ -18,7 +18,7 @@
         long claimRetentionMillis,
         int recordedBodyBytes,
         int endedHosts) {
-    public static final ControlLimits DEFAULT = new ControlLimits(20_000, 100_000, 20_000, 3_600_000, 4_096, 2_000);
+    public static final ControlLimits DEFAULT = new ControlLimits(20_000, 30_000, 10_000, 3_600_000, 2_048, 2_000);
 
     public ControlLimits {
         if (ticketRecords < 1 || claims < 1 || claimsPerOrganisation < 1 || endedHosts < 1) {
