--- a/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/local/LocalDeployment.java
@@ -40,6 +40,7 @@
 import org.elmline.daemon.settings.ListenAddress;
 import org.elmline.daemon.settings.Secret;
 import org.elmline.standin.engine.EngineServer;
+import org.elmline.standin.model.EngineProfile;
 import org.elmline.standin.service.ServiceServer;
 
 /**
@@ -55,6 +56,7 @@
     private static final long PAUSE_MILLIS = 20;
     private static final int MAX_PROMPT_TOKENS = 1_000_000;
     private static final int MAX_OUTPUT_TOKENS = 4_096;
+    private static final long DEFAULT_KV_TOKENS = 500_000;
     private static final int SERVICE_MILLIS = 10_000;
 
     private final Closer closer = new Closer();
@@ -156,6 +158,10 @@
                 .region(REGION.value())
                 .failureDomain(domain(number).value())
                 .timeScale(plan.timeScale)
+                .checksFencing(number < plan.engines - plan.carelessEngines)
+                .profile(EngineProfile.builder()
+                        .capacityKvTokens(plan.engineKvTokens)
+                        .build())
                 .backendKey(keys.backend());
         entries.forEach(each -> builder.announceTo(each.callers()));
         return builder.start();
@@ -228,10 +234,12 @@
         private int controlHosts = 1;
         private int entries = 1;
         private int engines = 1;
+        private int carelessEngines;
         private int callerPort;
         private int operatorPort;
         private int keepSeconds = CallerSettings.DEFAULT.keepSeconds();
         private double timeScale = 1;
+        private long engineKvTokens = DEFAULT_KV_TOKENS;
         private Path dataFolder;
 
         private Builder() {}
@@ -251,6 +259,12 @@
             return this;
         }
 
+        /** How many of the engines, the last ones, ignore fencing numbers. */
+        public Builder carelessEngines(int value) {
+            carelessEngines = value;
+            return this;
+        }
+
         /** Port of the first entry for callers; 0 takes a free one. */
         public Builder callerPort(int value) {
             callerPort = value;
@@ -275,6 +289,12 @@
             return this;
         }
 
+        /** KV memory of each engine, in tokens. */
+        public Builder engineKvTokens(long value) {
+            engineKvTokens = value;
+            return this;
+        }
+
         /** Where the control hosts keep their state; a new temporary folder when not said. */
         public Builder dataFolder(Path value) {
             dataFolder = value;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
@@ -40,6 +41,7 @@
 import org.elmline.daemon.caller.Gate;
 import org.elmline.daemon.caller.Gateway;
 import org.elmline.daemon.caller.GrantBook;
+import org.elmline.daemon.caller.LimitService;
 import org.elmline.daemon.caller.ModelsHandler;
 import org.elmline.daemon.caller.Placer;
 import org.elmline.daemon.component.DaggerProcessComponent;
@@ -182,28 +184,37 @@
         owner = new Owner(record, Policies.find(settings.placement()), new Random(), ownerSettings);
         OwnerTable table = new OwnerTable(record, OwnerTableSettings.DEFAULT);
         view.onMembers(() -> table.members(view.members().hosts()));
-        OwnerService service = new OwnerService(self, owner, view, network, clock);
+        OwnerService service = new OwnerService(self, owner, table, view, network, clock);
         service.register(channels);
         channels.register(
                 RouteChannels.SUMMARY,
-                summary ->
-                        java.util.concurrent.CompletableFuture.completedFuture(table.accept(summary, clock.nanos())));
+                summary -> CompletableFuture.completedFuture(table.accept(summary, clock.nanos())));
         new EngineObserver(owner, engines).register(channels);
         new OwnerDuties(owner, service, engines, clock).start(workers.timer());
         SummarySchedule schedule = new SummarySchedule(record, SUMMARY_BEAT_MILLIS, SUMMARY_BYTES_PER_SECOND);
         new SummarySender(owner, table, schedule, view, network, clock, metrics).start(workers.timer());
         GrantBook grants = new GrantBook(self, view, clock, network, service, table, metrics);
+        service.localAudit(grants::audit);
+        channels.register(RouteChannels.AUDIT, request -> CompletableFuture.completedFuture(grants.audit(request)));
         grants.start(workers.timer());
         EngineCancels cancels = new EngineCancels(engines, table, grants, clock, metrics);
         cancels.start(workers.timer());
         Placer placer = new Placer(self, view, clock, network, service, table, grants, metrics);
         Gateway gateway = new Gateway(self, clock, placer, grants, engines, cancels, events, metrics);
         ServiceGateway services = closer.register(new ServiceGateway(clock, table, control, metrics));
-        openCallers(view, service, gateway, services, bodies);
+        LimitService limits = new LimitService(self, view, network, clock, metrics);
+        limits.register(channels);
+        limits.start(workers.timer());
+        openCallers(view, service, gateway, services, limits, bodies);
     }
 
     private void openCallers(
-            SharedView view, OwnerService service, Gateway gateway, ServiceGateway services, BodyReader bodies) {
+            SharedView view,
+            OwnerService service,
+            Gateway gateway,
+            ServiceGateway services,
+            LimitService limits,
+            BodyReader bodies) {
         List<String> backendKeys =
                 settings.keys().backendKeys().stream().map(Secret::value).toList();
         int keepSeconds = settings.callers().keepSeconds();
@@ -211,8 +222,10 @@
         callerRoutes
                 .get("/v1/entry-hosts", new EntryHostsHandler(view, self.region(), keepSeconds))
                 .get("/v1/models", new ModelsHandler(gate, view))
-                .post("/v1/completions", new CompletionsHandler(ApiKind.COMPLETIONS, gate, view, bodies, gateway))
-                .post("/v1/chat/completions", new CompletionsHandler(ApiKind.CHAT, gate, view, bodies, gateway))
+                .post(
+                        "/v1/completions",
+                        new CompletionsHandler(ApiKind.COMPLETIONS, gate, view, bodies, gateway, limits))
+                .post("/v1/chat/completions", new CompletionsHandler(ApiKind.CHAT, gate, view, bodies, gateway, limits))
                 .post("/v1/idempotency-keys", new IdempotencyKeysHandler(gate))
                 .post("/v1/backend-servers/announce", new AnnounceHandler(backendKeys, bodies, service));
         for (String method : List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")) {
@@ -243,7 +256,7 @@
         HttpLimits limits = new HttpLimits(
                 settings.limits().maxBodyBytes(),
                 settings.limits().maxHeaderBytes(),
-                settings.limits().maxConcurrentRequests(),
+                settings.limits().maxConnections(),
                 IDLE_MILLIS,
                 BODY_MILLIS);
         return HttpListener.start(address.ip(), address.port(), limits, handler);
