Wait out a short rest of the only engine, and begin each try anew

Cause: after one failed attempt a model's only engine rested for a second and every caller got 503 (test failed first: the request was refused). And two property tests kept their state from one try to the next, since jqwik keeps the object: the ledger's 300 tries were in truth about one, as all attempt names had ended; it showed when a request left over from an earlier try counted as unanswered. Change: a request waits for a rest of up to a second, a longer one is refused with its length; both tests begin each try anew. Proof: both pass with all tries real; taking out tombstones or the restart still fails.

--- a/elmline-core/src/main/java/org/elmline/core/ledger/EngineLedger.java
+++ b/elmline-core/src/main/java/org/elmline/core/ledger/EngineLedger.java
@@ -166,7 +166,17 @@
 
     /** Whether it may get new work: it announces itself, is not leaving and has not just failed. */
     public boolean takesWork(long now) {
-        return reachable && !announcement.leaving() && now - restUntil >= 0;
+        return wantsWork() && now - restUntil >= 0;
+    }
+
+    /** Whether it announces itself and is not leaving, though it may rest after a failure. */
+    public boolean wantsWork() {
+        return reachable && !announcement.leaving();
+    }
+
+    /** Milliseconds that it still rests after a failure; 0 or less when it doesn't. */
+    public long restMillis(long now) {
+        return (restUntil - now) / NANOS_PER_MILLI;
     }
 
     public boolean reachable() {
--- a/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/ModelPlacer.java
@@ -36,6 +36,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long LEAST_RETRY_MILLIS = 250;
     private static final long NO_ENGINE_RETRY_MILLIS = 1_000;
+    private static final long WAITED_REST_MILLIS = 1_000;
     private static final long RECENT_NANOS = 20 * NANOS_PER_MILLI;
     private static final int SUMMARY_PREFIXES = 16;
 
@@ -198,12 +199,12 @@
             return true;
         }
         List<EngineLedger> ready = ready(demand, now);
-        Optional<Refusal> unservable = unservable(demand, ready);
+        Optional<Refusal> unservable = ready.isEmpty() ? noEngine(demand, now) : tooLarge(demand, ready);
         if (unservable.isPresent()) {
             refuse(waiting, unservable.get(), now);
             return true;
         }
-        Optional<EngineLedger> chosen = choose(demand, ready);
+        Optional<EngineLedger> chosen = ready.isEmpty() ? Optional.empty() : choose(demand, ready);
         if (chosen.isEmpty()) {
             return false;
         }
@@ -272,14 +273,28 @@
         return best;
     }
 
-    /** Why no engine here could serve the demand even when idle. */
-    private static Optional<Refusal> unservable(Demand demand, List<EngineLedger> ready) {
-        if (ready.isEmpty()) {
-            return Optional.of(Refusal.comeBack(
-                    RefusalReason.NO_BACKEND_SERVER,
-                    "no engine takes work for " + demand.model(),
-                    NO_ENGINE_RETRY_MILLIS));
+    /** Empty when an engine rests so shortly that waiting for it beats trying elsewhere. */
+    private Optional<Refusal> noEngine(Demand demand, long now) {
+        long rest = Long.MAX_VALUE;
+        for (EngineLedger each : ledger.engines(model)) {
+            if (each.wantsWork() && mayServe(each, demand)) {
+                rest = Math.min(rest, each.restMillis(now));
+            }
+        }
+        if (rest <= WAITED_REST_MILLIS) {
+            return Optional.empty();
         }
+        long retryMillis = rest == Long.MAX_VALUE ? NO_ENGINE_RETRY_MILLIS : rest;
+        String why = "no engine takes work for " + model;
+        return Optional.of(Refusal.comeBack(RefusalReason.NO_BACKEND_SERVER, why, retryMillis));
+    }
+
+    private static boolean mayServe(EngineLedger engine, Demand demand) {
+        return engine.hasAdapter(demand.adapter()) && !demand.excluded().contains(engine.id());
+    }
+
+    /** Why no engine here could serve the demand even when idle. */
+    private static Optional<Refusal> tooLarge(Demand demand, List<EngineLedger> ready) {
         for (EngineLedger each : ready) {
             if (each.capacityKvTokens() >= demand.kvTokens()) {
                 return Optional.empty();
@@ -292,9 +307,7 @@
     private List<EngineLedger> ready(Demand demand, long now) {
         List<EngineLedger> ready = new ArrayList<>();
         for (EngineLedger each : ledger.engines(model)) {
-            if (each.takesWork(now)
-                    && each.hasAdapter(demand.adapter())
-                    && !demand.excluded().contains(each.id())) {
+            if (each.takesWork(now) && mayServe(each, demand)) {
                 ready.add(each);
             }
         }
--- a/elmline-core/src/test/java/org/elmline/core/ledger/LedgerRecountTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/ledger/LedgerRecountTest.java
@@ -10,6 +10,7 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.lifecycle.BeforeTry;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.AttemptId;
 import org.elmline.core.common.BackendServerId;
@@ -31,11 +32,20 @@
     private static final int ATTEMPTS = 12;
     private static final long CAPACITY = 1_000_000;
 
-    private final Ledger ledger = new Ledger(LedgerSettings.DEFAULT);
+    private Ledger ledger;
     private final Map<AttemptId, Open> open = new LinkedHashMap<>();
     private final Set<AttemptId> ended = new HashSet<>();
     private final Map<BackendServerId, Long> incarnations = new LinkedHashMap<>();
 
+    /** All tries share this object. */
+    @BeforeTry
+    void startAnew() {
+        ledger = new Ledger(LedgerSettings.DEFAULT);
+        open.clear();
+        ended.clear();
+        incarnations.clear();
+    }
+
     @Property(tries = 300, seed = "5001")
     void equalsARecountAfterAnySequence(@ForAll long seed) {
         Random random = new Random(seed);
--- a/elmline-core/src/test/java/org/elmline/core/owner/AnswerInTimeTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/owner/AnswerInTimeTest.java
@@ -1,6 +1,7 @@
 package org.elmline.core.owner;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +11,7 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.lifecycle.BeforeTry;
 import org.elmline.core.common.AttemptId;
 import org.elmline.core.route.GrantReport;
 import org.elmline.core.route.PlaceAnswer;
@@ -31,14 +33,24 @@
     private static final long STEP_MILLIS = 40;
     private static final long TICK_MILLIS = 20;
 
-    private final OwnerFixture fixture =
-            new OwnerFixture(OwnerSettings.builder().queueCapacity(20).build());
+    private OwnerFixture fixture;
     private final Map<AttemptId, Long> waiting = new HashMap<>();
     private final Set<AttemptId> answered = new HashSet<>();
     private final List<AttemptId> granted = new ArrayList<>();
     private final long[] incarnations = new long[ENGINES];
     private final boolean[] silent = new boolean[ENGINES];
 
+    /** All tries share this object. */
+    @BeforeTry
+    void startAnew() {
+        fixture = new OwnerFixture(OwnerSettings.builder().queueCapacity(20).build());
+        waiting.clear();
+        answered.clear();
+        granted.clear();
+        Arrays.fill(incarnations, 0);
+        Arrays.fill(silent, false);
+    }
+
     @Property(tries = 60, seed = "5003")
     void everyRequestIsAnsweredOnceByItsDeadline(@ForAll long seed) {
         Random random = new Random(seed);
--- a/elmline-core/src/test/java/org/elmline/core/owner/OwnerTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/owner/OwnerTest.java
@@ -76,6 +76,29 @@
         assertTrue(fixture.owner.cancels(fixture.now).isEmpty());
     }
 
+    /**
+     * The only engine breaks one attempt off and rests for a second. A caller that asks in that second would get 503 for
+     * nothing: it waits and is placed. After repeated failures the rest is long, and the caller is told to come back.
+     */
+    @Test
+    void shortRestOfTheOnlyEngineIsWaitedOut() {
+        fixture.engines(1, CAPACITY);
+        PlaceRequest failed = fixture.request("org", 1_000, 0, 10_000);
+        granted(failed);
+        fixture.release(failed.attempt(), ReleaseCause.ENGINE_FAILED);
+        PlaceRequest next = fixture.request("org", 1_000, 0, 10_000);
+        assertTrue(fixture.place(next).isEmpty());
+        assertEquals(List.of(), fixture.advance(900));
+        var decided = fixture.advance(100);
+        assertInstanceOf(PlaceAnswer.Placed.class, decided.get(0).answer());
+        fixture.release(next.attempt(), ReleaseCause.ENGINE_FAILED);
+        PlaceAnswer.Refused answer = assertInstanceOf(
+                PlaceAnswer.Refused.class,
+                fixture.place(fixture.request("org", 1_000, 0, 10_000)).orElseThrow());
+        assertEquals(RefusalReason.NO_BACKEND_SERVER, answer.refusal().reason());
+        assertEquals(2_000, answer.refusal().retryAfterMillis());
+    }
+
     @Test
     void refusesAtOnceWhatCannotMeetItsDeadline() {
         fixture.engines(1, CAPACITY);
