Measure the daemons' owner in the policy bench

Cause: the bench drove the placement policy alone; admission, ledger and groups decide too.

Change: OwnerDesk runs the core's Owner, GroupPlan and GroupReservation over the fleet; refused requests are counted; cache events are looked up from the newest, as the whole log was scanned for each poll.

--- /dev/null
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/OwnerDesk.java
@@ -0,0 +1,292 @@
+package org.elmline.bench.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import org.elmline.core.backend.Announcement;
+import org.elmline.core.backend.BackendKind;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.AttemptId;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Incarnation;
+import org.elmline.core.common.ModelName;
+import org.elmline.core.common.OrganisationId;
+import org.elmline.core.common.Region;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.engine.EngineLoad;
+import org.elmline.core.group.GroupPlan;
+import org.elmline.core.group.GroupReservation;
+import org.elmline.core.ledger.LedgerSettings;
+import org.elmline.core.owner.Decided;
+import org.elmline.core.owner.Owner;
+import org.elmline.core.owner.OwnerSettings;
+import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.PlacementPolicy;
+import org.elmline.core.placement.PrefillCost;
+import org.elmline.core.route.FirstToken;
+import org.elmline.core.route.Grant;
+import org.elmline.core.route.GrantReport;
+import org.elmline.core.route.OwnerTable;
+import org.elmline.core.route.OwnerTableSettings;
+import org.elmline.core.route.PlaceAnswer;
+import org.elmline.core.route.PlaceRequest;
+import org.elmline.core.route.Release;
+import org.elmline.core.route.ReleaseCause;
+import org.elmline.standin.engine.CacheEventLog;
+
+/**
+ * The daemons' own owner, with its admission, ledger and groups, over all engines of the fleet. Engines announce
+ * themselves every second; the owner learns of a dead one by calls that fail, or when its lease ends. A refused request
+ * isn't tried again.
+ */
+final class OwnerDesk implements Desk {
+    private static final ModelName MODEL = ModelName.of("elm");
+    private static final Address ADDRESS = new Address("127.0.0.1", 9_000);
+    private static final Incarnation FIRST = Incarnation.of(1);
+    private static final HostId HOST = HostId.of("entry-1");
+    private static final int TICKS_PER_ANNOUNCEMENT = 10;
+    private static final int TICKS_PER_GROUP_TRY = 5;
+    private static final long CACHE_DELAY_NANOS = 500_000_000L;
+    private static final double LOST_CACHE_EVENTS = 0.000_2;
+    private static final double IMPORT_SHARE = 0;
+
+    private final Scenario scenario;
+    private final Owner owner;
+    private final OwnerTable table;
+    private final CacheEventLog[] cacheEvents;
+    private final long[] incarnations;
+    private final boolean[] alive;
+    private final Map<AttemptId, Job> asked = new HashMap<>();
+    private final Map<Long, AttemptId> attempts = new HashMap<>();
+    private final Map<Long, Long> reserved = new HashMap<>();
+    private final Set<Long> unread = new HashSet<>();
+    private final Map<Job, PlaceRequest> groups = new LinkedHashMap<>();
+    private final List<Decision> decided = new ArrayList<>();
+    private long lastSequence;
+    private int ticks;
+
+    OwnerDesk(Scenario scenario, PlacementPolicy policy) {
+        this.scenario = scenario;
+        HostRecord host = new HostRecord(
+                HOST, FIRST, FailureDomain.of("a"), Region.of("north"), ADDRESS, ADDRESS, ADDRESS, false);
+        OwnerSettings settings = OwnerSettings.builder()
+                .ledger(new LedgerSettings(
+                        scenario.settings(), scenario.profile().blockTokens()))
+                .build();
+        owner = new Owner(host, policy, new Random(scenario.seed()), settings);
+        owner.leaseUntil(Long.MAX_VALUE);
+        owner.members(List.of(host), 0);
+        table = new OwnerTable(host, OwnerTableSettings.DEFAULT);
+        table.members(List.of(host));
+        cacheEvents = new CacheEventLog[scenario.engines()];
+        incarnations = new long[scenario.engines()];
+        alive = new boolean[scenario.engines()];
+    }
+
+    @Override
+    public void arrive(Job job, long now) {
+        AttemptId attempt = AttemptId.of("job-" + job.number + "-" + job.tries + "-" + job.failed.size());
+        Demand demand = new Demand(
+                MODEL,
+                "",
+                job.promptTokens(),
+                job.outputTokens(),
+                job.arrival.blockHashes(),
+                0,
+                Math.max(0, (job.deadlineNanos() - now) / 1_000_000),
+                job.failed);
+        OrganisationId organisation = OrganisationId.of("organisation-" + job.arrival.organisation());
+        PlaceRequest request = new PlaceRequest(attempt, HOST, FIRST, organisation, demand);
+        if (demand.kvTokens() > scenario.profile().capacityKvTokens()) {
+            groups.put(job, request);
+            tryGroup(job, now);
+            return;
+        }
+        asked.put(attempt, job);
+        owner.place(request, now).ifPresent(answer -> answered(request, answer));
+    }
+
+    @Override
+    public List<Decision> settle(long now) {
+        for (Decided each : owner.advance(now)) {
+            answered(each.request(), each.answer());
+        }
+        List<Decision> taken = List.copyOf(decided);
+        decided.clear();
+        return taken;
+    }
+
+    @Override
+    public void tick(long now) {
+        for (int i = 0; i < alive.length; i++) {
+            if (alive[i] && ticks % TICKS_PER_ANNOUNCEMENT == 0) {
+                owner.announce(announcement(i), now);
+            }
+            if (alive[i]) {
+                BackendServerId id = id(i);
+                owner.cacheEvents(id, cacheEvents[i].after(owner.lastCacheEvent(id), now));
+            }
+        }
+        if (ticks % TICKS_PER_GROUP_TRY == 0) {
+            List.copyOf(groups.keySet()).forEach(job -> tryGroup(job, now));
+        }
+        ticks++;
+    }
+
+    @Override
+    public void withdraw(Job job, long now) {
+        groups.remove(job);
+        for (Map.Entry<AttemptId, Job> each : List.copyOf(asked.entrySet())) {
+            if (each.getValue() == job) {
+                asked.remove(each.getKey());
+                report(List.of(), List.of(), List.of(new Release(each.getKey(), ReleaseCause.NOT_STARTED)), now);
+            }
+        }
+    }
+
+    @Override
+    public void begun(Job.Placed placed, long now) {
+        AttemptId attempt = attempts.get(placed.sequence());
+        boolean segment = attempt.value().contains("/");
+        if (segment) {
+            report(List.of(attempt), List.of(), List.of(), now);
+        }
+    }
+
+    @Override
+    public void prefilled(Job.Placed placed, long now) {
+        if (unread.remove(placed.sequence())) {
+            report(List.of(), List.of(new FirstToken(attempts.get(placed.sequence()), 0)), List.of(), now);
+        }
+    }
+
+    @Override
+    public void released(Job.Placed placed, boolean engineLost, long now) {
+        unread.remove(placed.sequence());
+        reserved.remove(placed.sequence());
+        ReleaseCause cause = engineLost ? ReleaseCause.ENGINE_FAILED : ReleaseCause.FINISHED;
+        report(List.of(), List.of(), List.of(new Release(attempts.remove(placed.sequence()), cause)), now);
+    }
+
+    @Override
+    public void engineUp(int engine, long now) {
+        incarnations[engine]++;
+        alive[engine] = true;
+        cacheEvents[engine] = new CacheEventLog(CACHE_DELAY_NANOS, LOST_CACHE_EVENTS, scenario.seed() + engine);
+        owner.announce(announcement(engine), now);
+    }
+
+    @Override
+    public void engineDown(int engine, long now) {
+        alive[engine] = false;
+    }
+
+    @Override
+    public void cacheChanged(int engine, long hash, boolean stored, long atNanos) {
+        cacheEvents[engine].add(hash, stored, atNanos);
+    }
+
+    /** As the owner counts it: grants that are open, whatever was released here. */
+    @Override
+    public long reservedTokens() {
+        return reserved.size() + owner.counts().openGrants();
+    }
+
+    private void answered(PlaceRequest request, PlaceAnswer answer) {
+        Job job = asked.remove(request.attempt());
+        if (job == null) {
+            return;
+        }
+        if (answer instanceof PlaceAnswer.Placed placed) {
+            decided.add(new Decision(job, List.of(place(job, placed.grant(), job.outputTokens(), 0))));
+        } else {
+            decided.add(new Decision(job, List.of()));
+        }
+    }
+
+    private void tryGroup(Job job, long now) {
+        PlaceRequest whole = groups.get(job);
+        table.accept(owner.summary(now), now);
+        Optional<GroupPlan> plan = GroupPlan.of(
+                job.promptTokens(), job.outputTokens(), table.slots(MODEL, now), IMPORT_SHARE, PrefillCost.DEFAULT);
+        if (plan.isEmpty()) {
+            return;
+        }
+        PlaceRequest attempt = new PlaceRequest(
+                AttemptId.of(whole.attempt().value() + "-" + ticks), HOST, FIRST, whole.organisation(), whole.demand());
+        GroupReservation reservation = new GroupReservation(attempt, plan.get());
+        for (Optional<GroupReservation.Ask> ask = reservation.next(); ask.isPresent(); ask = reservation.next()) {
+            Optional<PlaceAnswer> answer = owner.place(ask.get().request(), now);
+            answer.ifPresentOrElse(reservation::answered, reservation::unanswered);
+        }
+        if (!reservation.complete()) {
+            List<Release> back = new ArrayList<>();
+            reservation.handbacks().forEach(each -> back.add(new Release(each.attempt(), ReleaseCause.NOT_STARTED)));
+            report(List.of(), List.of(), back, now);
+            return;
+        }
+        groups.remove(job);
+        List<Job.Placed> placed = new ArrayList<>();
+        for (int i = 0; i < reservation.grants().size(); i++) {
+            boolean last = i == reservation.grants().size() - 1;
+            int context = plan.get().segments().get(i).contextTokens();
+            placed.add(place(job, reservation.grants().get(i), last ? job.outputTokens() : 0, context));
+        }
+        decided.add(new Decision(job, placed));
+    }
+
+    private Job.Placed place(Job job, Grant grant, int outputTokens, long contextTokens) {
+        Job.Placed placed = new Job.Placed(
+                index(grant.server()),
+                ++lastSequence,
+                job.arrival.lengthClass(),
+                grant.promptTokens(),
+                outputTokens,
+                contextTokens);
+        attempts.put(placed.sequence(), grant.attempt());
+        reserved.put(placed.sequence(), grant.kvTokens());
+        unread.add(placed.sequence());
+        return placed;
+    }
+
+    private void report(List<AttemptId> begun, List<FirstToken> firstTokens, List<Release> releases, long now) {
+        owner.report(new GrantReport(HOST, FIRST, begun, firstTokens, releases), now);
+    }
+
+    private Announcement announcement(int engine) {
+        return new Announcement(
+                id(engine),
+                Incarnation.of(incarnations[engine]),
+                BackendKind.ENGINE,
+                "standin",
+                ADDRESS,
+                FailureDomain.of("a"),
+                Region.of("north"),
+                List.of(MODEL.value()),
+                List.of("1"),
+                List.of(),
+                "",
+                scenario.profile().capacityKvTokens(),
+                scenario.profile().prefillTokensPerSecond(),
+                new EngineLoad(0, 0, 0),
+                false,
+                false);
+    }
+
+    private static BackendServerId id(int engine) {
+        return BackendServerId.of("engine-" + engine);
+    }
+
+    private static int index(BackendServerId id) {
+        return Integer.parseInt(id.value().substring("engine-".length()));
+    }
+}
--- a/elmline-bench/src/main/java/org/elmline/bench/policy/RunResult.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/RunResult.java
@@ -23,6 +23,7 @@
     private final double[] offered = new double[Workload.ORGANISATIONS];
     private final double[] served = new double[Workload.ORGANISATIONS];
     private int open;
+    private long refused;
     private long cachedTokens;
     private long promptTokens;
 
@@ -50,6 +51,7 @@
         LengthClass lengthClass = job.arrival.lengthClass();
         long waited = job.firstTokenNanos < 0 ? job.arrival.limitNanos() : job.firstTokenNanos - job.arrival.atNanos();
         firstToken.get(lengthClass).recordValue(Math.min(HIGHEST_MICROS, waited / NANOS_PER_MICRO));
+        refused += job.refused ? 1 : 0;
         boolean whole = job.endNanos >= 0;
         inLimit.get(lengthClass)[0] += whole ? 1 : 0;
         inLimit.get(lengthClass)[1]++;
@@ -76,6 +78,7 @@
             inLimit.get(each)[1] += other.inLimit.get(each)[1];
         }
         betweenTokens.add(other.betweenTokens);
+        refused += other.refused;
         for (int i = 0; i < offered.length; i++) {
             offered[i] += other.offered[i];
             served[i] += other.served[i];
@@ -116,6 +119,11 @@
         return counts[1] == 0 ? 1 : (double) counts[0] / counts[1];
     }
 
+    /** Share of requests that were refused at once, to be tried again later by their callers. */
+    public double shareRefused() {
+        return requests() == 0 ? 0 : (double) refused / requests();
+    }
+
     /** Share of prompt tokens that a prefix cache spared. */
     public double prefixHits() {
         return promptTokens == 0 ? 0 : (double) cachedTokens / promptTokens;
--- a/elmline-bench/src/main/java/org/elmline/bench/policy/Tables.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/Tables.java
@@ -13,8 +13,8 @@
     private static final String HEAD =
             """
             | variant | short p50/p95/p99 s | slowdown | medium p50/p95/p99 s | long p50/p95/p99 s | over 128k p50/p95/p99 s \
-            | between tokens p95 ms | in limit % | prefix hits % | Jain |
-            |---|---|---|---|---|---|---|---|---|---|
+            | between tokens p95 ms | in limit % | refused % | prefix hits % | Jain |
+            |---|---|---|---|---|---|---|---|---|---|---|
             """;
 
     private final List<Row> rows;
@@ -57,9 +57,10 @@
         }
         text.append(String.format(
                 Locale.ROOT,
-                " | %.1f | %.2f | %.1f | %.4f |%n",
+                " | %.1f | %.2f | %.2f | %.1f | %.4f |%n",
                 result.betweenTokensMillis(95),
                 result.shareInLimit() * 100,
+                result.shareRefused() * 100,
                 result.prefixHits() * 100,
                 result.jainIndex()));
         return text.toString();
--- a/elmline-bench/src/main/java/org/elmline/bench/policy/Variant.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/Variant.java
@@ -13,8 +13,15 @@
  * @param title its name in tables
  * @param policy name of the placement policy
  * @param lengthBlind whether nothing in it looks at a prompt's length
+ * @param wholeOwner whether the daemons' owner runs, with admission, ledger and groups, or the policy alone
  */
-public record Variant(String title, String policy, PlacementSettings settings, boolean lengthBlind) {
+public record Variant(
+        String title, String policy, PlacementSettings settings, boolean lengthBlind, boolean wholeOwner) {
+    /** A policy alone. */
+    public Variant(String title, String policy, PlacementSettings settings, boolean lengthBlind) {
+        this(title, policy, settings, lengthBlind, false);
+    }
+
     private static final List<String> BLIND = List.of("round-robin", "random", "least-requests", "power-of-two");
 
     /** All that a measurement compares: blind placement without and with class priorities in the engines, then the rest. */
@@ -27,6 +34,8 @@
             all.add(prioritised(each));
         }
         all.add(prioritised("two-ended"));
+        all.add(owner("shortest-wait"));
+        all.add(owner("two-ended"));
         all.add(new Variant("shortest-wait, no priorities", "shortest-wait", noPriorities(0.95), false));
         all.add(new Variant("two-ended 0.8, no priorities", "two-ended", noPriorities(0.8), false));
         return all;
@@ -47,13 +56,18 @@
         return prioritised(PlacementPolicies.DEFAULT);
     }
 
+    /** The daemons' owner with a policy and class priorities. */
+    public static Variant owner(String policy) {
+        return new Variant("owner: " + policy, policy, PlacementSettings.defaults(), false, true);
+    }
+
     RunResult run(Scenario scenario) {
         return new FleetRun(scenario, newDesk(scenario)).run();
     }
 
     private Desk newDesk(Scenario scenario) {
         PlacementPolicy chosen = PlacementPolicies.named(policy, settings).orElseThrow();
-        return new PolicyDesk(scenario, chosen);
+        return wholeOwner ? new OwnerDesk(scenario, chosen) : new PolicyDesk(scenario, chosen);
     }
 
     private static PlacementSettings noPriorities(double maxLongShare) {
--- a/elmline-bench/src/test/java/org/elmline/bench/policy/PolicyBenchTest.java
+++ b/elmline-bench/src/test/java/org/elmline/bench/policy/PolicyBenchTest.java
@@ -87,6 +87,22 @@
         }
     }
 
+    /** The daemons' owner in place of a policy alone: its admission and ledger must keep the same promises. */
+    @Test
+    void theOwnerKeepsShortWorkFast() {
+        for (Mix mix : Mix.values()) {
+            Variant owner = Variant.owner(PlacementPolicies.DEFAULT);
+            Scenario shared = scenario(mix, 0.8, Fault.NONE, owner);
+            double slowdown = shortP95(owner.run(shared)) / shortP95(owner.run(shared.shortOnly()));
+            assertTrue(slowdown <= 1.2, mix + ": " + slowdown);
+            for (Fault fault : Fault.values()) {
+                RunResult result = run(mix, 1.2, fault, owner);
+                assertEquals(0, result.open());
+                assertTrue(result.shareInLimit(LengthClass.SHORT) >= 0.98, mix + ", " + fault);
+            }
+        }
+    }
+
     @Test
     void tablesAndDecisionCostArePrinted() throws Exception {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/elmline-standin/src/main/java/org/elmline/standin/engine/CacheEventLog.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/CacheEventLog.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -40,17 +42,20 @@
 
     /** Events published by now with a number above {@code sequence}, at most 5,000. */
     public CacheEvents after(long sequence, long nowNanos) {
-        List<CacheEvents.Event> answer = new ArrayList<>();
-        long last = sequence;
-        for (Stamped each : events) {
-            if (each.atNanos() + delayNanos > nowNanos || answer.size() == MOST_ANSWERED) {
+        List<CacheEvents.Event> newestFirst = new ArrayList<>();
+        Iterator<Stamped> fromNewest = events.descendingIterator();
+        while (fromNewest.hasNext()) {
+            Stamped each = fromNewest.next();
+            if (each.event().sequence() <= sequence) {
                 break;
             }
-            if (each.event().sequence() > sequence) {
-                answer.add(each.event());
-                last = each.event().sequence();
+            if (each.atNanos() + delayNanos <= nowNanos) {
+                newestFirst.add(each.event());
             }
         }
+        Collections.reverse(newestFirst);
+        List<CacheEvents.Event> answer = newestFirst.subList(0, Math.min(MOST_ANSWERED, newestFirst.size()));
+        long last = answer.isEmpty() ? sequence : answer.get(answer.size() - 1).sequence();
         return new CacheEvents(answer, last);
     }
 }
