Record decisions on tickets, and when they are in force, in the time line

Cause: the time line showed that entries follow a ticket, and not that it was accepted. The decision is recorded while it is applied, under the state's lock: recorded after, an entry could be granted the change and record that it follows it before the acceptance had its stamp. Only the host that proposed a ticket records it, and a retry records nothing.

Ruled out: recording on every replica, since each applies every ticket, again after each restart.

--- /dev/null
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/TimelineProcessTest.java
@@ -0,0 +1,91 @@
+package org.elmline.cli.process;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.elmline.cli.Main;
+import org.elmline.core.common.Closer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** The time line over a control host and two entries as separate processes. */
+class TimelineProcessTest {
+    @TempDir
+    Path folder;
+
+    private final Closer closer = new Closer();
+
+    @AfterEach
+    void stop() {
+        closer.close();
+    }
+
+    /**
+     * An operator sends a ticket at one entry, and again at the other because the first answer seemed lost; then a
+     * second, older in number, on the same objects. The time line must show each decision once, an acceptance before
+     * any host follows it, and that it is in force only after every host does.
+     */
+    @Test
+    void aTicketIsAcceptedThenFollowedThenInForce() throws Exception {
+        SettingsFiles files = new SettingsFiles(folder);
+        int port = freePort();
+        List<SettingsFiles.ControlSeat> seats = List.of(new SettingsFiles.ControlSeat("c1", "127.0.0.1:" + port, "d1"));
+        String settings = files.control("c1", "d1", seats, port).toString();
+        assertEquals(0, ElmlineProcess.run(folder, "control", "bootstrap", "--settings", settings));
+        ElmlineProcess control = start("c1", "control", "run", "--settings", settings);
+        ElmlineProcess a =
+                start("a", "entry", "--settings", files.entry("a", "d1", seats).toString());
+        ElmlineProcess b =
+                start("b", "entry", "--settings", files.entry("b", "d2", seats).toString());
+
+        Client operator = new Client(SettingsFiles.OPERATOR_KEY);
+        Client.await(
+                "both entries known",
+                () -> operator.get(a.ready("operator") + "/v1/status")
+                                .json()
+                                .path("entryHosts")
+                                .size()
+                        == 2);
+        String ticket = Tickets.first("caller-key-of-process-tests");
+        assertEquals(
+                200, operator.put(a.ready("operator") + "/v1/tickets/5", ticket).status());
+        assertEquals(
+                200, operator.put(b.ready("operator") + "/v1/tickets/5", ticket).status());
+        assertEquals(
+                409, operator.put(b.ready("operator") + "/v1/tickets/4", ticket).status());
+
+        String hosts = a.ready("operator") + "," + control.ready("operator");
+        Client.await("ticket 5 in force", () -> events(hosts, "5").contains("InForce"));
+        assertEquals(List.of("Accepted", "Followed", "Followed", "InForce"), events(hosts, "5"));
+        assertEquals(List.of("Refused"), events(hosts, "4"));
+    }
+
+    /** The kinds of a ticket's events, in the order shown. */
+    private static List<String> events(String hosts, String ticket) {
+        StringWriter out = new StringWriter();
+        CommandLine command = Main.commandLine().setOut(new PrintWriter(out, true));
+        command.execute("timeline", "--key", SettingsFiles.OPERATOR_KEY, "--operator", hosts, "--ticket", ticket);
+        return out.toString()
+                .lines()
+                .map(line -> line.split(" {2}")[3])
+                .map(event -> event.substring(0, event.indexOf('[')))
+                .toList();
+    }
+
+    private ElmlineProcess start(String name, String... arguments) throws Exception {
+        return closer.register(ElmlineProcess.start(folder, name, arguments));
+    }
+
+    private static int freePort() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
@@ -140,7 +140,9 @@
         LeaseSettings leases = new LeaseSettings(settings.lease().leaseMillis(), LEASE_GRACE_MILLIS);
         LeaderWatch watch = new LeaderWatch(settings.host(), events, log, machine, clock, leases, limits());
         LeaseService leaseService = new LeaseService(log, watch, clock, metrics);
-        TicketService tickets = new TicketService(log, machine, watch, clock);
+        TicketEvents ticketEvents = new TicketEvents(events, machine, watch, clock);
+        ticketEvents.start(workers.timer());
+        TicketService tickets = new TicketService(log, machine, watch, clock, ticketEvents);
         ClaimService claims = new ClaimService(log, watch::stampMillis, metrics);
         channels.register(ControlChannels.LEASE_RENEW, leaseService::renew);
         channels.register(ControlChannels.TICKET_SUBMIT, tickets::submit);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlMachine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlMachine.java
@@ -1,5 +1,6 @@
 package org.elmline.daemon.control;
 
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 
 import org.elmline.core.control.Command;
@@ -19,11 +20,23 @@
     private static final Codec CODEC = Codecs.MESSAGE_PACK;
 
     private ControlState state = new ControlState();
+    private BiConsumer<Command, CommandResult> onApplied = (command, result) -> {};
+
+    /**
+     * Called with each command under the lock, so that what the listener records comes before everything that a reader
+     * can do with the command's effect. The listener must not wait or take a lock.
+     */
+    synchronized void onApplied(BiConsumer<Command, CommandResult> listener) {
+        onApplied = listener;
+    }
 
     /** Applies a committed command and returns its encoded {@link CommandResult}. */
     @Override
     public synchronized byte[] apply(long index, byte[] command) {
-        return CODEC.encode(state.apply(index, read(command, Command.class)));
+        Command read = read(command, Command.class);
+        CommandResult result = state.apply(index, read);
+        onApplied.accept(read, result);
+        return CODEC.encode(result);
     }
 
     @Override
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/TicketService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/TicketService.java
@@ -21,12 +21,15 @@
     private final ControlMachine machine;
     private final LeaderWatch watch;
     private final MonotonicClock clock;
+    private final TicketEvents events;
 
-    TicketService(CommandLog log, ControlMachine machine, LeaderWatch watch, MonotonicClock clock) {
+    TicketService(
+            CommandLog log, ControlMachine machine, LeaderWatch watch, MonotonicClock clock, TicketEvents events) {
         this.log = log;
         this.machine = machine;
         this.watch = watch;
         this.clock = clock;
+        this.events = events;
     }
 
     CompletionStage<TicketAnswer> submit(Ticket ticket) {
@@ -34,7 +37,11 @@
             return done(notLeader());
         }
         Command.ApplyTicket command = Command.ApplyTicket.of(ticket);
-        return log.propose(command).thenApply(result -> answer(ticket.number(), command.digest(), result));
+        events.proposing(command);
+        return log.propose(command).thenApply(result -> {
+            events.ended(command);
+            return answer(ticket.number(), command.digest(), result);
+        });
     }
 
     CompletionStage<TicketAnswer> read(TicketQuery query) {
