Record backend servers that join, leave and are lost; control uses Dagger too

Cause: the time line lacked backend servers, which operators look for first when answers stop. An owner compares its servers ten times a second and records the changes; a server that another entry owns from now on shows as leaving. The control host takes its common parts from ProcessComponent as the entry does.

--- a/elmline-cli/src/test/java/org/elmline/cli/process/TimelineProcessTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/TimelineProcessTest.java
@@ -4,7 +4,9 @@
 import java.io.StringWriter;
 import java.net.ServerSocket;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.elmline.cli.Main;
 import org.elmline.core.common.Closer;
@@ -67,14 +69,56 @@
         assertEquals(List.of("Refused"), events(hosts, "4"));
     }
 
+    /**
+     * An engine joins and is told to stop; a service joins and dies at once. The operator sees that the engine left and
+     * that the service was lost, which is the one to look after.
+     */
+    @Test
+    void leavingAndLosingABackendServerAreToldApart() throws Exception {
+        SettingsFiles files = new SettingsFiles(folder);
+        int port = freePort();
+        List<SettingsFiles.ControlSeat> seats = List.of(new SettingsFiles.ControlSeat("c1", "127.0.0.1:" + port, "d1"));
+        String settings = files.control("c1", "d1", seats, port).toString();
+        assertEquals(0, ElmlineProcess.run(folder, "control", "bootstrap", "--settings", settings));
+        start("c1", "control", "run", "--settings", settings);
+        ElmlineProcess a =
+                start("a", "entry", "--settings", files.entry("a", "d1", seats).toString());
+        List<String> entries = List.of(a.address("caller"));
+        String engineSettings = files.engine("g1", "d1", entries, "elm-small").toString();
+        ElmlineProcess engine = start("g1", "standin", "engine", "--settings", engineSettings);
+        String serviceSettings = files.service("s1", "d1", entries, "booking").toString();
+        ElmlineProcess service = start("s1", "standin", "service", "--settings", serviceSettings);
+
+        String host = a.ready("operator");
+        Client.await("engine joined", () -> backendEvents(host, "g1").equals(List.of("Joined")));
+        Client.await("service joined", () -> backendEvents(host, "s1").equals(List.of("Joined")));
+        engine.terminate();
+        service.kill();
+        Client.await("engine leaving", () -> backendEvents(host, "g1").equals(List.of("Joined", "Leaving")));
+        Client.await("service lost", () -> backendEvents(host, "s1").equals(List.of("Joined", "Lost")));
+    }
+
+    private static List<String> backendEvents(String host, String server) {
+        return kinds(timeline(host).filter(line -> line.contains("[server=" + server)));
+    }
+
     /** The kinds of a ticket's events, in the order shown. */
     private static List<String> events(String hosts, String ticket) {
+        return kinds(timeline(hosts, "--ticket", ticket));
+    }
+
+    private static Stream<String> timeline(String hosts, String... options) {
         StringWriter out = new StringWriter();
         CommandLine command = Main.commandLine().setOut(new PrintWriter(out, true));
-        command.execute("timeline", "--key", SettingsFiles.OPERATOR_KEY, "--operator", hosts, "--ticket", ticket);
-        return out.toString()
-                .lines()
-                .map(line -> line.split(" {2}")[3])
+        List<String> line = new ArrayList<>();
+        line.addAll(List.of("timeline", "--key", SettingsFiles.OPERATOR_KEY, "--operator", hosts));
+        line.addAll(List.of(options));
+        command.execute(line.toArray(String[]::new));
+        return out.toString().lines();
+    }
+
+    private static List<String> kinds(Stream<String> lines) {
+        return lines.map(line -> line.split(" {2}")[3])
                 .map(event -> event.substring(0, event.indexOf('[')))
                 .toList();
     }
--- a/elmline-core/src/main/java/org/elmline/core/backend/ServerTable.java
+++ b/elmline-core/src/main/java/org/elmline/core/backend/ServerTable.java
@@ -72,6 +72,11 @@
         return Collections.unmodifiableCollection(entries.keySet());
     }
 
+    /** Servers with a live lease. */
+    public List<Announcement> all() {
+        return entries.values().stream().map(Entry::announcement).toList();
+    }
+
     /** Servers of one kind with a live lease. */
     public List<Announcement> ofKind(BackendKind kind) {
         return entries.values().stream()
--- a/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
+++ b/elmline-core/src/main/java/org/elmline/core/owner/Owner.java
@@ -281,6 +281,11 @@
         return servers.ofKind(BackendKind.ENGINE);
     }
 
+    /** Every backend server with a live lease. */
+    public synchronized List<Announcement> servers() {
+        return servers.all();
+    }
+
     /** Sequence number of the last cache event taken in from an engine. */
     public synchronized long lastCacheEvent(BackendServerId server) {
         return ledger.engine(server).map(EngineLedger::lastCacheEvent).orElse(0L);
--- a/elmline-core/src/main/java/org/elmline/core/timeline/BackendEvent.java
+++ b/elmline-core/src/main/java/org/elmline/core/timeline/BackendEvent.java
@@ -8,11 +8,11 @@
 public sealed interface BackendEvent extends Event {
     BackendServerId server();
 
-    /** It announced itself for the first time since its start. */
+    /** This entry owns it from now on: it announced itself for the first time since its start, or came from another owner. */
     @JsonTypeName("backend-joined")
     record Joined(BackendServerId server, Incarnation incarnation) implements BackendEvent {}
 
-    /** It said that it is leaving; no new work goes to it. */
+    /** It gets no new work from this owner: it said that it is leaving, or another entry owns it from now on. */
     @JsonTypeName("backend-leaving")
     record Leaving(BackendServerId server) implements BackendEvent {}
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerDuties.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/backend/OwnerDuties.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.elmline.core.backend.Announcement;
+import org.elmline.core.backend.ServerChanges;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.MonotonicClock;
@@ -16,6 +17,7 @@
 import org.elmline.core.owner.Owner;
 import org.elmline.core.route.AuditRequest;
 import org.elmline.core.stream.Cancel;
+import org.elmline.core.timeline.EventRing;
 import org.jboss.logging.Logger;
 
 /**
@@ -28,17 +30,22 @@
     private static final long CANCEL_MILLIS = 100;
     private static final long LIST_MILLIS = 2_000;
     private static final long CACHE_MILLIS = 500;
+    private static final long CHANGES_MILLIS = 100;
 
     private final Owner owner;
     private final OwnerService service;
     private final EngineClients engines;
     private final MonotonicClock clock;
+    private final EventRing events;
+    private final ServerChanges changes = new ServerChanges();
 
-    public OwnerDuties(Owner owner, OwnerService service, EngineClients engines, MonotonicClock clock) {
+    public OwnerDuties(
+            Owner owner, OwnerService service, EngineClients engines, MonotonicClock clock, EventRing events) {
         this.owner = owner;
         this.service = service;
         this.engines = engines;
         this.clock = clock;
+        this.events = events;
     }
 
     public void start(ScheduledExecutorService timer) {
@@ -46,6 +53,7 @@
         every(timer, CANCEL_MILLIS, this::sendCancels);
         every(timer, LIST_MILLIS, this::listEngines);
         every(timer, CACHE_MILLIS, this::readCacheEvents);
+        every(timer, CHANGES_MILLIS, this::recordChanges);
     }
 
     private static void every(ScheduledExecutorService timer, long millis, Runnable task) {
@@ -61,6 +69,10 @@
         }
     }
 
+    private void recordChanges() {
+        changes.next(owner.servers()).forEach(events::record);
+    }
+
     private void sendCancels() {
         for (Cancel each : owner.cancels(clock.nanos())) {
             client(each.server()).ifPresent(engine -> send(engine, each));
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
@@ -23,17 +23,14 @@
 import org.elmline.core.raft.RaftSettings;
 import org.elmline.core.timeline.EventRing;
 import org.elmline.core.timeline.HostEvent;
-import org.elmline.core.timeline.HybridClock;
 import org.elmline.daemon.backend.EngineClients;
+import org.elmline.daemon.component.DaggerProcessComponent;
+import org.elmline.daemon.component.ProcessComponent;
 import org.elmline.daemon.http.Answers;
 import org.elmline.daemon.http.HttpLimits;
 import org.elmline.daemon.http.HttpListener;
-import org.elmline.daemon.operator.EventsHandler;
-import org.elmline.daemon.operator.MetricsHandler;
 import org.elmline.daemon.operator.OperatorKeys;
-import org.elmline.daemon.operator.ProcessMetrics;
 import org.elmline.daemon.raft.RaftDriver;
-import org.elmline.daemon.runtime.SystemClock;
 import org.elmline.daemon.runtime.Workers;
 import org.elmline.daemon.settings.ControlSettings;
 import org.elmline.daemon.settings.ListenAddress;
@@ -53,9 +50,9 @@
 
     private final Closer closer = new Closer();
     private final ControlSettings settings;
-    private final MonotonicClock clock = new SystemClock();
-    private final MetricRegistry metrics = new MetricRegistry();
-    private final HybridClock hybridClock = new HybridClock(System::currentTimeMillis);
+    private final ProcessComponent process;
+    private final MonotonicClock clock;
+    private final MetricRegistry metrics;
     private final Incarnation incarnation = Incarnation.of(System.currentTimeMillis());
     private final EventRing events;
     private final Runnable onFailure;
@@ -67,13 +64,10 @@
     private ControlDaemon(ControlSettings settings, Runnable onFailure) {
         this.settings = settings;
         this.onFailure = onFailure;
-        this.events = new EventRing(
-                settings.host(),
-                incarnation,
-                hybridClock,
-                System::currentTimeMillis,
-                settings.timeline().events());
-        ProcessMetrics.register(metrics, events, hybridClock);
+        this.process = DaggerProcessComponent.factory().create(settings.host(), incarnation, settings.timeline());
+        this.clock = process.clock();
+        this.metrics = process.metrics();
+        this.events = process.events();
     }
 
     /**
@@ -105,9 +99,14 @@
                 PeerLimits.DEFAULT,
                 workers.connections(),
                 workers.timer(),
-                hybridClock));
+                process.hybridClock()));
         TcpPeerNetwork network = closer.register(new TcpPeerNetwork(
-                key, PeerLimits.DEFAULT, workers.connections(), workers.timer(), workers.handlers(), hybridClock));
+                key,
+                PeerLimits.DEFAULT,
+                workers.connections(),
+                workers.timer(),
+                workers.handlers(),
+                process.hybridClock()));
         ControlMachine machine = new ControlMachine();
         Map<HostId, Address> peers = new LinkedHashMap<>();
         settings.control().forEach(each -> peers.put(each.host(), each.peers()));
@@ -170,8 +169,8 @@
     private HttpListener http() {
         RoutingHandler routes = Handlers.routing()
                 .get("/v1/status", exchange -> Answers.json(exchange, status()))
-                .get("/v1/events", new EventsHandler(events))
-                .get("/metrics", new MetricsHandler(metrics));
+                .get("/v1/events", process.eventsHandler())
+                .get("/metrics", process.metricsHandler());
         List<String> keys =
                 settings.keys().operatorKeys().stream().map(Secret::value).toList();
         ListenAddress bind = settings.addresses().operators();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -190,7 +190,7 @@
                 RouteChannels.SUMMARY,
                 summary -> CompletableFuture.completedFuture(table.accept(summary, clock.nanos())));
         new EngineObserver(owner, engines).register(channels);
-        new OwnerDuties(owner, service, engines, clock).start(workers.timer());
+        new OwnerDuties(owner, service, engines, clock, events).start(workers.timer());
         SummarySchedule schedule = new SummarySchedule(record, SUMMARY_BEAT_MILLIS, SUMMARY_BYTES_PER_SECOND);
         new SummarySender(owner, table, schedule, view, network, clock, metrics).start(workers.timer());
         GrantBook grants = new GrantBook(self, view, clock, network, service, table, metrics);
