Bound the log's memory in bytes, and let only known control hosts join

The log was compacted and retained by counts of entries; commands of up to 1 MB made that 6 GB at worst. A host that the settings don't name as a control host can't ask to become a member.

--- a/elmline-core/src/main/java/org/elmline/core/raft/RaftLog.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/RaftLog.java
@@ -196,14 +196,24 @@
         applied = base;
     }
 
-    /** Puts the state after {@code index} in place of the entries up to there, but for some retained ones. */
-    Snapshot compact(long index, byte[] state, int retained) {
+    /**
+     * Puts the state after {@code index} in place of the entries up to there, but for the last ones, at most {@code
+     * retained} of at most {@code retainedBytes}.
+     */
+    Snapshot compact(long index, byte[] state, int retained, long retainedBytes) {
         if (index > applied || (snapshot != null && index <= snapshot.index())) {
             throw new IllegalStateException("snapshot at " + index + " of " + applied + " applied");
         }
         Membership asOf = memberships.floorEntry(index).getValue();
         snapshot = new Snapshot(index, termAt(index), asOf, state);
-        long newBase = Math.max(base, index - retained);
+        long newBase = index;
+        long bytes = 0;
+        while (newBase > base
+                && index - newBase < retained
+                && bytes + at(newBase).weight() <= retainedBytes) {
+            bytes += at(newBase).weight();
+            newBase--;
+        }
         long newBaseTerm = termAt(newBase);
         entries.subList(0, (int) (newBase - base)).clear();
         base = newBase;
--- a/elmline-core/src/main/java/org/elmline/core/raft/RaftNode.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/RaftNode.java
@@ -202,7 +202,8 @@
 
     /** Puts the applied state in place of the log up to {@code index}. Returns the snapshot to be written. */
     public Snapshot compact(long index, byte[] appliedState) {
-        return state.log().compact(index, appliedState, state.settings().retainedEntries());
+        RaftSettings bounds = state.settings();
+        return state.log().compact(index, appliedState, bounds.retainedEntries(), bounds.maxInflightBytes());
     }
 
     private void begin(long nowNanos) {
@@ -269,6 +270,11 @@
         return state.log().lastIndex();
     }
 
+    /** Entries held in memory. */
+    public long retainedEntries() {
+        return state.log().lastIndex() - state.log().firstIndex() + 1;
+    }
+
     /** The newest snapshot, null when there is none. */
     public Snapshot snapshot() {
         return state.log().snapshot();
--- a/elmline-core/src/main/java/org/elmline/core/raft/RaftSettings.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/RaftSettings.java
@@ -81,7 +81,7 @@
             return this;
         }
 
-        /** Bytes on their way to one follower, unacknowledged. */
+        /** Bytes on their way to one follower, unacknowledged; also the most that is retained behind a snapshot. */
         public Builder maxInflightBytes(int value) {
             maxInflightBytes = value;
             return this;
--- a/elmline-core/src/test/java/org/elmline/core/raft/RaftNodeTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/RaftNodeTest.java
@@ -194,6 +194,22 @@
         return outcome instanceof ProposeOutcome.Refused refused ? refused.why() : null;
     }
 
+    /** Large entries retained by count alone would fill the memory. */
+    @Test
+    void entriesRetainedBehindASnapshotAreBoundedInBytes() {
+        RaftSettings.Builder bounds =
+                RaftSettings.builder().maxInflightBytes(100).retainedEntries(50);
+        SimCluster cluster = new SimCluster(1, 10, bounds);
+        SimHost only = cluster.awaitLeader();
+        for (int i = 0; i < 20; i++) {
+            cluster.propose();
+        }
+        only.compact();
+        RaftLog log = new RaftLog(only.disk.read());
+        assertEquals(only.appliedIndex, log.firstIndex() - 1);
+        assertEquals(2, only.node.retainedEntries());
+    }
+
     @Test
     void oneVoterLeadsAndCommitsAlone() {
         SimCluster cluster = new SimCluster(1, 9);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftDriver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftDriver.java
@@ -185,6 +185,7 @@
     public static final class Builder {
         private static final int QUEUE_LENGTH = 16_384;
         private static final int SNAPSHOT_ENTRIES = 4_096;
+        private static final long SNAPSHOT_BYTES = 8L * 1024 * 1024;
 
         DataFolder folder;
         Restored restored;
@@ -200,6 +201,7 @@
         Runnable onFailure = () -> {};
         int queueLength = QUEUE_LENGTH;
         int snapshotEntries = SNAPSHOT_ENTRIES;
+        long snapshotBytes = SNAPSHOT_BYTES;
 
         private Builder() {}
 
@@ -224,7 +226,7 @@
         /**
          * Where the other replicas are.
          *
-         * @param byHost peer address of a control host, null when it is not known
+         * @param byHost peer address of a control host, null for one that is none and so may not join
          * @param all peer addresses that a fresh replica asks to become a member
          */
         public Builder addresses(Function<HostId, Address> byHost, Supplier<List<Address>> all) {
@@ -265,6 +267,12 @@
             return this;
         }
 
+        /** Bytes of applied entries after which the log is compacted too; they are held in memory until then. */
+        public Builder snapshotBytes(long value) {
+            snapshotBytes = value;
+            return this;
+        }
+
         /** Called when the disk failed or an invariant broke; the process must end. */
         public Builder onFailure(Runnable value) {
             onFailure = value;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
@@ -49,6 +49,7 @@
     private volatile RaftStatus status;
     private volatile boolean stopping;
     private long snapshotIndex;
+    private long bytesSinceSnapshot;
     private long joinAt;
 
     RaftLoop(RaftDriver.Builder parts, RaftNode node, BlockingQueue<Input> queue, Sender sender) {
@@ -146,8 +147,9 @@
         } else if (input instanceof Input.Read read) {
             read(read, now);
         } else if (input instanceof Input.Join join) {
+            boolean known = parts.addresses.apply(join.replica().host()) != null;
             JoinPlan.next(node.membership(), join.replica(), node.isCaughtUp(join.replica()))
-                    .filter(change -> node.isLeader())
+                    .filter(change -> known && node.isLeader())
                     .ifPresent(change -> node.propose(now, change));
         } else if (input instanceof Input.Transfer transfer) {
             boolean started = transfer.target() == null
@@ -272,6 +274,7 @@
 
     private void apply(Entry entry) {
         committed.inc();
+        bytesSinceSnapshot += entry.weight();
         boolean command = entry.kind() == EntryKind.COMMAND;
         byte[] result = command ? machine.apply(entry.index(), entry.data()) : NOTHING;
         waiters.applied(entry, result, node.leader());
@@ -289,9 +292,12 @@
     }
 
     private void compact() {
-        if (node.appliedIndex() - snapshotIndex < parts.snapshotEntries || stopping) {
+        boolean due = node.appliedIndex() - snapshotIndex >= parts.snapshotEntries
+                || bytesSinceSnapshot >= parts.snapshotBytes;
+        if (!due || stopping) {
             return;
         }
+        bytesSinceSnapshot = 0;
         Snapshot snapshot = node.compact(node.appliedIndex(), machine.snapshot());
         snapshotIndex = snapshot.index();
         StoreResult result = folder.compact(snapshot);
