Ask again for a share before refusing by an old one

Cause: a share follows use with a lag, so a burst on one entry was refused while the organisation's limit had room; and the daemon's call of LimitShares lacked the entries. Change: over its share, an entry asks again when it last asked 100 ms ago or more. LimitService passes the number of live entries.

--- a/elmline-core/src/main/java/org/elmline/core/fairness/LimitShares.java
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/LimitShares.java
@@ -81,7 +81,8 @@
     private static long split(
             int entries, long limit, long inUse, long wanted, long wantedByOthers, long heldByOthers) {
         long all = wanted + wantedByOthers;
-        long fair = all <= limit ? wanted + (limit - all) / entries : (long) ((double) limit * wanted / all);
+        long fair =
+                all <= limit ? wanted + (limit - all) / Math.max(1, entries) : (long) ((double) limit * wanted / all);
         // What runs can't be taken back; and a limit of few requests must be usable on whichever entry is called.
         long least = Math.max(inUse, Math.min(1, limit));
         return Math.max(0, Math.min(Math.max(fair, least), limit - heldByOthers));
--- a/elmline-core/src/main/java/org/elmline/core/fairness/OrganisationLimits.java
+++ b/elmline-core/src/main/java/org/elmline/core/fairness/OrganisationLimits.java
@@ -20,6 +20,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double NANOS_PER_MINUTE = 60e9;
     private static final double BUCKET_MINUTES = 1.0 / 6;
+    private static final long ASK_AGAIN_NANOS = 100 * NANOS_PER_MILLI;
     private static final long IDLE_NANOS = 60_000 * NANOS_PER_MILLI;
 
     private final HostId host;
@@ -50,6 +51,10 @@
         } else if (limitsTokens && use.balance <= 0) {
             answer = LimitAnswer.TOO_MANY_TOKENS;
         }
+        // A share follows use with a lag; refusing by an old one would refuse what the limit has room for.
+        if (answer != LimitAnswer.ADMITTED && now - use.askedSince >= ASK_AGAIN_NANOS) {
+            answer = LimitAnswer.NO_SHARE;
+        }
         use.note(answer, tokens);
         return answer;
     }
--- a/elmline-core/src/test/java/org/elmline/core/fairness/FairnessTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/fairness/FairnessTest.java
@@ -282,6 +282,13 @@
         limits.granted(new ShareAnswer(OrganisationId.of("other"), 1, 0, 1_000), 0, 0);
         assertEquals(LimitAnswer.ADMITTED, limits.admit(organisation("other", 1, 0), 1, 0));
         assertEquals(LimitAnswer.TOO_MANY_REQUESTS, limits.admit(organisation("other", 1, 0), 1, 0));
+        long later = SECOND / 10;
+        assertEquals(LimitAnswer.NO_SHARE, limits.admit(organisation("other", 1, 0), 1, later), "worth asking again");
+        assertEquals(
+                5,
+                limits.shareRequest(OrganisationId.of("other"), later).requests(),
+                "one runs, three were refused, one more");
+        assertEquals(LimitAnswer.TOO_MANY_REQUESTS, limits.admit(organisation("other", 1, 0), 1, later));
     }
 
     @Test
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/LimitService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/LimitService.java
@@ -137,7 +137,8 @@
     private ShareAnswer split(ShareRequest request) {
         return view.configuration()
                 .organisation(request.organisation())
-                .map(known -> shares.renew(known, request, clock.nanos()))
+                .map(known ->
+                        shares.renew(known, request, view.members().hosts().size(), clock.nanos()))
                 .orElseGet(() -> new ShareAnswer(request.organisation(), 0, 0, 0));
     }
 }
