--- a/elmline-bench/src/main/java/org/elmline/bench/http/HttpLoad.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/http/HttpLoad.java
@@ -1,7 +1,7 @@
 package org.elmline.bench.http;
 
 import java.io.IOException;
-import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -34,7 +34,7 @@
     private record Completion(String model, String prompt, @JsonProperty("max_tokens") int maxTokens, boolean stream) {}
 
     /** Runs the load to its end and prints a summary. */
-    public HttpLoadResult run(HttpLoadOptions options, PrintStream out) throws InterruptedException {
+    public HttpLoadResult run(HttpLoadOptions options, PrintWriter out) throws InterruptedException {
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(options.maxInFlight());
         dispatcher.setMaxRequestsPerHost(options.maxInFlight());
--- a/elmline-bench/src/main/java/org/elmline/bench/policy/DecisionCost.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/DecisionCost.java
@@ -1,6 +1,6 @@
 package org.elmline.bench.policy;
 
-import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -33,7 +33,7 @@
     private int sink;
 
     /** Measures every policy and prints one Markdown table. */
-    public void run(List<Integer> sizes, PrintStream out) {
+    public void run(List<Integer> sizes, PrintWriter out) {
         out.println("| policy | replicas | ns a decision | bytes a decision |\n|---|---|---|---|");
         for (String name : PlacementPolicies.names()) {
             PlacementPolicy policy =
--- a/elmline-bench/src/main/java/org/elmline/bench/policy/PolicyBench.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/policy/PolicyBench.java
@@ -1,7 +1,7 @@
 package org.elmline.bench.policy;
 
 import java.io.IOException;
-import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -24,7 +24,7 @@
     private final EngineProfile profile = EngineProfile.builder().build();
 
     /** Runs the measurement, prints its tables and writes them with plots to the options' folder. */
-    public void run(PolicyOptions options, PrintStream out) throws IOException, InterruptedException {
+    public void run(PolicyOptions options, PrintWriter out) throws IOException, InterruptedException {
         List<Row> rows = measure(options);
         String tables = new Tables(rows).markdown();
         out.print(tables);
--- a/elmline-bench/src/test/java/org/elmline/bench/http/HttpLoadTest.java
+++ b/elmline-bench/src/test/java/org/elmline/bench/http/HttpLoadTest.java
@@ -1,7 +1,7 @@
 package org.elmline.bench.http;
 
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -42,7 +42,7 @@
         });
         try (StandinHttp server = new StandinHttp(0, slow)) {
             HttpLoadResult result =
-                    new HttpLoad().run(options(server.address(), 1), new PrintStream(new ByteArrayOutputStream()));
+                    new HttpLoad().run(options(server.address(), 1), new PrintWriter(new StringWriter()));
             assertEquals(50, result.requests());
             assertEquals(50, result.outcomes().get("done"));
             assertTrue(result.firstTokenMillis(99) > 20 * 40, "p99 " + result.firstTokenMillis(99));
@@ -54,7 +54,7 @@
         HttpHandler refusing = exchange -> exchange.setStatusCode(503).endExchange();
         try (StandinHttp server = new StandinHttp(0, refusing)) {
             HttpLoadResult result =
-                    new HttpLoad().run(options(server.address(), 8), new PrintStream(new ByteArrayOutputStream()));
+                    new HttpLoad().run(options(server.address(), 8), new PrintWriter(new StringWriter()));
             assertEquals(50, result.outcomes().get("503"));
         }
     }
--- a/elmline-bench/src/test/java/org/elmline/bench/policy/PolicyBenchTest.java
+++ b/elmline-bench/src/test/java/org/elmline/bench/policy/PolicyBenchTest.java
@@ -1,7 +1,7 @@
 package org.elmline.bench.policy;
 
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.util.List;
 
 import org.elmline.bench.workload.Mix;
@@ -105,11 +105,11 @@
 
     @Test
     void tablesAndDecisionCostArePrinted() throws Exception {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        StringWriter printed = new StringWriter();
         PolicyOptions small = new PolicyOptions(List.of(Mix.SNOWPAW), List.of(0.8), 0, 20, List.of(1L), 2, null);
-        new PolicyBench().run(small, new PrintStream(bytes));
-        new DecisionCost().run(List.of(2), new PrintStream(bytes));
-        String text = bytes.toString();
+        new PolicyBench().run(small, new PrintWriter(printed, true));
+        new DecisionCost().run(List.of(2), new PrintWriter(printed, true));
+        String text = printed.toString();
         for (Variant each : Variant.all()) {
             assertTrue(text.contains("| " + each.title() + " |"), each.title());
         }
--- a/elmline-cli/src/test/java/org/elmline/cli/MainTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/MainTest.java
@@ -30,6 +30,8 @@
             USAGE,settings
             USAGE,settings check
             USAGE,bench
+            USAGE,bench http --target 192.0.2.1:80 --key k
+            OK,bench decision --replicas 2
             USAGE,ticket show three --key k
             USAGE,ticket show -1 --key k
             USAGE,ticket show 3 --key k --operator ://
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.LengthClass;
 import org.elmline.core.common.Ran;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
@@ -16,6 +17,7 @@
 import org.elmline.core.engine.EngineRequest;
 import org.elmline.core.engine.PromptBlocks;
 import org.elmline.core.placement.Demand;
+import org.elmline.core.placement.EnginePriority;
 import org.elmline.core.route.Grant;
 import org.elmline.core.route.ReleaseCause;
 import org.elmline.core.stream.RetryDecision;
@@ -158,7 +160,7 @@
                 work.request().prompt(),
                 work.promptTokens(),
                 work.maxOutputTokens(),
-                work.call().organisation().priority(),
+                EnginePriority.of(LengthClass.of(work.promptTokens())),
                 pump.delivered(),
                 List.of());
     }
