--- a/elmline-wire/src/test/java/org/elmline/wire/codec/ControlMessagesTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ControlMessagesTest.java
@@ -46,14 +46,16 @@
             ControlSnapshot snapshot = state.snapshot();
             assertEquals(snapshot, replayed.snapshot());
             assertEquals(snapshot, again(codec, snapshot, ControlSnapshot.class));
-            assertEquals(snapshot, ControlState.restore(again(codec, snapshot, ControlSnapshot.class)).snapshot());
+            assertEquals(
+                    snapshot,
+                    ControlState.restore(again(codec, snapshot, ControlSnapshot.class))
+                            .snapshot());
         }
     }
 
     private static Command command(int i) {
         ClaimOwner owner = new ClaimOwner(HostId.of("e1"), Incarnation.of(1), i / 4);
-        IdempotencyKey key =
-                IdempotencyKey.issue(ORGANISATION, ISSUED + i / 4, new SplittableRandom(i / 4));
+        IdempotencyKey key = IdempotencyKey.issue(ORGANISATION, ISSUED + i / 4, new SplittableRandom(i / 4));
         ClaimKey claim = new ClaimKey(ORGANISATION, key);
         switch (i % 4) {
             case 0:
