Give engine orders half of what remains of the lease, not a fixed second

The planner sent only while the leader's lease outlasted the whole order timeout of 1 s, and leaders' leases here are about as long, so every order was held for LEADER_LEASE.

Change: an order's time limit is its timeout or half of what remains, whichever is shorter, and none is sent for less than a tenth of the timeout.

--- a/elmline-core/src/main/java/org/elmline/core/control/OrderPlanner.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/OrderPlanner.java
@@ -24,6 +24,9 @@
  * that restarted need no cases of their own. Not safe for concurrent use.
  */
 public final class OrderPlanner {
+    /** An order gets up to half of what remains of the lease, and isn't sent for less than this part of its timeout. */
+    private static final int LEAST_PART_OF_TIMEOUT = 10;
+
     private final OrderSettings settings;
     private final Leadership leadership;
     private final TokenBucket loads;
@@ -124,8 +127,9 @@
                 Configuration configuration, long nowNanos, long leaderUntilNanos, Map<ModelName, Integer> ready) {
             this.configuration = configuration;
             this.nowNanos = nowNanos;
-            this.untilNanos = nowNanos + settings.timeoutNanos();
-            this.leaseLasts = leaderUntilNanos - untilNanos > 0;
+            long limit = Math.min(settings.timeoutNanos(), (leaderUntilNanos - nowNanos) / 2);
+            this.untilNanos = nowNanos + limit;
+            this.leaseLasts = limit >= settings.timeoutNanos() / LEAST_PART_OF_TIMEOUT;
             this.ready = ready;
         }
 
