--- a/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
@@ -53,7 +53,9 @@
                 .asText();
         caller.put(deployment.service.ready("service") + "/standin/faults", "{\"delayMillis\":3000}");
         CompletableFuture<Client.Reply> first = holdLater(0, key);
-        Client.await("the claim is committed", () -> hold(1, key).status() == 409);
+        // Asked of the first entry: a retry that came before its claim would own the claim itself.
+        Client.await("the call is sent", () -> sentClaims(0) == 1);
+        assertEquals(409, hold(1, key).status());
         deployment.entries.get(0).freeze();
         Thread.sleep(5_000);
         Client.Reply retry = hold(1, key);
@@ -134,6 +136,17 @@
                 .post(RequestBody.create("{}", MediaType.get("application/json"))));
     }
 
+    private long sentClaims(int entry) throws IOException {
+        String metrics = deployment
+                .operator
+                .get(deployment.entries.get(entry).ready("operator") + "/metrics")
+                .body();
+        return metrics.lines()
+                .filter(each -> each.contains("service_claims_sent") && !each.startsWith("#"))
+                .mapToLong(each -> Long.parseLong(each.substring(each.lastIndexOf(' ') + 1)))
+                .sum();
+    }
+
     private int runs(String key) throws IOException {
         int runs = 0;
         for (com.fasterxml.jackson.databind.JsonNode each : deployment
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Placer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Placer.java
@@ -96,6 +96,9 @@
             }
             if (answer.get() instanceof PlaceAnswer.Placed placed) {
                 grants.open(placed.grant(), owner.id());
+                if (placed.summary() != null) {
+                    owners.refresh(owner.id(), demand, placed.summary());
+                }
                 return new Placement.Found(placed.grant(), owner.id());
             }
             PlaceAnswer.Refused refused = (PlaceAnswer.Refused) answer.get();
