Try on for a place while a caller has half an answer; answer old tickets by their decision

A ticket older than the kept records has no record to read back and was answered as undecided for ever. A keyed call refused at the gate said 'did not run', though an earlier try under its key may have. Change: placing is tried for ten seconds more while pieces are out; the decision comes from the applied command; such refusals say 'unknown'; expired claims are dropped every ten seconds.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Exchange.java
@@ -31,6 +31,8 @@
  */
 final class Exchange {
     private static final long RETRY_MILLIS = 1_000;
+    private static final long CONTINUE_MILLIS = 10_000;
+    private static final long CONTINUE_PAUSE_MILLIS = 200;
 
     private final Gateway gateway;
     private final Work work;
@@ -40,6 +42,7 @@
     private final List<Long> prefixHashes;
     private Grant grant;
     private int tries;
+    private int placements;
 
     Exchange(Gateway gateway, Work work, AnswerSink sink) {
         this.gateway = gateway;
@@ -103,7 +106,14 @@
     /** False when the request has its final answer already: there is no place, or a group of engines served it. */
     private boolean place() throws IOException, InterruptedException {
         tries++;
-        Placement placement = gateway.placer().place(work.call(), tries, demand());
+        Placement placement = gateway.placer().place(work.call(), ++placements, demand());
+        long until = gateway.clock().millis() + CONTINUE_MILLIS;
+        // A caller with half an answer can't use a refusal: for a while the rest is worth more tries, each a real one.
+        while (placement instanceof Placement.None none && worthAnotherTry(none.refusal(), until)) {
+            Thread.sleep(CONTINUE_PAUSE_MILLIS);
+            sink.idle();
+            placement = gateway.placer().place(work.call(), ++placements, demand());
+        }
         if (placement instanceof Placement.None none) {
             refuseOrGroup(none.refusal());
             return false;
@@ -114,6 +124,14 @@
         return true;
     }
 
+    private boolean worthAnotherTry(Refusal refusal, long untilMillis) {
+        boolean half = pump.count() > 0;
+        return half
+                && refusal.reason().passing()
+                && remainingMillis() > 0
+                && gateway.clock().millis() < untilMillis;
+    }
+
     private void refuseOrGroup(Refusal refusal) throws IOException, InterruptedException {
         boolean larger = refusal.reason() == RefusalReason.TOO_LARGE && !pump.everStarted();
         Optional<Refusal> last = larger ? new GroupExchange(gateway, work, pump, demand()).run() : Optional.of(refusal);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Placer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Placer.java
@@ -70,7 +70,7 @@
     }
 
     /** Waits for a place until the demand's time is up. */
-    Placement place(Admitted call, int tryNumber, Demand demand) throws InterruptedException {
+    Placement place(Admitted call, int placement, Demand demand) throws InterruptedException {
         Set<HostId> tried = new HashSet<>();
         Refusal last = null;
         for (int i = 0; i < MAX_OWNERS; i++) {
@@ -80,7 +80,7 @@
             }
             HostRecord owner = choice.get().owner();
             tried.add(owner.id());
-            AttemptId attempt = AttemptId.of(call.id() + "/" + tryNumber + "." + i);
+            AttemptId attempt = AttemptId.of(call.id() + "/" + placement + "." + i);
             PlaceRequest request = new PlaceRequest(
                     attempt,
                     self.host(),
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ClaimService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ClaimService.java
@@ -45,6 +45,7 @@
             C claim, BiFunction<C, CompletableFuture<ClaimAnswer>, Boolean> offer) {
         Standing standing = log.standing();
         if (!standing.leads()) {
+            turnAway(standing);
             return CompletableFuture.completedFuture(new ClaimAnswer.NotLeader(standing.leader()));
         }
         CompletableFuture<ClaimAnswer> waiter = new CompletableFuture<>();
@@ -59,6 +60,15 @@
         return waiter;
     }
 
+    /** Claims that still wait when this host stops leading are told so, in place of waiting for a batch to come back. */
+    private void turnAway(Standing standing) {
+        List<CompletableFuture<ClaimAnswer>> waiting;
+        synchronized (batcher) {
+            waiting = batcher.drain();
+        }
+        waiting.forEach(each -> each.complete(new ClaimAnswer.NotLeader(standing.leader())));
+    }
+
     private void proposeNext() {
         List<ClaimBatch<CompletableFuture<ClaimAnswer>>> ready;
         synchronized (batcher) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/LeaderWatch.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/LeaderWatch.java
@@ -27,7 +27,7 @@
     private static final Logger LOG = Logger.getLogger(LeaderWatch.class);
     private static final long CHECK_MILLIS = 20;
     private static final long SWEEP_EVERY_CHECKS = 10;
-    private static final long EXPIRE_EVERY_CHECKS = 3_000;
+    private static final long EXPIRE_EVERY_CHECKS = 500;
 
     private final HostId host;
     private final EventRing events;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/TicketService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/TicketService.java
@@ -5,15 +5,14 @@
 import java.util.concurrent.CompletionStage;
 
 import org.elmline.core.common.MonotonicClock;
-import org.elmline.core.common.TicketNumber;
 import org.elmline.core.control.Command;
+import org.elmline.core.control.CommandResult;
 import org.elmline.core.control.Ticket;
 import org.elmline.core.control.TicketAnswer;
 import org.elmline.core.control.TicketList;
 import org.elmline.core.control.TicketListQuery;
 import org.elmline.core.control.TicketQuery;
 import org.elmline.core.control.TicketRecord;
-import org.elmline.core.control.TicketStatus;
 
 /** Decides tickets through the log and tells where they are in force. */
 final class TicketService {
@@ -40,7 +39,7 @@
         events.proposing(command);
         return log.propose(command).thenApply(result -> {
             events.ended(command);
-            return answer(ticket.number(), command.digest(), result);
+            return answer(ticket, command.digest(), result);
         });
     }
 
@@ -55,7 +54,7 @@
         return CompletableFuture.completedFuture(machine.read(state -> state.tickets(query)));
     }
 
-    private TicketAnswer answer(TicketNumber number, String digest, Proposed result) {
+    private TicketAnswer answer(Ticket ticket, String digest, Proposed result) {
         if (result instanceof Proposed.NotLeader not) {
             return new TicketAnswer.NotLeader(not.leader());
         }
@@ -65,10 +64,11 @@
         if (result instanceof Proposed.Undecided undecided) {
             return new TicketAnswer.Undecided(undecided.why());
         }
-        Optional<TicketRecord> record = machine.read(state -> state.ticket(number, digest));
-        Optional<TicketStatus> status =
-                record.flatMap(found -> watch.withKeeper(keeper -> keeper.status(found, clock.nanos())));
-        return status.<TicketAnswer>map(TicketAnswer.Decided::new)
+        CommandResult applied = ((Proposed.Applied) result).result();
+        // Not read back from the state: a ticket older than all that are kept leaves no record there.
+        TicketRecord record = TicketRecord.of(ticket, digest, ((CommandResult.TicketDecided) applied).outcome());
+        return watch.withKeeper(keeper -> keeper.status(record, clock.nanos()))
+                .<TicketAnswer>map(TicketAnswer.Decided::new)
                 .orElseGet(() -> new TicketAnswer.Undecided("this control host stopped leading meanwhile"));
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceHandler.java
@@ -16,6 +16,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.HttpString;
+import org.elmline.core.common.Ran;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
 import org.elmline.core.common.ServiceName;
@@ -76,7 +77,7 @@
     public void handleRequest(HttpServerExchange exchange) {
         Gate.Passage passage = gate.enter(exchange);
         if (passage instanceof Gate.Passage.Closed closed) {
-            Answers.refuse(exchange, closed.refusal());
+            Answers.refuse(exchange, forKey(exchange, closed.refusal()));
             return;
         }
         Admitted call = ((Gate.Passage.Open) passage).call();
@@ -87,6 +88,18 @@
         bodies.read(exchange, body -> serve(exchange, call, body));
     }
 
+    /**
+     * A call under a key may have run in an earlier try that this entry knows nothing of. Told that it did not run, a
+     * caller could take a new key and pay twice; so a refusal that a retry may change says that nobody knows.
+     */
+    private static Refusal forKey(HttpServerExchange exchange, Refusal refusal) {
+        boolean keyed = exchange.getRequestHeaders().contains(KEY_HEADER);
+        if (!keyed || !refusal.reason().passing()) {
+            return refusal;
+        }
+        return new Refusal(refusal.reason(), refusal.message(), Ran.UNKNOWN, refusal.retryAfterMillis());
+    }
+
     private void serve(HttpServerExchange exchange, Admitted admitted, byte[] body) {
         String rest = exchange.getRequestPath().substring(PREFIX.length());
         int slash = rest.indexOf('/');
