Notice a caller who hangs up before anything is written to it

Cause: Undertow reads nothing from a connection whose request is being served, so a caller of a plain answer, or of a streamed one before its first piece, who left was seen only when the answer was written. Change: the sinks look for the end of the caller's input now and then, and hand back what came early. Found on the way: the tests that wait for memory to be freed could pass because answers ended by themselves within the wait (the new one passed in 30 s with the look taken out); their engines now run at a twentieth of their speed. With the look taken out the new test fails after 60 s, with it the seven tests of its class pass in 58 s, and the killed entry's streams are gone within the wait. The peer channels' handlers are PeerHandlers now, so that no reader takes them for Undertow's.

--- a/elmline-cli/src/test/java/org/elmline/cli/local/BrokenStreamsTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/local/BrokenStreamsTest.java
@@ -17,6 +17,7 @@
 /** Answers stay whole and exact while engines, connections and entries fail under them. */
 class BrokenStreamsTest {
     private static final int TOKENS = 400;
+    private static final double SLOW = 20;
 
     private LocalDeployment deployment;
     private Client caller;
@@ -84,16 +85,31 @@
     /** The caller hangs up amid the answer: its engine must not go on, nor keep its memory. */
     @Test
     void aCallerThatLeavesFreesTheEngine() throws Exception {
+        slowEngines(SLOW);
         caller.leaveDuring(url(0), body("left early", 4000));
         awaitStreams(0);
     }
 
+    /** The same for an answer that is not streamed, where nothing is written that could fail. */
+    @Test
+    void aCallerThatLeavesAPlainAnswerFreesTheEngine() throws Exception {
+        String body = body("left a plain answer", 4000).replace("\"stream\":true", "\"stream\":false");
+        slowEngines(SLOW);
+        Runnable hangUp = caller.begin(url(0), body);
+        awaitStreams(1);
+        hangUp.run();
+        awaitStreams(0);
+        slowEngines(1);
+        assertEquals(200, ask(0, "after the one who left", 4).status());
+    }
+
     /**
      * An entry dies with long answers in flight. Nobody cancels them: the owner finds them once the dead entry's lease
      * is over, and frees their memory.
      */
     @Test
     void aDeadEntryLeavesNoMemoryTaken() throws Exception {
+        slowEngines(SLOW);
         for (int i = 0; i < 3; i++) {
             streaming("orphan " + i, 4000).exceptionally(lost -> null);
         }
@@ -121,6 +137,11 @@
         });
     }
 
+    /** With slow engines, no answer ends by itself while a test waits for memory to be freed. */
+    private void slowEngines(double factor) {
+        deployment.engines().forEach(each -> each.faults().slowdown(factor));
+    }
+
     private void awaitStreams(int count) throws InterruptedException {
         Client.await(count + " open streams", () -> openStreams() == count);
     }
--- a/elmline-cli/src/test/java/org/elmline/cli/process/Client.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/Client.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import okhttp3.Call;
+import okhttp3.Callback;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -64,6 +65,24 @@
         }
     }
 
+    /** Sends a request without waiting for its answer; what is returned hangs up. */
+    public Runnable begin(String url, String json) {
+        Request.Builder request = new Request.Builder().url(url).post(RequestBody.create(json, JSON));
+        Call call = http.newCall(authorised(request));
+        call.enqueue(new Callback() {
+            @Override
+            public void onFailure(Call failed, IOException e) {
+                // Expected: the caller hung up.
+            }
+
+            @Override
+            public void onResponse(Call answered, Response response) {
+                response.close();
+            }
+        });
+        return call::cancel;
+    }
+
     /** Reads the first bytes of a streamed answer, then hangs up. */
     public void leaveDuring(String url, String json) throws IOException {
         Request.Builder request = new Request.Builder().url(url).post(RequestBody.create(json, JSON));
--- a/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
@@ -113,6 +113,10 @@
     /** An entry is killed with long answers in flight: within seconds the engines hold nothing for them. */
     @Test
     void aKilledEntryLeavesNoMemoryTaken() throws Exception {
+        // Slow, so that no answer ends by itself while the test waits.
+        for (ElmlineProcess each : deployment.engines) {
+            deployment.caller.put(each.ready("engine") + "/standin/faults", "{\"slowdown\":20}");
+        }
         List<CompletableFuture<Client.Stream>> lost = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             lost.add(deployment.stream(0, "orphan " + i, 4000));
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionsHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionsHandler.java
@@ -78,7 +78,8 @@
                 : request.maxOutputTokens();
         CompletionWriter writer =
                 new CompletionWriter(request, call.id(), System.currentTimeMillis() / 1000, promptTokens);
-        AnswerSink sink = request.stream() ? new StreamSink(exchange, writer) : new WholeSink(exchange, writer);
+        AnswerSink sink =
+                request.stream() ? new StreamSink(exchange, writer) : new WholeSink(exchange, writer, gateway.clock());
         serve(new Work(call, request, promptTokens, maxOutput), sink, exchange);
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/StreamSink.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/StreamSink.java
@@ -9,6 +9,7 @@
 import org.elmline.core.common.Refusal;
 import org.elmline.core.engine.FinishReason;
 import org.elmline.daemon.http.Answers;
+import org.elmline.daemon.http.CallerPresence;
 import org.elmline.daemon.openai.CompletionWriter;
 
 /** Sends an answer piece by piece as server-sent events. The status line goes out with the first piece. */
@@ -49,9 +50,12 @@
 
     @Override
     public void idle() throws IOException {
-        if (out != null) {
-            write(PING);
+        if (out == null) {
+            // The status isn't known yet, so nothing may be written to find out.
+            new CallerPresence(exchange).check();
+            return;
         }
+        write(PING);
     }
 
     private void write(byte[] event) throws IOException {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/WholeSink.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/WholeSink.java
@@ -1,28 +1,41 @@
 package org.elmline.daemon.caller;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.engine.FinishReason;
 import org.elmline.daemon.http.Answers;
+import org.elmline.daemon.http.CallerPresence;
 import org.elmline.daemon.openai.CompletionWriter;
 
-/** Gathers an answer and sends it whole. */
+/** Gathers an answer and sends it whole. Looks now and then whether the caller is still there. */
 final class WholeSink implements AnswerSink {
+    private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private final HttpServerExchange exchange;
     private final CompletionWriter writer;
+    private final MonotonicClock clock;
+    private final CallerPresence caller;
     private final StringBuilder text = new StringBuilder();
+    private long lookedNanos;
 
-    WholeSink(HttpServerExchange exchange, CompletionWriter writer) {
+    WholeSink(HttpServerExchange exchange, CompletionWriter writer, MonotonicClock clock) {
         this.exchange = exchange;
         this.writer = writer;
+        this.clock = clock;
+        this.caller = new CallerPresence(exchange);
+        this.lookedNanos = clock.nanos();
     }
 
     @Override
-    public void piece(String piece) {
+    public void piece(String piece) throws IOException {
         text.append(piece);
+        idle();
     }
 
     @Override
@@ -37,7 +50,11 @@
     }
 
     @Override
-    public void idle() {
-        // Nothing may be written before the status is known.
+    public void idle() throws IOException {
+        long now = clock.nanos();
+        if (now - lookedNanos >= LOOK_NANOS) {
+            lookedNanos = now;
+            caller.check();
+        }
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
@@ -36,6 +36,7 @@
 import org.elmline.daemon.settings.ListenAddress;
 import org.elmline.daemon.settings.Secret;
 import org.elmline.storage.OpenResult;
+import org.elmline.wire.tcp.PeerHandlers;
 import org.elmline.wire.tcp.PeerKey;
 import org.elmline.wire.tcp.PeerLimits;
 import org.elmline.wire.tcp.TcpPeerNetwork;
@@ -89,7 +90,7 @@
     private void open() throws IOException {
         OpenResult.Opened opened = ControlData.open(settings.dataFolder(), settings.host());
         Workers workers = closer.register(new Workers("control", MAX_STREAMS));
-        org.elmline.wire.tcp.Handlers channels = new org.elmline.wire.tcp.Handlers(workers.handlers());
+        PeerHandlers channels = new PeerHandlers(workers.handlers());
         PeerKey key = new PeerKey(settings.keys().peerKey().value());
         ListenAddress bind = settings.addresses().peers();
         server = closer.register(TcpPeerServer.start(
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -61,6 +61,7 @@
 import org.elmline.daemon.settings.EntrySettings;
 import org.elmline.daemon.settings.ListenAddress;
 import org.elmline.daemon.settings.Secret;
+import org.elmline.wire.tcp.PeerHandlers;
 import org.elmline.wire.tcp.PeerKey;
 import org.elmline.wire.tcp.PeerLimits;
 import org.elmline.wire.tcp.TcpPeerNetwork;
@@ -122,7 +123,7 @@
     private void open() throws IOException {
         Workers workers = closer.register(new Workers("entry", settings.limits().maxConcurrentRequests()));
         PeerKey key = new PeerKey(settings.keys().peerKey().value());
-        org.elmline.wire.tcp.Handlers channels = new org.elmline.wire.tcp.Handlers(workers.handlers());
+        PeerHandlers channels = new PeerHandlers(workers.handlers());
         bind(workers, key, channels);
         TcpPeerNetwork network = closer.register(new TcpPeerNetwork(
                 key,
@@ -155,7 +156,7 @@
     }
 
     /** Binds all ports first, since this host's record carries them; their routes follow. */
-    private void bind(Workers workers, PeerKey key, org.elmline.wire.tcp.Handlers channels) throws IOException {
+    private void bind(Workers workers, PeerKey key, PeerHandlers channels) throws IOException {
         ListenAddress bind = settings.addresses().peers();
         peers = closer.register(TcpPeerServer.start(
                 new InetSocketAddress(bind.ip(), bind.port()),
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/Connection.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/Connection.java
@@ -17,7 +17,7 @@
 final class Connection {
     private final FrameChannel frames;
     private final Handshake handshake;
-    private final Handlers handlers;
+    private final PeerHandlers handlers;
     private final PeerLimits limits;
     private final HybridClock hybridClock;
     private final Consumer<Connection> onClose;
@@ -31,7 +31,7 @@
             AsynchronousSocketChannel socket,
             PeerKey key,
             Handshake.Role role,
-            Handlers handlers,
+            PeerHandlers handlers,
             PeerLimits limits,
             HybridClock hybridClock,
             Consumer<Connection> onClose) {
@@ -139,9 +139,9 @@
             handling.decrementAndGet();
             if (failure != null) {
                 reply(call, Envelope.Kind.FAILED, "the handler failed", new byte[0]);
-            } else if (answer instanceof Handlers.Answer.Refused refused) {
+            } else if (answer instanceof PeerHandlers.Answer.Refused refused) {
                 reply(call, Envelope.Kind.REFUSED, refused.why(), new byte[0]);
-            } else if (answer instanceof Handlers.Answer.Body body) {
+            } else if (answer instanceof PeerHandlers.Answer.Body body) {
                 reply(call, Envelope.Kind.ANSWER, "", body.bytes());
             }
         });
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/Handlers.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/PeerHandlers.java
@@ -14,11 +14,11 @@
 import org.elmline.wire.codec.Decoded;
 
 /** The channels a process serves, and the workers that run their handlers. */
-public final class Handlers implements HandlerRegistry {
+public final class PeerHandlers implements HandlerRegistry {
     private final Map<String, Entry<?, ?>> entries = new ConcurrentHashMap<>();
     private final Executor workers;
 
-    public Handlers(Executor workers) {
+    public PeerHandlers(Executor workers) {
         this.workers = workers;
     }
 
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
@@ -38,7 +38,7 @@
     private final ScheduledExecutorService timer;
     private final Executor workers;
     private final HybridClock hybridClock;
-    private final Handlers noHandlers;
+    private final PeerHandlers noHandlers;
     private final Map<Address, Link> links = new ConcurrentHashMap<>();
     private volatile boolean closed;
 
@@ -55,7 +55,7 @@
         this.timer = timer;
         this.workers = workers;
         this.hybridClock = hybridClock;
-        this.noHandlers = new Handlers(workers);
+        this.noHandlers = new PeerHandlers(workers);
     }
 
     @Override
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerServer.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerServer.java
@@ -19,7 +19,7 @@
 /** Accepts connections of other elmline processes and answers their calls. */
 public final class TcpPeerServer implements AutoCloseable {
     private final AsynchronousServerSocketChannel server;
-    private final Handlers handlers;
+    private final PeerHandlers handlers;
     private final PeerKey key;
     private final PeerLimits limits;
     private final ScheduledExecutorService timer;
@@ -29,7 +29,7 @@
 
     private TcpPeerServer(
             AsynchronousServerSocketChannel server,
-            Handlers handlers,
+            PeerHandlers handlers,
             PeerKey key,
             PeerLimits limits,
             ScheduledExecutorService timer,
@@ -45,7 +45,7 @@
     /** Binds and begins to accept; port 0 takes a free port, see {@link #port()}. */
     public static TcpPeerServer start(
             InetSocketAddress bind,
-            Handlers handlers,
+            PeerHandlers handlers,
             PeerKey key,
             PeerLimits limits,
             AsynchronousChannelGroup group,
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -59,7 +59,7 @@
         closer.register(group::shutdownNow);
         closer.register(timer::shutdownNow);
         closer.register(workers::shutdownNow);
-        Handlers handlers = new Handlers(workers);
+        PeerHandlers handlers = new PeerHandlers(workers);
         handlers.register(ECHO, ask -> CompletableFuture.completedFuture(new Reply(ask.text())));
         handlers.register(SILENT, ask -> new CompletableFuture<>());
         handlers.register(THROWS, ask -> {
