--- a/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
@@ -46,12 +46,8 @@
      */
     @Test
     void aFrozenEntryAndARetryHoldOneSeat() throws Exception {
-        Client caller = deployment.caller;
-        String key = caller.post(deployment.entries.get(0).ready("caller") + "/v1/idempotency-keys", "")
-                .json()
-                .path("key")
-                .asText();
-        caller.put(deployment.service.ready("service") + "/standin/faults", "{\"delayMillis\":3000}");
+        String key = issueKey();
+        deployment.caller.put(deployment.service.ready("service") + "/standin/faults", "{\"delayMillis\":3000}");
         CompletableFuture<Client.Reply> first = holdLater(0, key);
         // Asked of the first entry: a retry that came before its claim would own the claim itself.
         Client.await("the call is sent", () -> sentClaims(0) == 1);
@@ -72,12 +68,8 @@
      */
     @Test
     void aKilledEntryAndARetryHoldOneSeat() throws Exception {
-        Client caller = deployment.caller;
-        String key = caller.post(deployment.entries.get(0).ready("caller") + "/v1/idempotency-keys", "")
-                .json()
-                .path("key")
-                .asText();
-        caller.put(deployment.service.ready("service") + "/standin/faults", "{\"delayMillis\":2000}");
+        String key = issueKey();
+        deployment.caller.put(deployment.service.ready("service") + "/standin/faults", "{\"delayMillis\":2000}");
         CompletableFuture<Client.Reply> lost = holdLater(0, key);
         Client.await("the call is sent", () -> sentClaims(0) == 1);
         deployment.entries.get(0).kill();
@@ -96,17 +88,7 @@
     void aFrozenEngineDoesNotHoldAnAnswer() throws Exception {
         CompletableFuture<Client.Stream> answer = deployment.stream(0, "frozen engine", LONG_ANSWER);
         Client.await("an open stream", () -> deployment.openStreams() == 1);
-        for (ElmlineProcess each : deployment.engines) {
-            if (deployment
-                            .caller
-                            .get(each.ready("engine") + "/v1/streams")
-                            .json()
-                            .size()
-                    == 1) {
-                each.freeze();
-                break;
-            }
-        }
+        streamingEngine().freeze();
         assertExact("frozen engine", answer.get());
     }
 
@@ -132,17 +114,7 @@
     void aKilledEngineDoesNotBreakAnAnswer() throws Exception {
         CompletableFuture<Client.Stream> answer = deployment.stream(0, "killed engine", LONG_ANSWER);
         Client.await("an open stream", () -> deployment.openStreams() == 1);
-        for (ElmlineProcess each : deployment.engines) {
-            if (deployment
-                            .caller
-                            .get(each.ready("engine") + "/v1/streams")
-                            .json()
-                            .size()
-                    == 1) {
-                each.kill();
-                break;
-            }
-        }
+        streamingEngine().kill();
         assertExact("killed engine", answer.get());
     }
 
@@ -167,6 +139,30 @@
         assertEquals(12, whole);
     }
 
+    private String issueKey() throws IOException {
+        return deployment
+                .caller
+                .post(deployment.entries.get(0).ready("caller") + "/v1/idempotency-keys", "")
+                .json()
+                .path("key")
+                .asText();
+    }
+
+    /** The engine that holds the only open stream. */
+    private ElmlineProcess streamingEngine() throws IOException {
+        for (ElmlineProcess each : deployment.engines) {
+            if (deployment
+                            .caller
+                            .get(each.ready("engine") + "/v1/streams")
+                            .json()
+                            .size()
+                    == 1) {
+                return each;
+            }
+        }
+        throw new IOException("no engine streams");
+    }
+
     private CompletableFuture<Client.Reply> holdLater(int entry, String key) {
         return CompletableFuture.supplyAsync(() -> {
             try {
