Let a ticket order an engine's role

Cause: a backend role had no field for the role itself, so an order could only repeat what the engine reported. Change: the field, empty to leave the role as it is.

--- a/elmline-bench/src/main/java/org/elmline/bench/control/ControlSamples.java
+++ b/elmline-bench/src/main/java/org/elmline/bench/control/ControlSamples.java
@@ -61,7 +61,7 @@
                     number, new Organisation(OrganisationId.of(id), 10, 1, List.of(keyHash), 64, 1_000_000, false));
         }
         BackendServerId server = BackendServerId.of("th-north/chiangmai-a/engine-" + place);
-        return ticket(number, new BackendRole(server, MODEL, "2026-11", List.of("roster"), true));
+        return ticket(number, new BackendRole(server, MODEL, "2026-11", List.of("roster"), "", true));
     }
 
     HostRecord host(int number) {
--- a/elmline-cli/src/test/java/org/elmline/cli/local/EngineOrdersTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/local/EngineOrdersTest.java
@@ -49,7 +49,7 @@
                  {"kind":"model","name":"elm-small","version":"2","adapters":[],"maxPromptTokens":1000000,
                   "maxOutputTokens":4096,"minReadyReplicas":1,"removed":false},
                  {"kind":"backend-role","server":"engine-1","model":"elm-small","version":"2","checksFencing":true},
-                 {"kind":"backend-role","server":"engine-2","model":"elm-small","version":"2","checksFencing":false}]}
+                 {"kind":"backend-role","server":"engine-2","model":"elm-small","version":"2","role":"long","checksFencing":false}]}
                 """;
         Client operator = new Client(deployment.operatorKey());
         String url = "http://" + deployment.entries().get(0).operators() + "/v1/tickets/2";
@@ -63,6 +63,7 @@
                     .allMatch(each ->
                             each.state().ready() && each.state().version().equals("2"));
         });
+        assertEquals("long", deployment.engines().get(1).state().role());
         assertTrue(!everNone.get(), "no engine was ready for a moment");
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/control/OrderPlanner.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/OrderPlanner.java
@@ -149,7 +149,7 @@
                     role.model(),
                     role.version(),
                     role.adapters(),
-                    engine.state().role());
+                    role.role().isEmpty() ? engine.state().role() : role.role());
             if (shows(engine.state(), wanted) && !isAwaited(engine.id())) {
                 return;
             }
--- a/elmline-core/src/test/java/org/elmline/core/control/ControlFixture.java
+++ b/elmline-core/src/test/java/org/elmline/core/control/ControlFixture.java
@@ -87,7 +87,7 @@
     }
 
     static BackendRole role(String server, String model, String version, String... adapters) {
-        return new BackendRole(BackendServerId.of(server), ModelName.of(model), version, List.of(adapters), true);
+        return new BackendRole(BackendServerId.of(server), ModelName.of(model), version, List.of(adapters), "", true);
     }
 
     static HostRecord host(String id, long incarnation) {
--- a/elmline-core/src/test/java/org/elmline/core/control/OrderPlannerTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/control/OrderPlannerTest.java
@@ -7,6 +7,7 @@
 
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.FencingNumber;
+import org.elmline.core.config.BackendRole;
 import org.elmline.core.engine.EngineOrder;
 import org.elmline.core.engine.EngineState;
 import org.elmline.core.engine.OrderAnswer;
@@ -51,6 +52,18 @@
         assertHeld();
     }
 
+    @Test
+    void orderChangesTheRoleThatATicketNames() {
+        BackendRole asked =
+                new BackendRole(BackendServerId.of("e1"), model("m", "v1").name(), "v1", List.of(), "prefill", true);
+        control.submit(1, model("m", "v1", 0), asked);
+        observe("e1", "v1", true, 10_000);
+
+        EngineOrder wanted =
+                new EngineOrder(FencingNumber.of(7), model("m", "v1").name(), "v1", List.of(), "prefill");
+        assertEquals(List.of(wanted), ordered(10_100));
+    }
+
     // An operator moves all replicas of a model to a new version at once. Ordered together, none would be ready and
     // every caller of the model refused while they load.
     @Test
