Say once how a call leaves the gate and how a key is hashed

Cause: reading the whole change again. The completions and service handlers each wrote the same listener that counts a call out; BearerKey hashed as the core's Sha256 does; a method of MemberTable had no caller. Change: Gate.leaveWith, Sha256 used by both, the method gone. Behaviour is the same. Checked: formatter, linter and all 313 tests of core to daemon, and 36 tests of the program over real sockets and processes (the other process tests not run again). Left: six duties guard their timer tasks each by itself, PrefillCost and WaitPredictor.costTokens state one formula with unlike rounding, settings and stand-in builders repeat their setters.

--- a/elmline-core/src/main/java/org/elmline/core/control/Sha256.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/Sha256.java
@@ -5,10 +5,10 @@
 import java.util.HexFormat;
 
 /** SHA-256 in lower-case hexadecimal. */
-final class Sha256 {
+public final class Sha256 {
     private Sha256() {}
 
-    static String hex(byte[] content) {
+    public static String hex(byte[] content) {
         try {
             return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(content));
         } catch (NoSuchAlgorithmException e) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionsHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionsHandler.java
@@ -46,11 +46,7 @@
             return;
         }
         Admitted call = ((Gate.Passage.Open) passage).call();
-        // Undertow calls this on every way out of the exchange, a broken connection included.
-        exchange.addExchangeCompleteListener((done, next) -> {
-            gate.leave();
-            next.proceed();
-        });
+        gate.leaveWith(exchange);
         bodies.read(exchange, body -> serve(exchange, call, body));
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/Gate.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/Gate.java
@@ -86,6 +86,14 @@
                 new Admitted(nextId(), organisation.get(), now, now + TimeUnit.MILLISECONDS.toNanos(timeout)));
     }
 
+    /** Leaves with the end of the exchange: Undertow tells of every way out, a broken connection included. */
+    public void leaveWith(HttpServerExchange exchange) {
+        exchange.addExchangeCompleteListener((done, next) -> {
+            leave();
+            next.proceed();
+        });
+    }
+
     public void leave() {
         inside.decrementAndGet();
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/MemberTable.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/MemberTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -48,8 +47,4 @@
         }
         return new MemberTable(delta.to(), next);
     }
-
-    Map<HostId, HostRecord> byId() {
-        return hosts;
-    }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/BearerKey.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/BearerKey.java
@@ -2,13 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Collection;
-import java.util.HexFormat;
 import java.util.Optional;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import org.elmline.core.control.Sha256;
 
 /** The key in {@code Authorization: Bearer KEY}. */
 public final class BearerKey {
@@ -37,11 +36,6 @@
 
     /** SHA-256 of a key in lower-case hexadecimal, as tickets carry it. */
     public static String hash(String key) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
+        return Sha256.hex(key.getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceHandler.java
@@ -81,10 +81,7 @@
             return;
         }
         Admitted call = ((Gate.Passage.Open) passage).call();
-        exchange.addExchangeCompleteListener((done, next) -> {
-            gate.leave();
-            next.proceed();
-        });
+        gate.leaveWith(exchange);
         bodies.read(exchange, body -> serve(exchange, call, body));
     }
 
