Fold what the settings' builders had in common

Cause: four builders of the same shape stood side by side, with seven setters each written twice; three copying builders were used by nobody. Change: HostBuilder for entries and control hosts, StandinBuilder for the stand-ins; the copying builders of entries and stand-ins are gone. The files' form, defaults and messages stay. Conclusion: a setting that both share is now added once.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/settings/ControlSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/ControlSettings.java
@@ -58,35 +58,18 @@
         return builder;
     }
 
-    /** Gathers the settings; what is not given keeps its default. */
-    public static final class Builder {
-        private HostId host;
-        private Region region;
-        private FailureDomain failureDomain;
+    /** Gathers the settings. */
+    public static final class Builder extends HostBuilder<Builder> {
         private Path dataFolder;
         private ControlAddresses addresses;
-        private List<ControlHost> control;
         private ControlKeys keys;
-        private LeaseSettings lease = LeaseSettings.DEFAULT;
         private RaftSettings raft = RaftSettings.DEFAULT;
         private RetentionSettings retention = RetentionSettings.DEFAULT;
-        private TimelineSettings timeline = TimelineSettings.DEFAULT;
-        private LogSettings log = LogSettings.DEFAULT;
 
         private Builder() {}
 
-        public Builder host(HostId value) {
-            this.host = value;
-            return this;
-        }
-
-        public Builder region(Region value) {
-            this.region = value;
-            return this;
-        }
-
-        public Builder failureDomain(FailureDomain value) {
-            this.failureDomain = value;
+        @Override
+        Builder self() {
             return this;
         }
 
@@ -100,21 +83,11 @@
             return this;
         }
 
-        public Builder control(List<ControlHost> value) {
-            this.control = value;
-            return this;
-        }
-
         public Builder keys(ControlKeys value) {
             this.keys = value;
             return this;
         }
 
-        public Builder lease(LeaseSettings value) {
-            this.lease = value;
-            return this;
-        }
-
         public Builder raft(RaftSettings value) {
             this.raft = value;
             return this;
@@ -125,16 +98,6 @@
             return this;
         }
 
-        public Builder timeline(TimelineSettings value) {
-            this.timeline = value;
-            return this;
-        }
-
-        public Builder log(LogSettings value) {
-            this.log = value;
-            return this;
-        }
-
         public ControlSettings build() {
             return new ControlSettings(
                     host,
--- a/elmline-daemon/src/main/java/org/elmline/daemon/settings/EntrySettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/EntrySettings.java
@@ -39,55 +39,19 @@
         return new Builder();
     }
 
-    /** A builder that starts from these settings. */
-    public Builder toBuilder() {
-        Builder builder = new Builder();
-        builder.host = host;
-        builder.region = region;
-        builder.failureDomain = failureDomain;
-        builder.addresses = addresses;
-        builder.control = control;
-        builder.keys = keys;
-        builder.lease = lease;
-        builder.backend = backend;
-        builder.callers = callers;
-        builder.limits = limits;
-        builder.placement = placement;
-        builder.timeline = timeline;
-        builder.log = log;
-        return builder;
-    }
-
-    /** Gathers the settings; what is not given keeps its default. */
-    public static final class Builder {
-        private HostId host;
-        private Region region;
-        private FailureDomain failureDomain;
+    /** Gathers the settings. */
+    public static final class Builder extends HostBuilder<Builder> {
         private EntryAddresses addresses;
-        private List<ControlHost> control;
         private EntryKeys keys;
-        private LeaseSettings lease = LeaseSettings.DEFAULT;
         private BackendSettings backend = BackendSettings.DEFAULT;
         private CallerSettings callers = CallerSettings.DEFAULT;
         private LimitSettings limits = LimitSettings.DEFAULT;
         private PlacementSettings placement = PlacementSettings.DEFAULT;
-        private TimelineSettings timeline = TimelineSettings.DEFAULT;
-        private LogSettings log = LogSettings.DEFAULT;
 
         private Builder() {}
 
-        public Builder host(HostId value) {
-            this.host = value;
-            return this;
-        }
-
-        public Builder region(Region value) {
-            this.region = value;
-            return this;
-        }
-
-        public Builder failureDomain(FailureDomain value) {
-            this.failureDomain = value;
+        @Override
+        Builder self() {
             return this;
         }
 
@@ -96,21 +60,11 @@
             return this;
         }
 
-        public Builder control(List<ControlHost> value) {
-            this.control = value;
-            return this;
-        }
-
         public Builder keys(EntryKeys value) {
             this.keys = value;
             return this;
         }
 
-        public Builder lease(LeaseSettings value) {
-            this.lease = value;
-            return this;
-        }
-
         public Builder backend(BackendSettings value) {
             this.backend = value;
             return this;
@@ -131,16 +85,6 @@
             return this;
         }
 
-        public Builder timeline(TimelineSettings value) {
-            this.timeline = value;
-            return this;
-        }
-
-        public Builder log(LogSettings value) {
-            this.log = value;
-            return this;
-        }
-
         public EntrySettings build() {
             return new EntrySettings(
                     host,
--- a/elmline-daemon/src/main/java/org/elmline/daemon/settings/StandinEngineSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/StandinEngineSettings.java
@@ -45,70 +45,19 @@
         return new Builder();
     }
 
-    /** A builder that starts from these settings. */
-    public Builder toBuilder() {
-        Builder builder = new Builder();
-        builder.id = id;
-        builder.region = region;
-        builder.failureDomain = failureDomain;
-        builder.address = address;
-        builder.entries = entries;
-        builder.backendKey = backendKey;
-        builder.model = model;
-        builder.version = version;
-        builder.adapters = adapters;
-        builder.kvTokens = kvTokens;
-        builder.prefillTokensPerSecond = prefillTokensPerSecond;
-        builder.checksFencing = checksFencing;
-        builder.log = log;
-        return builder;
-    }
-
-    /** Gathers the settings; what is not given keeps its default. */
-    public static final class Builder {
-        private BackendServerId id;
-        private Region region;
-        private FailureDomain failureDomain;
-        private ListenAddress address;
-        private List<Address> entries;
-        private Secret backendKey;
+    /** Gathers the settings. */
+    public static final class Builder extends StandinBuilder<Builder> {
         private ModelName model;
         private String version = "1";
         private List<String> adapters = List.of();
         private int kvTokens = 450_000;
         private int prefillTokensPerSecond = 40_000;
         private boolean checksFencing = true;
-        private LogSettings log = LogSettings.DEFAULT;
 
         private Builder() {}
 
-        public Builder id(BackendServerId value) {
-            this.id = value;
-            return this;
-        }
-
-        public Builder region(Region value) {
-            this.region = value;
-            return this;
-        }
-
-        public Builder failureDomain(FailureDomain value) {
-            this.failureDomain = value;
-            return this;
-        }
-
-        public Builder address(ListenAddress value) {
-            this.address = value;
-            return this;
-        }
-
-        public Builder entries(List<Address> value) {
-            this.entries = value;
-            return this;
-        }
-
-        public Builder backendKey(Secret value) {
-            this.backendKey = value;
+        @Override
+        Builder self() {
             return this;
         }
 
@@ -142,11 +91,6 @@
             return this;
         }
 
-        public Builder log(LogSettings value) {
-            this.log = value;
-            return this;
-        }
-
         public StandinEngineSettings build() {
             return new StandinEngineSettings(
                     id,
--- a/elmline-daemon/src/main/java/org/elmline/daemon/settings/StandinServiceSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/StandinServiceSettings.java
@@ -36,60 +36,14 @@
         return new Builder();
     }
 
-    /** A builder that starts from these settings. */
-    public Builder toBuilder() {
-        Builder builder = new Builder();
-        builder.id = id;
-        builder.region = region;
-        builder.failureDomain = failureDomain;
-        builder.address = address;
-        builder.entries = entries;
-        builder.backendKey = backendKey;
-        builder.service = service;
-        builder.log = log;
-        return builder;
-    }
-
-    /** Gathers the settings; what is not given keeps its default. */
-    public static final class Builder {
-        private BackendServerId id;
-        private Region region;
-        private FailureDomain failureDomain;
-        private ListenAddress address;
-        private List<Address> entries;
-        private Secret backendKey;
+    /** Gathers the settings. */
+    public static final class Builder extends StandinBuilder<Builder> {
         private ServiceName service;
-        private LogSettings log = LogSettings.DEFAULT;
 
         private Builder() {}
 
-        public Builder id(BackendServerId value) {
-            this.id = value;
-            return this;
-        }
-
-        public Builder region(Region value) {
-            this.region = value;
-            return this;
-        }
-
-        public Builder failureDomain(FailureDomain value) {
-            this.failureDomain = value;
-            return this;
-        }
-
-        public Builder address(ListenAddress value) {
-            this.address = value;
-            return this;
-        }
-
-        public Builder entries(List<Address> value) {
-            this.entries = value;
-            return this;
-        }
-
-        public Builder backendKey(Secret value) {
-            this.backendKey = value;
+        @Override
+        Builder self() {
             return this;
         }
 
@@ -98,11 +52,6 @@
             return this;
         }
 
-        public Builder log(LogSettings value) {
-            this.log = value;
-            return this;
-        }
-
         public StandinServiceSettings build() {
             return new StandinServiceSettings(id, region, failureDomain, address, entries, backendKey, service, log);
         }
