Sample successes in the log and keep failures, with what led to them

Cause: past 100 lines a second of a kind all were dropped, refusals like successes, so that in a busy second the line that explains a complaint could be missing. Change: past 50 a second, lines on successes are written for one request in ten, the same for all its lines; what is left out of a request is written after all when it fails (RequestLines). Failures have a bound of 500 a second and kind. Figures: 400 requests that go well and 400 that are refused in one second: all 400 refusals written, none dropped (100 before); the flood test now sends 1,400 lines, as the bound on failures is higher.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -21,6 +21,7 @@
 import org.elmline.core.routing.RouteMatch;
 import org.elmline.daemon.http.CallerPresence;
 import org.elmline.daemon.log.Line;
+import org.elmline.daemon.log.RequestLines;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
@@ -46,6 +47,8 @@
     /** When to come back after a failure that ended the call's last allowed try unrun. */
     private static final long RETRY_MILLIS = 120;
 
+    private static final int SERVER_ERROR = 500;
+
     private final GatewayParts parts;
     private final HttpServerExchange exchange;
     private final CallHead head;
@@ -57,6 +60,7 @@
     private final long receivedAt;
     private final long deadlineAt;
     private final CallerPresence presence;
+    private final RequestLines lines;
     private final List<BackendServerId> tried = new ArrayList<>();
     private final XnioExecutor.Key deadline;
     private PlaceCall placing;
@@ -89,6 +93,7 @@
                 : Math.min(head.deadlineMillis(), route.timeoutMillis());
         this.deadlineAt = receivedAt + waits * NANOS_PER_MILLI;
         this.presence = new CallerPresence(exchange);
+        this.lines = new RequestLines(head.requestId());
         this.deadline = parts.thread().executeAfter(this::expire, Math.max(1, leftMillis()), TimeUnit.MILLISECONDS);
         parts.open().add(this);
     }
@@ -199,13 +204,12 @@
             return;
         }
         PlaceAnswer.Refused refused = (PlaceAnswer.Refused) answer;
-        line("not placed")
+        lines.failure(line("not placed")
                 .with("attempt", asked.attempt())
                 .with("why", refused.why())
                 .with("service", service)
                 .with("leftMs", leftMillis())
-                .with("retryAfterMs", refused.retryAfterMillis())
-                .write();
+                .with("retryAfterMs", refused.retryAfterMillis()));
         giveUp(refused.why().name(), refused.retryAfterMillis());
     }
 
@@ -218,7 +222,7 @@
             retry(left ? "server left" : "no time left", true);
             return;
         }
-        line("placed")
+        lines.success(line("placed")
                 .with("attempt", asked.attempt())
                 .with("server", granted.server())
                 .with("helpers", granted.helpers().size())
@@ -226,8 +230,7 @@
                 .with("predictedFirstMs", granted.firstMillis())
                 .with("backlogMs", granted.backlogMillis())
                 .with("running", granted.running())
-                .with("leftMs", leftMillis())
-                .write();
+                .with("leftMs", leftMillis()));
         parts.callMetrics().placed(service, ageMillis());
         tried.add(granted.server());
         sends++;
@@ -245,11 +248,7 @@
             fruitless++;
         }
         parts.callMetrics().attemptFailed(service, end.name());
-        line("attempt failed")
-                .with("end", end)
-                .with("why", why)
-                .with("server", lastTried())
-                .write();
+        lines.failure(line("attempt failed").with("end", end).with("why", why).with("server", lastTried()));
         retry(why, !ran);
     }
 
@@ -284,10 +283,7 @@
             return;
         }
         if (stream != null) {
-            line("stream broken off")
-                    .with("why", why)
-                    .with("lastEvent", stream.lastEvent())
-                    .write();
+            lines.failure(line("stream broken off").with("why", why).with("lastEvent", stream.lastEvent()));
             // Ended first: the end of the caller's channel would else be taken for that of a whole stream.
             end("broken_off");
             stream.abort();
@@ -295,13 +291,12 @@
         }
         boolean late = leftMillis() < LEAST_MILLIS;
         int status = mayHaveRun ? (late ? 504 : 502) : 503;
-        line("refused")
+        lines.failure(line("refused")
                 .with("status", status)
                 .with("why", why)
                 .with("mayHaveRun", mayHaveRun)
                 .with("sends", sends)
-                .with("leftMs", leftMillis())
-                .write();
+                .with("leftMs", leftMillis()));
         if (!mayHaveRun) {
             parts.protocol().retryAfter(exchange.getResponseHeaders(), retryAfterMillis);
         }
@@ -320,12 +315,16 @@
             retry("answered " + status + " in place of the rest of a stream", false);
             return;
         }
-        line("answered")
+        Line line = line("answered")
                 .with("status", status)
                 .with("bytes", bytes.size())
                 .with("server", lastTried())
-                .with("sends", sends)
-                .write();
+                .with("sends", sends);
+        if (status >= SERVER_ERROR) {
+            lines.failure(line);
+        } else {
+            lines.success(line);
+        }
         exchange.setStatusCode(status);
         HeaderMap own = exchange.getResponseHeaders();
         parts.protocol().back(headers, own);
@@ -343,13 +342,12 @@
         if (over) {
             return;
         }
-        line("streamed")
+        lines.success(line("streamed")
                 .with("lastEvent", stream.lastEvent())
                 .with("firstMs", stream.firstAtMillis() - receivedAt / NANOS_PER_MILLI)
                 .with("longestPauseMs", stream.longestPauseMillis())
                 .with("server", lastTried())
-                .with("sends", sends)
-                .write();
+                .with("sends", sends));
         parts.callMetrics().firstEvent(service, stream.firstAtMillis() - receivedAt / NANOS_PER_MILLI);
         end("streamed");
     }
@@ -359,10 +357,7 @@
         if (over) {
             return;
         }
-        line("caller left")
-                .with("sends", sends)
-                .with("placing", placing != null)
-                .write();
+        lines.failure(line("caller left").with("sends", sends).with("placing", placing != null));
         stop();
         IoUtils.safeClose(exchange.getConnection());
         end("caller_left");
--- a/elmline-daemon/src/main/java/org/elmline/daemon/log/DecisionLog.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/log/DecisionLog.java
@@ -14,15 +14,21 @@
 
 /**
  * Writes decisions as JSON lines without ever holding up who decides: lines wait in a bounded queue for one writer
- * thread, and what does not fit, or comes more often than its kind may, is dropped and counted. The counts are logged.
- * Safe for use by many threads.
+ * thread, and what does not fit, or comes more often than its kind may, is dropped and counted. Of many successes only
+ * those of some requests are written. The counts are logged. Safe for use by many threads.
  */
 public final class DecisionLog implements AutoCloseable {
     /** Lines that may wait for a slow output. */
     private static final int QUEUE_LINES = 4_096;
 
     /** Lines of one kind a second; failures come in bursts, and past this they repeat each other. */
-    private static final int LINES_PER_SECOND = 100;
+    private static final int LINES_PER_SECOND = 500;
+
+    /** Lines on successes of one kind a second, from which on only some requests' are written. */
+    private static final int SUCCESSES_PER_SECOND = 50;
+
+    /** Of this many requests one is written once successes are sampled. */
+    private static final int ONE_OF = 10;
 
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final long CLOSE_MILLIS = 300;
@@ -30,6 +36,7 @@
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final Map<String, Rate> rates = new ConcurrentHashMap<>();
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong sampledOut = new AtomicLong();
     private final MonotonicClock clock;
     private final String head;
     private final OutputStream out;
@@ -39,6 +46,13 @@
     private static final class Rate {
         private long second;
         private int lines;
+
+        void roll(long now) {
+            if (second != now) {
+                second = now;
+                lines = 0;
+            }
+        }
     }
 
     /**
@@ -64,28 +78,58 @@
     }
 
     void submit(String event, String text) {
-        if (!withinRate(event) || !queue.offer(text)) {
+        if (linesThisSecond(event) > LINES_PER_SECOND || !queue.offer(text)) {
             dropped.incrementAndGet();
         }
     }
 
-    private boolean withinRate(String event) {
+    /** Writes a line on a success unless it is one of too many. Returns whether it was taken. */
+    boolean submitSampled(String event, String text, String request) {
+        if (rate(event) >= SUCCESSES_PER_SECOND && !sampled(request)) {
+            sampledOut.incrementAndGet();
+            return false;
+        }
+        submit(event, text);
+        return true;
+    }
+
+    /** The same for all lines of a request, so that of those that are written the whole story is. */
+    private static boolean sampled(String request) {
+        return Math.floorMod(request.hashCode(), ONE_OF) == 0;
+    }
+
+    /** Counts a line. Returns the lines of its kind in this second, this one included. */
+    private int linesThisSecond(String event) {
         Rate rate = rates.computeIfAbsent(event, each -> new Rate());
-        long second = clock.nanos() / NANOS_PER_SECOND;
         synchronized (rate) {
-            if (rate.second != second) {
-                rate.second = second;
-                rate.lines = 0;
-            }
-            return rate.lines++ < LINES_PER_SECOND;
+            rate.roll(second());
+            rate.lines++;
+            return rate.lines;
         }
     }
 
+    private int rate(String event) {
+        Rate rate = rates.computeIfAbsent(event, each -> new Rate());
+        synchronized (rate) {
+            rate.roll(second());
+            return rate.lines;
+        }
+    }
+
+    private long second() {
+        return clock.nanos() / NANOS_PER_SECOND;
+    }
+
     /** Lines that were dropped so far. */
     public long dropped() {
         return dropped.get();
     }
 
+    /** Lines on successes that were left out so far as there were many. */
+    public long sampledOut() {
+        return sampledOut.get();
+    }
+
     private void run() {
         long told = 0;
         StringBuilder batch = new StringBuilder();
@@ -96,11 +140,10 @@
                 for (String next = first; next != null; next = queue.poll()) {
                     batch.append(next);
                 }
-                long now = dropped.get();
+                long now = dropped.get() + sampledOut.get();
                 if (now != told) {
                     told = now;
-                    batch.append("{\"at\":").append(System.currentTimeMillis()).append(head);
-                    batch.append("lines dropped\",\"total\":").append(now).append("}\n");
+                    batch.append(leftOut());
                 }
                 if (batch.length() > 0) {
                     out.write(batch.toString().getBytes(StandardCharsets.UTF_8));
@@ -115,6 +158,11 @@
         }
     }
 
+    private String leftOut() {
+        return "{\"at\":" + System.currentTimeMillis() + head + "lines dropped\",\"total\":" + dropped.get()
+                + ",\"successesLeftOut\":" + sampledOut.get() + "}\n";
+    }
+
     /** Writes what waits, for a short while. */
     @Override
     public void close() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/log/Line.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/log/Line.java
@@ -57,4 +57,9 @@
         text.append("}\n");
         log.submit(event, text.toString());
     }
+
+    /** Hands a line on a success of a request to the log's writer, which may leave it out. Returns whether it was taken. */
+    boolean writeSampled(String request) {
+        return log.submitSampled(event, text + "}\n", request);
+    }
 }
--- a/elmline-daemon/src/test/java/org/elmline/daemon/log/DecisionLogTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/log/DecisionLogTest.java
@@ -2,8 +2,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.elmline.core.common.ManualClock;
@@ -40,7 +42,7 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ManualClock clock = new ManualClock();
         try (DecisionLog log = new DecisionLog("h", "entry", clock, out)) {
-            for (int i = 0; i < 1_000; i++) {
+            for (int i = 0; i < 1_400; i++) {
                 log.line("refused").write();
             }
             log.line("started").write();
@@ -51,6 +53,56 @@
         assertTrue(text.contains("\"event\":\"lines dropped\",\"total\":900"), "told");
     }
 
+    /**
+     * A caller complains of a refusal and its line is missing: in a busy second lines on calls that went well used up what
+     * may be written. Those are thinned out by request, so that each request is told of whole or not at all, and no
+     * refusal is left out.
+     */
+    @Test
+    void successesMakeRoomForFailures() throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (DecisionLog log = new DecisionLog("h", "entry", new ManualClock(), out)) {
+            for (int i = 0; i < 400; i++) {
+                RequestLines lines = new RequestLines("r" + i);
+                lines.success(log.line("placed").with("request", "r" + i));
+                lines.success(log.line("streamed").with("request", "r" + i));
+                new RequestLines("f" + i).failure(log.line("refused").with("request", "f" + i));
+            }
+            assertEquals(0, log.dropped());
+            assertTrue(log.sampledOut() > 500, log.sampledOut() + " left out");
+        }
+        String text = out.toString();
+        assertEquals(400, count(text, "\"event\":\"refused\""));
+        assertEquals(count(text, "\"event\":\"placed\""), count(text, "\"event\":\"streamed\""));
+        assertTrue(text.contains("\"successesLeftOut\":"), "told");
+    }
+
+    /**
+     * A stream breaks off in a busy second and nobody can tell on which server it ran: the line on its place was left out
+     * as one of many. A request that fails is told of whole, with the time of each step.
+     */
+    @Test
+    void aFailedRequestIsToldOfWhole() throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ManualClock clock = new ManualClock();
+        try (DecisionLog log = new DecisionLog("h", "entry", clock, out)) {
+            for (int i = 0; i < 400; i++) {
+                new RequestLines("r" + i).success(log.line("placed"));
+            }
+            RequestLines lines = new RequestLines("broken");
+            lines.success(log.line("placed").with("server", "s7"));
+            clock.advance(Duration.ofMillis(300));
+            lines.failure(log.line("stream broken off").with("request", "broken"));
+        }
+        String text = out.toString();
+        int placed = text.indexOf("\"server\":\"s7\"");
+        assertTrue(placed >= 0 && placed < text.indexOf("stream broken off"), "placed before it broke off");
+    }
+
+    private static int count(String text, String part) {
+        return text.split(Pattern.quote(part), -1).length - 1;
+    }
+
     /** An output that nobody reads must not hold up the I/O thread: lines are dropped instead. */
     @Test
     void aStuckOutputDelaysNobody() throws Exception {
