--- a/elmline-core/src/main/java/org/elmline/core/dispatch/DispatcherChoice.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/DispatcherChoice.java
@@ -1,9 +1,9 @@
 package org.elmline.core.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.ServiceName;
@@ -21,15 +21,20 @@
 
     /** The entries that may dispatch, the one to ask first in front. */
     public static List<EntryRecord> order(ServiceName service, Collection<EntryRecord> entries) {
-        List<EntryRecord> order = new ArrayList<>();
-        for (EntryRecord each : entries) {
-            if (each.serving()) {
-                order.add(each);
-            }
-        }
-        order.sort(Comparator.comparingLong((EntryRecord each) -> weight(service, each.host()))
-                .thenComparing(EntryRecord::host));
-        return order;
+        return entries.stream()
+                .filter(EntryRecord::serving)
+                .sorted(byWeight(service))
+                .toList();
+    }
+
+    /** The entry to ask first; empty when none may dispatch. */
+    public static Optional<EntryRecord> first(ServiceName service, Collection<EntryRecord> entries) {
+        return entries.stream().filter(EntryRecord::serving).min(byWeight(service));
+    }
+
+    private static Comparator<EntryRecord> byWeight(ServiceName service) {
+        return Comparator.comparingLong((EntryRecord each) -> weight(service, each.host()))
+                .thenComparing(EntryRecord::host);
     }
 
     private static long weight(ServiceName service, HostId host) {
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoad.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoad.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.IntFunction;
 
 import org.elmline.core.common.Address;
 import org.elmline.core.common.BackendServerId;
@@ -99,6 +100,8 @@
         void step(int now);
     }
 
+    private static final Comparator<PassEngine> BY_RUNNING = Comparator.comparingInt(PassEngine::running);
+
     private final List<PassEngine> engines = new ArrayList<>();
     private final Map<Kind, List<PassEngine.Job>> asked = new EnumMap<>(Kind.class);
     private final long seed;
@@ -124,13 +127,14 @@
 
     /** Plays the load to the engine with the fewest running calls. */
     AlternatingLoad blind() {
-        play(new FewestRunning());
+        play(new FirstOf(now -> BY_RUNNING));
         return this;
     }
 
-    /** Plays the load to the engine that has the least to read. */
+    /** Plays the load to the engine that has the least to read, the fewest running calls among equals. */
     AlternatingLoad leastWork() {
-        play(new LeastWork());
+        play(new FirstOf(now -> Comparator.comparingDouble((PassEngine each) -> each.waitingMillis(now))
+                .thenComparing(BY_RUNNING)));
         return this;
     }
 
@@ -261,32 +265,18 @@
         }
     }
 
-    /** The engine with the fewest running calls, blind to length. */
-    private final class FewestRunning implements Policy {
-        @Override
-        public void ask(PlaceCall call, PassEngine.Job job, int now) {
-            PassEngine best = engines.get(0);
-            for (PassEngine each : engines) {
-                best = each.running() < best.running() ? each : best;
-            }
-            best.answer(job, 1);
-        }
+    /** The engine that comes first in an order; forms no groups, and lets nothing wait. */
+    private final class FirstOf implements Policy {
+        private final IntFunction<Comparator<PassEngine>> order;
 
-        @Override
-        public void step(int now) {
-            // Nothing waits.
+        /** @param order of the engines at a time in milliseconds */
+        FirstOf(IntFunction<Comparator<PassEngine>> order) {
+            this.order = order;
         }
-    }
 
-    /** The engine with the least to read, the fewest running calls among equals; knows lengths, forms no groups. */
-    private final class LeastWork implements Policy {
         @Override
         public void ask(PlaceCall call, PassEngine.Job job, int now) {
-            engines.stream()
-                    .min(Comparator.comparingDouble((PassEngine each) -> each.waitingMillis(now))
-                            .thenComparingInt(PassEngine::running))
-                    .orElseThrow()
-                    .answer(job, 1);
+            engines.stream().min(order.apply(now)).orElseThrow().answer(job, 1);
         }
 
         @Override
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -183,13 +184,13 @@
     /** Tells the dispatcher of each service, where it is another one than before, what runs here. */
     void fleetChanged() {
         for (ServiceName service : List.copyOf(dispatchers.keySet())) {
-            List<EntryRecord> order = DispatcherChoice.order(service, entries.get());
-            if (order.isEmpty()) {
+            Optional<EntryRecord> first = DispatcherChoice.first(service, entries.get());
+            if (first.isEmpty()) {
                 continue;
             }
-            EntryRecord before = dispatchers.put(service, order.get(0));
-            if (differs(order.get(0), before)) {
-                adopt(service, order.get(0));
+            EntryRecord before = dispatchers.put(service, first.get());
+            if (differs(first.get(), before)) {
+                adopt(service, first.get());
                 askAgainFor(service);
             }
         }
@@ -221,7 +222,7 @@
                 .with("dispatcher", dispatcher.host())
                 .with("open", grants.size())
                 .write();
-        grants.forEach(each -> forget(service, holders.leaveTo(each.call().attempt(), dispatcher.host()), each.call()));
+        grants.forEach(each -> leaveTo(dispatcher.host(), each.call()));
         tell(dispatcher, new Adoption(service, settings.host(), incarnation, true, grants));
     }
 
@@ -254,6 +255,11 @@
         tell(dispatcher, new Adoption(service, settings.host(), incarnation, true, grants));
     }
 
+    /** Leaves an attempt to one dispatcher, and has the others forget it. */
+    private void leaveTo(HostId dispatcher, PlaceCall call) {
+        forget(call.service(), holders.leaveTo(call.attempt(), dispatcher), call);
+    }
+
     /** Tells dispatchers that an attempt is none of theirs any more; it runs or waits on. */
     private void forget(ServiceName service, List<HostId> dispatchers, PlaceCall call) {
         AttemptReport gone = new AttemptReport(call.attempt(), AttemptEnd.CANCELLED);
@@ -344,22 +350,16 @@
 
         private void take(HostId dispatcher, PlaceAnswer answer) {
             if (answer instanceof PlaceAnswer.Queued) {
-                waitOnlyAt(dispatcher);
+                // In the queue of the dispatcher before, a prompt was placed by it a second later, when that had
+                // been told to forget all that runs: read on 13 engines in use, it stretched 24 answers' pauses to
+                // 350 ms where 200 are allowed.
+                leaveTo(dispatcher, call);
                 askLater();
             } else {
                 finish(dispatcher, answer);
             }
         }
 
-        /**
-         * Waits in no other queue any more. Left in the queue of the dispatcher before, a prompt was placed by it a second
-         * later, when it had been told to forget all that runs: read on 13 engines in use, it stretched 24 answers' pauses
-         * to 350 ms where 200 are allowed.
-         */
-        private void waitOnlyAt(HostId dispatcher) {
-            forget(call.service(), holders.leaveTo(call.attempt(), dispatcher), call);
-        }
-
         private void askLater() {
             if (nextAsk != null) {
                 nextAsk.remove();
@@ -381,7 +381,7 @@
             }
             over = true;
             asking.remove(call.attempt());
-            forget(call.service(), holders.leaveTo(call.attempt(), dispatcher), call);
+            leaveTo(dispatcher, call);
             if (answer instanceof PlaceAnswer.Granted granted) {
                 open.put(call.attempt(), new OpenGrant(call, granted, false));
                 tellFirst(dispatcher);
@@ -393,13 +393,13 @@
 
         /** The dispatcher that all ask first must count what another one has granted. */
         private void tellFirst(HostId dispatcher) {
-            List<EntryRecord> order = DispatcherChoice.order(call.service(), entries.get());
-            if (order.isEmpty() || order.get(0).host().equals(dispatcher)) {
+            Optional<EntryRecord> first = DispatcherChoice.first(call.service(), entries.get());
+            if (first.isEmpty() || first.get().host().equals(dispatcher)) {
                 return;
             }
-            holders.asked(call.attempt(), order.get(0).host());
+            holders.asked(call.attempt(), first.get().host());
             List<OpenGrant> granted = List.of(open.get(call.attempt()));
-            tell(order.get(0), new Adoption(call.service(), settings.host(), incarnation, false, granted));
+            tell(first.get(), new Adoption(call.service(), settings.host(), incarnation, false, granted));
         }
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
@@ -88,8 +88,9 @@
     }
 
     private boolean askedFirst(ServiceName name) {
-        List<EntryRecord> order = DispatcherChoice.order(name, entries);
-        return order.isEmpty() || order.get(0).host().equals(self);
+        return DispatcherChoice.first(name, entries)
+                .map(first -> first.host().equals(self))
+                .orElse(true);
     }
 
     private List<Registration> serversOf(ServiceName name) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/log/DecisionLog.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/log/DecisionLog.java
@@ -78,14 +78,14 @@
     }
 
     void submit(String event, String text) {
-        if (linesThisSecond(event) > LINES_PER_SECOND || !queue.offer(text)) {
+        if (linesThisSecond(event, 1) > LINES_PER_SECOND || !queue.offer(text)) {
             dropped.incrementAndGet();
         }
     }
 
     /** Writes a line on a success unless it is one of too many. Returns whether it was taken. */
     boolean submitSampled(String event, String text, String request) {
-        if (rate(event) >= SUCCESSES_PER_SECOND && !sampled(request)) {
+        if (linesThisSecond(event, 0) >= SUCCESSES_PER_SECOND && !sampled(request)) {
             sampledOut.incrementAndGet();
             return false;
         }
@@ -98,28 +98,16 @@
         return Math.floorMod(request.hashCode(), ONE_OF) == 0;
     }
 
-    /** Counts a line. Returns the lines of its kind in this second, this one included. */
-    private int linesThisSecond(String event) {
+    /** Counts so many more lines of a kind. Returns the lines of the kind in this second, those included. */
+    private int linesThisSecond(String event, int more) {
         Rate rate = rates.computeIfAbsent(event, each -> new Rate());
         synchronized (rate) {
-            rate.roll(second());
-            rate.lines++;
+            rate.roll(clock.nanos() / NANOS_PER_SECOND);
+            rate.lines += more;
             return rate.lines;
         }
     }
 
-    private int rate(String event) {
-        Rate rate = rates.computeIfAbsent(event, each -> new Rate());
-        synchronized (rate) {
-            rate.roll(second());
-            return rate.lines;
-        }
-    }
-
-    private long second() {
-        return clock.nanos() / NANOS_PER_SECOND;
-    }
-
     /** Lines that were dropped so far. */
     public long dropped() {
         return dropped.get();
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/settings/SettingsBuilder.java
@@ -0,0 +1,32 @@
+package org.elmline.daemon.settings;
+
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.Region;
+
+/**
+ * Gathers what the settings of every process have in common; what is not given keeps its default.
+ *
+ * @param <B> the builder itself, which each method returns
+ */
+abstract class SettingsBuilder<B extends SettingsBuilder<B>> {
+    Region region;
+    FailureDomain failureDomain;
+    LogSettings log = LogSettings.DEFAULT;
+
+    abstract B self();
+
+    public B region(Region value) {
+        this.region = value;
+        return self();
+    }
+
+    public B failureDomain(FailureDomain value) {
+        this.failureDomain = value;
+        return self();
+    }
+
+    public B log(LogSettings value) {
+        this.log = value;
+        return self();
+    }
+}
