Let all answers of the stop test be long ones

Traced by running it beside the same load with the count of streams and each answer printed: the stand-in's answer to 'stop 1' is over after 0.17 to 0.19 s, the other three last 1.2 to 1.9 s, so the moment with all four open is a tenth of a second, looked for every 65 ms; the run that failed saw 1 and 3. Change: the prompts are chosen by the length of their answers. Same assertions; all four answers are now in flight as each process stops, where three were. Conclusion: a race of the test, not of the product.

--- a/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
@@ -23,6 +23,9 @@
 class EntryFailureTest {
     private static final int LONG_ANSWER = 300;
 
+    /** Characters of an answer that lasts over a second. */
+    private static final int LONG_TEXT = 1_000;
+
     @TempDir
     Path folder;
 
@@ -122,16 +125,17 @@
     @Test
     void aStopInterruptsNoAnswer() throws Exception {
         int whole = 0;
+        List<String> prompts = longPrompts(4);
         for (ElmlineProcess stopping :
                 List.of(deployment.engines.get(0), deployment.control, deployment.entries.get(1))) {
             List<CompletableFuture<Client.Stream>> answers = new ArrayList<>();
             for (int i = 0; i < 4; i++) {
-                answers.add(deployment.stream(i % 2, "stop " + i, LONG_ANSWER));
+                answers.add(deployment.stream(i % 2, prompts.get(i), LONG_ANSWER));
             }
             Client.await("open streams", () -> deployment.openStreams() == 4);
             stopping.terminate();
             for (int i = 0; i < 4; i++) {
-                assertExact("stop " + i, answers.get(i).get());
+                assertExact(prompts.get(i), answers.get(i).get());
                 whole++;
             }
             assertTrue(stopping.waitForEnd(), "it did not end");
@@ -205,10 +209,27 @@
         return runs;
     }
 
+    /**
+     * Prompts with long answers. The stand-in ends each prompt's answer where it ends: one that is over after 0.2 s leaves
+     * hardly a moment with all streams open, and on a busy machine none.
+     */
+    private static List<String> longPrompts(int count) {
+        List<String> prompts = new ArrayList<>();
+        for (int i = 0; prompts.size() < count; i++) {
+            String prompt = "stop " + i;
+            if (wholeAnswer(prompt).length() >= LONG_TEXT) {
+                prompts.add(prompt);
+            }
+        }
+        return prompts;
+    }
+
+    private static String wholeAnswer(String prompt) {
+        return AnswerText.of(ModelName.of("elm-small"), "", prompt, LONG_ANSWER).text();
+    }
+
     private static void assertExact(String prompt, Client.Stream stream) {
-        String whole = AnswerText.of(ModelName.of("elm-small"), "", prompt, LONG_ANSWER)
-                .text();
-        assertEquals(whole, stream.text());
+        assertEquals(wholeAnswer(prompt), stream.text());
         assertTrue(stream.done(), "the end mark is missing");
     }
 }
