Remember the backend servers over a restart, and spread questions while entries don't know of each other

Cause: after a loss of all hosts a control host knew no server until each had sent a heartbeat again (1.2 s apart, and only once its HTTP port was open). Once they are known at once, the next thing binds: 13 entries have their table before they hear of each other, each takes itself for the dispatcher and packs its questions on the same engine.

Change: a control host keeps the servers that take work in a checked file (written by a thread of its own, at most once a second, on change) and starts from it; what is only remembered counts for two heartbeats, and not where another control host has missed the server. Answers to polls tell how long the host has been up; until one has been up for a second an entry does not take itself for the first dispatcher, holds long prompts as a second dispatcher does, and spreads questions instead of packing them.

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -102,7 +102,9 @@
     }
 
     /**
-     * Takes whether this is the dispatcher that entries ask first, and so knows of all that runs.
+     * Takes whether this is the dispatcher that all entries ask first, and so knows of all that runs. After a loss of all
+     * entries several take themselves for it until they hear of each other; none of them may be told so then, or each
+     * packs its first questions on the same engines.
      *
      * @param now monotonic time in nanoseconds
      */
@@ -287,7 +289,7 @@
             if (blind || (isLong ? longMisses : shortMisses) >= MAX_MISSES) {
                 continue;
             }
-            Optional<Plan> plan = placement.plan(call, usable, now);
+            Optional<Plan> plan = placement.plan(call, usable, !first, now);
             if (plan.isPresent()) {
                 each.remove();
                 decided.add(grant(next, call, plan.get(), now));
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/EnginePlacement.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/EnginePlacement.java
@@ -25,6 +25,9 @@
      */
     private static final double PART_MILLIS = 330;
 
+    /** Odd, with bits all over, so that like hashes give unlike draws. */
+    private static final int SPREADER = 0x9E3779B1;
+
     /** Helpers that one prompt may have. */
     private static final int MAX_HELPERS = 16;
 
@@ -59,12 +62,14 @@
     private static final double PART_OVERHEAD = 1.1;
 
     @Override
-    public Optional<Plan> plan(PlaceCall call, List<ServerAccount> servers, long now) {
+    public Optional<Plan> plan(PlaceCall call, List<ServerAccount> servers, boolean blind, long now) {
         if (servers.isEmpty()) {
             return Optional.empty();
         }
         double read = servers.get(0).timing().readMillis(call.promptTokens());
-        return read <= SHORT_READ_MILLIS ? planShort(call, servers, read, now) : planLong(call, servers, read, now);
+        return read <= SHORT_READ_MILLIS
+                ? planShort(call, servers, read, blind, now)
+                : planLong(call, servers, read, now);
     }
 
     @Override
@@ -84,7 +89,8 @@
         return read / split + passes * timing.passMillis(2, 2 * call.promptTokens());
     }
 
-    private Optional<Plan> planShort(PlaceCall call, List<ServerAccount> servers, double read, long now) {
+    private Optional<Plan> planShort(
+            PlaceCall call, List<ServerAccount> servers, double read, boolean blind, long now) {
         ServerAccount best = null;
         double bestCost = Double.MAX_VALUE;
         double bestFirst = 0;
@@ -96,7 +102,7 @@
             if (first > call.firstLeftMillis()) {
                 continue;
             }
-            double cost = shortCost(call, each, read, first, now);
+            double cost = shortCost(call, each, read, first, blind, now);
             if (cost < bestCost) {
                 best = each;
                 bestCost = cost;
@@ -109,8 +115,12 @@
         return Optional.of(Plan.single(best, call.memoryTokens(), read, bestFirst));
     }
 
-    /** Engines that are in use and still quick come first, the fullest of them before others; then idle ones. */
-    private double shortCost(PlaceCall call, ServerAccount server, double read, double first, long now) {
+    /**
+     * Engines that are in use and still quick come first, the fullest of them before others; then idle ones. Blind, the
+     * emptiest come first, in another order for each call: packed, the calls of all who don't know of each other would
+     * meet on one engine, which turns down what it has no place for.
+     */
+    private double shortCost(PlaceCall call, ServerAccount server, double read, double first, boolean blind, long now) {
         double pass = server.passMillis(context(call), 1);
         double pause = pass + server.backlogMillis(now) + read;
         boolean harms = pause > Disturbance.GAP_SHARE * Math.min(server.tightestGap(), gap(call));
@@ -123,12 +133,21 @@
         rank += harms ? 4 : 0;
         rank += quick ? 0 : 2;
         rank += room ? 0 : 1;
-        rank += isTight(server, now) ? 0 : UNTIGHT_RANK;
+        rank += blind || isTight(server, now) ? 0 : UNTIGHT_RANK;
         double used = (double) server.running() / server.places();
+        if (blind) {
+            return rank * 1e6 + used + draw(call, server) / server.places();
+        }
         // Among equals the fullest is taken; where none is quick, the quickest.
         return rank * 1e6 + (quick && room ? 1 - used : first);
     }
 
+    /** A number from 0 to 1 that the call and the server decide. */
+    private static double draw(PlaceCall call, ServerAccount server) {
+        int hash = 31 * call.attempt().hashCode() + server.registration().id().hashCode();
+        return (hash * SPREADER >>> 1) / (double) Integer.MAX_VALUE;
+    }
+
     /**
      * Takes the smallest group whose parts disturb nobody's answers; a larger group has shorter parts and so may use more
      * engines. Where no group is free the call waits, unless it is late already: then any undisturbed engine will do.
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Placement.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Placement.java
@@ -9,8 +9,9 @@
      * The place to take now; empty when waiting is better, or nothing is free.
      *
      * @param servers servers that may be used, none that the call avoids
+     * @param blind whether others place on these servers, too, of whose calls nothing is known here
      */
-    Optional<Plan> plan(PlaceCall call, List<ServerAccount> servers, long now);
+    Optional<Plan> plan(PlaceCall call, List<ServerAccount> servers, boolean blind, long now);
 
     /** Milliseconds that a server works on the call, waiting not counted. */
     double workMillis(PlaceCall call, List<ServerAccount> servers);
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/PlainPlacement.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/PlainPlacement.java
@@ -15,7 +15,7 @@
     private static final double WORK_MILLIS = 50;
 
     @Override
-    public Optional<Plan> plan(PlaceCall call, List<ServerAccount> servers, long now) {
+    public Optional<Plan> plan(PlaceCall call, List<ServerAccount> servers, boolean blind, long now) {
         ServerAccount best = null;
         double bestLoad = Double.MAX_VALUE;
         for (ServerAccount each : servers) {
--- a/elmline-core/src/main/java/org/elmline/core/registry/FleetView.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FleetView.java
@@ -18,8 +18,11 @@
  * answer say so; and an entry counts as alive where any of them says so. Not safe for concurrent use.
  */
 public final class FleetView {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final long currentNanos;
     private final long relearnNanos;
+    private final long settleNanos;
     private final Map<BackendServerId, Registration> servers = new HashMap<>();
     private final Map<Address, Opinion> opinions = new HashMap<>();
 
@@ -27,18 +30,39 @@
         private long answeredAt;
         private long epoch;
         private long relearnedAt;
+        private long upSince;
         private final Set<BackendServerId> heard = new HashSet<>();
+        private final Set<BackendServerId> silent = new HashSet<>();
+        private final Set<BackendServerId> remembered = new HashSet<>();
         private final Set<BackendServerId> heardBefore = new HashSet<>();
         private List<EntryRecord> entries = List.of();
+
+        /** Returns whether anything changed by it. */
+        boolean take(ServerNews news) {
+            BackendServerId id = news.registration().id();
+            boolean hears = !news.silent() && !news.remembered();
+            heardBefore.remove(id);
+            boolean changed = hears ? heard.add(id) : heard.remove(id);
+            changed |= news.silent() ? silent.add(id) : silent.remove(id);
+            changed |= news.remembered() ? remembered.add(id) : remembered.remove(id);
+            return changed;
+        }
+
+        boolean hears(BackendServerId id, long now) {
+            boolean relearning = now - relearnedAt < 0;
+            return heard.contains(id) || (relearning && heardBefore.contains(id));
+        }
     }
 
     /**
      * @param currentNanos time after an answer for which a control host's opinion counts
      * @param relearnNanos time that a restarted control host needs to hear all servers again
+     * @param settleNanos time that a restarted control host needs to hear all entries again
      */
-    public FleetView(long currentNanos, long relearnNanos) {
+    public FleetView(long currentNanos, long relearnNanos, long settleNanos) {
         this.currentNanos = currentNanos;
         this.relearnNanos = relearnNanos;
+        this.settleNanos = settleNanos;
     }
 
     /** Takes a control host's answer. Returns whether anything changed by it. */
@@ -50,11 +74,10 @@
             changed = true;
         }
         opinion.answeredAt = now;
+        opinion.upSince = now - answer.upMillis() * NANOS_PER_MILLI;
         for (ServerNews each : answer.servers()) {
             changed |= take(each.registration());
-            BackendServerId id = each.registration().id();
-            changed |= each.silent() ? opinion.heard.remove(id) : opinion.heard.add(id);
-            opinion.heardBefore.remove(id);
+            changed |= opinion.take(each);
         }
         if (answer.entries() != null && !answer.entries().equals(opinion.entries)) {
             opinion.entries = List.copyOf(answer.entries());
@@ -70,15 +93,12 @@
     private void restarted(Opinion opinion, long epoch, long now) {
         opinion.heardBefore.addAll(opinion.heard);
         opinion.heard.clear();
+        opinion.silent.clear();
+        opinion.remembered.clear();
         opinion.epoch = epoch;
         opinion.relearnedAt = now + relearnNanos;
     }
 
-    private static boolean hears(Opinion opinion, BackendServerId id, long now) {
-        boolean relearning = now - opinion.relearnedAt < 0;
-        return opinion.heard.contains(id) || (relearning && opinion.heardBefore.contains(id));
-    }
-
     private boolean take(Registration next) {
         Registration held = servers.get(next.id());
         if (held != null && !next.replaces(held)) {
@@ -93,14 +113,27 @@
         List<Opinion> current = current(now);
         List<Registration> usable = new ArrayList<>();
         for (Registration each : servers.values()) {
-            boolean silent = !current.isEmpty() && current.stream().noneMatch(o -> hears(o, each.id(), now));
-            if (each.state().takesWork() && !silent) {
+            if (each.state().takesWork() && (current.isEmpty() || lives(each.id(), current, now))) {
                 usable.add(each);
             }
         }
         return usable;
     }
 
+    /** Whether one control host hears the server, or one remembers it from before a restart and none misses it. */
+    private static boolean lives(BackendServerId id, List<Opinion> current, long now) {
+        boolean remembered = false;
+        boolean missed = false;
+        for (Opinion each : current) {
+            if (each.hears(id, now)) {
+                return true;
+            }
+            remembered |= each.remembered.contains(id);
+            missed |= each.silent.contains(id);
+        }
+        return remembered && !missed;
+    }
+
     /** A server's newest registration, null when it is not known. */
     public Registration server(BackendServerId id) {
         return servers.get(id);
@@ -125,6 +158,15 @@
         return a.serving() ? b : a;
     }
 
+    /**
+     * Whether the entries told are all there are: some control host has been up for long enough to hear them all, or none
+     * answers and what was known before stands.
+     */
+    public boolean settled(long now) {
+        List<Opinion> current = current(now);
+        return current.isEmpty() || current.stream().anyMatch(each -> now - each.upSince >= settleNanos);
+    }
+
     /** How many control hosts have answered lately. */
     public int answering(long now) {
         return current(now).size();
--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
@@ -9,6 +9,7 @@
  * News for one poll.
  *
  * @param epoch start of the answering control host; when it is another than before, the news are the whole state
+ * @param upMillis how long this host has been hearing servers and entries
  * @param servers backend servers that have changed
  * @param serversNow number of the newest change of backend servers
  * @param heard servers heard by this host itself since the last poll; for control hosts only
@@ -20,6 +21,7 @@
  */
 public record FollowAnswer(
         long epoch,
+        long upMillis,
         List<ServerNews> servers,
         long serversNow,
         List<Heard> heard,
--- a/elmline-core/src/main/java/org/elmline/core/registry/ServerRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/ServerRegistry.java
@@ -16,6 +16,7 @@
  */
 public final class ServerRegistry {
     private final long silentNanos;
+    private final long confirmNanos;
     private final long forgetNanos;
     private final Map<BackendServerId, Entry> entries = new HashMap<>();
     private final Map<Address, BackendServerId> byAddress = new HashMap<>();
@@ -27,16 +28,19 @@
         private long heardHereNanos;
         private boolean heardHere;
         private boolean silent;
+        private boolean remembered;
         private long changedAt;
     }
 
     /**
      * @param silentNanos time without a heartbeat after which a server counts as silent
+     * @param confirmNanos time without a heartbeat after which a server that is only remembered counts as silent
      * @param forgetNanos time without a heartbeat after which it is forgotten; must outlast any delayed heartbeat, which
      *     would otherwise bring a server back that has left
      */
-    public ServerRegistry(long silentNanos, long forgetNanos) {
+    public ServerRegistry(long silentNanos, long confirmNanos, long forgetNanos) {
         this.silentNanos = silentNanos;
+        this.confirmNanos = confirmNanos;
         this.forgetNanos = forgetNanos;
     }
 
@@ -52,9 +56,25 @@
         return news;
     }
 
+    /**
+     * Takes a server that was heard before this host's restart. After a loss of all control hosts servers are heard again
+     * only one by one, within a heartbeat; known by the first few alone, they would get all the work.
+     */
+    public void remember(Registration registration, long now) {
+        boolean unknown = !entries.containsKey(registration.id());
+        if (unknown && merge(registration, now)) {
+            entries.get(registration.id()).remembered = true;
+        }
+    }
+
     /** Takes what another host has told. Returns whether it is news that must be told on. */
     public boolean merge(ServerNews news, long now) {
-        return merge(news.registration(), now);
+        boolean unknown = !entries.containsKey(news.registration().id());
+        boolean told = merge(news.registration(), now);
+        if (unknown && told) {
+            entries.get(news.registration().id()).remembered = news.remembered();
+        }
+        return told;
     }
 
     /** Takes the time at which another host heard a server. Returns whether it is news. */
@@ -86,6 +106,7 @@
         } else if (next.bornMillis() != entry.registration.bornMillis()) {
             entry.heardNanos = now;
             entry.silent = false;
+            entry.remembered = false;
             entry.heardHere = false;
         }
         entry.registration = next;
@@ -118,10 +139,11 @@
 
     private boolean heard(Entry entry, long at) {
         entry.heardNanos = Math.max(entry.heardNanos, at);
-        if (!entry.silent) {
+        if (!entry.silent && !entry.remembered) {
             return false;
         }
         entry.silent = false;
+        entry.remembered = false;
         entry.changedAt = ++changes;
         return true;
     }
@@ -136,8 +158,9 @@
             if (age >= forgetNanos) {
                 byAddress.remove(entry.registration.address(), entry.registration.id());
                 each.remove();
-            } else if (age >= silentNanos && !entry.silent) {
+            } else if (age >= (entry.remembered ? confirmNanos : silentNanos) && !entry.silent) {
                 entry.silent = true;
+                entry.remembered = false;
                 entry.changedAt = ++changes;
                 news = true;
             }
@@ -155,7 +178,7 @@
         List<ServerNews> news = new ArrayList<>();
         for (Entry each : entries.values()) {
             if (each.changedAt > number) {
-                news.add(new ServerNews(each.registration, each.silent));
+                news.add(new ServerNews(each.registration, each.silent, each.remembered));
             }
         }
         return news;
@@ -177,6 +200,17 @@
         return heard;
     }
 
+    /** Those that take work and are not silent. */
+    public List<Registration> takingWork() {
+        List<Registration> all = new ArrayList<>();
+        for (Entry each : entries.values()) {
+            if (!each.silent && each.registration.state().takesWork()) {
+                all.add(each.registration);
+            }
+        }
+        return all;
+    }
+
     /** All that is known, those that left included. */
     public Collection<Registration> all() {
         return entries.values().stream().map(each -> each.registration).toList();
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherTest.java
@@ -424,4 +424,28 @@
         assertEquals(1, dispatcher.running());
         granted(dispatcher.place(question(), 4_001 * MILLI));
     }
+
+    /**
+     * Callers whose first try was cut come back to 13 entries at once after a loss of all power. None of the entries knows
+     * of the others yet, so each places its six questions by itself: packed, all would meet on the same engine, which
+     * turns down what it has no place for.
+     */
+    @Test
+    void dispatchersThatDoNotKnowOfEachOtherSpreadTheirQuestions() {
+        int places = 11;
+        Map<BackendServerId, Integer> running = new HashMap<>();
+        for (int entry = 0; entry < 13; entry++) {
+            Dispatcher dispatcher = dispatcher(ENGINES, 21, places);
+            dispatcher.askedFirst(false, 0);
+            for (int i = 0; i < 6; i++) {
+                running.merge(granted(dispatcher.place(question(), 0)).server(), 1, Integer::sum);
+            }
+        }
+        int turnedDown = 0;
+        for (int each : running.values()) {
+            turnedDown += Math.max(0, each - places);
+        }
+        assertTrue(turnedDown <= 1, turnedDown + " of 78 questions turned down");
+        assertTrue(running.size() >= 18, "engines used: " + running.size());
+    }
 }
--- a/elmline-core/src/test/java/org/elmline/core/registry/FleetViewTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/FleetViewTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** What an entry makes of control hosts that disagree, restart or fall silent. */
 class FleetViewTest {
@@ -16,7 +18,7 @@
     private static final Address A = Address.parse("10.0.0.1:7000");
     private static final Address B = Address.parse("10.0.0.2:7000");
 
-    private final FleetView view = new FleetView(2 * SECOND, 4 * SECOND);
+    private final FleetView view = new FleetView(2 * SECOND, 4 * SECOND, SECOND);
 
     private static Registration server(ServerState state, long sequence) {
         return new Registration(
@@ -32,11 +34,20 @@
 
     private static FollowAnswer answer(long epoch, boolean silent, ServerState state) {
         return new FollowAnswer(
-                epoch, List.of(new ServerNews(server(state, 1), silent)), 1, null, List.of(), 0, List.of(), 1, null);
+                epoch,
+                9_000,
+                List.of(new ServerNews(server(state, 1), silent, false)),
+                1,
+                null,
+                List.of(),
+                0,
+                List.of(),
+                1,
+                null);
     }
 
     private static FollowAnswer nothing(long epoch) {
-        return new FollowAnswer(epoch, List.of(), 0, null, List.of(), 0, List.of(), 1, null);
+        return new FollowAnswer(epoch, 9_000, List.of(), 0, null, List.of(), 0, List.of(), 1, null);
     }
 
     /** All calls would be refused: a control host that is cut off hears nobody and takes every server for silent. */
@@ -77,4 +88,43 @@
         assertEquals(1, view.usable(60 * SECOND).size());
         assertEquals(0, view.answering(60 * SECOND));
     }
+
+    private static FollowAnswer remembering(long epoch) {
+        ServerNews news = new ServerNews(server(ServerState.READY, 1), false, true);
+        return new FollowAnswer(epoch, 9_000, List.of(news), 1, null, List.of(), 0, List.of(), 1, null);
+    }
+
+    /**
+     * Calls would go to a server that has died while one control host was down: that one still remembers it, the other
+     * has found it silent. Only where nobody has missed it does the memory count.
+     */
+    @Test
+    void aRememberedServerCountsWhereNobodyHasMissedIt() {
+        view.take(A, remembering(1), 0);
+        assertEquals(1, view.usable(0).size());
+        view.take(B, nothing(1), 0);
+        assertEquals(1, view.usable(0).size());
+        view.take(B, answer(1, true, ServerState.READY), 0);
+        assertEquals(0, view.usable(0).size());
+        view.take(A, answer(1, false, ServerState.READY), 0);
+        assertEquals(1, view.usable(0).size(), "it was heard");
+    }
+
+    /**
+     * Each entry would take itself for the one that places all calls: control hosts and entries come back at once, and
+     * the first answers tell of the few entries that were heard by then.
+     */
+    @Test
+    void entriesAreAllKnownOnceAControlHostHasBeenUpForAWhile() {
+        assertTrue(view.settled(0), "nothing was ever known, and nobody tells");
+        view.take(A, up(300), 0);
+        assertFalse(view.settled(0));
+        assertTrue(view.settled(7 * SECOND / 10), "it has heard all by then");
+        view.take(B, up(1_000), 0);
+        assertTrue(view.settled(0));
+    }
+
+    private static FollowAnswer up(long millis) {
+        return new FollowAnswer(1, millis, List.of(), 0, null, List.of(), 0, List.of(), 1, null);
+    }
 }
--- a/elmline-core/src/test/java/org/elmline/core/registry/ServerRegistryTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/ServerRegistryTest.java
@@ -16,7 +16,7 @@
 class ServerRegistryTest {
     private static final long SECOND = 1_000_000_000L;
 
-    private final ServerRegistry registry = new ServerRegistry(3 * SECOND, 600 * SECOND);
+    private final ServerRegistry registry = new ServerRegistry(3 * SECOND, 2 * SECOND, 600 * SECOND);
 
     private static Registration beat(String id, String address, ServerState state, long born, long sequence) {
         return new Registration(
@@ -97,4 +97,35 @@
         assertEquals(before, registry.changes());
         assertEquals(1, registry.heardSince(SECOND, SECOND).size());
     }
+
+    /**
+     * Callers would all be sent to the first few servers that are heard after a loss of all control hosts. What the last
+     * start knew counts until a server has had two heartbeats' time to be heard, and then as silent.
+     */
+    @Test
+    void whatIsRememberedCountsUntilItShouldHaveBeenHeard() {
+        registry.remember(beat("s", "10.0.0.1:80", ServerState.READY, 100, 1), 0);
+        registry.remember(beat("t", "10.0.0.2:80", ServerState.READY, 100, 1), 0);
+        assertTrue(registry.since(0).stream().allMatch(each -> each.remembered() && !each.silent()));
+        assertTrue(registry.heartbeat(beat("s", "10.0.0.1:80", ServerState.READY, 100, 2), SECOND), "heard is news");
+        assertFalse(registry.expire(2 * SECOND - 1));
+        assertTrue(registry.expire(2 * SECOND));
+        for (ServerNews each : registry.since(0)) {
+            boolean heard = each.registration().id().value().equals("s");
+            assertEquals(new ServerNews(each.registration(), !heard, false), each);
+        }
+        assertEquals(1, registry.takingWork().size());
+    }
+
+    /** A server that left while this host was down would get calls again: what another host has told goes first. */
+    @Test
+    void whatIsRememberedYieldsToWhatIsKnown() {
+        registry.merge(new ServerNews(beat("s", "10.0.0.1:80", ServerState.GONE, 100, 9), false, false), 0);
+        registry.remember(beat("s", "10.0.0.1:80", ServerState.READY, 100, 1), 0);
+        assertEquals(ServerState.GONE, state("s"));
+        registry.remember(beat("t", "10.0.0.2:80", ServerState.READY, 100, 1), 0);
+        registry.merge(new ServerNews(beat("t", "10.0.0.2:80", ServerState.DRAINING, 100, 2), false, false), 0);
+        assertEquals(ServerState.DRAINING, state("t"));
+        assertEquals(0, registry.takingWork().size());
+    }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -29,7 +29,9 @@
 import org.elmline.daemon.raft.RaftDriver;
 import org.elmline.daemon.raft.RaftStatus;
 import org.elmline.daemon.settings.TimelineSettings;
+import org.elmline.storage.CheckedFile;
 import org.elmline.storage.OpenResult;
+import org.elmline.storage.SystemFiles;
 
 /** One control host for routed calls: everything it opens, how it is put together, and its graceful stop. */
 public final class Coordinator implements AutoCloseable {
@@ -46,6 +48,14 @@
     private static final long SNAPSHOT_BYTES = 8L * 1024 * 1024;
 
     private static final long WATCH_MILLIS = 200;
+
+    /**
+     * Time for which a restarted host answers its peers alone before it opens the operators' port. Entries that have lost
+     * their routing table serve nobody until one of these answers, and the port takes as much of a small host as all of
+     * them; servers are remembered meanwhile.
+     */
+    private static final long PEERS_FIRST_MILLIS = 250;
+
     private static final int EVENTS = 1_024;
     private static final long HAND_OVER_MILLIS = 1_500;
 
@@ -121,18 +131,31 @@
         serve(machine);
     }
 
-    private void serve(ControlMachine machine) throws IOException {
+    private void serve(ControlMachine machine) throws IOException, InterruptedException {
         RoutingStore store = new RoutingStore(driver, machine);
         RoutingService routing =
                 new RoutingService(store, this::leader, peers.network(), peers.timer(), process.clock(), log);
         routing.register(peers.handlers());
+        CheckedFile servers =
+                new CheckedFile(new SystemFiles(), settings.dataFolder().resolve(ServerMemory.FILE));
+        ServerMemory memory = closer.register(new ServerMemory(servers, log));
         registry = new RegistryService(
-                epoch, settings.heartbeatMillis(), process.clock(), this::controls, store, process.metrics(), log);
-        peers.handlers().register(RegistryChannels.FOLLOW, registry::follow);
+                epoch,
+                settings.heartbeatMillis(),
+                process.clock(),
+                this::controls,
+                store,
+                memory,
+                process.metrics(),
+                log);
         registry.start(peers.timer());
+        peers.handlers().register(RegistryChannels.FOLLOW, registry::follow);
         // The applying thread holds the state's lock here, so the polls are answered by another.
         machine.onApplied((command, result) -> peers.timer().execute(registry::routingChanged));
         peers.timer().scheduleWithFixedDelay(this::watch, 0, WATCH_MILLIS, TimeUnit.MILLISECONDS);
+        if (!settings.firstStart()) {
+            Thread.sleep(PEERS_FIRST_MILLIS);
+        }
         HttpPorts ports = closer.register(new HttpPorts());
         ports.with(settings.operators(), protocol.operators(routing, registry));
         if (settings.metricsPort() > 0) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -35,6 +35,12 @@
     /** Heartbeats in a row that may be lost or late before a server counts as silent. */
     private static final int MISSED_HEARTBEATS = 3;
 
+    /** Heartbeats in which a server that is only remembered must be heard; fewer than for one that was heard here. */
+    private static final int CONFIRMING_HEARTBEATS = 2;
+
+    /** Shortest pause between two writings of the servers known; changes come in bursts. */
+    private static final long WRITE_PAUSE_NANOS = 1_000 * NANOS_PER_MILLI;
+
     /** A heartbeat held up by a cut may come this late; until then a server that left is remembered. */
     private static final long FORGET_NANOS = 600_000 * NANOS_PER_MILLI;
 
@@ -53,11 +59,15 @@
     private final Counter unreadable;
     private final DecisionLog log;
     private final ServerRegistry servers;
+    private final ServerMemory memory;
     private final LiveEntries entries = new LiveEntries(ALIVE_NANOS);
     private final Map<HostId, Follower> followers = new HashMap<>();
     private final List<Poll> polls = new ArrayList<>();
     private final List<Spread> spreads = new ArrayList<>();
     private long leavingServers;
+    private long startedAt;
+    private long writtenChanges;
+    private long writtenAt;
 
     private static final class Follower {
         private long polledAt;
@@ -76,6 +86,7 @@
             MonotonicClock clock,
             Supplier<List<Address>> controls,
             RoutingStore routing,
+            ServerMemory memory,
             MetricRegistry metrics,
             DecisionLog log) {
         this.epoch = epoch;
@@ -84,10 +95,23 @@
         this.routing = routing;
         this.unreadable = metrics.counter("registry.heartbeats.unreadable");
         this.log = log;
-        this.servers = new ServerRegistry(MISSED_HEARTBEATS * heartbeatMillis * NANOS_PER_MILLI, FORGET_NANOS);
+        this.memory = memory;
+        long heartbeatNanos = heartbeatMillis * NANOS_PER_MILLI;
+        this.servers = new ServerRegistry(
+                MISSED_HEARTBEATS * heartbeatNanos, CONFIRMING_HEARTBEATS * heartbeatNanos, FORGET_NANOS);
     }
 
+    /** Takes up what the last start knew, and begins to let time pass. */
     void start(ScheduledExecutorService timer) {
+        List<Registration> remembered = memory.read();
+        long now = clock.nanos();
+        synchronized (this) {
+            startedAt = now;
+            remembered.forEach(each -> servers.remember(each, now));
+            writtenChanges = servers.changes();
+            writtenAt = now;
+        }
+        log.line("servers remembered").with("servers", remembered.size()).write();
         timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -193,6 +217,7 @@
                 if (entries.expire(now)) {
                     log.line("entries lost").with("left", entries.all().size()).write();
                 }
+                writeServers(now);
             }
             answerPolls();
         } catch (RuntimeException e) {
@@ -200,6 +225,14 @@
         }
     }
 
+    private void writeServers(long now) {
+        boolean due = servers.changes() != writtenChanges && now - writtenAt >= WRITE_PAUSE_NANOS;
+        if (due && memory.write(servers.takingWork())) {
+            writtenChanges = servers.changes();
+            writtenAt = now;
+        }
+    }
+
     private void answerPolls() {
         List<Runnable> completions = new ArrayList<>();
         synchronized (this) {
@@ -229,6 +262,7 @@
         follower.heardUpTo = now;
         return new FollowAnswer(
                 epoch,
+                (now - startedAt) / NANOS_PER_MILLI,
                 servers.since(whole ? 0 : request.serversSeen()),
                 servers.changes(),
                 entry ? List.of() : servers.heardSince(whole ? now - FORGET_NANOS : heardFrom, now),
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
@@ -34,6 +34,7 @@
     private final Map<String, HostId> waiting = new HashMap<>();
     private List<Registration> usable = List.of();
     private List<EntryRecord> entries = List.of();
+    private boolean settled;
 
     /** Takes decisions on calls that waited. */
     interface Decisions {
@@ -48,8 +49,13 @@
         this.decisions = decisions;
     }
 
-    /** Takes what has changed of the deployment. */
-    void update(RoutingTable table, List<Registration> servers, Collection<EntryRecord> alive) {
+    /**
+     * Takes what has changed of the deployment.
+     *
+     * @param isSettled whether these are all entries that live
+     */
+    void update(RoutingTable table, List<Registration> servers, Collection<EntryRecord> alive, boolean isSettled) {
+        settled = isSettled;
         long now = clock.nanos();
         usable = servers;
         entries = List.copyOf(alive);
@@ -88,9 +94,10 @@
     }
 
     private boolean askedFirst(ServiceName name) {
-        return DispatcherChoice.first(name, entries)
-                .map(first -> first.host().equals(self))
-                .orElse(true);
+        return settled
+                && DispatcherChoice.first(name, entries)
+                        .map(first -> first.host().equals(self))
+                        .orElse(true);
     }
 
     private List<Registration> serversOf(ServiceName name) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
@@ -39,6 +39,9 @@
     /** Three heartbeats of a backend server, after which one that was not heard is silent. */
     private static final long RELEARN_NANOS = Duration.ofMillis(3_600).toNanos();
 
+    /** Two polls of each entry, after which a control host that has started knows all entries that live. */
+    private static final long SETTLE_NANOS = Duration.ofMillis(1_000).toNanos();
+
     private static final Duration FETCH_TIMEOUT = Duration.ofMillis(600);
 
     /** Failed polls after which a control host that is named by no other is given up. */
@@ -51,11 +54,12 @@
     private final DecisionLog log;
     private final Supplier<EntryRecord> self;
     private final Runnable onChange;
-    private final FleetView view = new FleetView(CURRENT_NANOS, RELEARN_NANOS);
+    private final FleetView view = new FleetView(CURRENT_NANOS, RELEARN_NANOS, SETTLE_NANOS);
     private final Map<Address, FollowLoop> follows = new HashMap<>();
     private RoutingTable table;
     private volatile long versionKnown = -1;
     private boolean fetching;
+    private boolean wasSettled;
 
     /**
      * @param self what this entry tells of itself
@@ -123,7 +127,8 @@
         if (heldVersion() < answer.routingVersion()) {
             fetch(control);
         }
-        if (changed) {
+        if (changed || settled() != wasSettled) {
+            wasSettled = settled();
             onChange.run();
         }
     }
@@ -192,6 +197,11 @@
         return view.answering(clock.nanos()) > 0;
     }
 
+    /** Whether {@link #entries()} are all there are; not so for a moment after a loss of all hosts. */
+    boolean settled() {
+        return view.settled(clock.nanos());
+    }
+
     List<Registration> usable() {
         return view.usable(clock.nanos());
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
@@ -192,7 +192,7 @@
                 limits = table.limits();
                 ports.apply(limits);
             }
-            dispatchers.update(table, fleet.usable(), fleet.entries());
+            dispatchers.update(table, fleet.usable(), fleet.entries(), fleet.settled());
             dispatch.fleetChanged();
             calls.tableArrived();
         });
--- /dev/null
+++ b/elmline-storage/src/main/java/org/elmline/storage/CheckedFile.java
@@ -0,0 +1,50 @@
+package org.elmline.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.zip.CRC32;
+
+/**
+ * A file that is replaced as a whole and may be lost: what it holds only saves time after a restart. A damaged one counts
+ * as missing.
+ */
+public final class CheckedFile {
+    private final FileOperations files;
+    private final Path path;
+
+    public CheckedFile(FileOperations files, Path path) {
+        this.files = files;
+        this.path = path;
+    }
+
+    /** What was written last; empty where there is nothing, or it can't be read. */
+    public Optional<byte[]> read() {
+        try {
+            byte[] whole = files.read(path);
+            if (whole.length < Long.BYTES) {
+                return Optional.empty();
+            }
+            byte[] content = Arrays.copyOfRange(whole, Long.BYTES, whole.length);
+            boolean sound = ByteBuffer.wrap(whole).getLong() == checksum(content);
+            return sound ? Optional.of(content) : Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Replaces what the file holds, and waits for the disk. */
+    public void write(byte[] content) throws IOException {
+        ByteBuffer whole = ByteBuffer.allocate(Long.BYTES + content.length);
+        whole.putLong(checksum(content)).put(content).flip();
+        WholeFile.write(files, path, whole);
+    }
+
+    private static long checksum(byte[] content) {
+        CRC32 crc = new CRC32();
+        crc.update(content);
+        return crc.getValue();
+    }
+}
--- /dev/null
+++ b/elmline-storage/src/test/java/org/elmline/storage/CheckedFileTest.java
@@ -0,0 +1,46 @@
+package org.elmline.storage;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class CheckedFileTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void holdsWhatWasWrittenLast() throws Exception {
+        Path path = folder.resolve("f");
+        CheckedFile file = new CheckedFile(new SystemFiles(), path);
+        assertTrue(file.read().isEmpty());
+        file.write(new byte[] {1, 2, 3});
+        file.write(new byte[] {4});
+        assertArrayEquals(
+                new byte[] {4}, new CheckedFile(new SystemFiles(), path).read().orElseThrow());
+    }
+
+    /** A file that a loss of power has torn would bring servers that never were: each damage counts as nothing. */
+    @Test
+    void aDamagedFileCountsAsMissing() throws Exception {
+        Path path = folder.resolve("f");
+        CheckedFile file = new CheckedFile(new SystemFiles(), path);
+        file.write(new byte[] {1, 2, 3});
+        byte[] whole = Files.readAllBytes(path);
+        for (int i = 0; i < whole.length; i++) {
+            byte[] damaged = whole.clone();
+            damaged[i] ^= 0x10;
+            Files.write(path, damaged);
+            assertTrue(file.read().isEmpty(), "byte " + i);
+        }
+        for (int length = 0; length < whole.length; length++) {
+            Files.write(path, Arrays.copyOf(whole, length));
+            assertTrue(file.read().isEmpty(), "length " + length);
+        }
+    }
+}
