Start on what a control host's first answers need, and nothing else

Change: messages and settings are read by record shapes over Jackson's token streams; data binding is only loaded for types that shapes don't cover and to word errors. Ids write out equality. Trees of JSON without a mapper.

--- a/elmline-core/src/main/java/org/elmline/core/common/Address.java
+++ b/elmline-core/src/main/java/org/elmline/core/common/Address.java
@@ -29,6 +29,16 @@
         }
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Address that && port == that.port && ip.equals(that.ip);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * ip.hashCode() + port;
+    }
+
     @JsonValue
     @Override
     public String toString() {
--- a/elmline-core/src/main/java/org/elmline/core/common/BackendServerId.java
+++ b/elmline-core/src/main/java/org/elmline/core/common/BackendServerId.java
@@ -14,6 +14,16 @@
         return new BackendServerId(value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof BackendServerId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(BackendServerId other) {
         return value.compareTo(other.value);
--- a/elmline-core/src/main/java/org/elmline/core/common/FailureDomain.java
+++ b/elmline-core/src/main/java/org/elmline/core/common/FailureDomain.java
@@ -14,6 +14,16 @@
         return new FailureDomain(value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof FailureDomain that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(FailureDomain other) {
         return value.compareTo(other.value);
--- a/elmline-core/src/main/java/org/elmline/core/common/HostId.java
+++ b/elmline-core/src/main/java/org/elmline/core/common/HostId.java
@@ -14,6 +14,16 @@
         return new HostId(value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof HostId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(HostId other) {
         return value.compareTo(other.value);
--- a/elmline-core/src/main/java/org/elmline/core/common/Names.java
+++ b/elmline-core/src/main/java/org/elmline/core/common/Names.java
@@ -1,17 +1,34 @@
 package org.elmline.core.common;
 
-import java.util.regex.Pattern;
-
 /** Checks the form that all ids share: 1 to 128 letters, digits, dot, dash, underscore, colon or slash. */
 final class Names {
-    private static final Pattern FORM = Pattern.compile("[A-Za-z0-9._:/-]{1,128}");
+    private static final int MAX_LENGTH = 128;
+    private static final int MAX_SHOWN = 160;
+    private static final String MARKS = ".-_:/";
 
     private Names() {}
 
     static void requireName(String what, String value) {
-        if (value == null || !FORM.matcher(value).matches()) {
+        if (!isName(value)) {
             throw new IllegalArgumentException(what + " must be 1 to 128 of letters, digits and . - _ : / but is '"
-                    + (value == null ? null : value.substring(0, Math.min(value.length(), 160))) + "'");
+                    + (value == null ? null : value.substring(0, Math.min(value.length(), MAX_SHOWN))) + "'");
+        }
+    }
+
+    /** By hand, not by a pattern: each message brings dozens of ids. */
+    private static boolean isName(String value) {
+        if (value == null || value.isEmpty() || value.length() > MAX_LENGTH) {
+            return false;
         }
+        for (int i = 0; i < value.length(); i++) {
+            if (!isAllowed(value.charAt(i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isAllowed(char c) {
+        return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || MARKS.indexOf(c) >= 0;
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/common/ServiceName.java
+++ b/elmline-core/src/main/java/org/elmline/core/common/ServiceName.java
@@ -14,6 +14,16 @@
         return new ServiceName(value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceName that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(ServiceName other) {
         return value.compareTo(other.value);
--- a/elmline-core/src/main/java/org/elmline/core/raft/Membership.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Membership.java
@@ -96,6 +96,16 @@
         return new Membership(List.copyOf(voters), List.copyOf(learners));
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Membership that && voters.equals(that.voters) && learners.equals(that.learners);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * voters.hashCode() + learners.hashCode();
+    }
+
     @Override
     public String toString() {
         return "voters " + voters + " learners " + learners;
--- a/elmline-core/src/main/java/org/elmline/core/raft/ReplicaId.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/ReplicaId.java
@@ -31,6 +31,16 @@
         return new ReplicaId(HostId.of(text.substring(0, at)), incarnation);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ReplicaId that && incarnation == that.incarnation && host.equals(that.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + Long.hashCode(incarnation);
+    }
+
     @Override
     public int compareTo(ReplicaId other) {
         int byHost = host.compareTo(other.host);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/log/LibraryLines.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/log/LibraryLines.java
@@ -7,14 +7,23 @@
 
 /** Writes what libraries log as lines of the decision log, so that a process has one form of log and one bound. */
 public final class LibraryLines extends Handler {
+    private static final String CONFIGURED_BY = "java.util.logging.config.class";
+
     private final DecisionLog log;
 
+    /**
+     * Stands in for the runtime's own configuration of its logging, whose formatter loads the formats of all languages: a
+     * tenth of a start, for handlers that are taken out at once.
+     */
+    public static final class NoConfiguration {}
+
     private LibraryLines(DecisionLog log) {
         this.log = log;
     }
 
     /** Replaces the runtime's own handlers; libraries' lines below warnings are left out. */
     public static void install(DecisionLog log) {
+        System.setProperty(CONFIGURED_BY, NoConfiguration.class.getName());
         Logger root = Logger.getLogger("");
         for (Handler each : root.getHandlers()) {
             root.removeHandler(each);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/operator/ProcessMetrics.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/ProcessMetrics.java
@@ -2,9 +2,6 @@
 
 import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
-import java.lang.management.MemoryMXBean;
-import java.lang.management.RuntimeMXBean;
-import java.lang.management.ThreadMXBean;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -15,16 +12,18 @@
 public final class ProcessMetrics {
     private ProcessMetrics() {}
 
+    /** The runtime's beans are made when somebody asks for the figures: a start would be longer by a tenth with them. */
     public static void register(MetricRegistry registry) {
-        MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
-        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
-        RuntimeMXBean runtime = ManagementFactory.getRuntimeMXBean();
-        gauge(registry, "process.heap.used.bytes", () -> memory.getHeapMemoryUsage()
+        gauge(registry, "process.heap.used.bytes", () -> ManagementFactory.getMemoryMXBean()
+                .getHeapMemoryUsage()
                 .getUsed());
-        gauge(registry, "process.heap.committed.bytes", () -> memory.getHeapMemoryUsage()
+        gauge(registry, "process.heap.committed.bytes", () -> ManagementFactory.getMemoryMXBean()
+                .getHeapMemoryUsage()
                 .getCommitted());
-        gauge(registry, "process.threads", threads::getThreadCount);
-        gauge(registry, "process.uptime.millis", runtime::getUptime);
+        gauge(registry, "process.threads", () -> ManagementFactory.getThreadMXBean()
+                .getThreadCount());
+        gauge(registry, "process.uptime.millis", () -> ManagementFactory.getRuntimeMXBean()
+                .getUptime());
         gauge(registry, "process.collection.millis", ProcessMetrics::collectionMillis);
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftDriver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftDriver.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -195,7 +196,7 @@
         HandlerRegistry handlers;
         MonotonicClock clock;
         MetricRegistry metrics = new MetricRegistry();
-        RandomGenerator random = RandomGenerator.getDefault();
+        RandomGenerator random = new SplittableRandom();
         RaftSettings settings = RaftSettings.builder().build();
         Function<HostId, Address> addresses;
         Supplier<List<Address>> members = List::of;
--- a/elmline-wire/src/main/java/org/elmline/wire/codec/Codecs.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/Codecs.java
@@ -1,6 +1,7 @@
 package org.elmline.wire.codec;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.MapperFeature;
@@ -19,13 +20,14 @@
      * Between elmline processes. Unknown fields are passed over, so that two releases can run side by side during a
      * rolling upgrade.
      */
-    public static final Codec MESSAGE_PACK = new JacksonCodec(lenient(new ObjectMapper(messagePackFactory())));
+    public static final Codec MESSAGE_PACK = new ShapeCodec(
+            constrained(messagePackFactory()), false, () -> lenient(new ObjectMapper(messagePackFactory())));
 
     /** For what people write (settings, tickets): an unknown field is an error, since it is most likely a typing slip. */
-    public static final Codec STRICT_JSON = new JacksonCodec(strictMapper());
+    public static final Codec STRICT_JSON = new ShapeCodec(constrained(new JsonFactory()), true, Codecs::strictMapper);
 
     /** For JSON that other programs send: unknown fields are passed over. */
-    public static final Codec JSON = new JacksonCodec(jsonMapper());
+    public static final Codec JSON = new ShapeCodec(constrained(new JsonFactory()), false, Codecs::jsonMapper);
 
     private Codecs() {}
 
@@ -42,15 +44,12 @@
                 .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
     }
 
-    private static ObjectMapper lenient(ObjectMapper mapper) {
+    static ObjectMapper lenient(ObjectMapper mapper) {
         return common(mapper).disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     }
 
     private static ObjectMapper common(ObjectMapper mapper) {
-        mapper.getFactory()
-                .setStreamReadConstraints(StreamReadConstraints.builder()
-                        .maxStringLength(MAX_STRING)
-                        .build());
+        constrained(mapper.getFactory());
         mapper.setAnnotationIntrospector(new SealedTypeIntrospector());
         mapper.setSerializationInclusion(JsonInclude.Include.NON_NULL);
         mapper.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
@@ -58,6 +57,12 @@
         return mapper;
     }
 
+    private static <F extends JsonFactory> F constrained(F factory) {
+        factory.setStreamReadConstraints(
+                StreamReadConstraints.builder().maxStringLength(MAX_STRING).build());
+        return factory;
+    }
+
     private static MessagePackFactory messagePackFactory() {
         return new MessagePackFactory().setReuseResourceInParser(false).setReuseResourceInGenerator(false);
     }
--- a/elmline-wire/src/main/java/org/elmline/wire/codec/JacksonCodec.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/JacksonCodec.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-/** What the two codecs share: Jackson, set up alike but for the format and the treatment of unknown fields. */
+/** Jackson's data binding, which covers every type and words what is wrong with malformed bytes. */
 final class JacksonCodec implements Codec {
     private final ObjectMapper mapper;
 
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/JsonTrees.java
@@ -0,0 +1,94 @@
+package org.elmline.wire.codec;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParseException;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Reads documents whose fields vary as trees. Jackson's mapper would do, but making one loads the formats of all languages
+ * for dates that these documents don't have, which a process that has just started waits for.
+ */
+public final class JsonTrees {
+    /** Deeper documents are none of ours; without a bound one could use up a thread's stack. */
+    private static final int MAX_DEPTH = 64;
+
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+
+    private final JsonFactory factory;
+
+    private JsonTrees(JsonFactory factory) {
+        this.factory = factory.setStreamReadConstraints(StreamReadConstraints.builder()
+                .maxNestingDepth(MAX_DEPTH)
+                .maxStringLength(Codecs.MAX_STRING)
+                .build());
+    }
+
+    /** A reader that takes the last of two fields of one name. */
+    public static JsonTrees lenient() {
+        return new JsonTrees(new JsonFactory());
+    }
+
+    /** A reader to which two fields of one name are an error. */
+    public static JsonTrees strict() {
+        return new JsonTrees(new JsonFactory().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION));
+    }
+
+    /** Reads a document; throws when it is no JSON, or something follows it. */
+    public JsonNode read(byte[] document) throws IOException {
+        try (JsonParser from = factory.createParser(document)) {
+            from.nextToken();
+            JsonNode tree = node(from);
+            if (from.nextToken() != null) {
+                throw new JsonParseException(from, "something follows the document");
+            }
+            return tree;
+        }
+    }
+
+    private static JsonNode node(JsonParser from) throws IOException {
+        if (from.currentToken() == null) {
+            throw new JsonParseException(from, "the document is empty");
+        }
+        return switch (from.currentToken()) {
+            case START_OBJECT -> object(from);
+            case START_ARRAY -> array(from);
+            case VALUE_STRING -> NODES.textNode(from.getText());
+            case VALUE_NUMBER_INT -> whole(from);
+            case VALUE_NUMBER_FLOAT -> NODES.numberNode(from.getDoubleValue());
+            case VALUE_TRUE, VALUE_FALSE -> NODES.booleanNode(from.getBooleanValue());
+            default -> NODES.nullNode();
+        };
+    }
+
+    private static JsonNode whole(JsonParser from) throws IOException {
+        return from.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                ? NODES.numberNode(from.getBigIntegerValue())
+                : NODES.numberNode(from.getLongValue());
+    }
+
+    private static ObjectNode object(JsonParser from) throws IOException {
+        ObjectNode object = NODES.objectNode();
+        while (from.nextToken() != JsonToken.END_OBJECT) {
+            String name = from.currentName();
+            from.nextToken();
+            object.set(name, node(from));
+        }
+        return object;
+    }
+
+    private static ArrayNode array(JsonParser from) throws IOException {
+        ArrayNode array = NODES.arrayNode();
+        while (from.nextToken() != JsonToken.END_ARRAY) {
+            array.add(node(from));
+        }
+        return array;
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/ShapeCodec.java
@@ -0,0 +1,102 @@
+package org.elmline.wire.codec;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.elmline.wire.shape.Shape;
+import org.elmline.wire.shape.Shapes;
+import org.elmline.wire.shape.UnsupportedTypeException;
+
+/**
+ * Reads and writes records by their shapes. Data binding is asked for the types that shapes don't cover, and to word what
+ * is wrong with bytes that don't fit; a process that meets neither never loads it, and so is up sooner.
+ */
+final class ShapeCodec implements Codec {
+    private final JsonFactory factory;
+    private final boolean strict;
+    private final Shapes shapes;
+    private final Supplier<ObjectMapper> mapper;
+    private final ConcurrentMap<Class<?>, Optional<Shape>> known = new ConcurrentHashMap<>();
+    private volatile Codec binding;
+
+    /**
+     * @param strict whether unknown fields, numbers that are left out and bytes after the value are errors
+     * @param mapper makes data binding's mapper for the same format
+     */
+    ShapeCodec(JsonFactory factory, boolean strict, Supplier<ObjectMapper> mapper) {
+        this.factory = factory;
+        this.strict = strict;
+        this.shapes = new Shapes(strict);
+        this.mapper = mapper;
+    }
+
+    @Override
+    public byte[] encode(Object value) {
+        Optional<Shape> shape = shape(value.getClass());
+        if (shape.isEmpty()) {
+            return binding().encode(value);
+        }
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator to = factory.createGenerator(bytes)) {
+            shape.get().write(to, value);
+        } catch (UnsupportedTypeException e) {
+            known.put(value.getClass(), Optional.empty());
+            return binding().encode(value);
+        } catch (IOException e) {
+            throw new IllegalStateException("a message type that can't be written: " + value.getClass(), e);
+        }
+        return bytes.toByteArray();
+    }
+
+    @Override
+    public <T> Decoded<T> decode(byte[] bytes, Class<T> type) {
+        Optional<Shape> shape = shape(type);
+        if (shape.isEmpty()) {
+            return binding().decode(bytes, type);
+        }
+        try (JsonParser from = factory.createParser(bytes)) {
+            from.nextToken();
+            T value = type.cast(shape.get().read(from));
+            if (!strict || from.nextToken() == null) {
+                return new Decoded.Value<>(value);
+            }
+        } catch (IOException | RuntimeException e) {
+            // Data binding finds the fault again, and tells its place.
+        }
+        return binding().decode(bytes, type);
+    }
+
+    private Optional<Shape> shape(Class<?> type) {
+        Optional<Shape> shape = known.get(type);
+        if (shape == null) {
+            shape = make(type);
+            known.put(type, shape);
+        }
+        return shape;
+    }
+
+    private Optional<Shape> make(Class<?> type) {
+        try {
+            return Optional.of(shapes.of(type));
+        } catch (UnsupportedTypeException e) {
+            return Optional.empty();
+        }
+    }
+
+    private Codec binding() {
+        Codec made = binding;
+        if (made == null) {
+            made = new JacksonCodec(mapper.get());
+            binding = made;
+        }
+        return made;
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/CaseShape.java
@@ -0,0 +1,58 @@
+package org.elmline.wire.shape;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+
+/** The records of a sealed type, told apart by the name in their first field. Only cases that occur are looked into. */
+final class CaseShape implements Shape {
+    private final String field;
+    private final Shapes shapes;
+    private final Map<Class<?>, String> names = new HashMap<>();
+    private final Map<String, Class<?>> types = new HashMap<>();
+    private final Map<Class<?>, RecordShape> made = new ConcurrentHashMap<>();
+
+    /** @param field the first field, which holds the name */
+    CaseShape(String field, Shapes shapes) {
+        this.field = field;
+        this.shapes = shapes;
+    }
+
+    void add(Class<?> type, String name) {
+        names.put(type, name);
+        types.put(name, type);
+    }
+
+    private RecordShape shape(Class<?> type) {
+        RecordShape known = made.get(type);
+        if (known != null) {
+            return known;
+        }
+        RecordShape shape = shapes.record(type);
+        made.put(type, shape);
+        return shape;
+    }
+
+    @Override
+    public void write(JsonGenerator to, Object value) throws IOException {
+        Class<?> type = value.getClass();
+        shape(type).write(to, value, field, names.get(type));
+    }
+
+    @Override
+    public Object read(JsonParser from) throws IOException {
+        boolean named = from.currentToken() == JsonToken.START_OBJECT
+                && field.equals(from.nextFieldName())
+                && from.nextToken() == JsonToken.VALUE_STRING;
+        Class<?> type = named ? types.get(from.getText()) : null;
+        if (type == null) {
+            throw new MismatchException("no known case in the first field");
+        }
+        return shape(type).readFields(from);
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/PrimitiveShape.java
@@ -0,0 +1,36 @@
+package org.elmline.wire.shape;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+
+/** A number or truth value that can't be null. */
+final class PrimitiveShape implements Shape {
+    private final ScalarShape scalar;
+    private final Object absent;
+
+    /** @param absent what it is when left out; null where it must not be */
+    PrimitiveShape(ScalarShape scalar, Object absent) {
+        this.scalar = scalar;
+        this.absent = absent;
+    }
+
+    @Override
+    public void write(JsonGenerator to, Object value) throws IOException {
+        scalar.write(to, value);
+    }
+
+    @Override
+    public Object read(JsonParser from) throws IOException {
+        return scalar.read(from);
+    }
+
+    @Override
+    public Object absent() throws MismatchException {
+        if (absent == null) {
+            throw new MismatchException("a number is missing");
+        }
+        return absent;
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/Shapes.java
@@ -0,0 +1,180 @@
+package org.elmline.wire.shape;
+
+import java.lang.reflect.Constructor;
+import java.lang.reflect.Method;
+import java.lang.reflect.Modifier;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.JsonTypeName;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** The shapes of all types asked for, each made once. Names and cases follow the same annotations as data binding. */
+public final class Shapes {
+    private static final Map<Class<?>, ScalarShape> SCALARS = Map.ofEntries(
+            Map.entry(String.class, ScalarShape.TEXT),
+            Map.entry(Integer.class, ScalarShape.INT),
+            Map.entry(Long.class, ScalarShape.LONG),
+            Map.entry(Double.class, ScalarShape.DOUBLE),
+            Map.entry(Boolean.class, ScalarShape.BOOLEAN),
+            Map.entry(byte[].class, ScalarShape.BYTES),
+            Map.entry(Path.class, ScalarShape.PATH));
+
+    private final Map<Type, Shape> made = new ConcurrentHashMap<>();
+    private final boolean strict;
+
+    /** @param strict whether unknown fields and numbers that are left out are errors */
+    public Shapes(boolean strict) {
+        this.strict = strict;
+    }
+
+    /**
+     * The shape of a type.
+     *
+     * @throws UnsupportedTypeException when the type, or one that it is made of, is not covered
+     */
+    public Shape of(Type type) {
+        Shape known = made.get(type);
+        if (known != null) {
+            return known;
+        }
+        Shape shape = make(type);
+        made.put(type, shape);
+        return shape;
+    }
+
+    private Shape make(Type type) {
+        if (type instanceof ParameterizedType list && list.getRawType() == List.class) {
+            return new ListShape(of(list.getActualTypeArguments()[0]));
+        }
+        if (!(type instanceof Class<?> plain)) {
+            throw new UnsupportedTypeException(type);
+        }
+        if (plain.isPrimitive()) {
+            return primitive(plain);
+        }
+        if (SCALARS.containsKey(plain)) {
+            return SCALARS.get(plain);
+        }
+        if (plain.isEnum()) {
+            return new EnumShape(plain);
+        }
+        if (plain.isInterface()) {
+            return cases(plain);
+        }
+        Method value = annotatedValue(plain);
+        if (value != null) {
+            return new ValueShape(value, factory(plain), of(value.getReturnType()));
+        }
+        if (!plain.isRecord()) {
+            throw new UnsupportedTypeException(type);
+        }
+        Class<?> sealed = sealedTypeOf(plain);
+        return sealed == null ? record(plain) : of(sealed);
+    }
+
+    private Shape primitive(Class<?> type) {
+        if (type == boolean.class) {
+            return new PrimitiveShape(ScalarShape.BOOLEAN, false);
+        }
+        if (type == int.class) {
+            return new PrimitiveShape(ScalarShape.INT, strict ? null : 0);
+        }
+        if (type == long.class) {
+            return new PrimitiveShape(ScalarShape.LONG, strict ? null : 0L);
+        }
+        if (type == double.class) {
+            return new PrimitiveShape(ScalarShape.DOUBLE, strict ? null : 0.0);
+        }
+        throw new UnsupportedTypeException(type);
+    }
+
+    private static Method annotatedValue(Class<?> type) {
+        for (Method each : type.getDeclaredMethods()) {
+            if (each.isAnnotationPresent(JsonValue.class)) {
+                return accessible(each);
+            }
+        }
+        return null;
+    }
+
+    private static Method factory(Class<?> type) {
+        for (Method each : type.getDeclaredMethods()) {
+            boolean single = Modifier.isStatic(each.getModifiers()) && each.getParameterCount() == 1;
+            if (single && each.isAnnotationPresent(JsonCreator.class)) {
+                return accessible(each);
+            }
+        }
+        throw new UnsupportedTypeException(type);
+    }
+
+    private static Method accessible(Method method) {
+        method.setAccessible(true);
+        return method;
+    }
+
+    /** The sealed type whose cases are named on the wire and of which the record is one; null without one. */
+    private static Class<?> sealedTypeOf(Class<?> type) {
+        for (Class<?> each : type.getInterfaces()) {
+            Class<?> found = each.isAnnotationPresent(JsonTypeInfo.class) ? each : sealedTypeOf(each);
+            if (found != null) {
+                return found;
+            }
+        }
+        return null;
+    }
+
+    private Shape cases(Class<?> type) {
+        JsonTypeInfo info = type.getAnnotation(JsonTypeInfo.class);
+        if (!type.isSealed() || info == null || info.use() != JsonTypeInfo.Id.NAME) {
+            throw new UnsupportedTypeException(type);
+        }
+        CaseShape cases = new CaseShape(info.property(), this);
+        for (Class<?> each : type.getPermittedSubclasses()) {
+            JsonTypeName name = each.getAnnotation(JsonTypeName.class);
+            if (!each.isRecord() || name == null) {
+                throw new UnsupportedTypeException(each);
+            }
+            cases.add(each, name.value());
+        }
+        return cases;
+    }
+
+    RecordShape record(Class<?> type) {
+        RecordComponent[] components = type.getRecordComponents();
+        Class<?>[] types = new Class<?>[components.length];
+        Method[] accessors = new Method[components.length];
+        Shape[] shapes = new Shape[components.length];
+        for (int i = 0; i < components.length; i++) {
+            accessors[i] = accessible(components[i].getAccessor());
+            if (accessors[i].getDeclaredAnnotations().length > 0) {
+                throw new UnsupportedTypeException(type);
+            }
+            types[i] = components[i].getType();
+            shapes[i] = of(components[i].getGenericType());
+        }
+        return new RecordShape(constructor(type, types), accessors, shapes, strict);
+    }
+
+    private static Constructor<?> constructor(Class<?> type, Class<?>[] parameters) {
+        for (Constructor<?> each : type.getDeclaredConstructors()) {
+            if (each.isAnnotationPresent(JsonCreator.class)) {
+                throw new UnsupportedTypeException(type);
+            }
+        }
+        try {
+            Constructor<?> canonical = type.getDeclaredConstructor(parameters);
+            canonical.setAccessible(true);
+            return canonical;
+        } catch (NoSuchMethodException e) {
+            throw new IllegalStateException("a record without its constructor: " + type, e);
+        }
+    }
+}
--- /dev/null
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/UnsupportedTypeException.java
@@ -0,0 +1,12 @@
+package org.elmline.wire.shape;
+
+import java.lang.reflect.Type;
+
+/** A type that shapes don't cover; data binding does. */
+public final class UnsupportedTypeException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    UnsupportedTypeException(Type type) {
+        super(type.getTypeName());
+    }
+}
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/PeerKey.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/PeerKey.java
@@ -1,39 +1,59 @@
 package org.elmline.wire.tcp;
 
-import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
-
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
 
-/** The secret that all processes of one deployment share; proves knowledge of it without sending it. */
+/**
+ * The secret that all processes of one deployment share; proves knowledge of it without sending it, by HMAC with SHA-256
+ * (RFC 2104). The platform's own MAC would do, but its framework checks its providers at first use, which takes a process
+ * that has just started as long as all that it needs for its first answer.
+ */
 public final class PeerKey {
-    private static final String ALGORITHM = "HmacSHA256";
+    private static final String DIGEST = "SHA-256";
+    private static final int BLOCK_BYTES = 64;
+    private static final byte INNER = 0x36;
+    private static final byte OUTER = 0x5c;
     private static final int MIN_LENGTH = 16;
 
-    private final SecretKeySpec key;
+    private final byte[] key;
 
     public PeerKey(String secret) {
         if (secret == null || secret.length() < MIN_LENGTH) {
             throw new IllegalArgumentException("the peer key must have at least " + MIN_LENGTH + " characters");
         }
-        key = new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), ALGORITHM);
+        byte[] bytes = secret.getBytes(StandardCharsets.UTF_8);
+        key = Arrays.copyOf(bytes.length > BLOCK_BYTES ? digest().digest(bytes) : bytes, BLOCK_BYTES);
     }
 
     byte[] sign(String purpose, byte[] first, byte[] second) {
-        try {
-            Mac mac = Mac.getInstance(ALGORITHM);
-            mac.init(key);
-            mac.update(purpose.getBytes(StandardCharsets.UTF_8));
-            mac.update(first);
-            return mac.doFinal(second);
-        } catch (GeneralSecurityException e) {
-            throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
-        }
+        MessageDigest digest = digest();
+        digest.update(padded(INNER));
+        digest.update(purpose.getBytes(StandardCharsets.UTF_8));
+        digest.update(first);
+        byte[] inner = digest.digest(second);
+        digest.update(padded(OUTER));
+        return digest.digest(inner);
     }
 
     boolean verify(String purpose, byte[] first, byte[] second, byte[] signature) {
         return MessageDigest.isEqual(sign(purpose, first, second), signature);
     }
+
+    private byte[] padded(byte pad) {
+        byte[] block = new byte[BLOCK_BYTES];
+        for (int i = 0; i < BLOCK_BYTES; i++) {
+            block[i] = (byte) (key[i] ^ pad);
+        }
+        return block;
+    }
+
+    private static MessageDigest digest() {
+        try {
+            return MessageDigest.getInstance(DIGEST);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has " + DIGEST, e);
+        }
+    }
 }
--- /dev/null
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
@@ -0,0 +1,243 @@
+package org.elmline.wire.codec;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Region;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.common.TicketNumber;
+import org.elmline.core.config.RoutingDocument;
+import org.elmline.core.control.Command;
+import org.elmline.core.control.CommandResult;
+import org.elmline.core.control.Ticket;
+import org.elmline.core.dispatch.AttemptEnd;
+import org.elmline.core.dispatch.AttemptReport;
+import org.elmline.core.dispatch.DispatchChannels.Adoption;
+import org.elmline.core.dispatch.DispatchChannels.Decided;
+import org.elmline.core.dispatch.DispatchChannels.Reports;
+import org.elmline.core.dispatch.DispatchChannels.Taken;
+import org.elmline.core.dispatch.Helper;
+import org.elmline.core.dispatch.OpenGrant;
+import org.elmline.core.dispatch.PlaceAnswer;
+import org.elmline.core.dispatch.PlaceCall;
+import org.elmline.core.raft.Entry;
+import org.elmline.core.raft.EntryKind;
+import org.elmline.core.raft.Membership;
+import org.elmline.core.raft.Message;
+import org.elmline.core.raft.ReplicaId;
+import org.elmline.core.registry.EntryRecord;
+import org.elmline.core.registry.FollowAnswer;
+import org.elmline.core.registry.FollowRequest;
+import org.elmline.core.registry.Heard;
+import org.elmline.core.registry.Registration;
+import org.elmline.core.registry.RegistryChannels.RoutingQuery;
+import org.elmline.core.registry.RegistryChannels.RoutingSubmit;
+import org.elmline.core.registry.RegistryChannels.RoutingSubmitted;
+import org.elmline.core.registry.RegistryChannels.RoutingText;
+import org.elmline.core.registry.ServerNews;
+import org.elmline.core.registry.ServerState;
+import org.elmline.wire.shape.Shapes;
+import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+/** Shapes write what data binding reads and the other way round, so that either may stand at an end of a connection. */
+class ShapeCodecTest {
+    private static final HostId HOST = HostId.of("10.1.0.1");
+    private static final ReplicaId REPLICA = new ReplicaId(HOST, -7);
+    private static final FailureDomain DOMAIN = FailureDomain.of("a");
+    private static final ServiceName SERVICE = ServiceName.of("s");
+
+    @Property(tries = 200)
+    void bothWaysAgree(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        for (Object each : messages(random)) {
+            for (boolean json : List.of(false, true)) {
+                Codec shapes = json ? Codecs.JSON : Codecs.MESSAGE_PACK;
+                Codec binding = new JacksonCodec(
+                        json ? Codecs.jsonMapper() : Codecs.lenient(new ObjectMapper(new MessagePackFactory())));
+                Object byBinding = value(binding.decode(shapes.encode(each), each.getClass()));
+                Object byShapes = value(shapes.decode(binding.encode(each), each.getClass()));
+                assertArrayEquals(binding.encode(each), binding.encode(byBinding));
+                assertArrayEquals(shapes.encode(each), shapes.encode(byShapes));
+            }
+        }
+    }
+
+    // A control host that has lost power answers nobody before it has read its log and its peers' messages. Data
+    // binding
+    // takes a third of that time, so none of these messages may need it.
+    @Test
+    void theMessagesOfAStartNeedNoDataBinding() {
+        Shapes shapes = new Shapes(false);
+        for (Object each : messages(new SplittableRandom(1))) {
+            assertDoesNotThrow(() -> written(shapes, each), each.getClass().getName());
+        }
+        for (Class<?> each : List.of(CommandResult.class, RoutingSubmitted.class, Reports.class)) {
+            assertDoesNotThrow(() -> shapes.of(each), each.getName());
+        }
+    }
+
+    @Test
+    void whatIsNotAsExpectedIsMalformed() {
+        String[] malformed = {"{\"known\":1}", "{\"version\":\"1\"}", "[]", "", "{\"version\":1", "{\"text\":{}}"};
+        for (String each : malformed) {
+            assertInstanceOf(Decoded.Malformed.class, Codecs.JSON.decode(each.getBytes(), RoutingText.class), each);
+        }
+        String more = "{\"known\":true,\"new\":{\"x\":[1]},\"version\":4}";
+        assertEquals(new RoutingText(true, 4, null), value(Codecs.JSON.decode(more.getBytes(), RoutingText.class)));
+    }
+
+    @Test
+    void strictReadingTakesNothingBeyondItsValue() {
+        Codec strict = new ShapeCodec(new JsonFactory(), true, ObjectMapper::new);
+        String whole = "{\"known\":true,\"version\":4}";
+        assertInstanceOf(Decoded.Value.class, strict.decode(whole.getBytes(), RoutingText.class));
+        assertInstanceOf(
+                Decoded.Malformed.class, Codecs.STRICT_JSON.decode((whole + whole).getBytes(), RoutingText.class));
+        assertInstanceOf(
+                Decoded.Malformed.class, Codecs.STRICT_JSON.decode("{\"known\":true}".getBytes(), RoutingText.class));
+    }
+
+    private static byte[] written(Shapes shapes, Object value) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator to = new MessagePackFactory().createGenerator(bytes)) {
+            shapes.of(value.getClass()).write(to, value);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static Object value(Decoded<?> decoded) {
+        return assertInstanceOf(Decoded.Value.class, decoded, decoded::toString).value();
+    }
+
+    private static List<Object> messages(SplittableRandom random) {
+        List<Object> all = new ArrayList<>();
+        all.addAll(registry(random));
+        all.addAll(dispatch(random));
+        all.addAll(raft(random));
+        Ticket ticket = new Ticket(
+                TicketNumber.of(1 + random.nextInt(99)), "a", List.of(new RoutingDocument("{}" + text(random))));
+        all.add(Command.ApplyTicket.of(ticket));
+        return all;
+    }
+
+    private static List<Object> registry(SplittableRandom random) {
+        EntryRecord entry = new EntryRecord(
+                HOST,
+                random.nextLong(),
+                address(random),
+                address(random),
+                DOMAIN,
+                Region.of("r"),
+                random.nextBoolean());
+        Registration server = new Registration(
+                BackendServerId.of("b" + random.nextInt(9)),
+                SERVICE,
+                address(random),
+                DOMAIN,
+                random.nextInt(),
+                ServerState.values()[random.nextInt(ServerState.values().length)],
+                random.nextLong(),
+                random.nextLong(1 << random.nextInt(1, 30)));
+        RoutingText text = new RoutingText(true, random.nextLong(), text(random));
+        return List.of(
+                new FollowRequest(HOST, random.nextBoolean() ? entry : null, 1, 2, 3, random.nextLong()),
+                new FollowAnswer(
+                        random.nextLong(),
+                        random.nextLong(),
+                        List.of(new ServerNews(server, random.nextBoolean(), random.nextBoolean())),
+                        5,
+                        List.of(new Heard(server.id(), 1, 2, random.nextLong())),
+                        random.nextBoolean() ? null : List.of(entry, entry),
+                        6,
+                        List.of(address(random)),
+                        7,
+                        random.nextBoolean() ? text : null),
+                text,
+                RoutingText.UNKNOWN,
+                new RoutingQuery(),
+                new RoutingSubmit(random.nextLong(), text(random)));
+    }
+
+    private static List<Object> dispatch(SplittableRandom random) {
+        PlaceCall call = new PlaceCall(
+                text(random) + "x",
+                HOST,
+                random.nextLong(),
+                DOMAIN,
+                SERVICE,
+                random.nextInt(10),
+                random.nextLong(),
+                5,
+                6,
+                -random.nextInt(1000),
+                250,
+                8,
+                9,
+                random.nextBoolean(),
+                List.of(BackendServerId.of("b")));
+        PlaceAnswer.Granted granted = new PlaceAnswer.Granted(
+                "a",
+                BackendServerId.of("b"),
+                address(random),
+                List.of(new Helper(BackendServerId.of("c"), address(random), random.nextLong())),
+                1,
+                2,
+                3,
+                random.nextInt());
+        return List.of(
+                call,
+                granted,
+                new PlaceAnswer.Queued("a", random.nextInt()),
+                new PlaceAnswer.Refused("a", PlaceAnswer.Why.TOO_LATE, random.nextLong()),
+                new Reports(SERVICE, List.of(new AttemptReport("a", null), new AttemptReport("b", AttemptEnd.DONE))),
+                new Adoption(SERVICE, HOST, 4, random.nextBoolean(), List.of(new OpenGrant(call, granted, true))),
+                new Decided(HOST, granted),
+                new Taken(random.nextBoolean()));
+    }
+
+    private static List<Object> raft(SplittableRandom random) {
+        byte[] data = new byte[random.nextInt(50)];
+        random.nextBytes(data);
+        Membership members = Membership.ofVoters(List.of(REPLICA, new ReplicaId(HostId.of("h"), random.nextLong())));
+        long any = random.nextLong();
+        return List.of(
+                new Message.PreVoteRequest(REPLICA, REPLICA, any, 1, 2),
+                new Message.PreVoteResponse(REPLICA, REPLICA, 5, random.nextBoolean()),
+                new Message.VoteRequest(REPLICA, REPLICA, 5, 1, any, random.nextBoolean()),
+                new Message.VoteResponse(REPLICA, REPLICA, 5, true),
+                new Message.AppendRequest(
+                        REPLICA, REPLICA, 5, 1, 2, List.of(new Entry(1, 2, EntryKind.COMMAND, data)), 3, any),
+                new Message.AppendResponse(REPLICA, REPLICA, 5, true, 1, 2, any),
+                new Message.Heartbeat(REPLICA, REPLICA, 5, 4, any),
+                new Message.HeartbeatResponse(REPLICA, REPLICA, 5, any),
+                new Message.SnapshotChunk(REPLICA, REPLICA, 5, 1, 2, members, 3, 4, data, any),
+                new Message.SnapshotResponse(REPLICA, REPLICA, 5, 1, 2, any),
+                new Message.TimeoutNow(REPLICA, REPLICA, any));
+    }
+
+    private static Address address(SplittableRandom random) {
+        return new Address("10.0.0." + random.nextInt(255), 1 + random.nextInt(60_000));
+    }
+
+    private static String text(SplittableRandom random) {
+        return "täxt \"\u20ac\" ".repeat(random.nextInt(40));
+    }
+}
