Give back a server's own failure where no other server can be asked

Change: the answer is kept while the call is tried elsewhere, and goes back when that fails. PassThroughTest.aServersOwnFailureIsPassedOnWhereNoOtherAnswers got 502 before.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -231,7 +231,9 @@
         } else if (head.notExecuted() && status != 400) {
             fail(AttemptEnd.NOT_EXECUTED, "turned down with " + status);
         } else if (status >= SERVER_ERROR && call.route().mayRepeat() && call.mayTryAgain()) {
-            fail(AttemptEnd.SERVER_ERROR, "answered " + status);
+            end();
+            call.parts().dispatch().end(placed, AttemptEnd.SERVER_ERROR);
+            call.serverFailed(status, headers, whole);
         } else {
             end();
             call.parts().dispatch().end(placed, status >= SERVER_ERROR ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -66,11 +66,15 @@
     private PlaceCall placing;
     private Attempt attempt;
     private StreamAnswer stream;
+    private ServerFailure serverFailure;
     private int sends;
     private int fruitless;
     private boolean mayHaveRun;
     private boolean over;
 
+    /** A server's own failure, kept while the call is tried elsewhere. */
+    private record ServerFailure(int status, HeaderMap headers, ByteArrayOutputStream bytes) {}
+
     Call(
             GatewayParts parts,
             HttpServerExchange exchange,
@@ -252,6 +256,12 @@
         retry(why, !ran);
     }
 
+    /** A server has answered with a failure of its own, and the call may run once more. */
+    void serverFailed(int status, HeaderMap headers, ByteArrayOutputStream bytes) {
+        serverFailure = new ServerFailure(status, headers, bytes);
+        failed(AttemptEnd.SERVER_ERROR, "answered " + status);
+    }
+
     private BackendServerId lastTried() {
         return tried.isEmpty() ? null : tried.get(tried.size() - 1);
     }
@@ -289,6 +299,11 @@
             stream.abort();
             return;
         }
+        if (serverFailure != null) {
+            // What a server said tells the caller more than that no other one could be asked.
+            answer(serverFailure.status(), serverFailure.headers(), serverFailure.bytes());
+            return;
+        }
         boolean late = leftMillis() < LEAST_MILLIS;
         int status = mayHaveRun ? (late ? 504 : 502) : 503;
         lines.failure(line("refused")
