Hand out the remembered routing table before the log is open

Change: a control host keeps the committed routing document in a checked file, written when it changes, and answers entries from it before it opens the log; what is remembered can only be old, as the log's own first state can, and the log's takes its place. For 0.2 s it does nothing but answer peers. A writing that a full disk refused is tried again. The scan of a segment takes an entry's index without a copy of its data.

The alternating load also plays engines and calls of the new site.

--- a/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoad.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoad.java
@@ -31,55 +31,36 @@
     private static final int LAST_CALL_MILLIS = 15_000;
 
     private static final ServiceName DESK = ServiceName.of("desk");
-    private static final BatchTiming TIMING =
-            new BatchTiming(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2048, 0.1);
-
-    /** A kind of call: how often in each phase, how long, and what it is worth to callers. */
+    /** What callers ask for. */
     enum Kind {
-        QUESTION(10.3, 80.0, 4_960, 0.9, 23_800, 35, 300, 200, 10_000, 1.3, 0.33),
-        ROSTER(3.0, 1.2, 45_000, 0.5, 110_000, 21, 1_500, 500, 10_000, 3.1, 0.79),
-        AUDIT(2.7, 0.05, 210_000, 0.5, 430_000, 17, 3_000, 800, 15_000, 22, 5.4);
-
-        private final double inLongPhase;
-        private final double inShortPhase;
-        private final double tokens;
-        private final double spread;
-        private final long most;
-        private final int events;
-        private final int aim;
-        private final int gap;
-        private final int deadline;
-        private final double worth;
-        private final double lateWorth;
-
-        Kind(
-                double inLong,
-                double inShort,
-                double tokens,
-                double spread,
-                long most,
-                int events,
-                int aim,
-                int gap,
-                int deadline,
-                double worth,
-                double lateWorth) {
-            this.inLongPhase = inLong;
-            this.inShortPhase = inShort;
-            this.tokens = tokens;
-            this.spread = spread;
-            this.most = most;
-            this.events = events;
-            this.aim = aim;
-            this.gap = gap;
-            this.deadline = deadline;
-            this.worth = worth;
-            this.lateWorth = lateWorth;
-        }
+        QUESTION,
+        ROSTER,
+        AUDIT
+    }
 
+    /**
+     * A kind of call: how often it comes in each phase, how long it is, and what it is worth to callers.
+     *
+     * @param inLongPhase calls a second while many long prompts come
+     * @param inShortPhase calls a second while many questions come
+     * @param tokens mean length of the prompt, which spreads by a log-normal law up to {@code most}
+     * @param aim milliseconds to the first token, {@code gap} between events, {@code deadline} to the end
+     */
+    record Figures(
+            double inLongPhase,
+            double inShortPhase,
+            double tokens,
+            double spread,
+            long most,
+            int events,
+            int aim,
+            int gap,
+            int deadline,
+            double worth,
+            double lateWorth) {
         /** What an answer in time is worth to callers, against that of the others; it grows with the prompt. */
-        double worth(long promptTokens) {
-            double size = (promptTokens + 10.0 * 46 * events) / (tokens + 10.0 * 46 * events);
+        double worth(long promptTokens, int eventTokens) {
+            double size = (promptTokens + 10.0 * eventTokens * events) / (tokens + 10.0 * eventTokens * events);
             return worth * Math.min(4, 0.3 + 0.7 * size);
         }
 
@@ -93,6 +74,36 @@
         }
     }
 
+    /** Engines and calls of one of the users' deployments. */
+    enum Deployment {
+        /** Large engines, three prompts a second of 210 thousand tokens; the calls are those of 21 engines. */
+        LARGE_ENGINES(
+                new BatchTiming(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2048, 0.1),
+                new Figures(10.3, 80.0, 4_960, 0.9, 23_800, 35, 300, 200, 10_000, 1.3, 0.33),
+                new Figures(3.0, 1.2, 45_000, 0.5, 110_000, 21, 1_500, 500, 10_000, 3.1, 0.79),
+                new Figures(2.7, 0.05, 210_000, 0.5, 430_000, 17, 3_000, 800, 15_000, 22, 5.4)),
+        /** Half the memory, slower reading, four prompts a second of 133 thousand tokens; the calls are those of 21. */
+        SMALL_ENGINES(
+                new BatchTiming(11, 232_000, 43, 1.02, 0.00226, 0.00431, 206, 0.138, 2048, 0.075),
+                new Figures(10.3, 75.0, 4_960, 0.9, 23_800, 32, 300, 250, 10_000, 1.3, 0.33),
+                new Figures(2.2, 0.85, 45_000, 0.5, 110_000, 19, 1_500, 600, 10_000, 3.9, 0.98),
+                new Figures(3.9, 0.07, 133_000, 0.55, 600_000, 16, 2_500, 1_000, 15_000, 15, 3.7));
+
+        private final BatchTiming timing;
+        private final Map<Kind, Figures> figures = new EnumMap<>(Kind.class);
+
+        Deployment(BatchTiming timing, Figures question, Figures roster, Figures audit) {
+            this.timing = timing;
+            figures.put(Kind.QUESTION, question);
+            figures.put(Kind.ROSTER, roster);
+            figures.put(Kind.AUDIT, audit);
+        }
+
+        Figures figures(Kind kind) {
+            return figures.get(kind);
+        }
+    }
+
     /** Where a call goes. */
     interface Policy {
         void ask(PlaceCall call, PassEngine.Job job, int now);
@@ -104,18 +115,20 @@
 
     private final List<PassEngine> engines = new ArrayList<>();
     private final Map<Kind, List<PassEngine.Job>> asked = new EnumMap<>(Kind.class);
+    private final Deployment deployment;
     private final long seed;
     private final double load;
 
     /**
      * @param engineCount engines of the service
-     * @param load part of the calls of the larger site that come
+     * @param load part of the deployment's calls that come
      */
-    AlternatingLoad(int engineCount, double load, long seed) {
+    AlternatingLoad(Deployment deployment, int engineCount, double load, long seed) {
+        this.deployment = deployment;
         this.load = load;
         this.seed = seed;
         for (int i = 0; i < engineCount; i++) {
-            engines.add(new PassEngine(TIMING));
+            engines.add(new PassEngine(deployment.timing));
         }
     }
 
@@ -143,11 +156,14 @@
         int next = 0;
         for (int now = 0; now < MILLIS + LAST_CALL_MILLIS; now++) {
             for (Kind kind : Kind.values()) {
-                if (now < MILLIS && random.nextDouble() < load * kind.perSecond(now) / 1_000) {
-                    long tokens = kind.draw(random);
-                    PassEngine.Job job = new PassEngine.Job(tokens, kind.events, now, kind.aim, kind.gap);
+                if (now < MILLIS
+                        && random.nextDouble() < load * deployment.figures(kind).perSecond(now) / 1_000) {
+                    Figures figures = deployment.figures(kind);
+                    long tokens = figures.draw(random);
+                    PassEngine.Job job =
+                            new PassEngine.Job(tokens, figures.events(), now, figures.aim(), figures.gap());
                     asked.computeIfAbsent(kind, each -> new ArrayList<>()).add(job);
-                    policy.ask(call("c" + next++, kind, tokens), job, now);
+                    policy.ask(call("c" + next++, figures, tokens), job, now);
                 }
             }
             policy.step(now);
@@ -175,15 +191,17 @@
     double credit(Kind kind) {
         double earned = 0;
         double owed = 0;
+        Figures figures = deployment.figures(kind);
         for (PassEngine.Job each : asked.get(kind)) {
-            double worth = kind.worth(each.promptTokens());
+            double worth = figures.worth(each.promptTokens(), deployment.timing.stepsPerPass());
             owed += worth;
-            earned += each.onTime() ? worth : each.done() ? worth * kind.lateWorth / kind.worth : 0;
+            earned += each.onTime() ? worth : each.done() ? worth * figures.lateWorth() / figures.worth() : 0;
         }
         return earned / owed;
     }
 
-    private static PlaceCall call(String attempt, Kind kind, long tokens) {
+    private PlaceCall call(String attempt, Figures figures, long tokens) {
+        long answer = (long) deployment.timing.stepsPerPass() * figures.events();
         return new PlaceCall(
                 attempt,
                 HostId.of("e"),
@@ -192,20 +210,20 @@
                 DESK,
                 1,
                 tokens,
-                46L * kind.events,
-                46L * kind.events,
-                kind.aim,
-                kind.gap,
-                kind.deadline,
-                kind.deadline,
+                answer,
+                answer,
+                figures.aim(),
+                figures.gap(),
+                figures.deadline(),
+                figures.deadline(),
                 false,
                 List.of());
     }
 
     /** The dispatcher, told of first tokens and ends a millisecond after they come. */
     private final class Dispatched implements Policy {
-        private final Dispatcher dispatcher =
-                new Dispatcher(new RoutedService(DESK, 819, TIMING), new RetryLimit(0.2, 10, 10_000 * MILLI), 0);
+        private final Dispatcher dispatcher = new Dispatcher(
+                new RoutedService(DESK, 819, deployment.timing), new RetryLimit(0.2, 10, 10_000 * MILLI), 0);
         private final Map<String, PassEngine.Job> jobs = new HashMap<>();
         private final Map<String, Boolean> running = new HashMap<>();
 
@@ -222,7 +240,7 @@
                         1,
                         1));
             }
-            dispatcher.servers(new RoutedService(DESK, 819, TIMING), servers, 0);
+            dispatcher.servers(new RoutedService(DESK, 819, deployment.timing), servers, 0);
         }
 
         @Override
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoadMeasurement.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoadMeasurement.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 
+import org.elmline.core.dispatch.AlternatingLoad.Deployment;
 import org.elmline.core.dispatch.AlternatingLoad.Kind;
 
 /**
@@ -17,10 +18,11 @@
     private AlternatingLoadMeasurement() {}
 
     public static void main(String[] args) {
-        System.out.println("engines policy kind on-time credit largest-tenth next-fifth");
+        System.out.println("deployment engines policy kind on-time credit largest-tenth next-fifth");
         // The smaller site's engines get the part of the calls that its sheet gives them.
-        print(21, 1.0);
-        print(16, 0.77);
+        print(Deployment.LARGE_ENGINES, 21, 1.0);
+        print(Deployment.LARGE_ENGINES, 16, 0.77);
+        print(Deployment.SMALL_ENGINES, 21, 1.0);
     }
 
     /** Ways to choose an engine, the product's own last. */
@@ -47,14 +49,14 @@
         abstract AlternatingLoad play(AlternatingLoad load);
     }
 
-    private static void print(int engines, double load) {
+    private static void print(Deployment deployment, int engines, double load) {
         for (Candidate candidate : Candidate.values()) {
             double[][] sums = new double[Kind.values().length][FIGURES];
             for (int seed = 1; seed <= SEEDS; seed++) {
-                add(candidate.play(new AlternatingLoad(engines, load, seed)), sums);
+                add(candidate.play(new AlternatingLoad(deployment, engines, load, seed)), sums);
             }
             for (Kind kind : Kind.values()) {
-                print(engines + " " + candidate + " " + kind, sums[kind.ordinal()]);
+                print(deployment + " " + engines + " " + candidate + " " + kind, sums[kind.ordinal()]);
             }
         }
     }
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoadTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoadTest.java
@@ -1,5 +1,6 @@
 package org.elmline.core.dispatch;
 
+import org.elmline.core.dispatch.AlternatingLoad.Deployment;
 import org.elmline.core.dispatch.AlternatingLoad.Kind;
 import org.junit.jupiter.api.Test;
 
@@ -18,7 +19,7 @@
     private static final double LARGEST = 0.1;
 
     private static AlternatingLoad load() {
-        return new AlternatingLoad(ENGINES, 1, SEED);
+        return new AlternatingLoad(Deployment.LARGE_ENGINES, ENGINES, 1, SEED);
     }
 
     private static String seen(AlternatingLoad load) {
@@ -55,7 +56,8 @@
         double largest = 0;
         double questions = 0;
         for (int seed = 1; seed <= SEEDS; seed++) {
-            AlternatingLoad load = new AlternatingLoad(FEW_ENGINES, FEW_ENGINES_LOAD, seed).dispatched();
+            AlternatingLoad load =
+                    new AlternatingLoad(Deployment.LARGE_ENGINES, FEW_ENGINES, FEW_ENGINES_LOAD, seed).dispatched();
             largest += load.onTimeBySize(Kind.AUDIT, 0, LARGEST) / SEEDS;
             questions += load.onTime(Kind.QUESTION) / SEEDS;
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -18,6 +18,7 @@
 import org.elmline.core.raft.RaftSettings;
 import org.elmline.core.raft.ReplicaId;
 import org.elmline.core.registry.RegistryChannels;
+import org.elmline.core.registry.RegistryChannels.RoutingText;
 import org.elmline.daemon.component.DaggerProcessComponent;
 import org.elmline.daemon.component.ProcessComponent;
 import org.elmline.daemon.control.ControlMachine;
@@ -50,11 +51,10 @@
     private static final long WATCH_MILLIS = 200;
 
     /**
-     * Time for which a restarted host answers its peers alone before it opens the operators' port. Entries that have lost
-     * their routing table serve nobody until one of these answers, and the port takes as much of a small host as all of
-     * them; servers are remembered meanwhile.
+     * Time for which a restarted host that remembers a routing table does nothing but answer its peers. Entries that have
+     * lost theirs serve nobody until one of these answers, and the log takes more of a small host than all of them.
      */
-    private static final long PEERS_FIRST_MILLIS = 250;
+    private static final long PEERS_FIRST_MILLIS = 200;
 
     private static final int EVENTS = 1_024;
     private static final long HAND_OVER_MILLIS = 1_500;
@@ -67,7 +67,7 @@
     private final DecisionLog log;
     private final long epoch = System.currentTimeMillis();
     private final Map<Address, FollowLoop> follows = new HashMap<>();
-    private RaftDriver driver;
+    private volatile RaftDriver driver;
     private PeerNode peers;
     private RegistryService registry;
     private String standing = "";
@@ -101,8 +101,8 @@
         }
     }
 
+    /** Peers are answered from memory first; the log, which decides, takes longer to open. */
     private void open() throws IOException, InterruptedException {
-        OpenResult.Opened opened = new CoordinatorData(settings, log).open();
         ExecutorService handlers = Executors.newSingleThreadExecutor(task -> {
             Thread thread = new Thread(task, "handlers");
             thread.setDaemon(true);
@@ -110,7 +110,39 @@
         });
         closer.register(handlers::shutdownNow);
         peers = closer.register(new PeerNode(settings, "coordinator", handlers, process.hybridClock()));
+        HeldRouting held = new HeldRouting(memory("routing", RoutingText.class));
+        registry = new RegistryService(
+                epoch,
+                settings.heartbeatMillis(),
+                process.clock(),
+                this::controls,
+                held,
+                memory("servers", KnownServers.class),
+                process.metrics(),
+                log);
+        registry.start(peers.timer());
+        peers.handlers().register(RegistryChannels.FOLLOW, registry::follow);
+        if (held.remembers()) {
+            Thread.sleep(PEERS_FIRST_MILLIS);
+        }
         ControlMachine machine = new ControlMachine();
+        openLog(machine);
+        RoutingStore store = new RoutingStore(driver, machine);
+        held.open(store);
+        // The applying thread holds the state's lock here, so the polls are answered by another.
+        machine.onApplied((command, result) -> peers.timer().execute(registry::routingChanged));
+        peers.timer().execute(registry::routingChanged);
+        serve(store);
+    }
+
+    private <T> Memory<T> memory(String name, Class<T> type) {
+        CheckedFile file =
+                new CheckedFile(new SystemFiles(), settings.dataFolder().resolve(name));
+        return closer.register(new Memory<>(name, type, file, log));
+    }
+
+    private void openLog(ControlMachine machine) throws IOException, InterruptedException {
+        OpenResult.Opened opened = new CoordinatorData(settings, log).open();
         driver = RaftDriver.builder()
                 .folder(opened.folder(), opened.restored())
                 .machine(machine)
@@ -128,34 +160,13 @@
                 .onFailure(onFailure)
                 .start();
         closer.register(driver);
-        serve(machine);
     }
 
-    private void serve(ControlMachine machine) throws IOException, InterruptedException {
-        RoutingStore store = new RoutingStore(driver, machine);
+    private void serve(RoutingStore store) throws IOException {
         RoutingService routing =
                 new RoutingService(store, this::leader, peers.network(), peers.timer(), process.clock(), log);
         routing.register(peers.handlers());
-        CheckedFile servers =
-                new CheckedFile(new SystemFiles(), settings.dataFolder().resolve(ServerMemory.FILE));
-        ServerMemory memory = closer.register(new ServerMemory(servers, log));
-        registry = new RegistryService(
-                epoch,
-                settings.heartbeatMillis(),
-                process.clock(),
-                this::controls,
-                store,
-                memory,
-                process.metrics(),
-                log);
-        registry.start(peers.timer());
-        peers.handlers().register(RegistryChannels.FOLLOW, registry::follow);
-        // The applying thread holds the state's lock here, so the polls are answered by another.
-        machine.onApplied((command, result) -> peers.timer().execute(registry::routingChanged));
         peers.timer().scheduleWithFixedDelay(this::watch, 0, WATCH_MILLIS, TimeUnit.MILLISECONDS);
-        if (!settings.firstStart()) {
-            Thread.sleep(PEERS_FIRST_MILLIS);
-        }
         HttpPorts ports = closer.register(new HttpPorts());
         ports.with(settings.operators(), protocol.operators(routing, registry));
         if (settings.metricsPort() > 0) {
@@ -189,7 +200,11 @@
     /** Where the control hosts are, as far as the membership of the log tells. */
     private List<Address> controls() {
         List<Address> all = new ArrayList<>();
-        driver.status().membership().all().forEach(each -> all.add(settings.peersOf(each.host())));
+        RaftDriver running = driver;
+        if (running == null) {
+            return settings.controlPeers();
+        }
+        running.status().membership().all().forEach(each -> all.add(settings.peersOf(each.host())));
         return all.isEmpty() ? settings.controlPeers() : all;
     }
 
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Memory.java
@@ -0,0 +1,81 @@
+package org.elmline.daemon.coordinator;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.elmline.daemon.log.DecisionLog;
+import org.elmline.storage.CheckedFile;
+import org.elmline.wire.codec.Codecs;
+import org.elmline.wire.codec.Decoded;
+
+/**
+ * Something a control host knew, kept in a file for its next start. Written by a thread of its own, so that a disk that
+ * hangs holds up nothing else.
+ */
+final class Memory<T> implements AutoCloseable {
+    private final String name;
+    private final Class<T> type;
+    private final CheckedFile file;
+    private final DecisionLog log;
+    private final AtomicBoolean writing = new AtomicBoolean();
+    private volatile boolean lost;
+    private final ExecutorService writer;
+
+    /** @param name what it is, for the log and the thread */
+    Memory(String name, Class<T> type, CheckedFile file, DecisionLog log) {
+        this.name = name;
+        this.type = type;
+        this.file = file;
+        this.log = log;
+        writer = Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, "memory-" + name);
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    /** What was written last; empty where the file is missing or damaged. */
+    Optional<T> read() {
+        Optional<byte[]> bytes = file.read();
+        if (bytes.isEmpty()) {
+            return Optional.empty();
+        }
+        if (Codecs.MESSAGE_PACK.decode(bytes.get(), type) instanceof Decoded.Value<T> known) {
+            return Optional.of(known.value());
+        }
+        log.line("memory unreadable").with("of", name).write();
+        return Optional.empty();
+    }
+
+    /** Whether the last writing failed, so that the file is older than what was to be written. */
+    boolean lost() {
+        return lost;
+    }
+
+    /** Begins to write; false while the last writing goes on. */
+    boolean write(T value) {
+        if (!writing.compareAndSet(false, true)) {
+            return false;
+        }
+        writer.execute(() -> {
+            try {
+                file.write(Codecs.MESSAGE_PACK.encode(value));
+                lost = false;
+            } catch (IOException e) {
+                lost = true;
+                log.line("memory not written").with("of", name).with("why", e).write();
+            } finally {
+                writing.set(false);
+            }
+        });
+        return true;
+    }
+
+    @Override
+    public void close() {
+        writer.shutdown();
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -39,7 +39,7 @@
     private static final int CONFIRMING_HEARTBEATS = 2;
 
     /** Shortest pause between two writings of the servers known; changes come in bursts. */
-    private static final long WRITE_PAUSE_NANOS = 1_000 * NANOS_PER_MILLI;
+    private static final long WRITE_PAUSE_NANOS = 250 * NANOS_PER_MILLI;
 
     /** A heartbeat held up by a cut may come this late; until then a server that left is remembered. */
     private static final long FORGET_NANOS = 600_000 * NANOS_PER_MILLI;
@@ -55,11 +55,11 @@
     private final long epoch;
     private final MonotonicClock clock;
     private final Supplier<List<Address>> controls;
-    private final RoutingStore routing;
+    private final HeldRouting routing;
     private final Counter unreadable;
     private final DecisionLog log;
     private final ServerRegistry servers;
-    private final ServerMemory memory;
+    private final Memory<KnownServers> memory;
     private final LiveEntries entries = new LiveEntries(ALIVE_NANOS);
     private final Map<HostId, Follower> followers = new HashMap<>();
     private final List<Poll> polls = new ArrayList<>();
@@ -85,8 +85,8 @@
             int heartbeatMillis,
             MonotonicClock clock,
             Supplier<List<Address>> controls,
-            RoutingStore routing,
-            ServerMemory memory,
+            HeldRouting routing,
+            Memory<KnownServers> memory,
             MetricRegistry metrics,
             DecisionLog log) {
         this.epoch = epoch;
@@ -103,7 +103,7 @@
 
     /** Takes up what the last start knew, and begins to let time pass. */
     void start(ScheduledExecutorService timer) {
-        List<Registration> remembered = memory.read();
+        List<Registration> remembered = memory.read().map(KnownServers::servers).orElse(List.of());
         long now = clock.nanos();
         synchronized (this) {
             startedAt = now;
@@ -111,7 +111,10 @@
             writtenChanges = servers.changes();
             writtenAt = now;
         }
-        log.line("servers remembered").with("servers", remembered.size()).write();
+        log.line("remembered")
+                .with("servers", remembered.size())
+                .with("routingVersion", routing.heldVersion())
+                .write();
         timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -219,6 +222,7 @@
                 }
                 writeServers(now);
             }
+            routing.remember(now);
             answerPolls();
         } catch (RuntimeException e) {
             log.line("registry tick failed").with("why", e).write();
@@ -226,8 +230,9 @@
     }
 
     private void writeServers(long now) {
-        boolean due = servers.changes() != writtenChanges && now - writtenAt >= WRITE_PAUSE_NANOS;
-        if (due && memory.write(servers.takingWork())) {
+        boolean news = servers.changes() != writtenChanges || memory.lost();
+        boolean due = news && now - writtenAt >= WRITE_PAUSE_NANOS;
+        if (due && memory.write(new KnownServers(servers.takingWork()))) {
             writtenChanges = servers.changes();
             writtenAt = now;
         }
--- /dev/null
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/coordinator/MemoryTest.java
@@ -0,0 +1,91 @@
+package org.elmline.daemon.coordinator;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.file.Path;
+
+import org.elmline.core.registry.RegistryChannels.RoutingText;
+import org.elmline.daemon.log.DecisionLog;
+import org.elmline.daemon.runtime.SystemClock;
+import org.elmline.storage.CheckedFile;
+import org.elmline.storage.DiskFullException;
+import org.elmline.storage.SystemFiles;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+class MemoryTest {
+    private static final RoutingText TEXT = new RoutingText(true, 7, "{}");
+
+    @TempDir
+    private Path folder;
+
+    private volatile boolean full;
+
+    private Memory<RoutingText> memory() {
+        SystemFiles files = new SystemFiles() {
+            @Override
+            public OutputFile open(Path file) throws IOException {
+                if (full) {
+                    throw new DiskFullException("no room");
+                }
+                return super.open(file);
+            }
+        };
+        DecisionLog log = new DecisionLog("c", "control", new SystemClock(), OutputStream.nullOutputStream());
+        return new Memory<>("routing", RoutingText.class, new CheckedFile(files, folder.resolve("routing")), log);
+    }
+
+    @Test
+    void theNextStartKnowsWhatWasWritten() throws Exception {
+        try (Memory<RoutingText> memory = memory()) {
+            assertTrue(memory.read().isEmpty());
+            assertTrue(memory.write(TEXT));
+            await(() -> memory.read().isPresent());
+        }
+        try (Memory<RoutingText> again = memory()) {
+            assertEquals(TEXT, again.read().orElseThrow());
+        }
+    }
+
+    /** The next start would know an old state for ever: the disk is full for a while. The failure is told until one is written. */
+    @Test
+    void aFullDiskIsToldUntilThereIsRoom() throws Exception {
+        try (Memory<RoutingText> memory = memory()) {
+            full = true;
+            assertTrue(memory.write(TEXT));
+            await(memory::lost);
+            assertTrue(memory.read().isEmpty());
+            full = false;
+            await(() -> memory.write(TEXT));
+            await(() -> !memory.lost());
+            assertEquals(TEXT, memory.read().orElseThrow());
+        }
+    }
+
+    @Test
+    void whatIsNoSuchValueCountsAsNothing() throws Exception {
+        new CheckedFile(new SystemFiles(), folder.resolve("routing")).write(new byte[] {1, 2});
+        try (Memory<RoutingText> memory = memory()) {
+            assertFalse(memory.read().isPresent());
+        }
+    }
+
+    private interface Condition {
+        boolean holds();
+    }
+
+    private static void await(Condition condition) throws InterruptedException {
+        for (int i = 0; i < 1_000; i++) {
+            if (condition.holds()) {
+                return;
+            }
+            Thread.sleep(10);
+        }
+        fail("the condition has not come to hold");
+    }
+}
--- a/elmline-storage/src/main/java/org/elmline/storage/Record.java
+++ b/elmline-storage/src/main/java/org/elmline/storage/Record.java
@@ -46,6 +46,11 @@
         return new Entry(index, term, kind, data);
     }
 
+    /** The index of an entry, without a copy of its data. */
+    long entryIndex() {
+        return ByteBuffer.wrap(payload).getLong();
+    }
+
     HardState hardState() {
         ByteBuffer from = ByteBuffer.wrap(payload);
         long term = from.getLong();
--- a/elmline-storage/src/main/java/org/elmline/storage/SegmentScan.java
+++ b/elmline-storage/src/main/java/org/elmline/storage/SegmentScan.java
@@ -56,7 +56,7 @@
         long max = 0;
         for (Record each : records) {
             if (each.type() == RecordType.ENTRY) {
-                max = Math.max(max, each.entry().index());
+                max = Math.max(max, each.entryIndex());
             }
         }
         return max;
