Tell from logs when requests were lost, and why

`elmline losses FILE...` counts by the time at which requests came what became of them: answered, answered after a failed try, lost for which reason, longest wait for a place and longest pause. Reading of log files is shared with `explain`.

--- a/elmline-cli/src/main/java/org/elmline/cli/explain/ExplainCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/explain/ExplainCommand.java
@@ -1,12 +1,8 @@
 package org.elmline.cli.explain;
 
-import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.stream.Stream;
 
 import org.elmline.cli.ExitCode;
 import org.elmline.cli.ExitingCommand;
@@ -30,13 +26,9 @@
     @Override
     public ExitCode execute() {
         RequestStory story = new RequestStory(request);
-        for (Path each : files) {
-            try (Stream<String> lines = Files.lines(each, StandardCharsets.ISO_8859_1)) {
-                lines.forEach(story::take);
-            } catch (IOException e) {
-                spec.commandLine().getErr().println(each + " cannot be read: " + e);
-                return ExitCode.INVALID;
-            }
+        ExitCode read = LogLines.read(files, spec.commandLine(), story::take);
+        if (read != ExitCode.OK) {
+            return read;
         }
         PrintWriter out = spec.commandLine().getOut();
         List<String> told = story.tell();
--- a/elmline-cli/src/main/java/org/elmline/cli/explain/ExplainPlugin.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/explain/ExplainPlugin.java
@@ -4,10 +4,10 @@
 
 import org.elmline.cli.CommandPlugin;
 
-/** Registers {@code explain}. */
+/** Registers {@code explain} and {@code losses}. */
 public final class ExplainPlugin implements CommandPlugin {
     @Override
     public List<Object> commands() {
-        return List.of(new ExplainCommand());
+        return List.of(new ExplainCommand(), new LossesCommand());
     }
 }
--- a/elmline-cli/src/main/java/org/elmline/cli/explain/RequestStory.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/explain/RequestStory.java
@@ -7,10 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import org.elmline.wire.codec.Codecs;
 
 /**
  * The log lines that belong to one request: its own, those of its attempts, and what was learnt of the servers it was sent
@@ -21,8 +18,6 @@
     /** News of a server up to this long before a request's first line may explain it: some heartbeats. */
     private static final long BEFORE_MILLIS = 5_000;
 
-    private static final ObjectMapper MAPPER = Codecs.jsonMapper();
-
     private final String request;
     private final List<JsonNode> lines = new ArrayList<>();
 
@@ -30,20 +25,8 @@
         this.request = request;
     }
 
-    /** Takes one line of a log; what stands before the JSON object, and lines without one, are passed over. */
-    void take(String line) {
-        int start = line.indexOf('{');
-        if (start < 0) {
-            return;
-        }
-        try {
-            JsonNode parsed = MAPPER.readTree(line.substring(start));
-            if (parsed.path("event").isTextual()) {
-                lines.add(parsed);
-            }
-        } catch (JsonProcessingException e) {
-            // Another program's line, or one that was cut off.
-        }
+    void take(JsonNode line) {
+        lines.add(line);
     }
 
     /** The story in order; empty when no line names the request. */
--- /dev/null
+++ b/elmline-cli/src/test/java/org/elmline/cli/explain/LossesCommandTest.java
@@ -0,0 +1,64 @@
+package org.elmline.cli.explain;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.elmline.cli.ExitCode;
+import org.elmline.cli.Main;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** From the logs of entries to the moments at which requests were lost. */
+class LossesCommandTest {
+    @TempDir
+    private Path folder;
+
+    private final StringWriter out = new StringWriter();
+
+    private int run(String... args) {
+        CommandLine line = Main.commandLine();
+        line.setOut(new PrintWriter(out));
+        line.setErr(new PrintWriter(new StringWriter()));
+        return line.execute(args);
+    }
+
+    private static String line(long at, String event, String request, String more) {
+        return "{\"at\":" + at + ",\"mono\":1,\"host\":\"e\",\"role\":\"entry\",\"event\":\"" + event
+                + "\",\"request\":\"" + request + "\"" + more + "}\n";
+    }
+
+    /** Of five requests one is answered, one after a failed try, two are lost for a reason that is told, one has no end. */
+    @Test
+    void countsByTheTimeAtWhichRequestsCame() throws Exception {
+        Path log = Files.writeString(
+                folder.resolve("entry.log"),
+                line(10_100, "placed", "a", ",\"ageMs\":60")
+                        + line(12_500, "streamed", "a", ",\"ageMs\":2460,\"longestPauseMs\":210")
+                        + line(10_300, "attempt failed", "b", ",\"ageMs\":100,\"why\":\"silent\"")
+                        + line(10_400, "answered", "b", ",\"ageMs\":200,\"status\":200")
+                        + line(13_000, "refused", "c", ",\"ageMs\":0,\"why\":\"no place in time\"")
+                        + line(13_100, "turned away", "d", ",\"why\":\"no routing table yet\"")
+                        + line(13_200, "placed", "e", ",\"ageMs\":1")
+                        + "not a line of ours\n");
+        assertEquals(0, run("losses", log.toString()));
+        String[] told = out.toString().strip().split("\\R");
+        assertEquals(3, told.length);
+        assertEquals("0.0 2 2 1 60 210", told[1].strip().replaceAll(" +", " "));
+        assertTrue(told[2].strip().startsWith("2.0"), told[2]);
+        assertTrue(
+                told[2].endsWith("1 no end; 1 refused: no place in time; 1 turned away: no routing table yet"),
+                told[2]);
+    }
+
+    @Test
+    void logsWithoutRequestsAreSaidToHaveNone() throws Exception {
+        Path log = Files.writeString(folder.resolve("entry.log"), "nothing\n");
+        assertEquals(ExitCode.NOT_FOUND.code(), run("losses", log.toString()));
+    }
+}
