--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -41,8 +41,8 @@
 
     /**
      * Time that a long call waits at a dispatcher that the entries don't ask first. It knows little of what runs: asked by
-     * one entry that lost a packet, it read a prompt of 377 thousand tokens on all engines, and 54 of 118 questions that
-     * the first dispatcher had there were late. Within this time the first one answers again, or is found to be gone.
+     * one entry that lost a packet, it would read a huge prompt on all engines, and the questions that the first dispatcher
+     * has there would be late. Within this time the first one answers again, or is found to be gone.
      */
     private static final long SECONDARY_WAIT_NANOS = 1_000 * NANOS_PER_MILLI;
 
@@ -117,8 +117,8 @@
 
     /**
      * Whether a long call must wait here as this dispatcher does not know what runs. Counted from when it stopped being the
-     * first, too: from then on entries tell it to forget. A prompt of 456 thousand tokens that had waited for a second
-     * before was placed a fifth of a second later on all 16 engines, and 30 questions there were late.
+     * first, too: from then on entries tell it to forget. A prompt that had waited for as long before would
+     * then go to engines that only seem to be free.
      */
     private boolean heldAsSecond(Waiting waited, long now) {
         long since = Math.max(waited.since(), secondSince);
@@ -369,9 +369,8 @@
     }
 
     /**
-     * Forgets what an entry does not run any more: what ended while this process was frozen was never reported to it. After
-     * four seconds it counted a hundred calls that had ended, for eight seconds more, and new ones waited 0.3 s for places
-     * that were free.
+     * Forgets what an entry does not run any more: what ended while this process was frozen was never reported to it.
+     * It would count those calls until their time is over, and new ones would wait for places that are free.
      *
      * @param incarnation start of the entry; nothing of an earlier one runs
      */
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/EnginePlacement.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/EnginePlacement.java
@@ -42,13 +42,13 @@
 
     /**
      * Time left to the aim, less the shortest reading, from which on a long prompt may disturb answers. Before, a group that
-     * disturbs nobody may still come free; at 400 none of the largest prompts was helped.
+     * disturbs nobody may still come free.
      */
     private static final double AT_A_COST_MILLIS = 2_000;
 
     /**
-     * Size of the answers that a group may disturb, as part of the prompt's own. Without a network, 16 engines, 12 seeds:
-     * of the largest tenth of audits 0.51 in time without, 0.86 with it, of rosters 1.0 and 0.98, of questions 0.98 both.
+     * Size of the answers that a group may disturb, as part of the prompt's own: a few questions are little beside a
+     * manual.
      */
     private static final double COST_SHARE = 0.35;
 
@@ -127,7 +127,7 @@
         boolean quick = first <= PACKED_AIM_SHARE * call.aimLeftMillis();
         boolean room = server.freePlaces() > SPARE_PLACES;
         double rank = 0;
-        // Late is worse than on an engine that a long prompt waits for: questions waited 6 s behind a read.
+        // Late is worse than on an engine that a long prompt waits for: a read may last for seconds.
         rank += first > call.aimLeftMillis() ? 16 : 0;
         rank += server.closedToShort(now) ? 8 : 0;
         rank += harms ? 4 : 0;
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerAccount.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerAccount.java
@@ -133,8 +133,7 @@
 
     /**
      * Takes a grant. While answers are written a read begins only with the next pass, so half a pass is added where none
-     * waited: left out, the next part was granted as the last one still read, and both stretched one pause (250 ms where
-     * 200 are allowed, seen on engines with eight questions).
+     * waited: left out, the next part would be granted as the last one still reads, and both would stretch one pause.
      */
     void grant(Share share, long now) {
         double pass = timing != null && backlogMillis(now) == 0 && writes() ? passMillis(0, 0) / 2 : 0;
--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
@@ -16,7 +16,7 @@
         HostId host, EntryRecord entry, long epoch, long serversSeen, long entriesSeen, long routingVersion) {
     /**
      * Whether the answer should bring the routing document itself. An entry that starts can serve nothing without it, and
-     * fetched by a second call it came 0.1 to 0.3 s later from control hosts that had just started, too. Later documents
+     * fetched by a second call it would come later from control hosts that have just started, too. Later documents
      * are fetched: sent by each control host they would cross the network five times.
      */
     public boolean wantsRouting() {
--- a/elmline-core/src/main/java/org/elmline/core/registry/OpenPoll.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/OpenPoll.java
@@ -12,9 +12,9 @@
     public static final long HOLD_MILLIS = 500;
 
     /**
-     * Time for which news that nobody waits for are gathered. When all processes start at once, 18 entries and 24 servers
-     * appear within a second or two; told one by one to 22 followers they are some 1,300 answers of a control host, more
-     * work than a fifth of a core does in a second, and the routing table waits behind them. Gathered, a follower gets
+     * Time for which news that nobody waits for are gathered. When all processes start at once, all entries and servers
+     * appear within a second or two; told one by one to all followers they would be more work than a small host does in
+     * that time, and the routing table would wait behind them. Gathered, a follower gets
      * ten answers a second at most. A tenth of a second is little beside the heartbeat that brings such news.
      */
     public static final long GATHER_MILLIS = 100;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -26,8 +26,8 @@
     private static final long RETRY_MILLIS = 1_500;
 
     /**
-     * When to come back where another entry serves: a new connection takes longer than this. Told to come back after 1.5 s
-     * by stopping entries, callers of questions, due within 0.3 s, were late though sixteen of eighteen entries served.
+     * When to come back where another entry serves: a new connection takes longer than this. Told to come back later
+     * by a stopping entry, callers of questions would be late though others serve.
      */
     private static final long ELSEWHERE_MILLIS = 10;
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -243,8 +243,7 @@
 
     /**
      * Tells a dispatcher that is asked in place of the first one what runs here, once for each time that the first one is
-     * passed over. Knowing nothing, it filled engines that were full: with the first one frozen for four seconds, 64 of
-     * 314 calls were late, many after 0.7 s of silence. From all entries it has the whole within some calls of each.
+     * passed over. Knowing nothing, it would fill engines that are full. From all entries it has the whole within some calls of each.
      */
     private void inform(ServiceName service, EntryRecord dispatcher) {
         if (!informed.computeIfAbsent(service, each -> new HashSet<>()).add(dispatcher.host())) {
@@ -350,9 +349,8 @@
 
         private void take(HostId dispatcher, PlaceAnswer answer) {
             if (answer instanceof PlaceAnswer.Queued) {
-                // In the queue of the dispatcher before, a prompt was placed by it a second later, when that had
-                // been told to forget all that runs: read on 13 engines in use, it stretched 24 answers' pauses to
-                // 350 ms where 200 are allowed.
+                // Left in the queue of the dispatcher before, a prompt would be placed by it when that has been told to
+                // forget all that runs, on engines in use.
                 leaveTo(dispatcher, call);
                 askLater();
             } else {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
@@ -161,7 +161,7 @@
 
     /**
      * Where callers connect, asked of entries as every failure domain has several of them. Asked of the one control host
-     * of a domain, a look-up took a second while that was frozen, and 115 of 652 questions there were late.
+     * of a domain, each look-up would wait for its time-out while that is frozen.
      */
     private List<Address> entries(Region region, FailureDomain domain) {
         if (fleet == null) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StopPlan.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StopPlan.java
@@ -19,7 +19,7 @@
 
     /**
      * Time after the stop began from which no stream is taken, however much is left: a long one waits for engines, reads
-     * and writes for longer than most stops last, and was cut off when it was taken after 3.3 s of 8.
+     * and writes for longer than most stops last, and would be cut off.
      */
     private static final long TAKES_STREAMS_MILLIS = 2_500;
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/TableWait.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/TableWait.java
@@ -16,9 +16,7 @@
     private static final int MAX_HELD = 512;
 
     /**
-     * Longest hold: callers of streams leave after two seconds without an event, and must hear of a refusal before. With
-     * 1.5 s, 61 of the 234 calls of the two seconds before a loss of power were turned away, many of them some tenths of a
-     * second before the table came.
+     * Longest hold: callers of streams leave after two seconds without an event, and must hear of a refusal before.
      */
     private static final long MAX_MILLIS = 1_850;
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/log/LibraryLines.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/log/LibraryLines.java
@@ -12,8 +12,8 @@
     private final DecisionLog log;
 
     /**
-     * Stands in for the runtime's own configuration of its logging, whose formatter loads the formats of all languages: a
-     * tenth of a start, for handlers that are taken out at once.
+     * Stands in for the runtime's own configuration of its logging, whose formatter loads the formats of all languages, for
+     * handlers that are taken out at once.
      */
     public static final class NoConfiguration {}
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/FollowLoop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/FollowLoop.java
@@ -24,12 +24,12 @@
  * arrived, so that the control host knows when a change has reached everybody.
  */
 public final class FollowLoop implements AutoCloseable {
-    /** The hold and twice the longest answer seen from a running host with a fifth of a core, 0.3 s. */
+    /** The hold, and twice as long as a running host takes for an answer at worst. */
     private static final Duration TIMEOUT = Duration.ofMillis(OpenPoll.HOLD_MILLIS + 600);
 
     /**
-     * For the first poll after one that failed. A control host that has just started takes 1.5 s for its first answers
-     * to everybody; given up sooner, each entry opened its connection anew and kept the host busy with handshakes.
+     * For the first poll after one that failed. A control host that has just started takes its time for first answers
+     * to everybody; given up sooner, each entry would open its connection anew and keep the host busy with handshakes.
      */
     private static final Duration PATIENT_TIMEOUT = Duration.ofMillis(2_500);
 
@@ -38,7 +38,7 @@
 
     /**
      * The same for an entry that has no routing table and so can serve nobody. After a loss of all power entries are up
-     * 1.2 s before the first control host; asked every 0.4 s, that would be found 0.2 s late on average.
+     * before the first control host, which they should find at once.
      */
     private static final long LONGEST_EAGER_PAUSE_MILLIS = 120;
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/operator/ProcessMetrics.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/ProcessMetrics.java
@@ -12,7 +12,7 @@
 public final class ProcessMetrics {
     private ProcessMetrics() {}
 
-    /** The runtime's beans are made when somebody asks for the figures: a start would be longer by a tenth with them. */
+    /** The runtime's beans are made when somebody asks for the figures, as a start would be longer with them. */
     public static void register(MetricRegistry registry) {
         gauge(registry, "process.heap.used.bytes", () -> ManagementFactory.getMemoryMXBean()
                 .getHeapMemoryUsage()
