Weigh the dispatcher on engines and callers of other kinds

The alternating load can be scaled: engines of half and twice the speed, callers of half and twice the patience, half the memory.

--- a/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoad.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoad.java
@@ -63,6 +63,21 @@
             int deadline,
             double worth,
             double lateWorth) {
+        Figures scaled(double rate, double patience) {
+            return new Figures(
+                    inLongPhase * rate,
+                    inShortPhase * rate,
+                    tokens,
+                    spread,
+                    most,
+                    events,
+                    (int) (aim * patience),
+                    (int) (gap * patience),
+                    (int) (deadline * patience),
+                    worth,
+                    lateWorth);
+        }
+
         /** What an answer in time is worth to callers, against that of the others; it grows with the prompt. */
         double worth(long promptTokens, int eventTokens) {
             double size = (promptTokens + 10.0 * eventTokens * events) / (tokens + 10.0 * eventTokens * events);
@@ -79,34 +94,58 @@
         }
     }
 
-    /** Engines and calls of one of the users' deployments. */
-    enum Deployment {
+    /** Engines and calls of a deployment. */
+    record Deployment(String name, BatchTiming timing, Map<Kind, Figures> figures) {
         /** Large engines, three prompts a second of 210 thousand tokens; the calls are those of 21 engines. */
-        LARGE_ENGINES(
+        static final Deployment LARGE_ENGINES = of(
+                "large",
                 new BatchTiming(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2048, 0.1),
                 new Figures(10.3, 80.0, 4_960, 0.9, 23_800, 35, 300, 200, 10_000, 1.3, 0.33),
                 new Figures(3.0, 1.2, 45_000, 0.5, 110_000, 21, 1_500, 500, 10_000, 3.1, 0.79),
-                new Figures(2.7, 0.05, 210_000, 0.5, 430_000, 17, 3_000, 800, 15_000, 22, 5.4)),
+                new Figures(2.7, 0.05, 210_000, 0.5, 430_000, 17, 3_000, 800, 15_000, 22, 5.4));
+
         /** Half the memory, slower reading, four prompts a second of 133 thousand tokens; the calls are those of 21. */
-        SMALL_ENGINES(
+        static final Deployment SMALL_ENGINES = of(
+                "small",
                 new BatchTiming(11, 232_000, 43, 1.02, 0.00226, 0.00431, 206, 0.138, 2048, 0.075),
                 new Figures(10.3, 75.0, 4_960, 0.9, 23_800, 32, 300, 250, 10_000, 1.3, 0.33),
                 new Figures(2.2, 0.85, 45_000, 0.5, 110_000, 19, 1_500, 600, 10_000, 3.9, 0.98),
                 new Figures(3.9, 0.07, 133_000, 0.55, 600_000, 16, 2_500, 1_000, 15_000, 15, 3.7));
 
-        private final BatchTiming timing;
-        private final Map<Kind, Figures> figures = new EnumMap<>(Kind.class);
+        static final List<Deployment> ALL = List.of(LARGE_ENGINES, SMALL_ENGINES);
 
-        Deployment(BatchTiming timing, Figures question, Figures roster, Figures audit) {
-            this.timing = timing;
-            figures.put(Kind.QUESTION, question);
-            figures.put(Kind.ROSTER, roster);
-            figures.put(Kind.AUDIT, audit);
+        private static Deployment of(String name, BatchTiming timing, Figures question, Figures roster, Figures audit) {
+            return new Deployment(
+                    name, timing, Map.of(Kind.QUESTION, question, Kind.ROSTER, roster, Kind.AUDIT, audit));
         }
 
         Figures figures(Kind kind) {
             return figures.get(kind);
         }
+
+        /**
+         * The same calls for other engines and other callers.
+         *
+         * @param speed of the engines; calls come as much more often
+         * @param patience of callers: times to the first token, between events and to the end
+         * @param memory of the engines
+         */
+        Deployment scaled(double speed, double patience, double memory) {
+            BatchTiming scaled = new BatchTiming(
+                    timing.places(),
+                    (long) (timing.memoryTokens() * memory),
+                    timing.stepsPerPass(),
+                    timing.stepMillis() / speed,
+                    timing.perWriterMillis() / speed,
+                    timing.perThousandContextMillis() / speed,
+                    timing.readTokensPerMilli() * speed,
+                    timing.pairsMillisPerMillion() / speed,
+                    timing.chunkTokens(),
+                    timing.helperHopMillis());
+            Map<Kind, Figures> other = new EnumMap<>(Kind.class);
+            figures.forEach((kind, each) -> other.put(kind, each.scaled(speed, patience)));
+            return new Deployment(name + " x" + speed + " patience x" + patience + " memory x" + memory, scaled, other);
+        }
     }
 
     /** Where a call goes. */
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoadMeasurement.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoadMeasurement.java
@@ -12,6 +12,10 @@
 public final class AlternatingLoadMeasurement {
     private static final int SEEDS = 12;
     private static final int FIGURES = 4;
+    private static final int GRID_SEEDS = 3;
+    private static final int GRID_ENGINES = 21;
+    private static final double[] SCALES = {0.5, 1, 2};
+    private static final double[] MEMORIES = {0.5, 1};
     private static final double LARGEST = 0.1;
     private static final double LARGE = 0.3;
 
@@ -23,6 +27,51 @@
         print(Deployment.LARGE_ENGINES, 21, 1.0);
         print(Deployment.LARGE_ENGINES, 16, 0.77);
         print(Deployment.SMALL_ENGINES, 21, 1.0);
+        System.out.println(
+                "deployment, credit of questions, rosters, audits and largest tenth of audits in time (against the"
+                        + " better of the others)");
+        printGrid();
+    }
+
+    /**
+     * The same load on engines and callers of other kinds: what the dispatcher gives beyond, or below, the better of the two
+     * others. Calls come as fast as the engines are, so the load stays alike.
+     */
+    private static void printGrid() {
+        for (Deployment each : Deployment.ALL) {
+            for (double speed : SCALES) {
+                for (double patience : SCALES) {
+                    for (double memory : MEMORIES) {
+                        compare(each.scaled(speed, patience, memory), GRID_ENGINES);
+                    }
+                }
+            }
+        }
+    }
+
+    private static void compare(Deployment deployment, int engines) {
+        double[][] credit = new double[Candidate.values().length][Kind.values().length];
+        double[] largest = new double[Candidate.values().length];
+        for (Candidate candidate : Candidate.values()) {
+            for (int seed = 1; seed <= GRID_SEEDS; seed++) {
+                AlternatingLoad played = candidate.play(new AlternatingLoad(deployment, engines, 1, seed));
+                for (Kind kind : Kind.values()) {
+                    credit[candidate.ordinal()][kind.ordinal()] += played.credit(kind) / GRID_SEEDS;
+                }
+                largest[candidate.ordinal()] += played.onTimeBySize(Kind.AUDIT, 0, LARGEST) / GRID_SEEDS;
+            }
+        }
+        StringBuilder line = new StringBuilder(deployment.name());
+        for (Kind kind : Kind.values()) {
+            line.append(against(credit[2][kind.ordinal()], credit[0][kind.ordinal()], credit[1][kind.ordinal()]));
+        }
+        line.append(against(largest[2], largest[0], largest[1]));
+        System.out.println(line);
+    }
+
+    private static String against(double own, double one, double other) {
+        double best = Math.max(one, other);
+        return String.format(Locale.ROOT, " %.3f (%+.3f)", own, own - best);
     }
 
     /** Ways to choose an engine, the product's own last. */
@@ -56,7 +105,7 @@
                 add(candidate.play(new AlternatingLoad(deployment, engines, load, seed)), sums);
             }
             for (Kind kind : Kind.values()) {
-                print(deployment + " " + engines + " " + candidate + " " + kind, sums[kind.ordinal()]);
+                print(deployment.name() + " " + engines + " " + candidate + " " + kind, sums[kind.ordinal()]);
             }
         }
     }
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoadTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoadTest.java
@@ -73,13 +73,13 @@
      */
     @Test
     void callsThatWereHeldDontMakeNewOnesLate() {
-        for (Deployment deployment : Deployment.values()) {
+        for (Deployment deployment : Deployment.ALL) {
             AlternatingLoad calm = new AlternatingLoad(deployment, ENGINES, 1, SEED).dispatched();
             AlternatingLoad burst = new AlternatingLoad(deployment, ENGINES, 1, SEED)
                     .afterHolding(2)
                     .dispatched();
-            String seen =
-                    deployment + " calm " + seen(calm) + ", burst " + seen(burst) + ", held " + burst.heldAnswered();
+            String seen = deployment.name() + " calm " + seen(calm) + ", burst " + seen(burst) + ", held "
+                    + burst.heldAnswered();
             assertTrue(burst.heldAnswered() >= 0.9, seen);
             for (Kind kind : Kind.values()) {
                 assertTrue(burst.onTime(kind) >= calm.onTime(kind) - 0.1, seen);
