--- a/elmline-cli/src/test/java/org/elmline/cli/explain/ExplainCommandTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/explain/ExplainCommandTest.java
@@ -1,14 +1,10 @@
 package org.elmline.cli.explain;
 
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-import org.elmline.cli.Main;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import picocli.CommandLine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -19,14 +15,7 @@
     @TempDir
     private Path folder;
 
-    private final StringWriter out = new StringWriter();
-
-    private int run(String... args) {
-        CommandLine line = Main.commandLine();
-        line.setOut(new PrintWriter(out));
-        line.setErr(new PrintWriter(new StringWriter()));
-        return line.execute(args);
-    }
+    private final CommandRun command = new CommandRun();
 
     /** The call was sent to a server that had said a second before that it leaves, and was then sent elsewhere. */
     @Test
@@ -46,20 +35,20 @@
                 folder.resolve("control.log"),
                 "  -3.2 core-1 {\"at\":1000,\"mono\":9,\"host\":\"c\",\"role\":\"control\",\"event\":\"server left\","
                         + "\"server\":\"s\"}\n");
-        assertEquals(0, run("explain", "q", entry.toString(), control.toString()));
-        String[] told = out.toString().strip().split("\\R");
+        assertEquals(0, command.run("explain", "q", entry.toString(), control.toString()));
+        String[] told = command.printed().strip().split("\\R");
         assertEquals(4, told.length);
         assertTrue(told[0].startsWith("1000 c server left"), told[0]);
         assertTrue(told[1].contains("placed") && told[1].contains("server=s"), told[1]);
         assertTrue(told[2].contains("dispatcher passed over"));
         assertTrue(told[3].contains("status=200"));
-        assertFalse(out.toString().contains("other"));
+        assertFalse(command.printed().contains("other"));
     }
 
     @Test
     void anUnknownRequestIsSaidToBeUnknown() throws Exception {
         Path log = Files.writeString(folder.resolve("entry.log"), "{\"event\":\"started\"}\n");
-        assertEquals(6, run("explain", "q", log.toString()));
-        assertEquals(3, run("explain", "q", folder.resolve("none").toString()));
+        assertEquals(6, command.run("explain", "q", log.toString()));
+        assertEquals(3, command.run("explain", "q", folder.resolve("none").toString()));
     }
 }
--- a/elmline-cli/src/test/java/org/elmline/cli/explain/LossesCommandTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/explain/LossesCommandTest.java
@@ -1,15 +1,11 @@
 package org.elmline.cli.explain;
 
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
 import org.elmline.cli.ExitCode;
-import org.elmline.cli.Main;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import picocli.CommandLine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -19,14 +15,7 @@
     @TempDir
     private Path folder;
 
-    private final StringWriter out = new StringWriter();
-
-    private int run(String... args) {
-        CommandLine line = Main.commandLine();
-        line.setOut(new PrintWriter(out));
-        line.setErr(new PrintWriter(new StringWriter()));
-        return line.execute(args);
-    }
+    private final CommandRun command = new CommandRun();
 
     private static String line(long at, String event, String request, String more) {
         return "{\"at\":" + at + ",\"mono\":1,\"host\":\"e\",\"role\":\"entry\",\"event\":\"" + event
@@ -46,8 +35,8 @@
                         + line(13_100, "turned away", "d", ",\"why\":\"no routing table yet\"")
                         + line(13_200, "placed", "e", ",\"ageMs\":1")
                         + "not a line of ours\n");
-        assertEquals(0, run("losses", log.toString()));
-        String[] told = out.toString().strip().split("\\R");
+        assertEquals(0, command.run("losses", log.toString()));
+        String[] told = command.printed().strip().split("\\R");
         assertEquals(3, told.length);
         assertEquals("0.0 2 2 1 60 210", told[1].strip().replaceAll(" +", " "));
         assertTrue(told[2].strip().startsWith("2.0"), told[2]);
@@ -59,6 +48,6 @@
     @Test
     void logsWithoutRequestsAreSaidToHaveNone() throws Exception {
         Path log = Files.writeString(folder.resolve("entry.log"), "nothing\n");
-        assertEquals(ExitCode.NOT_FOUND.code(), run("losses", log.toString()));
+        assertEquals(ExitCode.NOT_FOUND.code(), command.run("losses", log.toString()));
     }
 }
