--- a/elmline-cli/src/main/java/org/elmline/cli/explain/LossTable.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/explain/LossTable.java
@@ -17,6 +17,8 @@
     /** A request whose entry wrote no last line: it was lost with the entry, or still runs. */
     private static final String NO_END = "no end";
 
+    private static final int SERVER_ERROR = 500;
+
     private final long windowMillis;
     private final Map<String, Story> stories = new HashMap<>();
 
@@ -55,7 +57,7 @@
                 story.end = "";
                 story.pauseMillis = line.path("longestPauseMs").asLong();
             }
-            case "answered" -> story.end = line.path("status").asInt() < 500 ? "" : "a server's own failure";
+            case "answered" -> story.end = line.path("status").asInt() < SERVER_ERROR ? "" : "a server's own failure";
             case "refused", "turned away", "stream broken off" -> story.end =
                     line.path("event").asText() + ": " + line.path("why").asText();
             case "caller left" -> story.end = "caller left";
