Remember a server by the same way as another host's news

ServerRegistry.remember wrote again what merge of a ServerNews does: merge, and mark as remembered what was unknown. It calls that now, for unknown servers only as before, so nothing behaves otherwise.

--- a/elmline-core/src/main/java/org/elmline/core/registry/ServerRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/ServerRegistry.java
@@ -61,9 +61,8 @@
      * only one by one, within a heartbeat; known by the first few alone, they would get all the work.
      */
     public void remember(Registration registration, long now) {
-        boolean unknown = !entries.containsKey(registration.id());
-        if (unknown && merge(registration, now)) {
-            entries.get(registration.id()).remembered = true;
+        if (!entries.containsKey(registration.id())) {
+            merge(new ServerNews(registration, false, true), now);
         }
     }
 
