Tell followers which entries have changed, not all of them at each change

Cause: at each change of one entry every control host answered every entry with the whole list. A restart of all 91 entries of a large site is some 364 changes, each up to 9 x 91 answers of 91 records: bytes and processor time that grow with the square of the hosts, and the largest part of what crosses between failure domains there.

Change: LiveEntries numbers its changes and remembers who has gone; followers that ask for news of single entries get those (an entry of an earlier release says nothing of it and gets the list, and an earlier control host goes on giving the list). A follower that lags behind what is remembered gets the list. FleetView keeps the union of all opinions until there are news or 50 ms have passed: it was worked out anew for each call, several times (9 x 91 records each).

Test: 182 changes of 91 entries are told in 182 records (before: 16,562); any changes lead a follower to the same list (property).

--- a/elmline-core/src/main/java/org/elmline/core/registry/FleetView.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FleetView.java
@@ -20,11 +20,26 @@
 public final class FleetView {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Time for which a union made without news since is used again; every call asks for it several times. */
+    private static final long UNION_NANOS = 50 * NANOS_PER_MILLI;
+
     private final long currentNanos;
     private final long relearnNanos;
     private final long settleNanos;
     private final Map<BackendServerId, Registration> servers = new HashMap<>();
     private final Map<Address, Opinion> opinions = new HashMap<>();
+    private Union union;
+    private Union last;
+
+    /** What all control hosts that answer know together. */
+    private record Union(long madeAt, List<Registration> usable, List<EntryRecord> entries) {
+        Union orEqualOf(Union before) {
+            return new Union(
+                    madeAt,
+                    usable.equals(before.usable) ? before.usable : usable,
+                    entries.equals(before.entries) ? before.entries : entries);
+        }
+    }
 
     private static final class Opinion {
         private long answeredAt;
@@ -35,7 +50,7 @@
         private final Set<BackendServerId> silent = new HashSet<>();
         private final Set<BackendServerId> remembered = new HashSet<>();
         private final Set<BackendServerId> heardBefore = new HashSet<>();
-        private List<EntryRecord> entries = List.of();
+        private Map<HostId, EntryRecord> entries = new HashMap<>();
 
         /** Returns whether anything changed by it. */
         boolean take(ServerNews news) {
@@ -48,6 +63,23 @@
             return changed;
         }
 
+        /** Returns whether anything changed by it. */
+        boolean takeEntries(FollowAnswer answer) {
+            boolean changed = false;
+            if (answer.entries() != null) {
+                Map<HostId, EntryRecord> before = entries;
+                entries = new HashMap<>();
+                answer.entries().forEach(each -> entries.put(each.host(), each));
+                changed = !entries.equals(before);
+            }
+            for (EntryNews each : answer.entryNews()) {
+                EntryRecord entry = each.entry();
+                EntryRecord before = each.gone() ? entries.remove(entry.host()) : entries.put(entry.host(), entry);
+                changed |= each.gone() ? before != null : !entry.equals(before);
+            }
+            return changed;
+        }
+
         boolean hears(BackendServerId id, long now) {
             boolean relearning = now - relearnedAt < 0;
             return heard.contains(id) || (relearning && heardBefore.contains(id));
@@ -73,15 +105,16 @@
             restarted(opinion, answer.epoch(), now);
             changed = true;
         }
+        changed |= now - opinion.answeredAt >= currentNanos;
         opinion.answeredAt = now;
         opinion.upSince = now - answer.upMillis() * NANOS_PER_MILLI;
         for (ServerNews each : answer.servers()) {
             changed |= take(each.registration());
             changed |= opinion.take(each);
         }
-        if (answer.entries() != null && !answer.entries().equals(opinion.entries)) {
-            opinion.entries = List.copyOf(answer.entries());
-            changed = true;
+        changed |= opinion.takeEntries(answer);
+        if (changed) {
+            union = null;
         }
         return changed;
     }
@@ -108,9 +141,23 @@
         return held == null || next.differs(held);
     }
 
+    private Union union(long now) {
+        if (union == null || now - union.madeAt() >= UNION_NANOS) {
+            List<Opinion> current = current(now);
+            Union next = new Union(now, usable(current, now), entries(current));
+            // Equal lists stay the same ones, so that what is worked out from them need not be again.
+            union = last == null ? next : next.orEqualOf(last);
+            last = union;
+        }
+        return union;
+    }
+
     /** Servers that may be sent work. While no control host answers, those last known stay. */
     public List<Registration> usable(long now) {
-        List<Opinion> current = current(now);
+        return union(now).usable();
+    }
+
+    private List<Registration> usable(List<Opinion> current, long now) {
         List<Registration> usable = new ArrayList<>();
         for (Registration each : servers.values()) {
             if (each.state().takesWork() && (current.isEmpty() || lives(each.id(), current, now))) {
@@ -141,14 +188,17 @@
 
     /** Entries that are alive, by host; while no control host answers, those last known. */
     public Collection<EntryRecord> entries(long now) {
-        List<Opinion> current = current(now);
+        return union(now).entries();
+    }
+
+    private List<EntryRecord> entries(List<Opinion> current) {
         Map<HostId, EntryRecord> newest = new HashMap<>();
         for (Opinion each : current.isEmpty() ? opinions.values() : current) {
-            for (EntryRecord entry : each.entries) {
+            for (EntryRecord entry : each.entries.values()) {
                 newest.merge(entry.host(), entry, FleetView::later);
             }
         }
-        return newest.values();
+        return List.copyOf(newest.values());
     }
 
     private static EntryRecord later(EntryRecord a, EntryRecord b) {
@@ -185,5 +235,6 @@
     /** Drops the opinion of a control host that is one no more. */
     public void dropControl(Address address) {
         opinions.remove(address);
+        union = null;
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
@@ -13,7 +13,8 @@
  * @param servers backend servers that have changed
  * @param serversNow number of the newest change of backend servers
  * @param heard servers heard by this host itself since the last poll; for control hosts only
- * @param entries all entries, null when they have not changed
+ * @param entries all entries, null when they have not changed or {@code entryNews} tells of the changes
+ * @param entryNews entries that have changed since the number that was asked for
  * @param entriesNow number of the newest change of entries
  * @param controls where the control hosts are
  * @param routingVersion version of the newest routing table that this host holds, -1 without one
@@ -26,6 +27,7 @@
         long serversNow,
         List<Heard> heard,
         List<EntryRecord> entries,
+        List<EntryNews> entryNews,
         long entriesNow,
         List<Address> controls,
         long routingVersion,
@@ -33,6 +35,7 @@
     public FollowAnswer {
         servers = servers == null ? List.of() : List.copyOf(servers);
         heard = heard == null ? List.of() : List.copyOf(heard);
+        entryNews = entryNews == null ? List.of() : List.copyOf(entryNews);
         controls = controls == null ? List.of() : List.copyOf(controls);
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
@@ -11,9 +11,16 @@
  * @param serversSeen number of the newest change of backend servers that the asker holds; acknowledges it
  * @param entriesSeen number of the newest change of entries that the asker holds
  * @param routingVersion version of the routing table that the asker holds, -1 without one
+ * @param takesEntryNews whether the asker understands news of single entries; one of an earlier release gets the list
  */
 public record FollowRequest(
-        HostId host, EntryRecord entry, long epoch, long serversSeen, long entriesSeen, long routingVersion) {
+        HostId host,
+        EntryRecord entry,
+        long epoch,
+        long serversSeen,
+        long entriesSeen,
+        long routingVersion,
+        boolean takesEntryNews) {
     /**
      * Whether the answer should bring the routing document itself. An entry that starts can serve nothing without it, and
      * fetched by a second call it would come later from control hosts that have just started, too. Later documents
--- a/elmline-core/src/test/java/org/elmline/core/registry/FleetViewTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/FleetViewTest.java
@@ -40,6 +40,7 @@
                 1,
                 null,
                 List.of(),
+                List.of(),
                 0,
                 List.of(),
                 1,
@@ -47,7 +48,7 @@
     }
 
     private static FollowAnswer nothing(long epoch) {
-        return new FollowAnswer(epoch, 9_000, List.of(), 0, null, List.of(), 0, List.of(), 1, null);
+        return new FollowAnswer(epoch, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null);
     }
 
     /** All calls would be refused: a control host that is cut off hears nobody and takes every server for silent. */
@@ -91,7 +92,7 @@
 
     private static FollowAnswer remembering(long epoch) {
         ServerNews news = new ServerNews(server(ServerState.READY, 1), false, true);
-        return new FollowAnswer(epoch, 9_000, List.of(news), 1, null, List.of(), 0, List.of(), 1, null);
+        return new FollowAnswer(epoch, 9_000, List.of(news), 1, null, List.of(), List.of(), 0, List.of(), 1, null);
     }
 
     /**
@@ -125,6 +126,6 @@
     }
 
     private static FollowAnswer up(long millis) {
-        return new FollowAnswer(1, millis, List.of(), 0, null, List.of(), 0, List.of(), 1, null);
+        return new FollowAnswer(1, millis, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null);
     }
 }
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/registry/LiveEntriesTest.java
@@ -0,0 +1,106 @@
+package org.elmline.core.registry;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.Region;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What followers are told of entries. */
+class LiveEntriesTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final Address CONTROL = Address.parse("10.0.0.1:7000");
+
+    private final LiveEntries live = new LiveEntries(SECOND);
+    private final FleetView view = new FleetView(2 * SECOND, 4 * SECOND, SECOND);
+    private long seen;
+
+    private static EntryRecord entry(int number, long incarnation, boolean serving) {
+        return new EntryRecord(
+                HostId.of("e" + number),
+                incarnation,
+                new Address("10.1.0." + number, 80),
+                new Address("10.1.0." + number, 81),
+                FailureDomain.of("d"),
+                Region.of("r"),
+                serving);
+    }
+
+    /** Polls once, as a control host answers it. Returns how many records the answer holds. */
+    private int poll(boolean first, long now) {
+        boolean whole = first || !live.tells(seen);
+        List<EntryNews> news = whole ? List.of() : live.since(seen);
+        FollowAnswer answer = new FollowAnswer(
+                1, 9_000, List.of(), 0, List.of(), whole ? live.all() : null, news, live.changes(), List.of(), 1, null);
+        view.take(CONTROL, answer, now);
+        seen = live.changes();
+        return whole ? live.all().size() : news.size();
+    }
+
+    private static List<EntryRecord> sorted(Iterable<EntryRecord> entries) {
+        List<EntryRecord> list = new ArrayList<>();
+        entries.forEach(list::add);
+        list.sort(Comparator.comparing(EntryRecord::host));
+        return list;
+    }
+
+    /** Guards against bytes that grow with the square of the entries: 91 entries are restarted one after the other. */
+    @Test
+    void aRestartOfAllEntriesIsToldInAFewRecordsEach() {
+        int hosts = 91;
+        for (int i = 0; i < hosts; i++) {
+            live.seen(entry(i, 1, true), 0);
+        }
+        poll(true, 0);
+        int told = 0;
+        for (int i = 0; i < hosts; i++) {
+            live.seen(entry(i, 1, false), 0);
+            told += poll(false, 0);
+            live.seen(entry(i, 2, true), 0);
+            told += poll(false, 0);
+        }
+        assertEquals(2 * hosts, told);
+    }
+
+    /** Guards against entries that are told apart from the list: news of any changes lead a follower to the same list. */
+    @Property(tries = 100, seed = "7")
+    void newsLeadToTheList(@ForAll long seed) {
+        Random random = new Random(seed);
+        long now = 0;
+        poll(true, now);
+        for (int i = 0; i < 300; i++) {
+            now += random.nextLong(SECOND / 20);
+            live.seen(entry(random.nextInt(40), random.nextInt(3), random.nextBoolean()), now);
+            live.expire(now);
+            if (random.nextInt(4) == 0) {
+                poll(false, now);
+                assertEquals(sorted(live.all()), sorted(view.entries(now)));
+            }
+        }
+    }
+
+    /** Guards against an account of hosts that are gone that grows for ever. */
+    @Test
+    void aFollowerThatLagsFarBehindIsToldAll() {
+        live.seen(entry(0, 1, true), 0);
+        long before = live.changes();
+        for (int i = 1; i < 250; i++) {
+            live.seen(entry(i, 1, true), 0);
+        }
+        live.expire(SECOND);
+        assertFalse(live.tells(before));
+        assertTrue(live.tells(live.changes()));
+        assertTrue(live.since(0).isEmpty());
+    }
+}
--- a/elmline-core/src/test/java/org/elmline/core/registry/OpenPollTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/OpenPollTest.java
@@ -28,7 +28,7 @@
     }
 
     private static FollowRequest request(EntryRecord entry, long servers, long entries, long version) {
-        return new FollowRequest(HostId.of("10.0.0.1"), entry, EPOCH, servers, entries, version);
+        return new FollowRequest(HostId.of("10.0.0.1"), entry, EPOCH, servers, entries, version, true);
     }
 
     private static OpenPoll held(long servers, long entries, long version) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -262,6 +262,7 @@
         boolean whole = request.epoch() != epoch;
         boolean entry = request.entry() != null;
         boolean entryNews = entry && (whole || entries.changes() != request.entriesSeen());
+        boolean deltas = entryNews && !whole && request.takesEntryNews() && entries.tells(request.entriesSeen());
         Follower follower = followers.get(request.host());
         long heardFrom = follower.heardUpTo;
         follower.heardUpTo = now;
@@ -271,7 +272,8 @@
                 servers.since(whole ? 0 : request.serversSeen()),
                 servers.changes(),
                 entry ? List.of() : servers.heardSince(whole ? now - FORGET_NANOS : heardFrom, now),
-                entryNews ? entries.all() : null,
+                entryNews && !deltas ? entries.all() : null,
+                deltas ? entries.since(request.entriesSeen()) : List.of(),
                 entries.changes(),
                 controls.get(),
                 version,
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/FollowLoop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/FollowLoop.java
@@ -100,7 +100,8 @@
         FollowRequest request;
         Duration timeout;
         synchronized (this) {
-            request = new FollowRequest(host, entry.get(), epoch, serversSeen, entriesSeen, routingKnown.getAsLong());
+            request = new FollowRequest(
+                    host, entry.get(), epoch, serversSeen, entriesSeen, routingKnown.getAsLong(), true);
             timeout = failures == 0 ? TIMEOUT : PATIENT_TIMEOUT;
         }
         network.call(control, RegistryChannels.FOLLOW, request, timeout).thenAccept(this::take);
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
@@ -37,6 +37,7 @@
 import org.elmline.core.raft.Membership;
 import org.elmline.core.raft.Message;
 import org.elmline.core.raft.ReplicaId;
+import org.elmline.core.registry.EntryNews;
 import org.elmline.core.registry.EntryRecord;
 import org.elmline.core.registry.FollowAnswer;
 import org.elmline.core.registry.FollowRequest;
@@ -158,7 +159,7 @@
                 random.nextLong(1 << random.nextInt(1, 30)));
         RoutingText text = new RoutingText(true, random.nextLong(), text(random));
         return List.of(
-                new FollowRequest(HOST, random.nextBoolean() ? entry : null, 1, 2, 3, random.nextLong()),
+                new FollowRequest(HOST, random.nextBoolean() ? entry : null, 1, 2, 3, random.nextLong(), random.nextBoolean()),
                 new FollowAnswer(
                         random.nextLong(),
                         random.nextLong(),
@@ -166,6 +167,7 @@
                         5,
                         List.of(new Heard(server.id(), 1, 2, random.nextLong())),
                         random.nextBoolean() ? null : List.of(entry, entry),
+                        List.of(new EntryNews(entry, random.nextBoolean())),
                         6,
                         List.of(address(random)),
                         7,
