--- a/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchChannels.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchChannels.java
@@ -27,15 +27,22 @@
     public record Reports(ServiceName service, List<AttemptReport> reports) {}
 
     /**
-     * Attempts of one service that a start of an entry runs.
+     * Attempts that a start of an entry runs on one shard of a service.
      *
+     * @param shard all of the service when it is not told
      * @param all whether these are all: what is counted beside them has ended. Not so for a single one, as the answer to
      *     another call may be on its way to the entry.
      */
-    public record Adoption(ServiceName service, HostId host, long incarnation, boolean all, List<OpenGrant> open) {
+    public record Adoption(
+            ServiceName service, Shard shard, HostId host, long incarnation, boolean all, List<OpenGrant> open) {
         public Adoption {
+            shard = shard == null ? Shard.WHOLE : shard;
             open = open == null ? List.of() : List.copyOf(open);
         }
+
+        public ServiceShard key() {
+            return new ServiceShard(service, shard);
+        }
     }
 
     /** A dispatcher's decision on a call that waited there. */
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -63,10 +62,9 @@
 
     private final Placement placement;
     private final RetryWindow retries;
-    private final Map<BackendServerId, ServerAccount> accounts = new LinkedHashMap<>();
+    private final ServerAccounts accounts = new ServerAccounts();
     private final Map<String, Granted> grants = new HashMap<>();
-    private final List<Waiting> waiting = new ArrayList<>();
-    private final List<PlaceAnswer> decidedBesides = new ArrayList<>();
+    private final List<WaitingCall> waiting = new ArrayList<>();
     private final boolean engines;
     private final long warmUntil;
     private boolean knewServers;
@@ -75,19 +73,6 @@
 
     private record Granted(PlaceCall call, PlaceAnswer.Granted answer, List<ServerAccount> members, long until) {}
 
-    private record Waiting(PlaceCall call, long since, long dueAt, long uselessAt, long deadlineAt) {
-        PlaceCall callAt(long now) {
-            return call.withTimes(
-                    (dueAt - now) / NANOS_PER_MILLI,
-                    (uselessAt - now) / NANOS_PER_MILLI,
-                    (deadlineAt - now) / NANOS_PER_MILLI);
-        }
-
-        boolean lateAt(long now) {
-            return now - dueAt >= 0;
-        }
-    }
-
     public Dispatcher(RoutedService service, RetryLimit limit, long now) {
         engines = service.timing() != null;
         placement = engines ? new EnginePlacement() : new PlainPlacement();
@@ -120,24 +105,15 @@
      * first, too: from then on entries tell it to forget. A prompt that had waited for as long before would
      * then go to engines that only seem to be free.
      */
-    private boolean heldAsSecond(Waiting waited, long now) {
+    private boolean heldAsSecond(WaitingCall waited, long now) {
         long since = Math.max(waited.since(), secondSince);
         return !first && now - since < SECONDARY_WAIT_NANOS;
     }
 
     /** Takes the servers that may be used now. */
     public void servers(RoutedService service, Collection<Registration> usable, long now) {
-        accounts.values().forEach(ServerAccount::absent);
         knewServers |= !usable.isEmpty();
-        for (Registration each : usable) {
-            ServerAccount account = accounts.get(each.id());
-            if (account == null || account.registration().bornMillis() != each.bornMillis()) {
-                accounts.put(each.id(), new ServerAccount(each, service.timing(), now));
-            } else {
-                account.update(each, service.timing());
-            }
-        }
-        accounts.values().removeIf(each -> !each.present() && each.idle());
+        accounts.update(usable, service.timing(), now);
     }
 
     /** Asks for a place. The same attempt asked again gets the same answer while it waits or runs. */
@@ -154,19 +130,45 @@
         if (refusal.isPresent()) {
             return refusal.get();
         }
-        waiting.add(new Waiting(
-                call,
-                now,
-                now + call.aimLeftMillis() * NANOS_PER_MILLI,
-                now + call.firstLeftMillis() * NANOS_PER_MILLI,
-                now + call.deadlineLeftMillis() * NANOS_PER_MILLI));
-        for (PlaceAnswer each : decide(now)) {
-            if (each.attempt().equals(call.attempt())) {
-                return each;
+        WaitingCall next = WaitingCall.of(call, now);
+        List<ServerAccount> usable = accounts.usable(call.avoid(), now);
+        if (!usable.isEmpty() && isFirstOfItsKind(next, usable, now)) {
+            Optional<PlaceAnswer> granted = tryToPlace(next, usable, now);
+            if (granted.isPresent()) {
+                return granted.get();
             }
-            decidedBesides.add(each);
         }
-        return new PlaceAnswer.Queued(call.attempt(), Math.max(0, position(call.attempt())));
+        waiting.add(next);
+        return new PlaceAnswer.Queued(call.attempt(), waiting.size() - 1);
+    }
+
+    /**
+     * Whether no call that waits goes before this one. One that isn't first is left to the next look: each new call would
+     * else have all that wait looked through, and in a burst the host that decides would hear nobody for a second.
+     */
+    private boolean isFirstOfItsKind(WaitingCall next, List<ServerAccount> usable, long now) {
+        boolean isLong = placement.isLong(next.call(), usable);
+        Comparator<WaitingCall> order = WaitingCall.order(now);
+        for (WaitingCall each : waiting) {
+            if (order.compare(each, next) <= 0 && placement.isLong(each.call(), usable) == isLong) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Grants a place if there is one; if not, and the call is long, engines are kept free for it. */
+    private Optional<PlaceAnswer> tryToPlace(WaitingCall next, List<ServerAccount> usable, long now) {
+        boolean isLong = placement.isLong(next.call(), usable);
+        if (isLong && heldAsSecond(next, now)) {
+            return Optional.empty();
+        }
+        PlaceCall call = next.callAt(now);
+        Optional<Plan> plan = placement.plan(call, usable, !first, now);
+        if (plan.isEmpty() && isLong) {
+            keepEnginesFree(usable, now);
+        }
+        return plan.map(each -> grant(next, call, each, now));
     }
 
     private int position(String attempt) {
@@ -179,7 +181,7 @@
     }
 
     private Optional<PlaceAnswer> refusal(PlaceCall call, long now) {
-        List<ServerAccount> usable = usable(call, now);
+        List<ServerAccount> usable = accounts.usable(call.avoid(), now);
         if (usable.isEmpty()) {
             return warming(now) ? Optional.empty() : refuse(call, PlaceAnswer.Why.NO_SERVER, SHORTEST_RETRY_MILLIS);
         }
@@ -227,75 +229,44 @@
         for (ServerAccount each : usable) {
             places += each.places();
         }
-        for (Waiting each : waiting) {
+        for (WaitingCall each : waiting) {
             work += placement.workMillis(each.call(), usable);
         }
         return (long) (work / Math.max(1, places));
     }
 
-    /**
-     * Servers that a call may go to. Resting ones are left out unless that leaves less than a third: a fault of
-     * something all calls share must not turn the whole service away.
-     */
-    private List<ServerAccount> usable(PlaceCall call, long now) {
-        List<ServerAccount> awake = new ArrayList<>();
-        List<ServerAccount> all = new ArrayList<>();
-        for (ServerAccount each : accounts.values()) {
-            if (!each.present() || call.avoid().contains(each.registration().id())) {
-                continue;
-            }
-            all.add(each);
-            if (!each.health().rests(now)) {
-                awake.add(each);
-            }
-        }
-        return 3 * awake.size() > all.size() ? awake : all;
-    }
-
     /** Lets time pass: decisions on calls that waited, to be told to their entries. */
     public List<PlaceAnswer> tick(long now) {
-        List<PlaceAnswer> decided = new ArrayList<>(decidedBesides);
-        decidedBesides.clear();
         dropForgotten(now);
-        decided.addAll(decide(now));
-        return decided;
-    }
-
-    private List<PlaceAnswer> decide(long now) {
         List<PlaceAnswer> decided = new ArrayList<>();
-        // Calls that can still be in time go before those that can't; within both the more urgent, then the one due
-        // first.
-        waiting.sort(Comparator.comparing((Waiting each) -> each.lateAt(now))
-                .thenComparingInt(each -> each.call().priority())
-                .thenComparingLong(Waiting::dueAt));
+        List<ServerAccount> all = accounts.usable(List.of(), now);
+        waiting.sort(WaitingCall.order(now));
         int shortMisses = 0;
         int longMisses = 0;
-        Iterator<Waiting> each = waiting.iterator();
+        Iterator<WaitingCall> each = waiting.iterator();
         while (each.hasNext()) {
-            Waiting next = each.next();
-            PlaceCall call = next.callAt(now);
-            List<ServerAccount> usable = usable(call, now);
-            if (usable.isEmpty() && warming(now) && call.deadlineLeftMillis() > 0) {
+            WaitingCall next = each.next();
+            List<BackendServerId> avoid = next.call().avoid();
+            List<ServerAccount> usable = avoid.isEmpty() ? all : accounts.usable(avoid, now);
+            if (usable.isEmpty() && warming(now) && next.deadlineLeftMillis(now) > 0) {
                 continue;
             }
-            if (usable.isEmpty() || placement.workMillis(call, usable) / 2 > call.deadlineLeftMillis()) {
+            if (usable.isEmpty() || isHopeless(next, usable, now)) {
                 each.remove();
                 PlaceAnswer.Why why = usable.isEmpty() ? PlaceAnswer.Why.NO_SERVER : PlaceAnswer.Why.TOO_LATE;
-                refuse(call, why, SHORTEST_RETRY_MILLIS).ifPresent(decided::add);
+                refuse(next.call(), why, SHORTEST_RETRY_MILLIS).ifPresent(decided::add);
                 continue;
             }
-            boolean isLong = placement.isLong(call, usable);
-            boolean blind = isLong && heldAsSecond(next, now);
-            if (blind || (isLong ? longMisses : shortMisses) >= MAX_MISSES) {
+            boolean isLong = placement.isLong(next.call(), usable);
+            if ((isLong ? longMisses : shortMisses) >= MAX_MISSES) {
                 continue;
             }
-            Optional<Plan> plan = placement.plan(call, usable, !first, now);
-            if (plan.isPresent()) {
+            Optional<PlaceAnswer> granted = tryToPlace(next, usable, now);
+            if (granted.isPresent()) {
                 each.remove();
-                decided.add(grant(next, call, plan.get(), now));
+                decided.add(granted.get());
             } else if (isLong) {
-                longMisses++;
-                keepEnginesFree(usable, now);
+                longMisses += heldAsSecond(next, now) ? 0 : 1;
             } else {
                 shortMisses++;
             }
@@ -303,6 +274,10 @@
         return decided;
     }
 
+    private boolean isHopeless(WaitingCall waited, List<ServerAccount> usable, long now) {
+        return placement.workMillis(waited.call(), usable) / 2 > waited.deadlineLeftMillis(now);
+    }
+
     /**
      * Turns short calls away from the engines that are nearest to being free of them. Without it, engines that are all
      * packed with short answers never suit a long prompt, and it waits until its caller gives up.
@@ -323,7 +298,7 @@
         }
     }
 
-    private PlaceAnswer grant(Waiting waited, PlaceCall call, Plan plan, long now) {
+    private PlaceAnswer grant(WaitingCall waited, PlaceCall call, Plan plan, long now) {
         ServerAccount primary = plan.primary();
         List<Helper> helpers = new ArrayList<>();
         for (int i = 1; i < plan.members().size(); i++) {
@@ -395,13 +370,13 @@
             return;
         }
         List<ServerAccount> members = new ArrayList<>();
-        ServerAccount primary = accounts.get(open.granted().server());
+        ServerAccount primary = accounts.of(open.granted().server());
         if (primary == null) {
             return;
         }
         members.add(primary);
         for (Helper each : open.granted().helpers()) {
-            Optional.ofNullable(accounts.get(each.server())).ifPresent(members::add);
+            Optional.ofNullable(accounts.of(each.server())).ifPresent(members::add);
         }
         double read = engines ? primary.timing().readMillis(call.promptTokens()) / members.size() : 0;
         for (ServerAccount each : members) {
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/DispatcherChoice.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/DispatcherChoice.java
@@ -4,42 +4,45 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.elmline.core.common.HostId;
-import org.elmline.core.common.ServiceName;
 import org.elmline.core.registry.EntryRecord;
 
 /**
- * Which entry dispatches a service: the one with the lowest hash of both names (rendezvous hashing). All entries that
+ * Which entry dispatches a shard of a service: the one with the lowest hash of both names (rendezvous hashing). All entries that
  * see the same entries agree without a word; a change moves only what must move. Two dispatchers for a moment can place
  * on the same free place, which costs waiting and breaks no promise.
  */
 public final class DispatcherChoice {
     private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
 
+    private static final Comparator<Weighed> BY_WEIGHT = Comparator.comparingLong(Weighed::weight)
+            .thenComparing(each -> each.entry().host());
+
     private DispatcherChoice() {}
 
+    /** An entry with its weight, worked out once: names are compared many times as they are sorted. */
+    private record Weighed(EntryRecord entry, long weight) {}
+
     /** The entries that may dispatch, the one to ask first in front. */
-    public static List<EntryRecord> order(ServiceName service, Collection<EntryRecord> entries) {
-        return entries.stream()
-                .filter(EntryRecord::serving)
-                .sorted(byWeight(service))
-                .toList();
+    public static List<EntryRecord> order(ServiceShard shard, Collection<EntryRecord> entries) {
+        return weighed(shard, entries).sorted(BY_WEIGHT).map(Weighed::entry).toList();
     }
 
     /** The entry to ask first; empty when none may dispatch. */
-    public static Optional<EntryRecord> first(ServiceName service, Collection<EntryRecord> entries) {
-        return entries.stream().filter(EntryRecord::serving).min(byWeight(service));
+    public static Optional<EntryRecord> first(ServiceShard shard, Collection<EntryRecord> entries) {
+        return weighed(shard, entries).min(BY_WEIGHT).map(Weighed::entry);
     }
 
-    private static Comparator<EntryRecord> byWeight(ServiceName service) {
-        return Comparator.comparingLong((EntryRecord each) -> weight(service, each.host()))
-                .thenComparing(EntryRecord::host);
+    private static Stream<Weighed> weighed(ServiceShard shard, Collection<EntryRecord> entries) {
+        String name = shard.toString();
+        return entries.stream().filter(EntryRecord::serving).map(each -> new Weighed(each, weight(name, each.host())));
     }
 
-    private static long weight(ServiceName service, HostId host) {
+    private static long weight(String name, HostId host) {
         long hash = 17;
-        String text = service.value() + '/' + host.value();
+        String text = name + '/' + host.value();
         for (int i = 0; i < text.length(); i++) {
             hash = (hash ^ text.charAt(i)) * MULTIPLIER;
             hash ^= hash >>> 29;
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Disturbance.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Disturbance.java
@@ -7,6 +7,12 @@
 
     private Disturbance() {}
 
+    /** Longest reading, in milliseconds, that stretches no answer's pauses there too far; without answers there is no end. */
+    static double longestRead(ServerAccount server, long now) {
+        int gap = server.tightestGap();
+        return gap == Integer.MAX_VALUE ? Double.MAX_VALUE : GAP_SHARE * gap - pauseMillis(server, 0, now);
+    }
+
     /** Whether reading so long would stretch the pauses of an answer there too far. */
     static boolean any(ServerAccount server, double readMillis, long now) {
         int gap = server.tightestGap();
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/EnginePlacement.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/EnginePlacement.java
@@ -158,14 +158,15 @@
         double longest = late ? call.firstLeftMillis() : call.aimLeftMillis();
         double longestOfFewer = late ? call.firstLeftMillis() : AIM_SHARE * call.aimLeftMillis();
         int gentle = (int) Math.ceil(read / PART_MILLIS);
+        UndisturbedReads reads = UndisturbedReads.of(servers, EnginePlacement::mayBegin, now);
         for (int size = Math.min(gentle, most); size <= most; size++) {
-            Optional<Plan> plan = group(call, servers, size, read, now);
+            Optional<Plan> plan = group(call, reads, size, read, now);
             if (plan.isPresent() && plan.get().firstMillis() <= longest) {
                 return plan;
             }
         }
         for (int size = Math.min(gentle, most) - 1; size >= 1; size--) {
-            Optional<Plan> plan = group(call, servers, size, read, now);
+            Optional<Plan> plan = group(call, reads, size, read, now);
             if (plan.isPresent() && plan.get().firstMillis() <= longestOfFewer) {
                 return plan;
             }
@@ -248,16 +249,14 @@
         return members == 1 ? read : read / members * PART_OVERHEAD;
     }
 
-    private Optional<Plan> group(PlaceCall call, List<ServerAccount> servers, int size, double read, long now) {
+    private Optional<Plan> group(PlaceCall call, UndisturbedReads reads, int size, double read, long now) {
         double part = partMillis(read, size);
-        List<ServerAccount> fit = new ArrayList<>();
-        for (ServerAccount each : servers) {
-            if (mayBegin(each, now) && !Disturbance.any(each, part, now)) {
-                fit.add(each);
-            }
+        if (!reads.bear(part, size)) {
+            return Optional.empty();
         }
+        List<ServerAccount> fit = reads.servers(part);
         ServerAccount primary = primary(call, fit);
-        if (fit.size() < size || primary == null) {
+        if (primary == null) {
             return Optional.empty();
         }
         fit.remove(primary);
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/PlaceCall.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/PlaceCall.java
@@ -13,6 +13,7 @@
  * @param attempt unique over all entries; asked again it is the same call
  * @param host the asking entry
  * @param incarnation start of the asking entry
+ * @param shard of the service that is asked for a place; all of it when it is not told
  * @param priority 0 is the most urgent
  * @param promptTokens tokens of the prompt, 0 for a plain service
  * @param answerTokens tokens of the answer that are expected, 0 for a plain service
@@ -30,6 +31,7 @@
         long incarnation,
         FailureDomain failureDomain,
         ServiceName service,
+        Shard shard,
         int priority,
         long promptTokens,
         long answerTokens,
@@ -41,17 +43,33 @@
         boolean repeated,
         List<BackendServerId> avoid) {
     public PlaceCall {
+        shard = shard == null ? Shard.WHOLE : shard;
         avoid = avoid == null ? List.of() : List.copyOf(avoid);
     }
 
+    /** What is asked for a place. */
+    public ServiceShard key() {
+        return new ServiceShard(service, shard);
+    }
+
+    /** The same call, asked for at a shard. */
+    public PlaceCall at(Shard other) {
+        return with(other, aimLeftMillis, firstLeftMillis, deadlineLeftMillis);
+    }
+
     /** The same call with the times that are left of it now. */
     PlaceCall withTimes(long aimMillis, long firstMillis, long deadlineMillis) {
+        return with(shard, aimMillis, firstMillis, deadlineMillis);
+    }
+
+    private PlaceCall with(Shard other, long aimMillis, long firstMillis, long deadlineMillis) {
         return new PlaceCall(
                 attempt,
                 host,
                 incarnation,
                 failureDomain,
                 service,
+                other,
                 priority,
                 promptTokens,
                 answerTokens,
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/RetryLimit.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/RetryLimit.java
@@ -7,4 +7,9 @@
  * @param slack repetitions a window beyond that, so that a quiet service may repeat at all
  * @param windowNanos length of the window
  */
-public record RetryLimit(double ratio, long slack, long windowNanos) {}
+public record RetryLimit(double ratio, long slack, long windowNanos) {
+    /** The limit of each of so many parts that together must keep this one. */
+    public RetryLimit of(int parts) {
+        return parts == 1 ? this : new RetryLimit(ratio, slack / parts, windowNanos);
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerAccount.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerAccount.java
@@ -22,6 +22,15 @@
     private long readFreeAt;
     private long closedToShortUntil = Long.MIN_VALUE;
 
+    /** Sums over the shares: each decision asks every server for them. */
+    private int running;
+
+    private int writing;
+    private int reading;
+    private long usedMemory;
+    private long context;
+    private int tightestGap = Integer.MAX_VALUE;
+
     ServerAccount(Registration registration, BatchTiming timing, long now) {
         this.registration = registration;
         this.timing = timing;
@@ -69,10 +78,6 @@
 
     /** Calls that this server answers itself. */
     int running() {
-        int running = 0;
-        for (Share each : shares.values()) {
-            running += each.primary() ? 1 : 0;
-        }
         return running;
     }
 
@@ -86,11 +91,7 @@
     }
 
     long freeMemory() {
-        long used = 0;
-        for (Share each : shares.values()) {
-            used += each.memoryTokens();
-        }
-        return (long) (timing.memoryTokens() * USABLE_MEMORY) - used;
+        return (long) (timing.memoryTokens() * USABLE_MEMORY) - usedMemory;
     }
 
     /** Milliseconds of reading that is granted and, by the model, not done. */
@@ -100,35 +101,16 @@
 
     /** Milliseconds of a pass with all granted calls writing and one more. */
     double passMillis(long moreContextTokens, int moreWriters) {
-        int writers = moreWriters;
-        long context = moreContextTokens;
-        for (Share each : shares.values()) {
-            if (each.primary()) {
-                writers++;
-                context += each.contextTokens();
-            }
-        }
-        return timing.passMillis(writers, context);
+        return timing.passMillis(running + moreWriters, context + moreContextTokens);
     }
 
     boolean writes() {
-        for (Share each : shares.values()) {
-            if (each.primary() && !each.reading()) {
-                return true;
-            }
-        }
-        return false;
+        return writing > 0;
     }
 
     /** The shortest pause that a call here allows between events, in milliseconds; a large number without calls. */
     int tightestGap() {
-        int tightest = Integer.MAX_VALUE;
-        for (Share each : shares.values()) {
-            if (each.primary() && each.call().gapMillis() > 0) {
-                tightest = Math.min(tightest, each.call().gapMillis());
-            }
-        }
-        return tightest;
+        return tightestGap;
     }
 
     /**
@@ -137,32 +119,67 @@
      */
     void grant(Share share, long now) {
         double pass = timing != null && backlogMillis(now) == 0 && writes() ? passMillis(0, 0) / 2 : 0;
-        shares.put(share.call().attempt(), share);
+        Share before = shares.put(share.call().attempt(), share);
+        if (before != null) {
+            count(before, -1);
+        }
+        count(share, 1);
         readFreeAt = Math.max(readFreeAt, now) + (long) ((pass + share.readMillis()) * NANOS_PER_MILLI);
     }
 
     void startWriting(String attempt, long now) {
         Share share = shares.get(attempt);
-        if (share != null) {
+        if (share == null) {
+            return;
+        }
+        if (share.reading()) {
+            count(share, -1);
             share.startWriting();
-            settle(now);
+            count(share, 1);
         }
+        settle(now);
     }
 
     void end(String attempt, long now) {
-        if (shares.remove(attempt) != null) {
+        Share share = shares.remove(attempt);
+        if (share != null) {
+            count(share, -1);
             settle(now);
         }
     }
 
-    /** Corrects the model by what was seen: with nobody reading there is no backlog. */
-    private void settle(long now) {
+    private void count(Share share, int sign) {
+        usedMemory += sign * share.memoryTokens();
+        reading += share.reading() ? sign : 0;
+        if (!share.primary()) {
+            return;
+        }
+        running += sign;
+        writing += share.reading() ? 0 : sign;
+        context += sign * share.contextTokens();
+        int gap = share.call().gapMillis();
+        if (sign > 0 && gap > 0) {
+            tightestGap = Math.min(tightestGap, gap);
+        } else if (gap == tightestGap) {
+            tightestGap = shortestGap();
+        }
+    }
+
+    private int shortestGap() {
+        int shortest = Integer.MAX_VALUE;
         for (Share each : shares.values()) {
-            if (each.reading()) {
-                return;
+            if (each.primary() && each.call().gapMillis() > 0) {
+                shortest = Math.min(shortest, each.call().gapMillis());
             }
         }
-        readFreeAt = now;
+        return shortest;
+    }
+
+    /** Corrects the model by what was seen: with nobody reading there is no backlog. */
+    private void settle(long now) {
+        if (reading == 0) {
+            readFreeAt = now;
+        }
     }
 
     /** Keeps new short calls away, so that a long prompt that waits finds an engine without short writers. */
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Shard.java
@@ -0,0 +1,61 @@
+package org.elmline.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.elmline.core.common.BackendServerId;
+
+/**
+ * A part of a service's backend servers that is dispatched by itself, so that what one dispatcher does stays bounded
+ * however many servers the service has, and its loss costs a part of them.
+ *
+ * @param index from 0
+ * @param count shards of the service, over 0
+ */
+public record Shard(int index, int count) {
+    /** All servers of a service that has few. */
+    public static final Shard WHOLE = new Shard(0, 1);
+
+    /** Servers of a shard, at most; groups of engines want as many to choose from as a host can look through. */
+    private static final int MOST_SERVERS = 100;
+
+    /** Shards become so many times more at once: while hosts count servers differently, they must not disagree on shards. */
+    private static final int STEP = 4;
+
+    /** Odd, with bits all over, so that names that are alike fall into unlike shards. */
+    private static final int SPREADER = 0x9E3779B1;
+
+    public Shard {
+        if (count < 1 || index < 0 || index >= count) {
+            throw new IllegalArgumentException("shard " + index + " of " + count);
+        }
+    }
+
+    /** The shards of a service with so many servers. */
+    public static List<Shard> of(int servers) {
+        int count = 1;
+        while (servers > (long) count * MOST_SERVERS) {
+            count *= STEP;
+        }
+        return ofCount(count);
+    }
+
+    static List<Shard> ofCount(int count) {
+        List<Shard> shards = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            shards.add(new Shard(i, count));
+        }
+        return shards;
+    }
+
+    /** Whether a server is of this shard. */
+    public boolean holds(BackendServerId server) {
+        return indexOf(server, count) == index;
+    }
+
+    /** The shard that a server is of among so many. */
+    static int indexOf(BackendServerId server, int count) {
+        int hash = server.value().hashCode() * SPREADER;
+        return Math.floorMod(hash ^ hash >>> 15, count);
+    }
+}
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoad.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/AlternatingLoad.java
@@ -35,6 +35,9 @@
 
     private static final int PATIENCE_LEFT_MILLIS = 1_000;
 
+    /** Pause after which a call that waits asks again. */
+    private static final int ASK_AGAIN_MILLIS = 250;
+
     private static final ServiceName DESK = ServiceName.of("desk");
     /** What callers ask for. */
     enum Kind {
@@ -112,6 +115,14 @@
                 new Figures(2.2, 0.85, 45_000, 0.5, 110_000, 19, 1_500, 600, 10_000, 3.9, 0.98),
                 new Figures(3.9, 0.07, 133_000, 0.55, 600_000, 16, 2_500, 1_000, 15_000, 15, 3.7));
 
+        /** Seven places, prompts of 300 thousand tokens, few and long passes; the calls are those of 21 engines of 172. */
+        static final Deployment MANY_ENGINES = of(
+                "many",
+                new BatchTiming(7, 450_000, 73, 0.925, 0.011, 0.004, 256, 0.0917, 2048, 0.1),
+                new Figures(7.6, 51.0, 4_960, 0.9, 23_800, 24, 309, 250, 10_000, 1.4, 0.34),
+                new Figures(2.95, 1.13, 45_000, 0.5, 110_000, 15, 1_514, 600, 10_000, 2.3, 0.58),
+                new Figures(1.4, 0.026, 300_000, 0.5, 900_000, 12, 4_024, 1_000, 15_000, 26, 6.6));
+
         static final List<Deployment> ALL = List.of(LARGE_ENGINES, SMALL_ENGINES);
 
         private static Deployment of(String name, BatchTiming timing, Figures question, Figures roster, Figures audit) {
@@ -164,6 +175,8 @@
     private final long seed;
     private final double load;
     private int heldSeconds;
+    private int shards = 1;
+    private long decidingNanos;
 
     /**
      * @param engineCount engines of the service
@@ -187,6 +200,12 @@
         return this;
     }
 
+    /** Has the engines dispatched in so many shards. */
+    AlternatingLoad inShards(int count) {
+        shards = count;
+        return this;
+    }
+
     /** Plays the load through the dispatcher. */
     AlternatingLoad dispatched() {
         play(new Dispatched());
@@ -219,10 +238,14 @@
                     PassEngine.Job job =
                             new PassEngine.Job(tokens, figures.events(), now, figures.aim(), figures.gap());
                     asked.computeIfAbsent(kind, each -> new ArrayList<>()).add(job);
+                    long before = System.nanoTime();
                     policy.ask(call("c" + next++, figures, tokens), job, now);
+                    decidingNanos += System.nanoTime() - before;
                 }
             }
+            long before = System.nanoTime();
             policy.step(now);
+            decidingNanos += System.nanoTime() - before;
             for (PassEngine each : engines) {
                 each.step(now);
             }
@@ -244,6 +267,15 @@
         }
     }
 
+    /** Calls that were asked for, and the time that deciding on them and hearing of them took. */
+    int calls() {
+        return asked.values().stream().mapToInt(List::size).sum();
+    }
+
+    double decidingMicrosPerCall() {
+        return decidingNanos / 1e3 / calls();
+    }
+
     /** Part of the calls that were held before the first moment that got their whole answer. */
     double heldAnswered() {
         return (double) held.stream().filter(PassEngine.Job::done).count() / held.size();
@@ -284,6 +316,7 @@
                 1,
                 FailureDomain.of("a"),
                 DESK,
+                Shard.WHOLE,
                 1,
                 tokens,
                 answer,
@@ -296,39 +329,79 @@
                 List.of());
     }
 
-    /** The dispatcher, told of first tokens and ends a millisecond after they come. */
+    /**
+     * The dispatchers of the shards, told of first tokens and ends a millisecond after they come. A call that must wait is
+     * asked for at a second shard at once, and at the next two a quarter of a second later.
+     */
     private final class Dispatched implements Policy {
-        private final Dispatcher dispatcher = new Dispatcher(
-                new RoutedService(DESK, 819, deployment.timing), new RetryLimit(0.2, 10, 10_000 * MILLI), 0);
+        private final List<Dispatcher> dispatchers = new ArrayList<>();
         private final Map<String, PassEngine.Job> jobs = new HashMap<>();
         private final Map<String, Boolean> running = new HashMap<>();
+        private final Map<String, Integer> at = new HashMap<>();
+        private final Map<String, Asking> waiting = new HashMap<>();
+        private final Random random = new Random(seed);
+
+        private record Asking(PlaceCall call, int askedAt, int nextAt) {}
 
         Dispatched() {
-            List<Registration> servers = new ArrayList<>();
+            RoutedService service = new RoutedService(DESK, 819, deployment.timing);
+            List<List<Registration>> servers = new ArrayList<>();
+            for (int i = 0; i < shards; i++) {
+                servers.add(new ArrayList<>());
+                dispatchers.add(new Dispatcher(service, new RetryLimit(0.2, 10, 10_000 * MILLI), 0));
+            }
             for (int i = 0; i < engines.size(); i++) {
-                servers.add(new Registration(
-                        BackendServerId.of("s" + i),
-                        DESK,
-                        new Address("10.0.0." + (i + 1), 80),
-                        FailureDomain.of("a"),
-                        11,
-                        ServerState.READY,
-                        1,
-                        1));
+                BackendServerId id = BackendServerId.of("s" + i);
+                Address address = new Address("10.0." + i / 250 + '.' + (i % 250 + 1), 80);
+                servers.get(Shard.indexOf(id, shards))
+                        .add(new Registration(id, DESK, address, FailureDomain.of("a"), 11, ServerState.READY, 1, 1));
+            }
+            for (int i = 0; i < shards; i++) {
+                dispatchers.get(i).servers(service, servers.get(i), 0);
             }
-            dispatcher.servers(new RoutedService(DESK, 819, deployment.timing), servers, 0);
         }
 
         @Override
         public void ask(PlaceCall call, PassEngine.Job job, int now) {
             jobs.put(call.attempt(), job);
-            take(dispatcher.place(call, now * MILLI));
+            ask(new Asking(call, now, now + ASK_AGAIN_MILLIS), now);
         }
 
-        private void take(PlaceAnswer answer) {
+        private void ask(Asking asking, int now) {
+            int first = Shard.indexOf(BackendServerId.of("s" + random.nextInt(engines.size())), shards);
+            for (int i = 0; i < Math.min(shards, 2); i++) {
+                if (askOne(asking, (first + i) % shards, now)) {
+                    return;
+                }
+            }
+            waiting.put(asking.call().attempt(), asking);
+        }
+
+        /** Whether that was the end of asking. */
+        private boolean askOne(Asking asking, int shard, int now) {
+            String attempt = asking.call().attempt();
+            int age = now - asking.askedAt();
+            PlaceCall call = asking.call();
+            PlaceCall left = call.withTimes(
+                    call.aimLeftMillis() - age, call.firstLeftMillis() - age, call.deadlineLeftMillis() - age);
+            dispatchers.get(shard).tick(now * MILLI).forEach(each -> take(each, shard));
+            PlaceAnswer answer = dispatchers.get(shard).place(left, now * MILLI);
+            Integer before = at.put(attempt, shard);
+            if (before != null && before != shard) {
+                dispatchers.get(before).report(new AttemptReport(attempt, AttemptEnd.CANCELLED), now * MILLI);
+            }
+            if (!(answer instanceof PlaceAnswer.Queued)) {
+                take(answer, shard);
+            }
+            return !(answer instanceof PlaceAnswer.Queued);
+        }
+
+        private void take(PlaceAnswer answer, int shard) {
+            waiting.remove(answer.attempt());
             if (!(answer instanceof PlaceAnswer.Granted grant)) {
                 return;
             }
+            at.put(grant.attempt(), shard);
             PassEngine.Job job = jobs.get(grant.attempt());
             int members = grant.helpers().size() + 1;
             engine(grant.server()).answer(job, members);
@@ -344,6 +417,7 @@
         public void step(int now) {
             running.entrySet().removeIf(each -> {
                 PassEngine.Job job = jobs.get(each.getKey());
+                Dispatcher dispatcher = dispatchers.get(at.get(each.getKey()));
                 if (job.begun() && !each.getValue()) {
                     each.setValue(true);
                     dispatcher.report(new AttemptReport(each.getKey(), null), now * MILLI);
@@ -354,7 +428,21 @@
                 return job.done();
             });
             if (now % 10 == 0) {
-                dispatcher.tick(now * MILLI).forEach(this::take);
+                for (int i = 0; i < shards; i++) {
+                    int shard = i;
+                    dispatchers.get(i).tick(now * MILLI).forEach(each -> take(each, shard));
+                }
+            }
+            if (shards > 1) {
+                askAgain(now);
+            }
+        }
+
+        private void askAgain(int now) {
+            for (Asking each : List.copyOf(waiting.values())) {
+                if (each.nextAt() == now && waiting.containsKey(each.call().attempt())) {
+                    ask(new Asking(each.call(), each.askedAt(), now + ASK_AGAIN_MILLIS), now);
+                }
             }
         }
     }
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatchCostMeasurement.java
@@ -0,0 +1,60 @@
+package org.elmline.core.dispatch;
+
+import java.util.Locale;
+
+import org.elmline.core.dispatch.AlternatingLoad.Deployment;
+import org.elmline.core.dispatch.AlternatingLoad.Kind;
+
+/**
+ * Prints the time that a dispatcher takes for a call, from the question to the report of its end, by the number of engines
+ * and by how full they are, and what callers get. Not a test.
+ */
+public final class DispatchCostMeasurement {
+    private static final int[] ENGINES = {20, 70, 172, 700};
+    private static final double[] LOADS = {0.5, 1, 1.7};
+    private static final double SHEET_ENGINES = 21;
+    private static final long SEED = 3;
+    private static final int[] SHARDS = {1, 2, 4, 8};
+    private static final int SEEDS = 2;
+    private static final int LARGE_SITE = 172;
+
+    private DispatchCostMeasurement() {}
+
+    public static void main(String[] args) {
+        if (args.length > 0) {
+            for (int shards : SHARDS) {
+                for (long seed = 1; seed <= SEEDS; seed++) {
+                    print(LARGE_SITE, 1, shards, seed);
+                }
+            }
+            return;
+        }
+        System.out.println("engines load calls micros-a-call credit: questions rosters audits, largest tenth in time");
+        for (int round = 0; round < 2; round++) {
+            for (int engines : ENGINES) {
+                for (double load : LOADS) {
+                    print(engines, load, 1, SEED);
+                }
+            }
+        }
+    }
+
+    private static void print(int engines, double load, int shards, long seed) {
+        AlternatingLoad played = new AlternatingLoad(
+                        Deployment.MANY_ENGINES, engines, load * engines / SHEET_ENGINES, seed)
+                .inShards(shards)
+                .dispatched();
+        System.out.printf(
+                Locale.ROOT,
+                "%d engines in %d shards, load %.1f: %d calls, %.1f  %.3f %.3f %.3f %.3f%n",
+                engines,
+                shards,
+                load,
+                played.calls(),
+                played.decidingMicrosPerCall(),
+                played.credit(Kind.QUESTION),
+                played.credit(Kind.ROSTER),
+                played.credit(Kind.AUDIT),
+                played.onTimeBySize(Kind.AUDIT, 0, 0.1));
+    }
+}
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherTest.java
@@ -65,6 +65,7 @@
                 1,
                 FailureDomain.of("a"),
                 DESK,
+                Shard.WHOLE,
                 1,
                 prompt,
                 answer,
@@ -392,6 +393,7 @@
                 1,
                 FailureDomain.of("a"),
                 DESK,
+                Shard.WHOLE,
                 1,
                 400_000,
                 800,
@@ -448,4 +450,25 @@
         assertTrue(turnedDown <= 1, turnedDown + " of 78 questions turned down");
         assertTrue(running.size() >= 18, "engines used: " + running.size());
     }
+
+    /**
+     * Guards against a host that hears nobody for a second: in a burst each new call had all that wait looked through. What
+     * waits is left to the next look, and a new call that is not first waits with it.
+     */
+    @Test
+    void aNewCallHasNobodyElseLookedAt() {
+        Dispatcher dispatcher = dispatcher(PLAIN, 1, 1);
+        PlaceAnswer.Granted running = granted(dispatcher.place(booking(60_000), 0));
+        PlaceCall first = booking(60_000);
+        dispatcher.place(first, 0);
+        for (int i = 0; i < 300; i++) {
+            dispatcher.place(booking(60_000), 0);
+        }
+        dispatcher.report(new AttemptReport(running.attempt(), AttemptEnd.DONE), MILLI);
+        assertInstanceOf(PlaceAnswer.Queued.class, dispatcher.place(booking(60_000), MILLI));
+        List<PlaceAnswer> decided = dispatcher.tick(MILLI);
+        assertEquals(
+                List.of(first.attempt()),
+                decided.stream().map(PlaceAnswer::attempt).toList());
+    }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
@@ -11,7 +10,6 @@
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
 import org.elmline.core.routing.CallRoute;
-import org.xnio.XnioExecutor;
 
 /** One try of a call on one backend server. Used on the I/O thread only. */
 final class Attempt implements BackendListener {
@@ -43,9 +41,9 @@
     private final PlaceCall placed;
     private final PlaceAnswer.Granted granted;
     private final Reservations reservations;
+    private final SilenceTimer silence;
     private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
     private BackendCall backend;
-    private XnioExecutor.Key watch;
     private StreamAnswer stream;
     private AnswerHead head;
     private HeaderMap headers;
@@ -58,6 +56,7 @@
         this.placed = placed;
         this.granted = granted;
         this.reservations = new Reservations(call.parts(), granted);
+        this.silence = new SilenceTimer(call.parts().thread(), call.parts().clock(), this::silent);
     }
 
     /** Reserves what memory the call needs elsewhere, then sends it. */
@@ -125,7 +124,7 @@
         long patience = route.streaming()
                 ? 2 * granted.firstMillis() + FIRST_EVENT_SLACK_MILLIS + helperSlack()
                 : Math.max(LEAST_PATIENCE_MILLIS, (long) (IMPATIENCE * placed.aimLeftMillis()));
-        watch(patience);
+        silence.expectWithin(patience);
     }
 
     /** An engine whose helper has died says so after a while; sooner, a slow group would be taken for a dead one. */
@@ -133,13 +132,6 @@
         return granted.helpers().isEmpty() ? 0 : HELPER_STALL_MILLIS;
     }
 
-    private void watch(long millis) {
-        if (watch != null) {
-            watch.remove();
-        }
-        watch = call.parts().thread().executeAfter(this::silent, millis, TimeUnit.MILLISECONDS);
-    }
-
     private void silent() {
         if (over || !call.mayTryAgain()) {
             return;
@@ -207,7 +199,8 @@
     void eventPassed() {
         call.parts().dispatch().writing(placed);
         if (call.route().mayRepeat()) {
-            watch(Math.max(SILENT_MILLIS, (long) SILENT_GAPS * call.route().gapMillis()));
+            silence.expectWithin(
+                    Math.max(SILENT_MILLIS, (long) SILENT_GAPS * call.route().gapMillis()));
         }
     }
 
@@ -274,9 +267,7 @@
             return false;
         }
         over = true;
-        if (watch != null) {
-            watch.remove();
-        }
+        silence.stop();
         reservations.release();
         return true;
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -16,6 +16,7 @@
 import org.elmline.core.dispatch.AttemptEnd;
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
+import org.elmline.core.dispatch.Shard;
 import org.elmline.core.registry.Registration;
 import org.elmline.core.routing.CallRoute;
 import org.elmline.core.routing.RouteMatch;
@@ -168,6 +169,7 @@
                 parts.incarnation(),
                 parts.settings().failureDomain(),
                 service,
+                Shard.WHOLE,
                 priority,
                 head.promptTokens(),
                 Math.min(answerTokens, Math.max(1, head.maxAnswerTokens())),
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -7,13 +7,15 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
+import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
@@ -29,6 +31,9 @@
 import org.elmline.core.dispatch.OpenGrant;
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
+import org.elmline.core.dispatch.ServiceShard;
+import org.elmline.core.dispatch.Shard;
+import org.elmline.core.dispatch.ShardChoice;
 import org.elmline.core.peer.HandlerRegistry;
 import org.elmline.core.peer.PeerNetwork;
 import org.elmline.core.registry.EntryRecord;
@@ -66,6 +71,15 @@
     /** Entries asked before this one decides by itself. */
     private static final int MAX_ASKED = 2;
 
+    /** Shards at which a call that must wait is asked for at once; the others get their turn as it waits. */
+    private static final int SHARDS_ASKED = 2;
+
+    /**
+     * Lateness from which on this entry's own thread was held up: what came meanwhile was not read, and its answers would
+     * be taken for missing.
+     */
+    private static final long STALLED_NANOS = Duration.ofMillis(100).toNanos();
+
     /** Reports of one service wait this long for others, so that they go in one message. */
     private static final long GATHER_MILLIS = 2;
 
@@ -73,6 +87,7 @@
     private final long incarnation;
     private final PeerNetwork network;
     private final Supplier<Collection<EntryRecord>> entries;
+    private final Function<ServiceName, List<BackendServerId>> servers;
     private final DispatchService own;
     private final XnioExecutor thread;
     private final MonotonicClock clock;
@@ -81,15 +96,19 @@
     private final Map<String, OpenGrant> open = new HashMap<>();
     private final GrantHolders holders = new GrantHolders();
     private final Map<HostId, Long> doubted = new HashMap<>();
-    private final Map<ServiceName, EntryRecord> dispatchers = new HashMap<>();
+    private final Map<ServiceShard, EntryRecord> dispatchers = new HashMap<>();
     private final Map<HostId, Map<ServiceName, List<AttemptReport>>> reports = new HashMap<>();
-    private final Map<ServiceName, Set<HostId>> informed = new HashMap<>();
+    private final Map<ServiceShard, Set<HostId>> informed = new HashMap<>();
+    private final Map<ServiceShard, List<EntryRecord>> orders = new HashMap<>();
+    private final SplittableRandom random = new SplittableRandom();
+    private Collection<EntryRecord> orderedEntries = List.of();
 
     DispatchClient(
             NodeSettings settings,
             long incarnation,
             PeerNetwork network,
             Supplier<Collection<EntryRecord>> entries,
+            Function<ServiceName, List<BackendServerId>> servers,
             DispatchService own,
             XnioExecutor thread,
             MonotonicClock clock,
@@ -98,6 +117,7 @@
         this.incarnation = incarnation;
         this.network = network;
         this.entries = entries;
+        this.servers = servers;
         this.own = own;
         this.thread = thread;
         this.clock = clock;
@@ -133,7 +153,7 @@
     void place(PlaceCall call, Consumer<PlaceAnswer> answers) {
         Asking next = new Asking(call, answers);
         asking.put(call.attempt(), next);
-        next.ask();
+        next.begin();
     }
 
     /** The caller has left before there was a place. */
@@ -181,19 +201,54 @@
         reports.clear();
     }
 
-    /** Tells the dispatcher of each service, where it is another one than before, what runs here. */
+    /** Tells the dispatcher of each shard, where it is another one than before, what runs here. */
     void fleetChanged() {
-        for (ServiceName service : List.copyOf(dispatchers.keySet())) {
-            Optional<EntryRecord> first = DispatcherChoice.first(service, entries.get());
-            if (first.isEmpty()) {
+        Set<ServiceName> services = new HashSet<>();
+        dispatchers.keySet().forEach(each -> services.add(each.service()));
+        services.forEach(this::fleetChanged);
+    }
+
+    private void fleetChanged(ServiceName service) {
+        List<ServiceShard> shards = shardsOf(service);
+        dispatchers.keySet().removeIf(each -> each.service().equals(service) && !shards.contains(each));
+        boolean changed = false;
+        for (ServiceShard each : shards) {
+            List<EntryRecord> order = order(each);
+            if (order.isEmpty()) {
                 continue;
             }
-            EntryRecord before = dispatchers.put(service, first.get());
-            if (differs(first.get(), before)) {
-                adopt(service, first.get());
-                askAgainFor(service);
+            EntryRecord before = dispatchers.put(each, order.get(0));
+            if (before == null || differs(order.get(0), before)) {
+                adopt(each, order.get(0));
+                changed = true;
             }
         }
+        if (changed) {
+            askAgainFor(service);
+        }
+    }
+
+    private List<ServiceShard> shardsOf(ServiceName service) {
+        return Shard.of(servers.apply(service).size()).stream()
+                .map(each -> new ServiceShard(service, each))
+                .toList();
+    }
+
+    private ServiceShard shardOf(ServiceName service, BackendServerId server) {
+        return shardsOf(service).stream()
+                .filter(each -> each.shard().holds(server))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** The entries that may dispatch a shard, the one to ask first in front. */
+    private List<EntryRecord> order(ServiceShard shard) {
+        Collection<EntryRecord> alive = entries.get();
+        if (alive != orderedEntries) {
+            orders.clear();
+            orderedEntries = alive;
+        }
+        return orders.computeIfAbsent(shard, each -> DispatcherChoice.order(each, alive));
     }
 
     /** What waits at the dispatcher before would be placed by it blindly, or not before its next turn to ask. */
@@ -205,9 +260,10 @@
         }
     }
 
-    private List<OpenGrant> openOf(ServiceName service) {
+    private List<OpenGrant> openOf(ServiceShard shard) {
         return open.values().stream()
-                .filter(each -> each.call().service().equals(service))
+                .filter(each -> each.call().service().equals(shard.service()))
+                .filter(each -> shard.shard().holds(each.granted().server()))
                 .toList();
     }
 
@@ -215,15 +271,19 @@
         return !a.host().equals(b.host()) || a.incarnation() != b.incarnation();
     }
 
-    private void adopt(ServiceName service, EntryRecord dispatcher) {
-        List<OpenGrant> grants = openOf(service);
+    private void adopt(ServiceShard shard, EntryRecord dispatcher) {
+        List<OpenGrant> grants = openOf(shard);
         log.line("dispatcher changed")
-                .with("service", service)
+                .with("service", shard)
                 .with("dispatcher", dispatcher.host())
                 .with("open", grants.size())
                 .write();
         grants.forEach(each -> leaveTo(dispatcher.host(), each.call()));
-        tell(dispatcher, new Adoption(service, settings.host(), incarnation, true, grants));
+        tell(dispatcher, adoption(shard, true, grants));
+    }
+
+    private Adoption adoption(ServiceShard shard, boolean all, List<OpenGrant> grants) {
+        return new Adoption(shard.service(), shard.shard(), settings.host(), incarnation, all, grants);
     }
 
     private void tell(EntryRecord dispatcher, Adoption adoption) {
@@ -245,13 +305,13 @@
      * Tells a dispatcher that is asked in place of the first one what runs here, once for each time that the first one is
      * passed over. Knowing nothing, it would fill engines that are full. From all entries it has the whole within some calls of each.
      */
-    private void inform(ServiceName service, EntryRecord dispatcher) {
-        if (!informed.computeIfAbsent(service, each -> new HashSet<>()).add(dispatcher.host())) {
+    private void inform(ServiceShard shard, EntryRecord dispatcher) {
+        if (!informed.computeIfAbsent(shard, each -> new HashSet<>()).add(dispatcher.host())) {
             return;
         }
-        List<OpenGrant> grants = openOf(service);
+        List<OpenGrant> grants = openOf(shard);
         grants.forEach(each -> holders.asked(each.call().attempt(), dispatcher.host()));
-        tell(dispatcher, new Adoption(service, settings.host(), incarnation, true, grants));
+        tell(dispatcher, adoption(shard, true, grants));
     }
 
     /** Leaves an attempt to one dispatcher, and has the others forget it. */
@@ -265,11 +325,16 @@
         dispatchers.forEach(each -> report(service, each, gone));
     }
 
+    /** A dispatcher to ask: a shard, and the entry that decides for it. */
+    private record Target(ServiceShard shard, EntryRecord entry) {}
+
     /** One call on its way to a place. */
     private final class Asking {
         private final PlaceCall call;
         private final Consumer<PlaceAnswer> answers;
         private final List<HostId> passedOver = new ArrayList<>();
+        private final Set<ServiceShard> queuedAt = new HashSet<>();
+        private List<ServiceShard> shards = List.of();
         private XnioExecutor.Key nextAsk;
         private boolean over;
 
@@ -278,31 +343,60 @@
             this.answers = answers;
         }
 
-        void ask() {
+        /** Begins to ask: the shards in another order each time, so that a call that waits tries one after the other. */
+        void begin() {
+            shards = ShardChoice.order(servers.apply(call.service()), random).stream()
+                    .map(each -> new ServiceShard(call.service(), each))
+                    .toList();
+            for (ServiceShard each : shards) {
+                order(each).stream().findFirst().ifPresent(first -> dispatchers.putIfAbsent(each, first));
+            }
+            passedOver.clear();
+            queuedAt.clear();
+            ask();
+        }
+
+        private void ask() {
             if (over) {
                 return;
             }
-            EntryRecord to = next();
-            HostId dispatcher = to == null ? settings.host() : to.host();
-            if (to != null && !passedOver.isEmpty()) {
-                inform(call.service(), to);
+            Target to = next();
+            if (to == null) {
+                ServiceShard own = shards.get(0);
+                holders.asked(call.attempt(), settings.host());
+                take(own, settings.host(), DispatchClient.this.own.place(call.at(own.shard())));
+                return;
+            }
+            ask(to);
+        }
+
+        private void ask(Target to) {
+            HostId dispatcher = to.entry().host();
+            if (!dispatcher.equals(order(to.shard()).get(0).host())) {
+                inform(to.shard(), to.entry());
             }
             holders.asked(call.attempt(), dispatcher);
+            PlaceCall asked = call.at(to.shard().shard());
             if (dispatcher.equals(settings.host())) {
-                take(dispatcher, own.place(call));
+                take(to.shard(), dispatcher, own.place(asked));
                 return;
             }
-            network.call(to.peers(), DispatchChannels.PLACE, call, patience())
-                    .thenAccept(result -> answered(dispatcher, result));
+            long askedAt = clock.nanos();
+            network.call(to.entry().peers(), DispatchChannels.PLACE, asked, patience())
+                    .thenAccept(result -> answered(to, askedAt, result));
         }
 
-        private void answered(HostId dispatcher, CallResult<PlaceAnswer> result) {
+        private void answered(Target to, long askedAt, CallResult<PlaceAnswer> result) {
             if (over) {
                 return;
             }
+            HostId dispatcher = to.entry().host();
             if (result instanceof CallResult.Answered<PlaceAnswer> answered) {
                 doubted.remove(dispatcher);
-                take(dispatcher, answered.value());
+                take(to.shard(), dispatcher, answered.value());
+            } else if (clock.nanos() - askedAt > patience().toNanos() + STALLED_NANOS) {
+                log.line("stalled while asking").with("attempt", call.attempt()).write();
+                ask();
             } else {
                 passOver(dispatcher);
             }
@@ -313,22 +407,41 @@
             return Duration.ofMillis(Math.max(LEAST_ANSWER_MILLIS, Math.min(MOST_ANSWER_MILLIS, part)));
         }
 
-        private EntryRecord next() {
+        /**
+         * The first dispatcher of each shard, which knows all that runs there, goes before the second one of any. Null
+         * where this entry is to decide by itself.
+         */
+        private Target next() {
             if (passedOver.size() >= MAX_ASKED) {
                 return null;
             }
-            List<EntryRecord> order = DispatcherChoice.order(call.service(), entries.get());
-            if (!order.isEmpty()) {
-                dispatchers.putIfAbsent(call.service(), order.get(0));
+            Target first = nextFirst();
+            if (first != null) {
+                return first;
             }
-            for (EntryRecord each : order) {
-                if (!isDoubted(each.host()) && !passedOver.contains(each.host())) {
-                    return each;
+            for (EntryRecord each : order(shards.get(0))) {
+                if (mayAsk(each)) {
+                    return new Target(shards.get(0), each);
+                }
+            }
+            return null;
+        }
+
+        /** The first dispatcher of a shard at which the call does not wait yet; null where none may be asked. */
+        private Target nextFirst() {
+            for (ServiceShard each : shards) {
+                List<EntryRecord> order = order(each);
+                if (!queuedAt.contains(each) && !order.isEmpty() && mayAsk(order.get(0))) {
+                    return new Target(each, order.get(0));
                 }
             }
             return null;
         }
 
+        private boolean mayAsk(EntryRecord dispatcher) {
+            return !isDoubted(dispatcher.host()) && !passedOver.contains(dispatcher.host());
+        }
+
         private void passOver(HostId dispatcher) {
             log.line("dispatcher passed over")
                     .with("attempt", call.attempt())
@@ -337,24 +450,34 @@
                     .write();
             if (!isDoubted(dispatcher)) {
                 // What was told of this entry's calls before is old by now.
-                informed.remove(call.service());
+                shards.forEach(informed::remove);
             }
             doubted.put(dispatcher, clock.nanos() + DOUBT_NANOS);
             passedOver.add(dispatcher);
             // It may have granted a place all the same.
             holders.forgotten(call.attempt(), dispatcher);
             forget(call.service(), List.of(dispatcher), call);
-            ask();
+            if (queuedAt.isEmpty()) {
+                ask();
+            } else {
+                askLater();
+            }
         }
 
-        private void take(HostId dispatcher, PlaceAnswer answer) {
-            if (answer instanceof PlaceAnswer.Queued) {
-                // Left in the queue of the dispatcher before, a prompt would be placed by it when that has been told to
-                // forget all that runs, on engines in use.
-                leaveTo(dispatcher, call);
-                askLater();
-            } else {
+        private void take(ServiceShard shard, HostId dispatcher, PlaceAnswer answer) {
+            if (!(answer instanceof PlaceAnswer.Queued)) {
                 finish(dispatcher, answer);
+                return;
+            }
+            // Left in the queue of the dispatcher before, a prompt would be placed by it when that has been told to
+            // forget all that runs, on engines in use.
+            leaveTo(dispatcher, call);
+            queuedAt.add(shard);
+            Target other = queuedAt.size() < SHARDS_ASKED ? nextFirst() : null;
+            if (other != null) {
+                ask(other);
+            } else {
+                askLater();
             }
         }
 
@@ -368,8 +491,7 @@
         /** Asks anew, perhaps another dispatcher by now; the place in the queue of the last one is kept until then. */
         private void askAgain() {
             if (!over) {
-                passedOver.clear();
-                ask();
+                begin();
             }
         }
 
@@ -382,7 +504,7 @@
             leaveTo(dispatcher, call);
             if (answer instanceof PlaceAnswer.Granted granted) {
                 open.put(call.attempt(), new OpenGrant(call, granted, false));
-                tellFirst(dispatcher);
+                tellFirst(dispatcher, granted);
             } else {
                 holders.ended(call.attempt());
             }
@@ -390,14 +512,14 @@
         }
 
         /** The dispatcher that all ask first must count what another one has granted. */
-        private void tellFirst(HostId dispatcher) {
-            Optional<EntryRecord> first = DispatcherChoice.first(call.service(), entries.get());
-            if (first.isEmpty() || first.get().host().equals(dispatcher)) {
+        private void tellFirst(HostId dispatcher, PlaceAnswer.Granted granted) {
+            ServiceShard shard = shardOf(call.service(), granted.server());
+            List<EntryRecord> order = order(shard);
+            if (order.isEmpty() || order.get(0).host().equals(dispatcher)) {
                 return;
             }
-            holders.asked(call.attempt(), first.get().host());
-            List<OpenGrant> granted = List.of(open.get(call.attempt()));
-            tell(first.get(), new Adoption(call.service(), settings.host(), incarnation, false, granted));
+            holders.asked(call.attempt(), order.get(0).host());
+            tell(order.get(0), adoption(shard, false, List.of(open.get(call.attempt()))));
         }
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
@@ -1,5 +1,6 @@
 package org.elmline.daemon.gateway;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -16,26 +17,46 @@
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
 import org.elmline.core.dispatch.RetryLimit;
+import org.elmline.core.dispatch.ServiceShard;
+import org.elmline.core.dispatch.Shard;
 import org.elmline.core.registry.EntryRecord;
 import org.elmline.core.registry.Registration;
 import org.elmline.core.routing.RoutedService;
 import org.elmline.core.routing.RoutingTable;
 import org.elmline.daemon.log.DecisionLog;
 
-/** The dispatchers that this entry runs, one for each service it was asked about. Used on the I/O thread only. */
+/** The dispatchers that this entry runs, one for each shard of a service that it was asked about. Used on the I/O thread only. */
 final class DispatchService {
+    /**
+     * Part of the thread's time that looking through waiting calls may take. In a burst each call and each report would
+     * have all that wait looked through, and this host would answer nobody for a second.
+     */
+    private static final double LOOK_SHARE = 0.2;
+
+    /** A look during which this process was not run seems to have taken long; calls that wait need not pay for it. */
+    private static final long LONGEST_REST_NANOS = Duration.ofMillis(40).toNanos();
+
     private final HostId self;
     private final RetryLimit retries;
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final Decisions decisions;
-    private final Map<ServiceName, Dispatcher> dispatchers = new HashMap<>();
+    private final Map<ServiceShard, Running> dispatchers = new HashMap<>();
     private final Map<ServiceName, RoutedService> services = new HashMap<>();
     private final Map<String, HostId> waiting = new HashMap<>();
     private List<Registration> usable = List.of();
     private List<EntryRecord> entries = List.of();
     private boolean settled;
 
+    private static final class Running {
+        private final Dispatcher dispatcher;
+        private final WorkShare looks = new WorkShare(LOOK_SHARE, LONGEST_REST_NANOS);
+
+        Running(Dispatcher dispatcher) {
+            this.dispatcher = dispatcher;
+        }
+    }
+
     /** Takes decisions on calls that waited. */
     interface Decisions {
         void decided(HostId host, PlaceAnswer answer);
@@ -61,20 +82,23 @@
         entries = List.copyOf(alive);
         services.clear();
         table.services().forEach(each -> services.put(each.name(), each));
-        dispatchers.entrySet().removeIf(each -> !fits(each.getKey(), each.getValue()));
+        dispatchers.entrySet().removeIf(each -> !fits(each.getKey(), each.getValue().dispatcher));
         Map<HostId, Long> starts = new HashMap<>();
         entries.forEach(each -> starts.put(each.host(), each.incarnation()));
-        dispatchers.forEach((name, dispatcher) -> {
-            dispatcher.servers(services.get(name), serversOf(name), now);
-            dispatcher.askedFirst(askedFirst(name), now);
-            dropGone(dispatcher, starts, now);
+        dispatchers.forEach((shard, running) -> {
+            running.dispatcher.servers(services.get(shard.service()), serversOf(shard), now);
+            running.dispatcher.askedFirst(askedFirst(shard), now);
+            dropGone(running.dispatcher, starts, now);
         });
         tick();
     }
 
-    private boolean fits(ServiceName name, Dispatcher dispatcher) {
-        RoutedService service = services.get(name);
-        return service != null && dispatcher.fits(service);
+    /** One of other shards than there are now is kept while calls run on it. */
+    private boolean fits(ServiceShard shard, Dispatcher dispatcher) {
+        RoutedService service = services.get(shard.service());
+        boolean current = Shard.of(serversOf(shard.service()).size()).contains(shard.shard());
+        boolean used = dispatcher.running() + dispatcher.waiting() > 0;
+        return service != null && dispatcher.fits(service) && (current || used);
     }
 
     private void dropGone(Dispatcher dispatcher, Map<HostId, Long> alive, long now) {
@@ -93,9 +117,9 @@
         });
     }
 
-    private boolean askedFirst(ServiceName name) {
+    private boolean askedFirst(ServiceShard shard) {
         return settled
-                && DispatcherChoice.first(name, entries)
+                && DispatcherChoice.first(shard, entries)
                         .map(first -> first.host().equals(self))
                         .orElse(true);
     }
@@ -104,22 +128,29 @@
         return usable.stream().filter(each -> each.service().equals(name)).toList();
     }
 
-    private Optional<Dispatcher> dispatcher(ServiceName name) {
-        RoutedService service = services.get(name);
+    private List<Registration> serversOf(ServiceShard shard) {
+        return serversOf(shard.service()).stream()
+                .filter(each -> shard.shard().holds(each.id()))
+                .toList();
+    }
+
+    private Optional<Running> dispatcher(ServiceShard shard) {
+        RoutedService service = services.get(shard.service());
         if (service == null) {
             return Optional.empty();
         }
-        Dispatcher running = dispatchers.get(name);
+        Running running = dispatchers.get(shard);
         if (running == null) {
             long now = clock.nanos();
-            boolean first = askedFirst(name);
-            List<Registration> servers = serversOf(name);
-            running = new Dispatcher(service, retries, now);
-            running.servers(service, servers, now);
-            running.askedFirst(first, now);
-            dispatchers.put(name, running);
+            boolean first = askedFirst(shard);
+            List<Registration> servers = serversOf(shard);
+            running =
+                    new Running(new Dispatcher(service, retries.of(shard.shard().count()), now));
+            running.dispatcher.servers(service, servers, now);
+            running.dispatcher.askedFirst(first, now);
+            dispatchers.put(shard, running);
             log.line("dispatching")
-                    .with("service", name)
+                    .with("service", shard)
                     .with("first", first)
                     .with("servers", servers.size())
                     .write();
@@ -128,11 +159,12 @@
     }
 
     PlaceAnswer place(PlaceCall call) {
-        Optional<Dispatcher> dispatcher = dispatcher(call.service());
+        Optional<Running> dispatcher = dispatcher(call.key());
         if (dispatcher.isEmpty()) {
             return new PlaceAnswer.Refused(call.attempt(), PlaceAnswer.Why.NO_SERVER, 200);
         }
-        PlaceAnswer answer = dispatcher.get().place(call, clock.nanos());
+        tick(dispatcher.get());
+        PlaceAnswer answer = dispatcher.get().dispatcher.place(call, clock.nanos());
         if (answer instanceof PlaceAnswer.Queued) {
             waiting.put(call.attempt(), call.host());
         }
@@ -140,25 +172,28 @@
     }
 
     void report(ServiceName service, List<AttemptReport> reports) {
-        dispatcher(service).ifPresent(each -> {
-            long now = clock.nanos();
-            for (AttemptReport report : reports) {
-                each.report(report, now);
-                if (report.end() != null) {
-                    waiting.remove(report.attempt());
-                }
+        long now = clock.nanos();
+        dispatchers.forEach((shard, running) -> {
+            if (shard.service().equals(service)) {
+                reports.forEach(each -> running.dispatcher.report(each, now));
+                tick(running);
             }
-            tick(each);
         });
+        for (AttemptReport each : reports) {
+            if (each.end() != null) {
+                waiting.remove(each.attempt());
+            }
+        }
     }
 
     /** Frees the place of an attempt that its entry knows nothing of. */
     void giveBack(AttemptReport report) {
-        dispatchers.values().forEach(each -> each.report(report, clock.nanos()));
+        dispatchers.values().forEach(each -> each.dispatcher.report(report, clock.nanos()));
     }
 
     void adopt(Adoption adoption) {
-        dispatcher(adoption.service()).ifPresent(each -> {
+        dispatcher(adoption.key()).ifPresent(running -> {
+            Dispatcher each = running.dispatcher;
             long now = clock.nanos();
             if (adoption.all()) {
                 each.keepOnly(adoption.host(), adoption.incarnation(), adoption.open(), now);
@@ -172,8 +207,14 @@
         dispatchers.values().forEach(this::tick);
     }
 
-    private void tick(Dispatcher dispatcher) {
-        for (PlaceAnswer each : dispatcher.tick(clock.nanos())) {
+    private void tick(Running running) {
+        long now = clock.nanos();
+        if (!running.looks.allows(now)) {
+            return;
+        }
+        List<PlaceAnswer> decided = running.dispatcher.tick(now);
+        running.looks.took(now, clock.nanos());
+        for (PlaceAnswer each : decided) {
             HostId host = waiting.remove(each.attempt());
             if (host != null) {
                 decisions.decided(host, each);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.common.ServiceName;
 import org.elmline.core.registry.EntryRecord;
 import org.elmline.core.registry.FleetView;
 import org.elmline.core.registry.FollowAnswer;
@@ -56,6 +58,8 @@
     private final Runnable onChange;
     private final FleetView view = new FleetView(CURRENT_NANOS, RELEARN_NANOS, SETTLE_NANOS);
     private final Map<Address, FollowLoop> follows = new HashMap<>();
+    private final Map<ServiceName, List<BackendServerId>> byService = new HashMap<>();
+    private List<Registration> grouped;
     private RoutingTable table;
     private volatile long versionKnown = -1;
     private boolean fetching;
@@ -210,6 +214,21 @@
         return view.entries(clock.nanos());
     }
 
+    /** The servers of a service that may be sent work. */
+    List<BackendServerId> servers(ServiceName service) {
+        List<Registration> all = usable();
+        if (all != grouped) {
+            grouped = all;
+            byService.clear();
+            for (Registration each : all) {
+                byService
+                        .computeIfAbsent(each.service(), name -> new ArrayList<>())
+                        .add(each.id());
+            }
+        }
+        return byService.getOrDefault(service, List.of());
+    }
+
     Registration server(BackendServerId id) {
         return view.server(id);
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
@@ -47,6 +47,9 @@
     private static final long IDLE_TICK_MILLIS = 100;
     private static final long STOP_LOOK_MILLIS = 50;
 
+    /** Time for which news are gathered. */
+    private static final long CHANGE_MILLIS = 15;
+
     private final Closer closer = new Closer();
     private final NodeSettings settings;
     private final CallProtocol protocol;
@@ -66,6 +69,7 @@
     private OpenCalls open;
     private CallHandler calls;
     private CallerLimits limits;
+    private boolean changePending;
 
     private Gateway(
             NodeSettings settings,
@@ -119,11 +123,19 @@
 
     /** On the I/O thread, to which all of it belongs. */
     private void assemble() {
-        fleet = new Fleet(settings, peers, format, process.clock(), log, this::record, this::fleetChanged);
+        fleet = new Fleet(settings, peers, format, process.clock(), log, this::record, this::fleetChangedSoon);
         dispatchers =
                 new DispatchService(settings.host(), settings.retries().limit(), process.clock(), log, this::tell);
         dispatch = new DispatchClient(
-                settings, incarnation, peers.network(), fleet::entries, dispatchers, thread, process.clock(), log);
+                settings,
+                incarnation,
+                peers.network(),
+                fleet::entries,
+                fleet::servers,
+                dispatchers,
+                thread,
+                process.clock(),
+                log);
         open = new OpenCalls(thread);
         BackendConnections connections =
                 new BackendConnections(thread, ports.buffers(), process.clock(), process.metrics());
@@ -186,7 +198,16 @@
                 serving());
     }
 
+    /** News of one event come from each control host; what follows from them is worked out once. */
+    private void fleetChangedSoon() {
+        if (!changePending) {
+            changePending = true;
+            thread.executeAfter(this::fleetChanged, CHANGE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void fleetChanged() {
+        changePending = false;
         fleet.table().ifPresent(table -> {
             if (!table.limits().equals(limits)) {
                 limits = table.limits();
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import org.elmline.core.common.Address;
@@ -30,13 +29,14 @@
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
 import org.elmline.core.dispatch.RetryLimit;
+import org.elmline.core.dispatch.ServiceShard;
+import org.elmline.core.dispatch.Shard;
 import org.elmline.core.peer.Channel;
 import org.elmline.core.peer.PeerNetwork;
 import org.elmline.core.registry.EntryRecord;
 import org.elmline.daemon.log.DecisionLog;
 import org.elmline.daemon.node.NodeSettings;
 import org.junit.jupiter.api.Test;
-import org.xnio.XnioExecutor;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -44,18 +44,18 @@
 /** Which dispatchers an entry asks, and which it tells to forget; without a network. */
 class DispatchClientTest {
     private static final ServiceName DESK = ServiceName.of("desk");
+    private static final ServiceShard WHOLE = new ServiceShard(DESK, Shard.WHOLE);
     private static final String SELF = "10.0.0.1";
 
-    private final List<Later> later = new ArrayList<>();
+    private final ManualThread thread = new ManualThread();
     private final List<Sent> sent = new ArrayList<>();
     private final ManualClock clock = new ManualClock();
     private final DecisionLog log = new DecisionLog("h", "entry", clock, OutputStream.nullOutputStream());
     private final Set<String> silent = new HashSet<>();
     private Function<PlaceCall, PlaceAnswer> places = call -> new PlaceAnswer.Queued(call.attempt(), 0);
+    private List<BackendServerId> servers = List.of();
     private Collection<EntryRecord> entries = List.of(entry("10.0.0.2"), entry("10.0.0.3"));
 
-    private record Later(long millis, Runnable task) {}
-
     private record Sent(String host, Object request) {}
 
     private static EntryRecord entry(String ip) {
@@ -94,36 +94,11 @@
         }
     }
 
-    /** Keeps what is to be run later until the test runs it. */
-    private final class ManualThread implements XnioExecutor {
-        @Override
-        public void execute(Runnable command) {
-            command.run();
-        }
-
-        @Override
-        public Key executeAfter(Runnable command, long time, TimeUnit unit) {
-            later.add(new Later(unit.toMillis(time), command));
-            return () -> false;
-        }
-
-        @Override
-        public Key executeAtInterval(Runnable command, long time, TimeUnit unit) {
-            throw new UnsupportedOperationException("nothing is repeated here");
-        }
-    }
-
     private DispatchClient client() {
         DispatchService own =
                 new DispatchService(HostId.of(SELF), new RetryLimit(0.2, 10, 10), clock, log, (host, answer) -> {});
         return new DispatchClient(
-                settings(), 1, new ScriptedNetwork(), () -> entries, own, new ManualThread(), clock, log);
-    }
-
-    private void runLater() {
-        List<Later> due = List.copyOf(later);
-        later.clear();
-        due.forEach(each -> each.task().run());
+                settings(), 1, new ScriptedNetwork(), () -> entries, service -> servers, own, thread, clock, log);
     }
 
     private static PlaceCall call() {
@@ -137,6 +112,7 @@
                 1,
                 FailureDomain.of("a"),
                 DESK,
+                Shard.WHOLE,
                 1,
                 256_000,
                 800,
@@ -156,14 +132,14 @@
      */
     @Test
     void aCallWaitsAtOneDispatcherOnly() {
-        List<EntryRecord> order = DispatcherChoice.order(DESK, entries);
+        List<EntryRecord> order = DispatcherChoice.order(WHOLE, entries);
         String old = order.get(0).host().value();
         DispatchClient client = client();
         client.place(call(), answer -> {});
         assertEquals(old, sent.get(0).host());
         entries = List.of(order.get(1));
-        runLater();
-        runLater();
+        thread.runLater();
+        thread.runLater();
         assertTrue(
                 sent.stream()
                         .anyMatch(each ->
@@ -179,7 +155,7 @@
      */
     @Test
     void whatWaitsIsAskedForAtANewDispatcherAtOnce() {
-        List<EntryRecord> order = DispatcherChoice.order(DESK, entries);
+        List<EntryRecord> order = DispatcherChoice.order(WHOLE, entries);
         DispatchClient client = client();
         client.place(call(), answer -> {});
         entries = List.of(order.get(1));
@@ -198,7 +174,7 @@
      */
     @Test
     void aSecondDispatcherIsToldWhatRunsBeforeItIsAsked() {
-        List<EntryRecord> order = DispatcherChoice.order(DESK, entries);
+        List<EntryRecord> order = DispatcherChoice.order(WHOLE, entries);
         String first = order.get(0).host().value();
         String second = order.get(1).host().value();
         DispatchClient client = client();
@@ -214,7 +190,7 @@
         assertEquals(List.of(running), told.open().stream().map(OpenGrant::call).toList());
         assertEquals(call("next").attempt(), ((PlaceCall) toSecond.get(1)).attempt());
         client.end(running, AttemptEnd.DONE);
-        runLater();
+        thread.runLater();
         Reports ended = new Reports(DESK, List.of(new AttemptReport("running", AttemptEnd.DONE)));
         assertTrue(requestsTo(second).contains(ended), sent.toString());
     }
@@ -225,4 +201,87 @@
                 .map(Sent::request)
                 .toList();
     }
+
+    private void manyServers() {
+        servers = new ArrayList<>();
+        for (int i = 0; i < 172; i++) {
+            servers.add(BackendServerId.of("s" + i));
+        }
+        entries = new ArrayList<>();
+        for (int i = 2; i < 40; i++) {
+            entries.add(entry("10.0.0." + i));
+        }
+    }
+
+    private List<String> askedFor(String attempt) {
+        return sent.stream()
+                .filter(each -> each.request() instanceof PlaceCall call
+                        && call.attempt().equals(attempt))
+                .map(Sent::host)
+                .toList();
+    }
+
+    private String firstOf(Shard shard) {
+        return DispatcherChoice.first(new ServiceShard(DESK, shard), entries)
+                .orElseThrow()
+                .host()
+                .value();
+    }
+
+    /** Guards against forty entries that place blindly as one is held up: another shard's dispatcher knows what runs there. */
+    @Test
+    void whereADispatcherIsSilentAnotherShardIsAsked() {
+        manyServers();
+        Set<String> firsts = new HashSet<>();
+        Shard.of(172).forEach(each -> firsts.add(firstOf(each)));
+        places = call -> new PlaceAnswer.Granted(
+                call.attempt(), BackendServerId.of("s1"), new Address("10.0.1.1", 80), List.of(), 90, 900, 0, 0);
+        DispatchClient client = client();
+        for (int i = 0; i < 40; i++) {
+            silent.clear();
+            silent.add(List.copyOf(firsts).get(i % firsts.size()));
+            clock.advance(Duration.ofSeconds(2));
+            String attempt = "a" + i;
+            List<PlaceAnswer> answers = new ArrayList<>();
+            client.place(call(attempt), answers::add);
+            assertEquals(1, answers.size());
+            assertTrue(firsts.containsAll(askedFor(attempt)), askedFor(attempt) + " of " + firsts);
+            client.end(call(attempt), AttemptEnd.DONE);
+        }
+    }
+
+    /** Guards against a prompt that waits in one shard while engines are free in another. */
+    @Test
+    void aCallThatMustWaitIsAskedForAtASecondShardAndWaitsThereOnly() {
+        manyServers();
+        DispatchClient client = client();
+        client.place(call("a1"), answer -> {});
+        List<String> asked = askedFor("a1");
+        assertEquals(2, asked.size());
+        thread.runLater();
+        Reports forget = new Reports(DESK, List.of(new AttemptReport("a1", AttemptEnd.CANCELLED)));
+        assertTrue(sent.contains(new Sent(asked.get(0), forget)), sent.toString());
+    }
+
+    /** Guards against engines that seem free as the shards were counted anew: each new dispatcher is told what runs on its. */
+    @Test
+    void newShardsAreToldWhatRunsOnTheirServers() {
+        manyServers();
+        List<BackendServerId> many = servers;
+        servers = many.subList(0, 60);
+        places = call -> new PlaceAnswer.Granted(
+                call.attempt(), BackendServerId.of("s1"), new Address("10.0.1.1", 80), List.of(), 90, 900, 0, 0);
+        DispatchClient client = client();
+        client.place(call("running"), answer -> {});
+        servers = many;
+        client.fleetChanged();
+        List<Sent> told = sent.stream()
+                .filter(each -> each.request() instanceof Adoption adoption
+                        && !adoption.open().isEmpty())
+                .toList();
+        assertEquals(1, told.size());
+        Shard shard = ((Adoption) told.get(0).request()).shard();
+        assertTrue(shard.count() == 4 && shard.holds(BackendServerId.of("s1")));
+        assertEquals(firstOf(shard), told.get(0).host());
+    }
 }
--- /dev/null
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/ManualThread.java
@@ -0,0 +1,35 @@
+package org.elmline.daemon.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.xnio.XnioExecutor;
+
+/** Runs what is to be run at once, and keeps what is to be run later until the test runs it. */
+final class ManualThread implements XnioExecutor {
+    private final List<Runnable> later = new ArrayList<>();
+
+    /** Runs all that was left for later up to now. */
+    void runLater() {
+        List<Runnable> due = List.copyOf(later);
+        later.clear();
+        due.forEach(Runnable::run);
+    }
+
+    @Override
+    public void execute(Runnable command) {
+        command.run();
+    }
+
+    @Override
+    public Key executeAfter(Runnable command, long time, TimeUnit unit) {
+        later.add(command);
+        return () -> later.remove(command);
+    }
+
+    @Override
+    public Key executeAtInterval(Runnable command, long time, TimeUnit unit) {
+        throw new UnsupportedOperationException("nothing is repeated here");
+    }
+}
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
@@ -32,6 +32,7 @@
 import org.elmline.core.dispatch.OpenGrant;
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
+import org.elmline.core.dispatch.Shard;
 import org.elmline.core.raft.Entry;
 import org.elmline.core.raft.EntryKind;
 import org.elmline.core.raft.Membership;
@@ -159,7 +160,8 @@
                 random.nextLong(1 << random.nextInt(1, 30)));
         RoutingText text = new RoutingText(true, random.nextLong(), text(random));
         return List.of(
-                new FollowRequest(HOST, random.nextBoolean() ? entry : null, 1, 2, 3, random.nextLong(), random.nextBoolean()),
+                new FollowRequest(
+                        HOST, random.nextBoolean() ? entry : null, 1, 2, 3, random.nextLong(), random.nextBoolean()),
                 new FollowAnswer(
                         random.nextLong(),
                         random.nextLong(),
@@ -185,6 +187,7 @@
                 random.nextLong(),
                 DOMAIN,
                 SERVICE,
+                new Shard(random.nextInt(4), 4),
                 random.nextInt(10),
                 random.nextLong(),
                 5,
@@ -210,7 +213,13 @@
                 new PlaceAnswer.Queued("a", random.nextInt()),
                 new PlaceAnswer.Refused("a", PlaceAnswer.Why.TOO_LATE, random.nextLong()),
                 new Reports(SERVICE, List.of(new AttemptReport("a", null), new AttemptReport("b", AttemptEnd.DONE))),
-                new Adoption(SERVICE, HOST, 4, random.nextBoolean(), List.of(new OpenGrant(call, granted, true))),
+                new Adoption(
+                        SERVICE,
+                        new Shard(1, 2),
+                        HOST,
+                        4,
+                        random.nextBoolean(),
+                        List.of(new OpenGrant(call, granted, true))),
                 new Decided(HOST, granted),
                 new Taken(random.nextBoolean()));
     }
