Part the client of dispatchers: who dispatches what, and reports

Which entries dispatch which shards and which of them is doubted stands in DispatcherDirectory, what is told to dispatchers in ReportQueue; behaviour stays as it was. Its tests, those of Dispatcher, SilenceTimer and WorkShare pass.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -2,20 +2,15 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.function.Supplier;
 
-import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
@@ -24,16 +19,12 @@
 import org.elmline.core.dispatch.AttemptReport;
 import org.elmline.core.dispatch.DispatchChannels;
 import org.elmline.core.dispatch.DispatchChannels.Adoption;
-import org.elmline.core.dispatch.DispatchChannels.Reports;
 import org.elmline.core.dispatch.DispatchChannels.Taken;
-import org.elmline.core.dispatch.DispatcherChoice;
 import org.elmline.core.dispatch.GrantHolders;
 import org.elmline.core.dispatch.OpenGrant;
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
 import org.elmline.core.dispatch.ServiceShard;
-import org.elmline.core.dispatch.Shard;
-import org.elmline.core.dispatch.ShardChoice;
 import org.elmline.core.peer.HandlerRegistry;
 import org.elmline.core.peer.PeerNetwork;
 import org.elmline.core.registry.EntryRecord;
@@ -59,15 +50,9 @@
      */
     private static final int ANSWER_PART_OF_AIM = 5;
 
-    /** Time for reports, which nobody waits for. */
-    static final Duration REPORT = Duration.ofMillis(800);
-
     /** Pause after which a call that waits asks again: finds a dispatcher that died with its queue. */
     private static final long ASK_AGAIN_MILLIS = 250;
 
-    /** Time for which a dispatcher that did not answer isn't asked first. */
-    private static final long DOUBT_NANOS = Duration.ofMillis(700).toNanos();
-
     /** Entries asked before this one decides by itself. */
     private static final int MAX_ASKED = 2;
 
@@ -80,14 +65,10 @@
      */
     private static final long STALLED_NANOS = Duration.ofMillis(100).toNanos();
 
-    /** Reports of one service wait this long for others, so that they go in one message. */
-    private static final long GATHER_MILLIS = 2;
-
     private final NodeSettings settings;
     private final long incarnation;
     private final PeerNetwork network;
-    private final Supplier<Collection<EntryRecord>> entries;
-    private final Function<ServiceName, List<BackendServerId>> servers;
+    private final DispatcherDirectory directory;
     private final DispatchService own;
     private final XnioExecutor thread;
     private final MonotonicClock clock;
@@ -95,20 +76,15 @@
     private final Map<String, Asking> asking = new HashMap<>();
     private final Map<String, OpenGrant> open = new HashMap<>();
     private final GrantHolders holders = new GrantHolders();
-    private final Map<HostId, Long> doubted = new HashMap<>();
     private final Map<ServiceShard, EntryRecord> dispatchers = new HashMap<>();
-    private final Map<HostId, Map<ServiceName, List<AttemptReport>>> reports = new HashMap<>();
+    private final ReportQueue reports;
     private final Map<ServiceShard, Set<HostId>> informed = new HashMap<>();
-    private final Map<ServiceShard, List<EntryRecord>> orders = new HashMap<>();
-    private final SplittableRandom random = new SplittableRandom();
-    private Collection<EntryRecord> orderedEntries = List.of();
 
     DispatchClient(
             NodeSettings settings,
             long incarnation,
             PeerNetwork network,
-            Supplier<Collection<EntryRecord>> entries,
-            Function<ServiceName, List<BackendServerId>> servers,
+            DispatcherDirectory directory,
             DispatchService own,
             XnioExecutor thread,
             MonotonicClock clock,
@@ -116,12 +92,12 @@
         this.settings = settings;
         this.incarnation = incarnation;
         this.network = network;
-        this.entries = entries;
-        this.servers = servers;
+        this.directory = directory;
         this.own = own;
         this.thread = thread;
         this.clock = clock;
         this.log = log;
+        this.reports = new ReportQueue(settings, network, own, thread);
     }
 
     void register(HandlerRegistry handlers) {
@@ -171,7 +147,7 @@
         if (grant != null && !grant.writing() && call.promptTokens() > 0) {
             open.put(call.attempt(), new OpenGrant(grant.call(), grant.granted(), true));
             AttemptReport begun = new AttemptReport(call.attempt(), null);
-            holders.of(call.attempt()).forEach(each -> report(call.service(), each, begun));
+            holders.of(call.attempt()).forEach(each -> reports.add(call.service(), each, begun));
         }
     }
 
@@ -179,26 +155,7 @@
     void end(PlaceCall call, AttemptEnd end) {
         open.remove(call.attempt());
         AttemptReport ended = new AttemptReport(call.attempt(), end);
-        holders.ended(call.attempt()).forEach(each -> report(call.service(), each, ended));
-    }
-
-    private void report(ServiceName service, HostId to, AttemptReport report) {
-        if (to.equals(settings.host())) {
-            own.report(service, List.of(report));
-            return;
-        }
-        if (reports.isEmpty()) {
-            thread.executeAfter(this::sendReports, GATHER_MILLIS, TimeUnit.MILLISECONDS);
-        }
-        reports.computeIfAbsent(to, host -> new HashMap<>())
-                .computeIfAbsent(service, name -> new ArrayList<>())
-                .add(report);
-    }
-
-    private void sendReports() {
-        reports.forEach((host, byService) -> byService.forEach((service, list) ->
-                network.call(settings.peersOf(host), DispatchChannels.REPORT, new Reports(service, list), REPORT)));
-        reports.clear();
+        holders.ended(call.attempt()).forEach(each -> reports.add(call.service(), each, ended));
     }
 
     /** Tells the dispatcher of each shard, where it is another one than before, what runs here. */
@@ -209,11 +166,11 @@
     }
 
     private void fleetChanged(ServiceName service) {
-        List<ServiceShard> shards = shardsOf(service);
+        List<ServiceShard> shards = directory.shards(service);
         dispatchers.keySet().removeIf(each -> each.service().equals(service) && !shards.contains(each));
         boolean changed = false;
         for (ServiceShard each : shards) {
-            List<EntryRecord> order = order(each);
+            List<EntryRecord> order = directory.order(each);
             if (order.isEmpty()) {
                 continue;
             }
@@ -228,29 +185,6 @@
         }
     }
 
-    private List<ServiceShard> shardsOf(ServiceName service) {
-        return Shard.of(servers.apply(service).size()).stream()
-                .map(each -> new ServiceShard(service, each))
-                .toList();
-    }
-
-    private ServiceShard shardOf(ServiceName service, BackendServerId server) {
-        return shardsOf(service).stream()
-                .filter(each -> each.shard().holds(server))
-                .findFirst()
-                .orElseThrow();
-    }
-
-    /** The entries that may dispatch a shard, the one to ask first in front. */
-    private List<EntryRecord> order(ServiceShard shard) {
-        Collection<EntryRecord> alive = entries.get();
-        if (alive != orderedEntries) {
-            orders.clear();
-            orderedEntries = alive;
-        }
-        return orders.computeIfAbsent(shard, each -> DispatcherChoice.order(each, alive));
-    }
-
     /** What waits at the dispatcher before would be placed by it blindly, or not before its next turn to ask. */
     private void askAgainFor(ServiceName service) {
         for (Asking each : List.copyOf(asking.values())) {
@@ -292,13 +226,8 @@
             return;
         }
         // What it was told to forget before must not end what it is told of now.
-        sendReports();
-        network.call(dispatcher.peers(), DispatchChannels.ADOPT, adoption, REPORT);
-    }
-
-    private boolean isDoubted(HostId dispatcher) {
-        Long until = doubted.get(dispatcher);
-        return until != null && clock.nanos() - until < 0;
+        reports.send();
+        network.call(dispatcher.peers(), DispatchChannels.ADOPT, adoption, ReportQueue.TIMEOUT);
     }
 
     /**
@@ -322,7 +251,7 @@
     /** Tells dispatchers that an attempt is none of theirs any more; it runs or waits on. */
     private void forget(ServiceName service, List<HostId> dispatchers, PlaceCall call) {
         AttemptReport gone = new AttemptReport(call.attempt(), AttemptEnd.CANCELLED);
-        dispatchers.forEach(each -> report(service, each, gone));
+        dispatchers.forEach(each -> reports.add(service, each, gone));
     }
 
     /** A dispatcher to ask: a shard, and the entry that decides for it. */
@@ -345,11 +274,9 @@
 
         /** Begins to ask: the shards in another order each time, so that a call that waits tries one after the other. */
         void begin() {
-            shards = ShardChoice.order(servers.apply(call.service()), random).stream()
-                    .map(each -> new ServiceShard(call.service(), each))
-                    .toList();
+            shards = directory.shardsToAsk(call.service());
             for (ServiceShard each : shards) {
-                order(each).stream().findFirst().ifPresent(first -> dispatchers.putIfAbsent(each, first));
+                directory.order(each).stream().findFirst().ifPresent(first -> dispatchers.putIfAbsent(each, first));
             }
             passedOver.clear();
             queuedAt.clear();
@@ -372,7 +299,7 @@
 
         private void ask(Target to) {
             HostId dispatcher = to.entry().host();
-            if (!dispatcher.equals(order(to.shard()).get(0).host())) {
+            if (!dispatcher.equals(directory.order(to.shard()).get(0).host())) {
                 inform(to.shard(), to.entry());
             }
             holders.asked(call.attempt(), dispatcher);
@@ -392,7 +319,7 @@
             }
             HostId dispatcher = to.entry().host();
             if (result instanceof CallResult.Answered<PlaceAnswer> answered) {
-                doubted.remove(dispatcher);
+                directory.trust(dispatcher);
                 take(to.shard(), dispatcher, answered.value());
             } else if (clock.nanos() - askedAt > patience().toNanos() + STALLED_NANOS) {
                 log.line("stalled while asking").with("attempt", call.attempt()).write();
@@ -419,7 +346,7 @@
             if (first != null) {
                 return first;
             }
-            for (EntryRecord each : order(shards.get(0))) {
+            for (EntryRecord each : directory.order(shards.get(0))) {
                 if (mayAsk(each)) {
                     return new Target(shards.get(0), each);
                 }
@@ -430,7 +357,7 @@
         /** The first dispatcher of a shard at which the call does not wait yet; null where none may be asked. */
         private Target nextFirst() {
             for (ServiceShard each : shards) {
-                List<EntryRecord> order = order(each);
+                List<EntryRecord> order = directory.order(each);
                 if (!queuedAt.contains(each) && !order.isEmpty() && mayAsk(order.get(0))) {
                     return new Target(each, order.get(0));
                 }
@@ -439,7 +366,7 @@
         }
 
         private boolean mayAsk(EntryRecord dispatcher) {
-            return !isDoubted(dispatcher.host()) && !passedOver.contains(dispatcher.host());
+            return !directory.isDoubted(dispatcher.host()) && !passedOver.contains(dispatcher.host());
         }
 
         private void passOver(HostId dispatcher) {
@@ -448,11 +375,11 @@
                     .with("service", call.service())
                     .with("dispatcher", dispatcher)
                     .write();
-            if (!isDoubted(dispatcher)) {
+            if (!directory.isDoubted(dispatcher)) {
                 // What was told of this entry's calls before is old by now.
                 shards.forEach(informed::remove);
             }
-            doubted.put(dispatcher, clock.nanos() + DOUBT_NANOS);
+            directory.doubt(dispatcher);
             passedOver.add(dispatcher);
             // It may have granted a place all the same.
             holders.forgotten(call.attempt(), dispatcher);
@@ -513,8 +440,8 @@
 
         /** The dispatcher that all ask first must count what another one has granted. */
         private void tellFirst(HostId dispatcher, PlaceAnswer.Granted granted) {
-            ServiceShard shard = shardOf(call.service(), granted.server());
-            List<EntryRecord> order = order(shard);
+            ServiceShard shard = directory.shardOf(call.service(), granted.server());
+            List<EntryRecord> order = directory.order(shard);
             if (order.isEmpty() || order.get(0).host().equals(dispatcher)) {
                 return;
             }
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatcherDirectory.java
@@ -0,0 +1,92 @@
+package org.elmline.daemon.gateway;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.dispatch.DispatcherChoice;
+import org.elmline.core.dispatch.ServiceShard;
+import org.elmline.core.dispatch.Shard;
+import org.elmline.core.dispatch.ShardChoice;
+import org.elmline.core.registry.EntryRecord;
+
+/** Which entries dispatch which shards, and which of them is doubted for a while. Used on the I/O thread only. */
+final class DispatcherDirectory {
+    /** Time for which a dispatcher that did not answer isn't asked. */
+    private static final long DOUBT_NANOS = Duration.ofMillis(700).toNanos();
+
+    private final Supplier<Collection<EntryRecord>> entries;
+    private final Function<ServiceName, List<BackendServerId>> servers;
+    private final MonotonicClock clock;
+    private final SplittableRandom random = new SplittableRandom();
+    private final Map<HostId, Long> doubted = new HashMap<>();
+    private final Map<ServiceShard, List<EntryRecord>> orders = new HashMap<>();
+    private Collection<EntryRecord> orderedEntries = List.of();
+
+    /**
+     * @param entries all entries that live
+     * @param servers the servers of a service that may be used
+     */
+    DispatcherDirectory(
+            Supplier<Collection<EntryRecord>> entries,
+            Function<ServiceName, List<BackendServerId>> servers,
+            MonotonicClock clock) {
+        this.entries = entries;
+        this.servers = servers;
+        this.clock = clock;
+    }
+
+    List<ServiceShard> shards(ServiceName service) {
+        return of(service, Shard.of(servers.apply(service).size()));
+    }
+
+    /** The shards of a service in the order in which one call asks them. */
+    List<ServiceShard> shardsToAsk(ServiceName service) {
+        return of(service, ShardChoice.order(servers.apply(service), random));
+    }
+
+    private static List<ServiceShard> of(ServiceName service, List<Shard> shards) {
+        return shards.stream().map(each -> new ServiceShard(service, each)).toList();
+    }
+
+    ServiceShard shardOf(ServiceName service, BackendServerId server) {
+        return shards(service).stream()
+                .filter(each -> each.shard().holds(server))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** The entries that may dispatch a shard, the one to ask first in front. */
+    List<EntryRecord> order(ServiceShard shard) {
+        Collection<EntryRecord> alive = entries.get();
+        if (alive != orderedEntries) {
+            orders.clear();
+            orderedEntries = alive;
+        }
+        return orders.computeIfAbsent(shard, each -> DispatcherChoice.order(each, alive));
+    }
+
+    /** Notes that a dispatcher has not answered. */
+    void doubt(HostId dispatcher) {
+        doubted.put(dispatcher, clock.nanos() + DOUBT_NANOS);
+    }
+
+    /** Notes that a dispatcher has answered. */
+    void trust(HostId dispatcher) {
+        doubted.remove(dispatcher);
+    }
+
+    boolean isDoubted(HostId dispatcher) {
+        Long until = doubted.get(dispatcher);
+        return until != null && clock.nanos() - until < 0;
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
@@ -130,8 +130,7 @@
                 settings,
                 incarnation,
                 peers.network(),
-                fleet::entries,
-                fleet::servers,
+                new DispatcherDirectory(fleet::entries, fleet::servers, process.clock()),
                 dispatchers,
                 thread,
                 process.clock(),
@@ -236,7 +235,7 @@
                         settings.peersOf(host),
                         DispatchChannels.DECIDED,
                         new Decided(settings.host(), answer),
-                        DispatchClient.REPORT)
+                        ReportQueue.TIMEOUT)
                 .thenAccept(result -> {
                     if (result instanceof CallResult.Answered<Taken> taken) {
                         giveBack(answer, taken.value());
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
@@ -97,8 +97,8 @@
     private DispatchClient client() {
         DispatchService own =
                 new DispatchService(HostId.of(SELF), new RetryLimit(0.2, 10, 10), clock, log, (host, answer) -> {});
-        return new DispatchClient(
-                settings(), 1, new ScriptedNetwork(), () -> entries, service -> servers, own, thread, clock, log);
+        DispatcherDirectory directory = new DispatcherDirectory(() -> entries, service -> servers, clock);
+        return new DispatchClient(settings(), 1, new ScriptedNetwork(), directory, own, thread, clock, log);
     }
 
     private static PlaceCall call() {
