Keep connections over short waits, and read a frame with one read

Cause 1: a call that timed out with nothing received since closed its connection, however short its timeout. Entries give a dispatcher 120 ms; one that is held up for a moment lost the connections of all that asked it, and was busy with 67 handshakes (HMAC, a new entry each) when it came back. Now a connection is closed once it has been silent for 400 ms after a call, still before a dispatcher that did not answer is asked again (700 ms), so that a connection that is dead without a reset is found as soon as it matters.

Cause 2: each frame took two reads, one for its length and one for its body; each is a system call, an arming of the selector and often a change of threads. Now what has come is read into a buffer, and every whole frame in it handed on; none once the connection is closed.

--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/FrameChannel.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/FrameChannel.java
@@ -17,11 +17,15 @@
 final class FrameChannel {
     private static final int HEADER_BYTES = Integer.BYTES;
 
+    /** Room for a few messages of the usual size; one that is larger gets its own for as long as it comes. */
+    private static final int READ_BYTES = 4_096;
+
     private final AsynchronousSocketChannel socket;
     private final PeerLimits limits;
     private final Consumer<byte[]> onFrame;
     private final Consumer<String> onClose;
     private final Deque<ByteBuffer> queue = new ArrayDeque<>();
+    private ByteBuffer received = ByteBuffer.allocate(READ_BYTES);
     private int queuedBytes;
     private boolean writing;
     private boolean closed;
@@ -35,7 +39,7 @@
     }
 
     void start() {
-        readHeader();
+        read();
     }
 
     /** Queues a frame; false when it is too long, the queue is full or the connection has ended. */
@@ -102,45 +106,61 @@
         }
     }
 
-    private void readHeader() {
-        readFully(ByteBuffer.allocate(HEADER_BYTES), header -> {
-            int length = header.getInt(0);
-            if (length < 0 || length > limits.maxFrameBytes()) {
-                close("frame of " + length + " bytes is over the limit of " + limits.maxFrameBytes());
-                return;
-            }
-            readBody(length);
-        });
-    }
-
-    private void readBody(int length) {
-        if (length == 0) {
-            close("empty frame");
-            return;
-        }
-        readFully(ByteBuffer.allocate(length), body -> {
-            onFrame.accept(body.array());
-            readHeader();
-        });
-    }
-
-    private void readFully(ByteBuffer into, Consumer<ByteBuffer> then) {
-        socket.read(into, into, new Completion() {
+    /** Reads what there is, and hands on each frame that is whole; most are, so that a frame costs one read. */
+    private void read() {
+        socket.read(received, received, new Completion() {
             @Override
             void done(int count, ByteBuffer buffer) {
                 if (count < 0) {
                     close("closed by the other side");
                     return;
                 }
-                if (buffer.hasRemaining()) {
-                    readFully(buffer, then);
-                    return;
+                buffer.flip();
+                handOn();
+                if (makeRoom()) {
+                    read();
                 }
-                then.accept(buffer);
             }
         });
     }
 
+    private void handOn() {
+        while (!closed() && received.remaining() >= HEADER_BYTES) {
+            int length = received.getInt(received.position());
+            if (!fits(length) || received.remaining() - HEADER_BYTES < length) {
+                return;
+            }
+            byte[] frame = new byte[length];
+            received.position(received.position() + HEADER_BYTES);
+            received.get(frame);
+            onFrame.accept(frame);
+        }
+    }
+
+    private synchronized boolean closed() {
+        return closed;
+    }
+
+    private boolean fits(int length) {
+        return length > 0 && length <= limits.maxFrameBytes();
+    }
+
+    /** Makes room for the rest of the frame that has begun. False when it is none, and the connection closed. */
+    private boolean makeRoom() {
+        int length = received.remaining() >= HEADER_BYTES ? received.getInt(received.position()) : 1;
+        if (!fits(length)) {
+            close("frame of " + length + " bytes; 1 to " + limits.maxFrameBytes() + " are allowed");
+            return false;
+        }
+        int wanted = Math.max(READ_BYTES, HEADER_BYTES + length);
+        if (wanted > received.capacity() || received.capacity() > READ_BYTES && wanted == READ_BYTES) {
+            received = ByteBuffer.allocate(wanted).put(received);
+        } else {
+            received.compact();
+        }
+        return true;
+    }
+
     /** Ends the connection on any failure, so that the two directions share one way out. */
     private abstract class Completion implements CompletionHandler<Integer, ByteBuffer> {
         abstract void done(int count, ByteBuffer buffer);
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
@@ -34,6 +34,12 @@
      * only after seconds; a new attempt reaches a host that has come back at once. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
+    /**
+     * Time without a byte after which a connection with an unanswered call is taken for dead. A host that is held up for a
+     * moment would else lose the connections of all that ask it, and be busy with their handshakes next.
+     */
+    private static final Duration DEAD_AFTER = Duration.ofMillis(400);
+
     private final PeerKey key;
     private final PeerLimits limits;
     private final AsynchronousChannelGroup group;
@@ -152,17 +158,17 @@
 
         void expire() {
             boolean wasSent;
-            Connection silent = null;
+            Connection suspected = null;
+            long since;
             synchronized (this) {
                 wasSent = sent;
-                if (sent && !over && usedConnection.receivedAtNanos() - sentAtNanos < 0) {
-                    silent = usedConnection;
+                since = sentAtNanos;
+                if (sent && !over) {
+                    suspected = usedConnection;
                 }
             }
-            if (silent != null) {
-                // Nothing came on it for the whole time of a call: it may be dead without a reset, and every later call
-                // would be lost on it too. A new one costs a round trip.
-                silent.close("silent for the time of a call");
+            if (suspected != null) {
+                closeIfDead(suspected, since);
             }
             complete(
                     wasSent ? new CallResult.Unknown<>("timed out") : new CallResult.NotSent<>("timed out connecting"));
@@ -201,6 +207,26 @@
         }
     }
 
+    /**
+     * Closes a connection on which nothing has come since a call was sent on it: it may be dead without a reset, and every
+     * later call would be lost on it too. A new one costs a round trip.
+     */
+    private void closeIfDead(Connection connection, long sinceNanos) {
+        if (connection.closed() || connection.receivedAtNanos() - sinceNanos >= 0) {
+            return;
+        }
+        long left = DEAD_AFTER.toNanos() - (System.nanoTime() - sinceNanos);
+        if (left <= 0) {
+            connection.close("silent for the time of a call");
+            return;
+        }
+        try {
+            timer.schedule(() -> closeIfDead(connection, sinceNanos), left, TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException e) {
+            connection.close("stopping");
+        }
+    }
+
     /** The connection to one address, opened when it is needed and there is none. */
     private final class Link {
         private final Address address;
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -41,6 +41,7 @@
 
     private static final Channel<Ask, Reply> ECHO = new Channel<>("test.echo", Ask.class, Reply.class);
     private static final Channel<Ask, Reply> SILENT = new Channel<>("test.silent", Ask.class, Reply.class);
+    private static final Channel<Ask, Reply> LATE = new Channel<>("test.late", Ask.class, Reply.class);
     private static final Channel<Ask, Reply> THROWS = new Channel<>("test.throws", Ask.class, Reply.class);
     private static final Channel<Ask, Reply> ABSENT = new Channel<>("test.absent", Ask.class, Reply.class);
 
@@ -62,6 +63,11 @@
         PeerHandlers handlers = new PeerHandlers(workers);
         handlers.register(ECHO, ask -> CompletableFuture.completedFuture(new Reply(ask.text())));
         handlers.register(SILENT, ask -> new CompletableFuture<>());
+        handlers.register(LATE, ask -> {
+            CompletableFuture<Reply> late = new CompletableFuture<>();
+            timer.schedule(() -> late.complete(new Reply(ask.text())), 150, TimeUnit.MILLISECONDS);
+            return late;
+        });
         handlers.register(THROWS, ask -> {
             throw new IllegalStateException("broken on purpose");
         });
@@ -137,6 +143,27 @@
         assertInstanceOf(CallResult.Unknown.class, await(pending));
     }
 
+    /** Guards against a host that is held up for a moment losing the connections of all that ask it. */
+    @Test
+    void aCallThatTimesOutSoonDoesNotCostTheConnection() throws Exception {
+        TcpPeerNetwork network = network(SECRET, PeerLimits.DEFAULT);
+        await(network.call(address, ECHO, new Ask("connect first"), LONG));
+        CompletableFuture<CallResult<Reply>> late = network.call(address, LATE, new Ask("x"), LONG);
+        await(network.call(address, SILENT, new Ask("x"), Duration.ofMillis(50)));
+        assertInstanceOf(CallResult.Answered.class, await(late));
+    }
+
+    /** Guards against calls that are lost one after the other on a connection that is dead without a reset. */
+    @Test
+    void aConnectionOnWhichNothingComesIsClosed() throws Exception {
+        TcpPeerNetwork network = network(SECRET, PeerLimits.DEFAULT);
+        await(network.call(address, ECHO, new Ask("connect first"), LONG));
+        CompletableFuture<CallResult<Reply>> lost = network.call(address, SILENT, new Ask("x"), LONG);
+        await(network.call(address, SILENT, new Ask("x"), Duration.ofMillis(50)));
+        assertInstanceOf(CallResult.Unknown.class, await(lost), "its connection was closed");
+        assertInstanceOf(CallResult.Answered.class, await(network.call(address, ECHO, new Ask("y"), LONG)));
+    }
+
     @Test
     void refusesAFrameOverTheLimitUnsent() throws Exception {
         PeerLimits small = new PeerLimits(1024, 4096, 10, 10);
