Hand the routing document to entries packed

Cause: at each change every entry fetches the whole document; 250 routes are some 75 KB, 1,400 routes some 350 KB, 91 times, four fifths of it between failure domains, on entries' links of 14 Mbit/s. After a loss of all power each entry got it from three control hosts at once.

Change: PackedRouting, deflated once a version by each control host and inflated within a stated bound; a new channel, answered from memory before the log is open, too, as the polls are. An entry of an earlier release asks for text as before, one of this release falls back to it where a control host doesn't know the channel. The request's form says what the asker understands, so an answer to an earlier release is as it was.

Test: a document of 1,400 routes is packed to less than a fifth; damaged bytes and lengths that are claimed are no document (property).

--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
@@ -18,7 +18,8 @@
  * @param entriesNow number of the newest change of entries
  * @param controls where the control hosts are
  * @param routingVersion version of the newest routing table that this host holds, -1 without one
- * @param routing the routing document itself for an entry that knows of none yet, else null
+ * @param routing the routing document itself for an entry of an earlier release that knows of none yet, else null
+ * @param packedRouting the same for other entries
  */
 public record FollowAnswer(
         long epoch,
@@ -31,7 +32,8 @@
         long entriesNow,
         List<Address> controls,
         long routingVersion,
-        RoutingText routing) {
+        RoutingText routing,
+        PackedRouting packedRouting) {
     public FollowAnswer {
         servers = servers == null ? List.of() : List.copyOf(servers);
         heard = heard == null ? List.of() : List.copyOf(heard);
--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
@@ -11,16 +11,14 @@
  * @param serversSeen number of the newest change of backend servers that the asker holds; acknowledges it
  * @param entriesSeen number of the newest change of entries that the asker holds
  * @param routingVersion version of the routing table that the asker holds, -1 without one
- * @param takesEntryNews whether the asker understands news of single entries; one of an earlier release gets the list
+ * @param form newest form of answers that the asker understands; 0 from an earlier release, which takes all entries as a
+ *     list and the routing document as text
  */
 public record FollowRequest(
-        HostId host,
-        EntryRecord entry,
-        long epoch,
-        long serversSeen,
-        long entriesSeen,
-        long routingVersion,
-        boolean takesEntryNews) {
+        HostId host, EntryRecord entry, long epoch, long serversSeen, long entriesSeen, long routingVersion, int form) {
+    /** Answers with news of single entries, and with the routing document packed. */
+    public static final int PACKED_NEWS = 1;
+
     /**
      * Whether the answer should bring the routing document itself. An entry that starts can serve nothing without it, and
      * fetched by a second call it would come later from control hosts that have just started, too. Later documents
@@ -29,4 +27,9 @@
     public boolean wantsRouting() {
         return entry != null && routingVersion < 0;
     }
+
+    /** Whether the asker takes news of single entries, and the routing document packed. */
+    public boolean takesPackedNews() {
+        return form >= PACKED_NEWS;
+    }
 }
--- a/elmline-core/src/main/java/org/elmline/core/registry/RegistryChannels.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/RegistryChannels.java
@@ -8,10 +8,14 @@
     public static final Channel<FollowRequest, FollowAnswer> FOLLOW =
             new Channel<>("registry.follow", FollowRequest.class, FollowAnswer.class);
 
-    /** Fetches the routing document that a control host holds, be it the newest or not. */
+    /** Fetches the routing document that a control host holds, be it the newest or not; for entries of earlier releases. */
     public static final Channel<RoutingQuery, RoutingText> FETCH_ROUTING =
             new Channel<>("routing.fetch", RoutingQuery.class, RoutingText.class);
 
+    /** Fetches the same document packed. */
+    public static final Channel<RoutingQuery, PackedRouting> FETCH_PACKED =
+            new Channel<>("routing.fetch.packed", RoutingQuery.class, PackedRouting.class);
+
     /** Reads the newest routing document; answered by the leader only. */
     public static final Channel<RoutingQuery, RoutingText> READ_ROUTING =
             new Channel<>("routing.read", RoutingQuery.class, RoutingText.class);
--- a/elmline-core/src/test/java/org/elmline/core/registry/FleetViewTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/FleetViewTest.java
@@ -44,11 +44,12 @@
                 0,
                 List.of(),
                 1,
+                null,
                 null);
     }
 
     private static FollowAnswer nothing(long epoch) {
-        return new FollowAnswer(epoch, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null);
+        return new FollowAnswer(epoch, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null);
     }
 
     /** All calls would be refused: a control host that is cut off hears nobody and takes every server for silent. */
@@ -92,7 +93,8 @@
 
     private static FollowAnswer remembering(long epoch) {
         ServerNews news = new ServerNews(server(ServerState.READY, 1), false, true);
-        return new FollowAnswer(epoch, 9_000, List.of(news), 1, null, List.of(), List.of(), 0, List.of(), 1, null);
+        return new FollowAnswer(
+                epoch, 9_000, List.of(news), 1, null, List.of(), List.of(), 0, List.of(), 1, null, null);
     }
 
     /**
@@ -126,6 +128,6 @@
     }
 
     private static FollowAnswer up(long millis) {
-        return new FollowAnswer(1, millis, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null);
+        return new FollowAnswer(1, millis, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null);
     }
 }
--- a/elmline-core/src/test/java/org/elmline/core/registry/LiveEntriesTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/LiveEntriesTest.java
@@ -42,7 +42,18 @@
         boolean whole = first || !live.tells(seen);
         List<EntryNews> news = whole ? List.of() : live.since(seen);
         FollowAnswer answer = new FollowAnswer(
-                1, 9_000, List.of(), 0, List.of(), whole ? live.all() : null, news, live.changes(), List.of(), 1, null);
+                1,
+                9_000,
+                List.of(),
+                0,
+                List.of(),
+                whole ? live.all() : null,
+                news,
+                live.changes(),
+                List.of(),
+                1,
+                null,
+                null);
         view.take(CONTROL, answer, now);
         seen = live.changes();
         return whole ? live.all().size() : news.size();
--- a/elmline-core/src/test/java/org/elmline/core/registry/OpenPollTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/OpenPollTest.java
@@ -28,7 +28,8 @@
     }
 
     private static FollowRequest request(EntryRecord entry, long servers, long entries, long version) {
-        return new FollowRequest(HostId.of("10.0.0.1"), entry, EPOCH, servers, entries, version, true);
+        return new FollowRequest(
+                HostId.of("10.0.0.1"), entry, EPOCH, servers, entries, version, FollowRequest.PACKED_NEWS);
     }
 
     private static OpenPoll held(long servers, long entries, long version) {
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/registry/PackedRoutingTest.java
@@ -0,0 +1,66 @@
+package org.elmline.core.registry;
+
+import java.util.Optional;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.elmline.core.registry.RegistryChannels.RoutingText;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class PackedRoutingTest {
+    private static RoutingText document(int routes, Random random) {
+        StringBuilder text = new StringBuilder("{\"version\":7,\"routes\":[");
+        for (int i = 0; i < routes; i++) {
+            text.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"r-")
+                    .append(Long.toString(random.nextLong(1L << 35), 36))
+                    .append("\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/")
+                    .append(Long.toString(random.nextLong(1L << 35), 36))
+                    .append("/\",\"kind\":\"streaming\",\"timeoutMs\":10000,\"priority\":1,\"attempts\":2}");
+        }
+        return new RoutingText(true, 7, text.append("]}").toString());
+    }
+
+    /** Guards against a document that crosses between failure domains once an entry at many times its length. */
+    @Test
+    void aDocumentOfManyRoutesBecomesSmall() {
+        RoutingText document = document(1_400, new Random(1));
+        PackedRouting packed = PackedRouting.of(document);
+        assertEquals(Optional.of(document), packed.unpacked());
+        int length = document.text().length();
+        assertTrue(5 * packed.deflated().length < length, packed.deflated().length + " of " + length + " bytes");
+    }
+
+    @Test
+    void noDocumentIsNone() {
+        assertEquals(
+                Optional.of(RoutingText.NONE),
+                PackedRouting.of(RoutingText.NONE).unpacked());
+        assertEquals(
+                Optional.of(RoutingText.NONE),
+                PackedRouting.of(RoutingText.UNKNOWN).unpacked());
+    }
+
+    /** Guards against a table made of half a document, or memory taken by a length that somebody claims. */
+    @Property(tries = 200, seed = "3")
+    void whatIsDamagedIsNoDocument(@ForAll long seed) {
+        Random random = new Random(seed);
+        RoutingText document = document(1 + random.nextInt(40), random);
+        PackedRouting packed = PackedRouting.of(document);
+        byte[] cut = new byte[random.nextInt(packed.deflated().length)];
+        System.arraycopy(packed.deflated(), 0, cut, 0, cut.length);
+        assertEquals(Optional.empty(), new PackedRouting(7, packed.bytes(), cut).unpacked());
+        byte[] changed = packed.deflated().clone();
+        changed[random.nextInt(changed.length)] ^= (byte) (1 << random.nextInt(8));
+        Optional<RoutingText> read = new PackedRouting(7, packed.bytes(), changed).unpacked();
+        assertTrue(read.isEmpty() || read.get().equals(document));
+        assertEquals(Optional.empty(), new PackedRouting(7, packed.bytes() - 1, packed.deflated()).unpacked());
+        assertEquals(Optional.empty(), new PackedRouting(7, packed.bytes() + 1, packed.deflated()).unpacked());
+        assertEquals(Optional.empty(), new PackedRouting(7, Integer.MAX_VALUE, packed.deflated()).unpacked());
+        assertEquals(Optional.empty(), new PackedRouting(7, -1, packed.deflated()).unpacked());
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -122,6 +123,8 @@
                 log);
         registry.start(peers.timer());
         peers.handlers().register(RegistryChannels.FOLLOW, registry::follow);
+        peers.handlers()
+                .register(RegistryChannels.FETCH_PACKED, query -> CompletableFuture.completedFuture(held.packed()));
         if (held.remembers()) {
             Thread.sleep(PEERS_FIRST_MILLIS);
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/HeldRouting.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/HeldRouting.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.elmline.core.registry.PackedRouting;
 import org.elmline.core.registry.RegistryChannels.RoutingText;
 
 /**
@@ -19,6 +20,7 @@
     private long written;
     private long writtenAt;
     private volatile RoutingStore store;
+    private PackedRouting packed;
 
     HeldRouting(Memory<RoutingText> memory) {
         this.memory = memory;
@@ -48,6 +50,15 @@
                 : remembered;
     }
 
+    /** The document, packed once for all who ask. */
+    synchronized PackedRouting packed() {
+        RoutingText document = held();
+        if (packed == null || packed.version() != document.version()) {
+            packed = PackedRouting.of(document);
+        }
+        return packed;
+    }
+
     private long logVersion() {
         return store == null ? -1 : store.heldVersion();
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -262,7 +262,8 @@
         boolean whole = request.epoch() != epoch;
         boolean entry = request.entry() != null;
         boolean entryNews = entry && (whole || entries.changes() != request.entriesSeen());
-        boolean deltas = entryNews && !whole && request.takesEntryNews() && entries.tells(request.entriesSeen());
+        boolean deltas = entryNews && !whole && request.takesPackedNews() && entries.tells(request.entriesSeen());
+        boolean document = request.wantsRouting() && version >= 0;
         Follower follower = followers.get(request.host());
         long heardFrom = follower.heardUpTo;
         follower.heardUpTo = now;
@@ -277,7 +278,8 @@
                 entries.changes(),
                 controls.get(),
                 version,
-                request.wantsRouting() && version >= 0 ? routing.held() : null);
+                document && !request.takesPackedNews() ? routing.held() : null,
+                document && request.takesPackedNews() ? routing.packed() : null);
     }
 
     private void settleSpreads(long now, List<Runnable> completions) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
@@ -19,6 +19,7 @@
 import org.elmline.core.registry.EntryRecord;
 import org.elmline.core.registry.FleetView;
 import org.elmline.core.registry.FollowAnswer;
+import org.elmline.core.registry.PackedRouting;
 import org.elmline.core.registry.Registration;
 import org.elmline.core.registry.RegistryChannels;
 import org.elmline.core.registry.RegistryChannels.RoutingQuery;
@@ -128,6 +129,9 @@
         if (answer.routing() != null) {
             apply(answer.routing(), "poll");
         }
+        if (answer.packedRouting() != null) {
+            unpack(answer.packedRouting(), control, "poll");
+        }
         if (heldVersion() < answer.routingVersion()) {
             fetch(control);
         }
@@ -158,15 +162,38 @@
         }
         fetching = true;
         peers.network()
-                .call(control, RegistryChannels.FETCH_ROUTING, new RoutingQuery(), FETCH_TIMEOUT)
+                .call(control, RegistryChannels.FETCH_PACKED, new RoutingQuery(), FETCH_TIMEOUT)
                 .thenAccept(result -> {
                     fetching = false;
+                    if (result instanceof CallResult.Answered<PackedRouting> answered) {
+                        unpack(answered.value(), control, "fetch");
+                    } else if (result instanceof CallResult.NotSent<PackedRouting>) {
+                        fetchText(control);
+                    }
+                });
+    }
+
+    /** A control host of an earlier release packs nothing. */
+    private void fetchText(Address control) {
+        peers.network()
+                .call(control, RegistryChannels.FETCH_ROUTING, new RoutingQuery(), FETCH_TIMEOUT)
+                .thenAccept(result -> {
                     if (result instanceof CallResult.Answered<RoutingText> answered) {
-                        apply(answered.value(), "fetch");
+                        apply(answered.value(), "fetch of text");
                     }
                 });
     }
 
+    private void unpack(PackedRouting packed, Address control, String by) {
+        if (packed.version() <= heldVersion()) {
+            return;
+        }
+        packed.unpacked().ifPresentOrElse(text -> apply(text, by), () -> log.line("routing not unpacked")
+                .with("version", packed.version())
+                .with("control", control)
+                .write());
+    }
+
     private void apply(RoutingText text, String by) {
         if (!text.known() || text.version() <= heldVersion()) {
             return;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/FollowLoop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/FollowLoop.java
@@ -101,7 +101,13 @@
         Duration timeout;
         synchronized (this) {
             request = new FollowRequest(
-                    host, entry.get(), epoch, serversSeen, entriesSeen, routingKnown.getAsLong(), true);
+                    host,
+                    entry.get(),
+                    epoch,
+                    serversSeen,
+                    entriesSeen,
+                    routingKnown.getAsLong(),
+                    FollowRequest.PACKED_NEWS);
             timeout = failures == 0 ? TIMEOUT : PATIENT_TIMEOUT;
         }
         network.call(control, RegistryChannels.FOLLOW, request, timeout).thenAccept(this::take);
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
@@ -43,6 +43,7 @@
 import org.elmline.core.registry.FollowAnswer;
 import org.elmline.core.registry.FollowRequest;
 import org.elmline.core.registry.Heard;
+import org.elmline.core.registry.PackedRouting;
 import org.elmline.core.registry.Registration;
 import org.elmline.core.registry.RegistryChannels.RoutingQuery;
 import org.elmline.core.registry.RegistryChannels.RoutingSubmit;
@@ -65,6 +66,7 @@
     private static final ReplicaId REPLICA = new ReplicaId(HOST, -7);
     private static final FailureDomain DOMAIN = FailureDomain.of("a");
     private static final ServiceName SERVICE = ServiceName.of("s");
+    private static final PackedRouting PACKED = PackedRouting.of(new RoutingText(true, 5, "{}"));
 
     @Property(tries = 200)
     void bothWaysAgree(@ForAll long seed) {
@@ -161,7 +163,7 @@
         RoutingText text = new RoutingText(true, random.nextLong(), text(random));
         return List.of(
                 new FollowRequest(
-                        HOST, random.nextBoolean() ? entry : null, 1, 2, 3, random.nextLong(), random.nextBoolean()),
+                        HOST, random.nextBoolean() ? entry : null, 1, 2, 3, random.nextLong(), random.nextInt(2)),
                 new FollowAnswer(
                         random.nextLong(),
                         random.nextLong(),
@@ -173,9 +175,11 @@
                         6,
                         List.of(address(random)),
                         7,
-                        random.nextBoolean() ? text : null),
+                        random.nextBoolean() ? text : null,
+                        random.nextBoolean() ? null : PACKED),
                 text,
                 RoutingText.UNKNOWN,
+                PACKED,
                 new RoutingQuery(),
                 new RoutingSubmit(random.nextLong(), text(random)));
     }
