Follow control hosts one after the other at a start

Cause: all entries of a deployment are told of the same three control hosts.

Change: an entry follows a random one of them at once and each other one 60 ms after the last (StaggeredStart).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,7 @@
 import org.elmline.daemon.node.FollowLoop;
 import org.elmline.daemon.node.NodeSettings;
 import org.elmline.daemon.node.PeerNode;
+import org.xnio.XnioExecutor;
 
 /**
  * What an entry knows of the deployment: it follows every control host and puts the newest routing table in force. While
@@ -47,6 +49,12 @@
 
     private static final Duration FETCH_TIMEOUT = Duration.ofMillis(600);
 
+    /**
+     * Pause before the next control host is followed. After a loss of all power each entry came to all of them at once, and
+     * they were busy with handshakes for longer than with all else before the first table could go out.
+     */
+    private static final long FOLLOW_PAUSE_MILLIS = 60;
+
     /** Failed polls after which a control host that is named by no other is given up. */
     private static final int GIVE_UP_FAILURES = 12;
 
@@ -56,9 +64,11 @@
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final Supplier<EntryRecord> self;
-    private final Runnable onChange;
+    private final Runnable onTable;
+    private final Runnable onNews;
     private final FleetView view = new FleetView(CURRENT_NANOS, RELEARN_NANOS, SETTLE_NANOS);
     private final Map<Address, FollowLoop> follows = new HashMap<>();
+    private final StaggeredStart<Address> starts;
     private final Map<ServiceName, List<BackendServerId>> byService = new HashMap<>();
     private List<Registration> grouped;
     private RoutingTable table;
@@ -68,38 +78,43 @@
 
     /**
      * @param self what this entry tells of itself
-     * @param onChange called after every change of servers, entries or routing
+     * @param onTable called once a new routing table is held, and before anybody can know of it
+     * @param onNews called after every change of servers or entries
      */
     Fleet(
             NodeSettings settings,
             PeerNode peers,
+            XnioExecutor thread,
             RoutingFormat format,
             MonotonicClock clock,
             DecisionLog log,
             Supplier<EntryRecord> self,
-            Runnable onChange) {
+            Runnable onTable,
+            Runnable onNews) {
         this.settings = settings;
         this.peers = peers;
         this.format = format;
         this.clock = clock;
         this.log = log;
         this.self = self;
-        this.onChange = onChange;
+        this.onTable = onTable;
+        this.onNews = onNews;
+        this.starts = new StaggeredStart<>(thread, FOLLOW_PAUSE_MILLIS, this::follow);
     }
 
     void start() {
-        followAll(settings.controlPeers());
+        List<Address> controls = new ArrayList<>(settings.controlPeers());
+        // All entries are told of the same few hosts.
+        Collections.shuffle(controls);
+        followAll(controls);
     }
 
     /** Follows these control hosts beside those that are followed already. */
     void followAll(List<Address> controls) {
-        controls.forEach(this::follow);
+        controls.forEach(starts::add);
     }
 
     private void follow(Address control) {
-        if (follows.containsKey(control)) {
-            return;
-        }
         ScheduledExecutorService timer = peers.timer();
         FollowLoop loop = new FollowLoop(
                 peers.network(),
@@ -116,7 +131,7 @@
 
     private void take(Address control, FollowAnswer answer) {
         boolean changed = view.take(control, answer, clock.nanos());
-        answer.controls().forEach(this::follow);
+        answer.controls().forEach(starts::add);
         dropLost(answer.controls());
         if (answer.routingVersion() > versionKnown) {
             versionKnown = answer.routingVersion();
@@ -137,7 +152,7 @@
         }
         if (changed || settled() != wasSettled) {
             wasSettled = settled();
-            onChange.run();
+            onNews.run();
         }
     }
 
@@ -149,6 +164,7 @@
             if (lost) {
                 log.line("control host given up").with("control", each.getKey()).write();
                 each.getValue().close();
+                starts.remove(each.getKey());
                 view.dropControl(each.getKey());
                 peers.network().forget(each.getKey());
             }
@@ -205,7 +221,7 @@
                     .with("version", table.version())
                     .with("by", by)
                     .write();
-            onChange.run();
+            onTable.run();
         } else {
             log.line("routing not understood")
                     .with("version", text.version())
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
@@ -123,7 +123,16 @@
 
     /** On the I/O thread, to which all of it belongs. */
     private void assemble() {
-        fleet = new Fleet(settings, peers, format, process.clock(), log, this::record, this::fleetChangedSoon);
+        fleet = new Fleet(
+                settings,
+                peers,
+                thread,
+                format,
+                process.clock(),
+                log,
+                this::record,
+                this::fleetChanged,
+                this::fleetChangedSoon);
         dispatchers =
                 new DispatchService(settings.host(), settings.retries().limit(), process.clock(), log, this::tell);
         dispatch = new DispatchClient(
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StaggeredStart.java
@@ -0,0 +1,53 @@
+package org.elmline.daemon.gateway;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.xnio.XnioExecutor;
+
+/** Begins with one thing at once and with each other one after a pause. Used on the I/O thread only. */
+final class StaggeredStart<T> {
+    private final XnioExecutor thread;
+    private final long pauseMillis;
+    private final Consumer<T> start;
+    private final Deque<T> waiting = new ArrayDeque<>();
+    private final Set<T> known = new HashSet<>();
+    private boolean pausing;
+
+    /** @param start begins with one */
+    StaggeredStart(XnioExecutor thread, long pauseMillis, Consumer<T> start) {
+        this.thread = thread;
+        this.pauseMillis = pauseMillis;
+        this.start = start;
+    }
+
+    /** Has a thing begun in its turn, unless it was before. */
+    void add(T next) {
+        if (!known.add(next)) {
+            return;
+        }
+        waiting.add(next);
+        if (!pausing) {
+            startNext();
+        }
+    }
+
+    /** Forgets a thing, which may then be added again. */
+    void remove(T gone) {
+        known.remove(gone);
+        waiting.remove(gone);
+    }
+
+    private void startNext() {
+        T next = waiting.poll();
+        pausing = next != null;
+        if (next != null) {
+            start.accept(next);
+            thread.executeAfter(this::startNext, pauseMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+}
