Tell new shards' dispatchers what runs, also where a call asks them first

Cause: when the shards of a service were counted anew and a call came before the change was worked out (within 15 ms), it noted the new dispatchers as known; they were then never told of what runs on their servers, and would have filled engines that were full.

Change: dispatchers are noted at the first call for a service, and from then on only where changes are worked out and told.

Test: newShardsAreToldWhatRunsOnTheirServers with a call in between fails without the change (run both ways).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -165,6 +165,19 @@
         services.forEach(this::fleetChanged);
     }
 
+    /**
+     * Notes who dispatches a service at the first call for it. Later changes are noted where the new dispatchers are told
+     * what runs, or one that a call happens to ask first would never be told.
+     */
+    private void watchDispatchers(ServiceName service) {
+        if (dispatchers.keySet().stream().anyMatch(each -> each.service().equals(service))) {
+            return;
+        }
+        for (ServiceShard each : directory.shards(service)) {
+            directory.order(each).stream().findFirst().ifPresent(first -> dispatchers.put(each, first));
+        }
+    }
+
     private void fleetChanged(ServiceName service) {
         List<ServiceShard> shards = directory.shards(service);
         dispatchers.keySet().removeIf(each -> each.service().equals(service) && !shards.contains(each));
@@ -275,9 +288,7 @@
         /** Begins to ask: the shards in another order each time, so that a call that waits tries one after the other. */
         void begin() {
             shards = directory.shardsToAsk(call.service());
-            for (ServiceShard each : shards) {
-                directory.order(each).stream().findFirst().ifPresent(first -> dispatchers.putIfAbsent(each, first));
-            }
+            watchDispatchers(call.service());
             passedOver.clear();
             queuedAt.clear();
             ask();
