Let a decision lead to a dispatcher that is not there yet

Cause: reports and looks went over the map of dispatchers itself. What is decided for this entry's own call may have that call ask again, and with shards the dispatcher it asks may be a new one: the map was changed while it was gone over, and the look ended in an exception.

Change: they go over a copy. DispatchServiceTest fails without it with a ConcurrentModificationException.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
@@ -1,6 +1,7 @@
 package org.elmline.daemon.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -173,12 +174,10 @@
 
     void report(ServiceName service, List<AttemptReport> reports) {
         long now = clock.nanos();
-        dispatchers.forEach((shard, running) -> {
-            if (shard.service().equals(service)) {
-                reports.forEach(each -> running.dispatcher.report(each, now));
-                tick(running);
-            }
-        });
+        for (Running each : running(service)) {
+            reports.forEach(report -> each.dispatcher.report(report, now));
+            tick(each);
+        }
         for (AttemptReport each : reports) {
             if (each.end() != null) {
                 waiting.remove(each.attempt());
@@ -186,9 +185,24 @@
         }
     }
 
+    /** A copy: what is decided may lead to a call of this entry that asks a dispatcher not there yet. */
+    private List<Running> running() {
+        return List.copyOf(dispatchers.values());
+    }
+
+    private List<Running> running(ServiceName service) {
+        List<Running> all = new ArrayList<>();
+        dispatchers.forEach((shard, running) -> {
+            if (shard.service().equals(service)) {
+                all.add(running);
+            }
+        });
+        return all;
+    }
+
     /** Frees the place of an attempt that its entry knows nothing of. */
     void giveBack(AttemptReport report) {
-        dispatchers.values().forEach(each -> each.dispatcher.report(report, clock.nanos()));
+        running().forEach(each -> each.dispatcher.report(report, clock.nanos()));
     }
 
     void adopt(Adoption adoption) {
@@ -204,7 +218,7 @@
 
     /** Lets time pass; to be called often while calls wait. */
     void tick() {
-        dispatchers.values().forEach(this::tick);
+        running().forEach(this::tick);
     }
 
     private void tick(Running running) {
--- /dev/null
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchServiceTest.java
@@ -0,0 +1,96 @@
+package org.elmline.daemon.gateway;
+
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.ManualClock;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.dispatch.AttemptEnd;
+import org.elmline.core.dispatch.AttemptReport;
+import org.elmline.core.dispatch.PlaceAnswer;
+import org.elmline.core.dispatch.PlaceCall;
+import org.elmline.core.dispatch.RetryLimit;
+import org.elmline.core.dispatch.Shard;
+import org.elmline.core.registry.Registration;
+import org.elmline.core.registry.ServerState;
+import org.elmline.core.routing.RoutedService;
+import org.elmline.core.routing.RoutingTable;
+import org.elmline.daemon.log.DecisionLog;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+class DispatchServiceTest {
+    private static final ServiceName DESK = ServiceName.of("desk");
+    private static final ServiceName BOOKING = ServiceName.of("booking");
+    private static final HostId SELF = HostId.of("10.0.0.1");
+
+    private final ManualClock clock = new ManualClock();
+    private final DecisionLog log = new DecisionLog("h", "entry", clock, OutputStream.nullOutputStream());
+    private final List<PlaceAnswer> decided = new ArrayList<>();
+    private Runnable onDecision = () -> {};
+    private final DispatchService service =
+            new DispatchService(SELF, new RetryLimit(0.2, 10, 10_000_000_000L), clock, log, (host, answer) -> {
+                decided.add(answer);
+                onDecision.run();
+            });
+
+    private static Registration server(ServiceName name) {
+        return new Registration(
+                BackendServerId.of(name.value()),
+                name,
+                new Address("10.0.1.1", 80),
+                FailureDomain.of("a"),
+                1,
+                ServerState.READY,
+                1,
+                1);
+    }
+
+    private static PlaceCall call(String attempt, ServiceName name) {
+        return new PlaceCall(
+                attempt,
+                SELF,
+                1,
+                FailureDomain.of("a"),
+                name,
+                Shard.WHOLE,
+                1,
+                0,
+                0,
+                0,
+                100,
+                0,
+                1_000,
+                1_000,
+                false,
+                List.of());
+    }
+
+    private void know() {
+        RoutingTable.Built built = RoutingTable.builder(1)
+                .service(new RoutedService(DESK, 10, null))
+                .service(new RoutedService(BOOKING, 10, null))
+                .build();
+        RoutingTable table = ((RoutingTable.Built.Table) built).table();
+        service.update(table, List.of(server(DESK), server(BOOKING)), List.of(), true);
+    }
+
+    /** Guards against an entry whose decisions end in an exception: one led to the first call for another service. */
+    @Test
+    void aDecisionMayLeadToADispatcherThatIsNotThereYet() {
+        know();
+        assertInstanceOf(PlaceAnswer.Granted.class, service.place(call("runs", DESK)));
+        assertInstanceOf(PlaceAnswer.Queued.class, service.place(call("waits", DESK)));
+        onDecision = () -> assertInstanceOf(PlaceAnswer.Granted.class, service.place(call("next", BOOKING)));
+        service.report(DESK, List.of(new AttemptReport("runs", AttemptEnd.DONE)));
+        assertEquals(
+                List.of("waits"), decided.stream().map(PlaceAnswer::attempt).toList());
+    }
+}
