Gather news for longer for those who follow many control hosts

Change: a follower that asks for a longer hold has such news gathered for what its hold exceeds the usual one by: 400 ms with nine control hosts; 100 ms as before with up to five. What is urgent (a first poll, a table, a leaving server) is told at once as before.

--- a/elmline-core/src/main/java/org/elmline/core/registry/OpenPoll.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/OpenPoll.java
@@ -36,13 +36,21 @@
      */
     public static final long GATHER_MILLIS = 100;
 
+    /**
+     * Time for which such news are gathered for this poll. A follower that asks for a longer hold follows many control
+     * hosts, and hears the same news from each of them.
+     */
+    private long gatherMillis() {
+        return Math.max(GATHER_MILLIS, holdMillis() - HOLD_MILLIS);
+    }
+
     /** Whether it is to be answered now. */
     public boolean due(RegistryNews news, long nowNanos) {
         long age = nowNanos - sinceNanos;
         if (age >= holdMillis() * NANOS_PER_MILLI || urgent(news)) {
             return true;
         }
-        return age >= GATHER_MILLIS * NANOS_PER_MILLI && any(news);
+        return age >= gatherMillis() * NANOS_PER_MILLI && any(news);
     }
 
     /** A follower that starts knows nothing; a table must be in force soon; a leaving server's time runs. */
