Ask another shard before a call is refused

Cause: a shard's dispatcher refuses for its own servers: one that has just started and has heard of none yet, or that is full, turned callers away while the other shard had places. Found in reading.

Change: a refusal is final once two shards have answered so (or the only one there is), and no queue holds the call; a refusal for want of retry budget is final at once, as each shard has its part of the one budget.

Tests: whereAShardRefusesAnotherIsAsked, aRefusedRetryIsNotAskedForElsewhere. Services of one shard are answered as before.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -56,7 +56,7 @@
     /** Entries asked before this one decides by itself. */
     private static final int MAX_ASKED = 2;
 
-    /** Shards at which a call that must wait is asked for at once; the others get their turn as it waits. */
+    /** Shards that are asked at once for a call that must wait or is refused; the others get their turn as it waits. */
     private static final int SHARDS_ASKED = 2;
 
     /**
@@ -275,9 +275,10 @@
         private final PlaceCall call;
         private final Consumer<PlaceAnswer> answers;
         private final List<HostId> passedOver = new ArrayList<>();
-        private final Set<ServiceShard> queuedAt = new HashSet<>();
+        private final Set<ServiceShard> answeredBy = new HashSet<>();
         private List<ServiceShard> shards = List.of();
         private XnioExecutor.Key nextAsk;
+        private boolean waits;
         private boolean over;
 
         Asking(PlaceCall call, Consumer<PlaceAnswer> answers) {
@@ -290,7 +291,8 @@
             shards = directory.shardsToAsk(call.service());
             watchDispatchers(call.service());
             passedOver.clear();
-            queuedAt.clear();
+            answeredBy.clear();
+            waits = false;
             ask();
         }
 
@@ -365,11 +367,11 @@
             return null;
         }
 
-        /** The first dispatcher of a shard at which the call does not wait yet; null where none may be asked. */
+        /** The first dispatcher of a shard that has not answered yet; null where none may be asked. */
         private Target nextFirst() {
             for (ServiceShard each : shards) {
                 List<EntryRecord> order = directory.order(each);
-                if (!queuedAt.contains(each) && !order.isEmpty() && mayAsk(order.get(0))) {
+                if (!answeredBy.contains(each) && !order.isEmpty() && mayAsk(order.get(0))) {
                     return new Target(each, order.get(0));
                 }
             }
@@ -395,30 +397,41 @@
             // It may have granted a place all the same.
             holders.forgotten(call.attempt(), dispatcher);
             forget(call.service(), List.of(dispatcher), call);
-            if (queuedAt.isEmpty()) {
-                ask();
-            } else {
+            if (waits) {
                 askLater();
+            } else {
+                ask();
             }
         }
 
         private void take(ServiceShard shard, HostId dispatcher, PlaceAnswer answer) {
-            if (!(answer instanceof PlaceAnswer.Queued)) {
+            if (isFinal(answer)) {
                 finish(dispatcher, answer);
                 return;
             }
-            // Left in the queue of the dispatcher before, a prompt would be placed by it when that has been told to
-            // forget all that runs, on engines in use.
-            leaveTo(dispatcher, call);
-            queuedAt.add(shard);
-            Target other = queuedAt.size() < SHARDS_ASKED ? nextFirst() : null;
+            if (answer instanceof PlaceAnswer.Queued) {
+                // Left in the queue of the dispatcher before, a prompt would be placed by it when that has been told to
+                // forget all that runs, on engines in use.
+                leaveTo(dispatcher, call);
+                waits = true;
+            }
+            answeredBy.add(shard);
+            Target other = answeredBy.size() < SHARDS_ASKED ? nextFirst() : null;
             if (other != null) {
                 ask(other);
-            } else {
+            } else if (waits) {
                 askLater();
+            } else {
+                finish(dispatcher, answer);
             }
         }
 
+        /** A shard that is full, or knows no server, says nothing of the others; the budget of retries is one for all. */
+        private static boolean isFinal(PlaceAnswer answer) {
+            return answer instanceof PlaceAnswer.Granted
+                    || answer instanceof PlaceAnswer.Refused refused && refused.why() == PlaceAnswer.Why.RETRY_BUDGET;
+        }
+
         private void askLater() {
             if (nextAsk != null) {
                 nextAsk.remove();
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
@@ -290,4 +290,39 @@
     private static boolean tellsOf(Adoption adoption, String attempt) {
         return adoption.open().stream().anyMatch(each -> each.call().attempt().equals(attempt));
     }
+
+    /** Guards against callers that are refused as one shard knows no server while another has places. */
+    @Test
+    void whereAShardRefusesAnotherIsAsked() {
+        manyServers();
+        places = call -> call.shard().index() % 2 == 0
+                ? new PlaceAnswer.Refused(call.attempt(), PlaceAnswer.Why.NO_SERVER, 100)
+                : new PlaceAnswer.Granted(
+                        call.attempt(),
+                        BackendServerId.of("s1"),
+                        new Address("10.0.1.1", 80),
+                        List.of(),
+                        90,
+                        900,
+                        0,
+                        0);
+        DispatchClient client = client();
+        int granted = 0;
+        for (int i = 0; i < 40; i++) {
+            List<PlaceAnswer> answers = new ArrayList<>();
+            client.place(call("a" + i), answers::add);
+            assertEquals(1, answers.size(), "one answer, at once");
+            granted += answers.get(0) instanceof PlaceAnswer.Granted ? 1 : 0;
+        }
+        assertTrue(granted > 25, granted + " of 40; by the first shard's word alone some 20");
+    }
+
+    /** Guards against a budget of retries that is drawn on once for each shard. */
+    @Test
+    void aRefusedRetryIsNotAskedForElsewhere() {
+        manyServers();
+        places = call -> new PlaceAnswer.Refused(call.attempt(), PlaceAnswer.Why.RETRY_BUDGET, 100);
+        client().place(call("a1"), answer -> {});
+        assertEquals(1, askedFor("a1").size());
+    }
 }
