--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -17,7 +17,7 @@
 import org.elmline.core.routing.RoutedService;
 
 /**
- * Decides for one service where calls run and in which order they wait. Holds every granted attempt until its end is
+ * Decides for one shard of a service where calls run and in which order they wait. Holds every granted attempt until its end is
  * reported, its entry is gone, or its time is over. Not safe for concurrent use.
  */
 public final class Dispatcher {
