Look up the usable servers once for a call that asks for a place

Found in reading the change again: a dispatcher went over all servers twice for each new call, to see whether it must be refused and then to place it. They are looked up once and handed on. Shard.ofCount, called from one place, is part of it now. Behaviour is as it was.

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -126,12 +126,12 @@
         if (ahead >= 0) {
             return new PlaceAnswer.Queued(call.attempt(), ahead);
         }
-        Optional<PlaceAnswer> refusal = refusal(call, now);
+        List<ServerAccount> usable = accounts.usable(call.avoid(), now);
+        Optional<PlaceAnswer> refusal = refusal(call, usable, now);
         if (refusal.isPresent()) {
             return refusal.get();
         }
         WaitingCall next = WaitingCall.of(call, now);
-        List<ServerAccount> usable = accounts.usable(call.avoid(), now);
         if (!usable.isEmpty() && isFirstOfItsKind(next, usable, now)) {
             Optional<PlaceAnswer> granted = tryToPlace(next, usable, now);
             if (granted.isPresent()) {
@@ -180,8 +180,7 @@
         return -1;
     }
 
-    private Optional<PlaceAnswer> refusal(PlaceCall call, long now) {
-        List<ServerAccount> usable = accounts.usable(call.avoid(), now);
+    private Optional<PlaceAnswer> refusal(PlaceCall call, List<ServerAccount> usable, long now) {
         if (usable.isEmpty()) {
             return warming(now) ? Optional.empty() : refuse(call, PlaceAnswer.Why.NO_SERVER, SHORTEST_RETRY_MILLIS);
         }
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Shard.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Shard.java
@@ -37,10 +37,6 @@
         while (servers > (long) count * MOST_SERVERS) {
             count *= STEP;
         }
-        return ofCount(count);
-    }
-
-    static List<Shard> ofCount(int count) {
         List<Shard> shards = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             shards.add(new Shard(i, count));
