Tell who asks to join the log, what became of it, and which voters are missing

Now the one who asks, the one who turns it away, each step with its outcome, and each voter that falls silent write a line (repetitions left out), and raft.voters.missing counts on the leader.

Test: RaftDriverTest.theLeaderCountsVotersThatAreMissing.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
@@ -14,6 +14,7 @@
 import org.elmline.core.raft.EntryKind;
 import org.elmline.core.raft.JoinPlan;
 import org.elmline.core.raft.Membership;
+import org.elmline.core.raft.MembershipChange;
 import org.elmline.core.raft.ProposeOutcome;
 import org.elmline.core.raft.ProposeRefusal;
 import org.elmline.core.raft.RaftNode;
@@ -47,6 +48,7 @@
     private final BlockingQueue<Input> queue;
     private final Sender sender;
     private final Waiters waiters = new Waiters();
+    private final MembershipLog membershipLog;
     private final long tickNanos;
     private final Counter syncs;
     private final Counter committed;
@@ -58,6 +60,7 @@
     private long bytesSinceSnapshot;
     private long joinAt;
     private long pruneAt;
+    private long lookAt;
     private long leaderSeenAt;
     private long lastSyncNanos;
 
@@ -71,6 +74,8 @@
         this.sender = sender;
         this.tickNanos = parts.settings.heartbeat().toNanos() / 4;
         MetricRegistry metrics = parts.metrics;
+        this.membershipLog = new MembershipLog(
+                node, metrics, 2 * parts.settings.electionTimeout().toNanos());
         this.syncs = metrics.counter("raft.syncs");
         this.committed = metrics.counter("raft.committed");
         this.snapshots = metrics.counter("raft.snapshots");
@@ -79,6 +84,7 @@
         this.snapshotIndex = node.snapshot() == null ? 0 : node.snapshot().index();
         this.joinAt = clock.nanos();
         this.pruneAt = joinAt;
+        this.lookAt = joinAt;
         this.leaderSeenAt = joinAt;
     }
 
@@ -133,6 +139,10 @@
         work();
         askToJoin(now);
         prune(now);
+        if (now >= lookAt) {
+            lookAt = now + parts.settings.electionTimeout().toNanos();
+            membershipLog.look();
+        }
     }
 
     private boolean lost(ReplicaId member) {
@@ -144,7 +154,7 @@
             return;
         }
         pruneAt = now + parts.settings.electionTimeout().toNanos();
-        JoinPlan.prune(node.membership(), this::lost).ifPresent(change -> node.propose(now, change));
+        JoinPlan.prune(node.membership(), this::lost).ifPresent(change -> change(change, now));
     }
 
     private void takeAll(List<Input> inputs, long now) {
@@ -172,10 +182,7 @@
         } else if (input instanceof Input.Read read) {
             read(read, now);
         } else if (input instanceof Input.Join join) {
-            boolean known = parts.addresses.apply(join.replica().host()) != null;
-            JoinPlan.next(node.membership(), join.replica(), node.isCaughtUp(join.replica()), this::lost)
-                    .filter(change -> known && node.isLeader())
-                    .ifPresent(change -> node.propose(now, change));
+            join(join.replica(), now);
         } else if (input instanceof Input.Transfer transfer) {
             boolean started = transfer.target() == null
                     ? node.transferLeadership(now)
@@ -188,6 +195,20 @@
         }
     }
 
+    private void join(ReplicaId joining, long now) {
+        boolean known = parts.addresses.apply(joining.host()) != null;
+        if (!known || !node.isLeader()) {
+            membershipLog.turnedAway(joining, known);
+            return;
+        }
+        JoinPlan.next(node.membership(), joining, node.isCaughtUp(joining), this::lost)
+                .ifPresent(change -> change(change, now));
+    }
+
+    private void change(MembershipChange change, long now) {
+        membershipLog.step(change, node.propose(now, change));
+    }
+
     private void read(Input.Read read, long now) {
         ReadOutcome outcome = node.readIndex(now);
         if (outcome instanceof ReadOutcome.Waiting waiting) {
@@ -367,6 +388,7 @@
         }
         joinAt = now + parts.settings.electionTimeout().toNanos();
         List<Address> members = parts.members.get();
+        membershipLog.asks(members);
         sender.askToJoin(members, node.self());
     }
 
--- a/elmline-daemon/src/test/java/org/elmline/daemon/raft/RaftDriverTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/raft/RaftDriverTest.java
@@ -145,6 +145,22 @@
         caught.get(30, TimeUnit.SECONDS);
     }
 
+    /** Guards against a control host that stays lost while nobody is told of it. */
+    @Test
+    void theLeaderCountsVotersThatAreMissing() throws Exception {
+        TestReplica leader = leader();
+        assertEquals(0, missingVoters(leader));
+        TestReplica stopped = replicas.get((replicas.indexOf(leader) + 1) % 3);
+        stopped.stop();
+        await("one missing", () -> missingVoters(leader) == 1);
+        stopped.start(data.resolve("first-" + replicas.indexOf(stopped)), false);
+        await("none missing", () -> missingVoters(leader) == 0);
+    }
+
+    private static int missingVoters(TestReplica leader) {
+        return (Integer) leader.metrics.getGauges().get("raft.voters.missing").getValue();
+    }
+
     /** Proposals that come while a sync runs share the next one: a sync each would bound claims by the disk. */
     @Test
     void oneSyncServesManyProposals() throws Exception {
