Failing tests: a host that lost its disk isn't let in again

It asks for 30 s and stays out; the leader's membership names the lost replica all the while. And one question that does reach the leader makes a learner and nothing more.

--- a/elmline-daemon/src/test/java/org/elmline/daemon/raft/RaftDriverTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/raft/RaftDriverTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -13,6 +14,7 @@
 import org.elmline.core.raft.ProposeRefusal;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -145,6 +147,38 @@
         caught.get(30, TimeUnit.SECONDS);
     }
 
+    /** Guards against a lost disk that costs its voter for good, where the settings name no host that leads. */
+    @Test
+    @Tag("known-red")
+    void aHostThatLostItsDiskIsLetInThoughItKnowsOnlyAFollower() throws Exception {
+        TestReplica leader = leader();
+        int follower = (replicas.indexOf(leader) + 1) % 3;
+        int emptied = (replicas.indexOf(leader) + 2) % 3;
+        replicas.get(emptied).stop();
+        TestReplica fresh = new TestReplica(network, emptied, () -> List.of(replicas.get(follower).address));
+        replicas.set(emptied, fresh);
+        fresh.start(data.resolve("second"), false);
+        await("a voter again", fresh::votes);
+        await(
+                "the lost replica is out",
+                () -> leader.driver.status().membership().voters().size() == 3);
+    }
+
+    /** Guards against a replacement that waits for another question before each of its steps. */
+    @Test
+    @Tag("known-red")
+    void oneQuestionIsEnoughToReplaceALostReplica() throws Exception {
+        TestReplica leader = leader();
+        int emptied = (replicas.indexOf(leader) + 1) % 3;
+        replicas.get(emptied).stop();
+        TestReplica fresh = new TestReplica(network, emptied, List::of);
+        replicas.set(emptied, fresh);
+        fresh.start(data.resolve("second"), false);
+        RaftChannels.Join question = new RaftChannels.Join(fresh.driver.status().self());
+        network.call(leader.address, RaftChannels.JOIN, question, Duration.ofSeconds(1));
+        await("a voter again", fresh::votes);
+    }
+
     /** Guards against a control host that stays lost while nobody is told of it. */
     @Test
     void theLeaderCountsVotersThatAreMissing() throws Exception {
