Read the limit that a backend server names, and tell of it

Servers in need name in their answers how many requests a second they take from all of us; nothing here read it, so no line told what was known when a server was chosen. The adapter decodes the header, each entry remembers what it has heard, and writes a line for each change.

--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerLimit.java
@@ -0,0 +1,39 @@
+package org.elmline.core.dispatch;
+
+/**
+ * How many requests a backend server in need takes from all entries together.
+ *
+ * @param spacingMicros microseconds from one request to the next; 0 for a server that names no limit
+ */
+public record ServerLimit(long spacingMicros) {
+    public static final ServerLimit NONE = new ServerLimit(0);
+
+    private static final double MICROS_PER_SECOND = 1e6;
+
+    /**
+     * Slowest pace that is kept. A server that names a lower limit, or none at all, would else never be asked again, and
+     * the end of its need would never be seen.
+     */
+    private static final long LONGEST_SPACING_MICROS = 4_000_000;
+
+    public ServerLimit {
+        if (spacingMicros < 0) {
+            throw new IllegalArgumentException("negative spacing: " + spacingMicros);
+        }
+    }
+
+    /** A limit of so many requests a second. */
+    public static ServerLimit ofPerSecond(double requests) {
+        double spacing = MICROS_PER_SECOND / Math.max(requests, 0);
+        return new ServerLimit((long) Math.max(1, Math.min(LONGEST_SPACING_MICROS, spacing)));
+    }
+
+    public boolean isLimited() {
+        return spacingMicros > 0;
+    }
+
+    /** Requests a second; infinite without a limit. */
+    public double perSecond() {
+        return MICROS_PER_SECOND / spacingMicros;
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerHead.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerHead.java
@@ -1,5 +1,7 @@
 package org.elmline.daemon.gateway;
 
+import org.elmline.core.dispatch.ServerLimit;
+
 /**
  * What the headers of a backend server's answer say.
  *
@@ -10,6 +12,7 @@
  * @param sealed whether it carries the server's signature
  * @param keepSeconds seconds for which the connection may stay idle, negative when it does not say
  * @param closes whether the server closes the connection after it
+ * @param limit the requests that the server takes; null when what it says of them can't be understood
  */
 public record AnswerHead(
         String requestId,
@@ -18,4 +21,5 @@
         boolean encoded,
         boolean sealed,
         int keepSeconds,
-        boolean closes) {}
+        boolean closes,
+        ServerLimit limit) {}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -151,6 +151,7 @@
         status = answered;
         headers = answerHeaders;
         head = read;
+        call.parts().dispatch().named(granted.server(), read.limit());
         boolean others =
                 head.requestId() != null && !head.requestId().equals(call.head().requestId());
         if (others || head.encoded()) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
@@ -24,6 +25,7 @@
 import org.elmline.core.dispatch.OpenGrant;
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
+import org.elmline.core.dispatch.ServerLimit;
 import org.elmline.core.dispatch.ServiceShard;
 import org.elmline.core.peer.HandlerRegistry;
 import org.elmline.core.peer.PeerNetwork;
@@ -151,6 +153,22 @@
         }
     }
 
+    /**
+     * A server has said in an answer how many requests it takes.
+     *
+     * @param limit null when that can't be understood
+     */
+    void named(BackendServerId server, ServerLimit limit) {
+        if (limit == null) {
+            log.line("server limit not understood").with("server", server).write();
+        } else if (own.learn(server, limit)) {
+            log.line("server limit")
+                    .with("server", server)
+                    .with("perSecond", limit.perSecond())
+                    .write();
+        }
+    }
+
     /** A granted call has ended. */
     void end(PlaceCall call, AttemptEnd end) {
         open.remove(call.attempt());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.ServiceName;
@@ -18,6 +19,8 @@
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
 import org.elmline.core.dispatch.RetryLimit;
+import org.elmline.core.dispatch.ServerLimit;
+import org.elmline.core.dispatch.ServerLimits;
 import org.elmline.core.dispatch.ServiceShard;
 import org.elmline.core.dispatch.Shard;
 import org.elmline.core.registry.EntryRecord;
@@ -45,6 +48,7 @@
     private final Map<ServiceShard, Running> dispatchers = new HashMap<>();
     private final Map<ServiceName, RoutedService> services = new HashMap<>();
     private final Map<String, HostId> waiting = new HashMap<>();
+    private final ServerLimits limits = new ServerLimits();
     private List<Registration> usable = List.of();
     private List<EntryRecord> entries = List.of();
     private boolean settled;
@@ -159,6 +163,11 @@
         return Optional.of(running);
     }
 
+    /** Takes what a server has said of the requests that it takes. Returns whether that is new. */
+    boolean learn(BackendServerId server, ServerLimit limit) {
+        return limits.learn(server, limit, clock.nanos());
+    }
+
     PlaceAnswer place(PlaceCall call) {
         Optional<Running> dispatcher = dispatcher(call.key());
         if (dispatcher.isEmpty()) {
