Keep what servers in need are sent within the limit that they name

Cause: nobody read the limit, and the decision where a request goes knew free places, memory and reads only. Class: a statement of a backend server that concerns all entries, which the one place that decides for all never hears.

Ruled out: retries or a second dispatcher as the source (the play's arrivals at the two servers rise and fall with the load, no dispatcher was passed over).

Change: entries hand on with each report what an answer said of the limit; the dispatcher of the shard, which grants for all entries, spaces the requests to that server (half a second may be made up for). Who takes over a shard is told the limits with what runs; a grant of another dispatcher counts; an entry that decides by itself, while nobody knows who is asked first, keeps to its part. Long prompts, which have orders and parts beside them, stay away from servers in need while there are others. Where all servers are limited calls wait in turn, and those that can't be reached in time are refused at once with the time to come back. A limit ends with an answer that names none.

AlternatingLoadTest and DispatcherTest pass unchanged.

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchChannels.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchChannels.java
@@ -32,12 +32,20 @@
      * @param shard all of the service when it is not told
      * @param all whether these are all: what is counted beside them has ended. Not so for a single one, as the answer to
      *     another call may be on its way to the entry.
+     * @param limits the limits that servers have named to the entry
      */
     public record Adoption(
-            ServiceName service, Shard shard, HostId host, long incarnation, boolean all, List<OpenGrant> open) {
+            ServiceName service,
+            Shard shard,
+            HostId host,
+            long incarnation,
+            boolean all,
+            List<OpenGrant> open,
+            List<ServerLimits.Named> limits) {
         public Adoption {
             shard = shard == null ? Shard.WHOLE : shard;
             open = open == null ? List.of() : List.copyOf(open);
+            limits = limits == null ? List.of() : List.copyOf(limits);
         }
 
         public ServiceShard key() {
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -63,6 +63,7 @@
     private final Placement placement;
     private final RetryWindow retries;
     private final ServerAccounts accounts = new ServerAccounts();
+    private final RequestLimits limits;
     private final Map<String, Granted> grants = new HashMap<>();
     private final List<WaitingCall> waiting = new ArrayList<>();
     private final boolean engines;
@@ -74,6 +75,12 @@
     private record Granted(PlaceCall call, PlaceAnswer.Granted answer, List<ServerAccount> members, long until) {}
 
     public Dispatcher(RoutedService service, RetryLimit limit, long now) {
+        this(service, limit, new ServerLimits(), now);
+    }
+
+    /** @param limits what servers say of the requests that they take; also learned from reports */
+    public Dispatcher(RoutedService service, RetryLimit limit, ServerLimits limits, long now) {
+        this.limits = new RequestLimits(limits, accounts);
         engines = service.timing() != null;
         placement = engines ? new EnginePlacement() : new PlainPlacement();
         retries = new RetryWindow(limit, now);
@@ -100,6 +107,11 @@
         first = isFirst;
     }
 
+    /** Takes how many entries there are; while none of them knows who is asked first, each may send on its own. */
+    public void entries(int count) {
+        limits.entries(count);
+    }
+
     /**
      * Whether a long call must wait here as this dispatcher does not know what runs. Counted from when it stopped being the
      * first, too: from then on entries tell it to forget. A prompt that had waited for as long before would
@@ -114,6 +126,7 @@
     public void servers(RoutedService service, Collection<Registration> usable, long now) {
         knewServers |= !usable.isEmpty();
         accounts.update(usable, service.timing(), now);
+        limits.serversChanged();
     }
 
     /** Asks for a place. The same attempt asked again gets the same answer while it waits or runs. */
@@ -126,6 +139,7 @@
         if (ahead >= 0) {
             return new PlaceAnswer.Queued(call.attempt(), ahead);
         }
+        limits.keep(first, now);
         List<ServerAccount> usable = accounts.usable(call.avoid(), now);
         Optional<PlaceAnswer> refusal = refusal(call, usable, now);
         if (refusal.isPresent()) {
@@ -164,7 +178,7 @@
             return Optional.empty();
         }
         PlaceCall call = next.callAt(now);
-        Optional<Plan> plan = placement.plan(call, usable, !first, now);
+        Optional<Plan> plan = placement.plan(call, limits.within(usable, isLong, now), !first, now);
         if (plan.isEmpty() && isLong) {
             keepEnginesFree(usable, now);
         }
@@ -231,17 +245,19 @@
         for (WaitingCall each : waiting) {
             work += placement.workMillis(each.call(), usable);
         }
-        return (long) (work / Math.max(1, places));
+        return (long) Math.max(work / Math.max(1, places), limits.waitMillis(usable, waiting.size()));
     }
 
     /** Lets time pass: decisions on calls that waited, to be told to their entries. */
     public List<PlaceAnswer> tick(long now) {
         dropForgotten(now);
+        limits.keep(first, now);
         List<PlaceAnswer> decided = new ArrayList<>();
         List<ServerAccount> all = accounts.usable(List.of(), now);
         waiting.sort(WaitingCall.order(now));
         int shortMisses = 0;
         int longMisses = 0;
+        int ahead = 0;
         Iterator<WaitingCall> each = waiting.iterator();
         while (each.hasNext()) {
             WaitingCall next = each.next();
@@ -250,12 +266,13 @@
             if (usable.isEmpty() && warming(now) && next.deadlineLeftMillis(now) > 0) {
                 continue;
             }
-            if (usable.isEmpty() || isHopeless(next, usable, now)) {
+            if (usable.isEmpty() || isHopeless(next, usable, ahead, now)) {
                 each.remove();
                 PlaceAnswer.Why why = usable.isEmpty() ? PlaceAnswer.Why.NO_SERVER : PlaceAnswer.Why.TOO_LATE;
                 refuse(next.call(), why, SHORTEST_RETRY_MILLIS).ifPresent(decided::add);
                 continue;
             }
+            ahead++;
             boolean isLong = placement.isLong(next.call(), usable);
             if ((isLong ? longMisses : shortMisses) >= MAX_MISSES) {
                 continue;
@@ -263,6 +280,7 @@
             Optional<PlaceAnswer> granted = tryToPlace(next, usable, now);
             if (granted.isPresent()) {
                 each.remove();
+                ahead--;
                 decided.add(granted.get());
             } else if (isLong) {
                 longMisses += heldAsSecond(next, now) ? 0 : 1;
@@ -273,8 +291,10 @@
         return decided;
     }
 
-    private boolean isHopeless(WaitingCall waited, List<ServerAccount> usable, long now) {
-        return placement.workMillis(waited.call(), usable) / 2 > waited.deadlineLeftMillis(now);
+    /** @param ahead calls that wait and go before this one */
+    private boolean isHopeless(WaitingCall waited, List<ServerAccount> usable, int ahead, long now) {
+        double wait = limits.waitMillis(usable, ahead);
+        return wait + placement.workMillis(waited.call(), usable) / 2 > waited.deadlineLeftMillis(now);
     }
 
     /**
@@ -321,6 +341,7 @@
                     engines ? plan.partMillis() : 0,
                     plan.memoryTokens().get(i));
             plan.members().get(i).grant(share, now);
+            plan.members().get(i).requests().take(now);
         }
         grants.put(call.attempt(), new Granted(call, answer, plan.members(), waited.deadlineAt() + FORGOTTEN_NANOS));
         return answer;
@@ -333,6 +354,9 @@
             waiting.removeIf(each -> each.call().attempt().equals(report.attempt()));
             return;
         }
+        if (report.limit() != null) {
+            limits.learn(granted.answer().server(), report.limit(), now);
+        }
         if (report.end() == null) {
             granted.members().forEach(each -> each.startWriting(report.attempt(), now));
             return;
@@ -362,6 +386,13 @@
         ended.forEach(each -> report(new AttemptReport(each, AttemptEnd.CANCELLED), now));
     }
 
+    /** Counts a request that another dispatcher of this service has just had sent. */
+    public void sentElsewhere(BackendServerId server, long now) {
+        limits.keep(first, now);
+        Optional.ofNullable(accounts.of(server))
+                .ifPresent(each -> each.requests().take(now));
+    }
+
     /** Takes a grant of another dispatcher of this service, which would otherwise be counted as a free place. */
     public void adopt(OpenGrant open, long now) {
         PlaceCall call = open.call();
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerAccount.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerAccount.java
@@ -15,6 +15,7 @@
     private static final double USABLE_MEMORY = 0.96;
 
     private final ServerHealth health = new ServerHealth();
+    private final RequestBudget requests = new RequestBudget();
     private final Map<String, Share> shares = new LinkedHashMap<>();
     private Registration registration;
     private BatchTiming timing;
@@ -64,6 +65,11 @@
         return health;
     }
 
+    /** What it may be sent, where it names a limit. */
+    RequestBudget requests() {
+        return requests;
+    }
+
     Collection<Share> shares() {
         return shares.values();
     }
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerAccounts.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerAccounts.java
@@ -28,6 +28,13 @@
         accounts.values().removeIf(each -> !each.present() && each.idle());
     }
 
+    /** Takes the limits in force; each is kept to by {@code sharedBy} dispatchers that don't know of each other. */
+    void limit(ServerLimits limits, int sharedBy, long now) {
+        for (ServerAccount each : accounts.values()) {
+            each.requests().limit(limits.of(each.registration().id()), sharedBy, now);
+        }
+    }
+
     /** Null where the server isn't known. */
     ServerAccount of(BackendServerId id) {
         return accounts.get(id);
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerLimits.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerLimits.java
@@ -17,6 +17,7 @@
     private static final int MAX_SERVERS = 1_024;
 
     private final Map<BackendServerId, Heard> limited = new LinkedHashMap<>();
+    private long version;
 
     private record Heard(ServerLimit limit, long at) {}
 
@@ -37,10 +38,20 @@
                 limited.remove(limited.keySet().iterator().next());
             }
             limited.put(server, new Heard(limit, now));
-            return before == null || !before.limit().equals(limit);
+            return changed(before == null || !before.limit().equals(limit));
         }
         boolean over = before != null && now - before.at() >= OVERTAKEN_NANOS;
-        return over && limited.remove(server) != null;
+        return changed(over && limited.remove(server) != null);
+    }
+
+    private boolean changed(boolean news) {
+        version += news ? 1 : 0;
+        return news;
+    }
+
+    /** Grows with each change. */
+    long version() {
+        return version;
     }
 
     /** The limit of a server, {@link ServerLimit#NONE} where it names none. */
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/LimitedServersTest.java
@@ -0,0 +1,197 @@
+package org.elmline.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.registry.Registration;
+import org.elmline.core.registry.ServerState;
+import org.elmline.core.routing.BatchTiming;
+import org.elmline.core.routing.RoutedService;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What servers in need are sent, and what callers get meanwhile. */
+class LimitedServersTest {
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1_000 * MILLI;
+    private static final ServiceName DESK = ServiceName.of("desk");
+    private static final RoutedService PLAIN = new RoutedService(DESK, 248, null);
+    private static final RoutedService ENGINES = new RoutedService(
+            DESK, 819, new BatchTiming(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2048, 0.1));
+    private static final RetryLimit RETRIES = new RetryLimit(0.2, 2, 10 * SECOND);
+
+    private final ServerLimits limits = new ServerLimits();
+    private int next;
+
+    private Dispatcher dispatcher(RoutedService service, int servers) {
+        List<Registration> all = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            all.add(new Registration(
+                    server(i),
+                    DESK,
+                    new Address("10.0.0." + (i + 1), 80),
+                    FailureDomain.of("a"),
+                    11,
+                    ServerState.READY,
+                    1,
+                    1));
+        }
+        Dispatcher dispatcher = new Dispatcher(service, RETRIES, limits, 0);
+        dispatcher.servers(service, all, 0);
+        return dispatcher;
+    }
+
+    private static BackendServerId server(int number) {
+        return BackendServerId.of("s" + number);
+    }
+
+    private PlaceCall call(long prompt, long aim, long deadline) {
+        next++;
+        return new PlaceCall(
+                "c" + next,
+                HostId.of("e" + next % 18),
+                1,
+                FailureDomain.of("a"),
+                DESK,
+                Shard.WHOLE,
+                1,
+                prompt,
+                prompt > 0 ? 800 : 0,
+                prompt > 0 ? 800 : 0,
+                aim,
+                prompt > 0 ? 500 : 0,
+                deadline,
+                deadline,
+                false,
+                List.of());
+    }
+
+    /** Guards against a server in need that gets as much as the others, as each of many entries sends it a little. */
+    @Test
+    void allEntriesTogetherKeepALimitAndNobodyWaitsForIt() {
+        Dispatcher dispatcher = dispatcher(PLAIN, 3);
+        limits.learn(server(0), ServerLimit.ofPerSecond(1.5), 0);
+        List<Long> sent = new ArrayList<>();
+        for (long now = 0; now < 20 * SECOND; now += 10 * MILLI) {
+            PlaceCall call = call(0, 100, 1_000);
+            PlaceAnswer.Granted granted = assertInstanceOf(PlaceAnswer.Granted.class, dispatcher.place(call, now));
+            if (granted.server().equals(server(0))) {
+                sent.add(now);
+            }
+            dispatcher.report(new AttemptReport(call.attempt(), AttemptEnd.DONE), now + 5 * MILLI);
+        }
+        assertTrue(mostInFourSeconds(sent) <= 1.5 * 4 + 1, "sent at " + sent);
+        assertTrue(sent.size() >= 25, "it gets what it takes: " + sent.size());
+    }
+
+    private static long mostInFourSeconds(List<Long> sent) {
+        long most = 0;
+        for (long end : sent) {
+            most = Math.max(
+                    most,
+                    sent.stream()
+                            .filter(each -> each <= end && each > end - 4 * SECOND)
+                            .count());
+        }
+        return most;
+    }
+
+    /** Guards against callers who wait in vain at servers that all take less than is asked of them. */
+    @Test
+    void whereAllAreLimitedCallsAreServedInTurnOrRefusedAtOnce() {
+        Dispatcher dispatcher = dispatcher(PLAIN, 2);
+        limits.learn(server(0), ServerLimit.ofPerSecond(2), 0);
+        limits.learn(server(1), ServerLimit.ofPerSecond(2), 0);
+        int served = 0;
+        int refused = 0;
+        int inVain = 0;
+        Map<String, Long> since = new HashMap<>();
+        for (long now = 0; now < 20 * SECOND; now += 10 * MILLI) {
+            for (PlaceAnswer each : dispatcher.tick(now)) {
+                served += each instanceof PlaceAnswer.Granted ? 1 : 0;
+                boolean over = now - since.get(each.attempt()) >= 900 * MILLI;
+                inVain += each instanceof PlaceAnswer.Refused && over ? 1 : 0;
+                refused += each instanceof PlaceAnswer.Refused ? 1 : 0;
+                dispatcher.report(new AttemptReport(each.attempt(), AttemptEnd.DONE), now);
+            }
+            if (now % (100 * MILLI) == 0) {
+                PlaceCall call = call(0, 100, 1_000);
+                since.put(call.attempt(), now);
+                refused += dispatcher.place(call, now) instanceof PlaceAnswer.Refused ? 1 : 0;
+            }
+        }
+        assertEquals(80, served, 3);
+        assertTrue(refused >= 110, refused + " of 200 were told");
+        assertTrue(inVain <= 4, inVain + " waited until their time was over");
+    }
+
+    /** Guards against a server in need that has its memory set aside and renewed for others' prompts. */
+    @Test
+    void longPromptsAreReadByServersThatAreNotInNeed() {
+        Dispatcher dispatcher = dispatcher(ENGINES, 4);
+        limits.learn(server(1), ServerLimit.ofPerSecond(100), 0);
+        for (int i = 0; i < 6; i++) {
+            long now = i * 2 * SECOND;
+            PlaceCall manual = call(210_000, 3_000, 15_000);
+            PlaceAnswer.Granted granted = assertInstanceOf(PlaceAnswer.Granted.class, dispatcher.place(manual, now));
+            assertFalse(granted.server().equals(server(1)));
+            assertTrue(
+                    granted.helpers().stream().noneMatch(each -> each.server().equals(server(1))));
+            dispatcher.report(new AttemptReport(manual.attempt(), AttemptEnd.DONE), now + SECOND);
+        }
+    }
+
+    /** Guards against entries that, each for itself, send as much as the limit allows to all. */
+    @Test
+    void oneOfManyThatDecideForThemselvesKeepsToItsPart() {
+        Dispatcher dispatcher = dispatcher(PLAIN, 2);
+        dispatcher.entries(18);
+        dispatcher.askedFirst(false, 0);
+        limits.learn(server(0), ServerLimit.ofPerSecond(9), 0);
+        int sent = 0;
+        for (long now = 0; now < 20 * SECOND; now += 50 * MILLI) {
+            PlaceCall call = call(0, 100, 1_000);
+            PlaceAnswer.Granted granted = assertInstanceOf(PlaceAnswer.Granted.class, dispatcher.place(call, now));
+            sent += granted.server().equals(server(0)) ? 1 : 0;
+            dispatcher.report(new AttemptReport(call.attempt(), AttemptEnd.DONE), now + 5 * MILLI);
+        }
+        assertEquals(10, sent, 1);
+    }
+
+    /** Guards against a limit that is known where an answer came, and not where the next request is decided. */
+    @Test
+    void aLimitIsLearnedFromReportsAndLiftedByThem() {
+        Dispatcher dispatcher = dispatcher(PLAIN, 1);
+        PlaceCall first = call(0, 100, 1_000);
+        dispatcher.place(first, 0);
+        dispatcher.report(new AttemptReport(first.attempt(), AttemptEnd.DONE, ServerLimit.ofPerSecond(1)), 0);
+        assertInstanceOf(PlaceAnswer.Queued.class, dispatcher.place(call(0, 100, 3_000), 10 * MILLI));
+        PlaceAnswer second = dispatcher.tick(1_100 * MILLI).get(0);
+        dispatcher.report(new AttemptReport(second.attempt(), AttemptEnd.DONE, ServerLimit.NONE), 1_100 * MILLI);
+        assertInstanceOf(PlaceAnswer.Granted.class, dispatcher.place(call(0, 100, 1_000), 1_110 * MILLI));
+        assertInstanceOf(PlaceAnswer.Granted.class, dispatcher.place(call(0, 100, 1_000), 1_120 * MILLI));
+    }
+
+    /** Guards against a request that another dispatcher had sent and that is counted by nobody. */
+    @Test
+    void whatAnotherDispatcherHadSentCounts() {
+        Dispatcher dispatcher = dispatcher(PLAIN, 1);
+        limits.learn(server(0), ServerLimit.ofPerSecond(1), 0);
+        dispatcher.tick(0);
+        dispatcher.sentElsewhere(server(0), 900 * MILLI);
+        assertInstanceOf(PlaceAnswer.Queued.class, dispatcher.place(call(0, 100, 5_000), 1_100 * MILLI));
+        assertTrue(dispatcher.tick(1_900 * MILLI).isEmpty());
+        assertEquals(1, dispatcher.tick(2_100 * MILLI).size());
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -9,6 +9,7 @@
 import org.elmline.core.dispatch.AttemptEnd;
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
+import org.elmline.core.dispatch.ServerLimit;
 import org.elmline.core.routing.CallRoute;
 
 /** One try of a call on one backend server. Used on the I/O thread only. */
@@ -112,7 +113,7 @@
             if (backend != null) {
                 backend.cancel();
             }
-            call.parts().dispatch().end(placed, end);
+            call.parts().dispatch().end(placed, end, limit());
         }
     }
 
@@ -151,7 +152,7 @@
         status = answered;
         headers = answerHeaders;
         head = read;
-        call.parts().dispatch().named(granted.server(), read.limit());
+        call.parts().limits().take(granted.server(), read.limit(), "answer");
         boolean others =
                 head.requestId() != null && !head.requestId().equals(call.head().requestId());
         if (others || head.encoded()) {
@@ -168,6 +169,11 @@
         }
     }
 
+    /** What the answer says of the requests that its server takes; null without an answer. */
+    private ServerLimit limit() {
+        return head == null ? null : head.limit();
+    }
+
     private boolean success() {
         return status >= SUCCESS_FROM && status <= SUCCESS_TO;
     }
@@ -198,7 +204,7 @@
 
     /** An event has gone on to the caller. */
     void eventPassed() {
-        call.parts().dispatch().writing(placed);
+        call.parts().dispatch().writing(placed, limit());
         if (call.route().mayRepeat()) {
             silence.expectWithin(
                     Math.max(SILENT_MILLIS, (long) SILENT_GAPS * call.route().gapMillis()));
@@ -226,11 +232,12 @@
             fail(AttemptEnd.NOT_EXECUTED, "turned down with " + status);
         } else if (status >= SERVER_ERROR && call.route().mayRepeat() && call.mayTryAgain()) {
             end();
-            call.parts().dispatch().end(placed, AttemptEnd.SERVER_ERROR);
+            call.parts().dispatch().end(placed, AttemptEnd.SERVER_ERROR, limit());
             call.serverFailed(status, headers, whole);
         } else {
             end();
-            call.parts().dispatch().end(placed, status >= SERVER_ERROR ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE);
+            AttemptEnd end = status >= SERVER_ERROR ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE;
+            call.parts().dispatch().end(placed, end, limit());
             call.answer(status, headers, whole);
         }
     }
@@ -241,7 +248,7 @@
             return;
         }
         end();
-        call.parts().dispatch().end(placed, AttemptEnd.DONE);
+        call.parts().dispatch().end(placed, AttemptEnd.DONE, limit());
         stream.complete();
     }
 
@@ -258,7 +265,7 @@
 
     private void fail(AttemptEnd end, String why) {
         if (end()) {
-            call.parts().dispatch().end(placed, end);
+            call.parts().dispatch().end(placed, end, limit());
             call.failed(end, why);
         }
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -236,6 +236,7 @@
                 .with("predictedFirstMs", granted.firstMillis())
                 .with("backlogMs", granted.backlogMillis())
                 .with("running", granted.running())
+                .with("limited", parts.limits().isLimited(granted.server()))
                 .with("leftMs", leftMillis()));
         parts.callMetrics().placed(service, ageMillis());
         tried.add(granted.server());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
@@ -143,36 +142,33 @@
         }
     }
 
-    /** The first token, or the answer, of a granted call has come. */
-    void writing(PlaceCall call) {
+    /**
+     * The first token, or the answer, of a granted call has come.
+     *
+     * @param limit what the answer says of the requests that the server takes
+     */
+    void writing(PlaceCall call, ServerLimit limit) {
         OpenGrant grant = open.get(call.attempt());
         if (grant != null && !grant.writing() && call.promptTokens() > 0) {
             open.put(call.attempt(), new OpenGrant(grant.call(), grant.granted(), true));
-            AttemptReport begun = new AttemptReport(call.attempt(), null);
+            AttemptReport begun = new AttemptReport(call.attempt(), null, limit);
             holders.of(call.attempt()).forEach(each -> reports.add(call.service(), each, begun));
         }
     }
 
+    /** A granted call has ended without an answer. */
+    void end(PlaceCall call, AttemptEnd end) {
+        end(call, end, null);
+    }
+
     /**
-     * A server has said in an answer how many requests it takes.
+     * A granted call has ended.
      *
-     * @param limit null when that can't be understood
+     * @param limit what the answer says of the requests that the server takes, null without an answer
      */
-    void named(BackendServerId server, ServerLimit limit) {
-        if (limit == null) {
-            log.line("server limit not understood").with("server", server).write();
-        } else if (own.learn(server, limit)) {
-            log.line("server limit")
-                    .with("server", server)
-                    .with("perSecond", limit.perSecond())
-                    .write();
-        }
-    }
-
-    /** A granted call has ended. */
-    void end(PlaceCall call, AttemptEnd end) {
+    void end(PlaceCall call, AttemptEnd end, ServerLimit limit) {
         open.remove(call.attempt());
-        AttemptReport ended = new AttemptReport(call.attempt(), end);
+        AttemptReport ended = new AttemptReport(call.attempt(), end, limit);
         holders.ended(call.attempt()).forEach(each -> reports.add(call.service(), each, ended));
     }
 
@@ -248,7 +244,14 @@
     }
 
     private Adoption adoption(ServiceShard shard, boolean all, List<OpenGrant> grants) {
-        return new Adoption(shard.service(), shard.shard(), settings.host(), incarnation, all, grants);
+        return new Adoption(
+                shard.service(),
+                shard.shard(),
+                settings.host(),
+                incarnation,
+                all,
+                grants,
+                own.limits().all());
     }
 
     private void tell(EntryRecord dispatcher, Adoption adoption) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.ServiceName;
@@ -19,8 +18,6 @@
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
 import org.elmline.core.dispatch.RetryLimit;
-import org.elmline.core.dispatch.ServerLimit;
-import org.elmline.core.dispatch.ServerLimits;
 import org.elmline.core.dispatch.ServiceShard;
 import org.elmline.core.dispatch.Shard;
 import org.elmline.core.registry.EntryRecord;
@@ -48,7 +45,7 @@
     private final Map<ServiceShard, Running> dispatchers = new HashMap<>();
     private final Map<ServiceName, RoutedService> services = new HashMap<>();
     private final Map<String, HostId> waiting = new HashMap<>();
-    private final ServerLimits limits = new ServerLimits();
+    private final HeardLimits limits;
     private List<Registration> usable = List.of();
     private List<EntryRecord> entries = List.of();
     private boolean settled;
@@ -73,6 +70,7 @@
         this.clock = clock;
         this.log = log;
         this.decisions = decisions;
+        this.limits = new HeardLimits(clock, log);
     }
 
     /**
@@ -93,6 +91,7 @@
         dispatchers.forEach((shard, running) -> {
             running.dispatcher.servers(services.get(shard.service()), serversOf(shard), now);
             running.dispatcher.askedFirst(askedFirst(shard), now);
+            running.dispatcher.entries(entries.size());
             dropGone(running.dispatcher, starts, now);
         });
         tick();
@@ -150,9 +149,10 @@
             boolean first = askedFirst(shard);
             List<Registration> servers = serversOf(shard);
             running =
-                    new Running(new Dispatcher(service, retries.of(shard.shard().count()), now));
+                    new Running(new Dispatcher(service, retries.of(shard.shard().count()), limits.table(), now));
             running.dispatcher.servers(service, servers, now);
             running.dispatcher.askedFirst(first, now);
+            running.dispatcher.entries(entries.size());
             dispatchers.put(shard, running);
             log.line("dispatching")
                     .with("service", shard)
@@ -163,9 +163,9 @@
         return Optional.of(running);
     }
 
-    /** Takes what a server has said of the requests that it takes. Returns whether that is new. */
-    boolean learn(BackendServerId server, ServerLimit limit) {
-        return limits.learn(server, limit, clock.nanos());
+    /** The limits that servers have named. */
+    HeardLimits limits() {
+        return limits;
     }
 
     PlaceAnswer place(PlaceCall call) {
@@ -215,6 +215,7 @@
     }
 
     void adopt(Adoption adoption) {
+        adoption.limits().forEach(each -> limits.take(each.server(), each.limit(), "entry"));
         dispatcher(adoption.key()).ifPresent(running -> {
             Dispatcher each = running.dispatcher;
             long now = clock.nanos();
@@ -222,6 +223,10 @@
                 each.keepOnly(adoption.host(), adoption.incarnation(), adoption.open(), now);
             }
             adoption.open().forEach(grant -> each.adopt(grant, now));
+            if (!adoption.all()) {
+                adoption.open()
+                        .forEach(grant -> each.sentElsewhere(grant.granted().server(), now));
+            }
         });
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
@@ -153,6 +153,7 @@
                 protocol,
                 fleet,
                 dispatch,
+                dispatchers.limits(),
                 connections,
                 thread,
                 process.clock(),
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayParts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayParts.java
@@ -12,6 +12,7 @@
         CallProtocol protocol,
         Fleet fleet,
         DispatchClient dispatch,
+        HeardLimits limits,
         BackendConnections connections,
         XnioIoThread thread,
         MonotonicClock clock,
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/HeardLimits.java
@@ -0,0 +1,53 @@
+package org.elmline.daemon.gateway;
+
+import java.util.List;
+
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.dispatch.ServerLimit;
+import org.elmline.core.dispatch.ServerLimits;
+import org.elmline.daemon.log.DecisionLog;
+
+/** The limits that this entry has heard of, with a line for each change. Used on the I/O thread only. */
+final class HeardLimits {
+    private final ServerLimits limits = new ServerLimits();
+    private final MonotonicClock clock;
+    private final DecisionLog log;
+
+    HeardLimits(MonotonicClock clock, DecisionLog log) {
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /**
+     * Takes what a server has said of the requests that it takes.
+     *
+     * @param limit null when that can't be understood
+     * @param by where it was heard, for the log
+     */
+    void take(BackendServerId server, ServerLimit limit, String by) {
+        if (limit == null) {
+            log.line("server limit not understood").with("server", server).write();
+        } else if (limits.learn(server, limit, clock.nanos())) {
+            log.line("server limit")
+                    .with("server", server)
+                    .with("limited", limit.isLimited())
+                    .with("spacingMicros", limit.spacingMicros())
+                    .with("by", by)
+                    .write();
+        }
+    }
+
+    boolean isLimited(BackendServerId server) {
+        return limits.of(server).isLimited();
+    }
+
+    List<ServerLimits.Named> all() {
+        return limits.all();
+    }
+
+    /** The table behind it, which dispatchers here decide by. */
+    ServerLimits table() {
+        return limits;
+    }
+}
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
@@ -32,6 +32,8 @@
 import org.elmline.core.dispatch.OpenGrant;
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
+import org.elmline.core.dispatch.ServerLimit;
+import org.elmline.core.dispatch.ServerLimits;
 import org.elmline.core.dispatch.Shard;
 import org.elmline.core.raft.Entry;
 import org.elmline.core.raft.EntryKind;
@@ -223,14 +225,19 @@
                 granted,
                 new PlaceAnswer.Queued("a", random.nextInt()),
                 new PlaceAnswer.Refused("a", PlaceAnswer.Why.TOO_LATE, random.nextLong()),
-                new Reports(SERVICE, List.of(new AttemptReport("a", null), new AttemptReport("b", AttemptEnd.DONE))),
+                new Reports(
+                        SERVICE,
+                        List.of(
+                                new AttemptReport("a", null),
+                                new AttemptReport("b", AttemptEnd.DONE, ServerLimit.NONE))),
                 new Adoption(
                         SERVICE,
                         new Shard(1, 2),
                         HOST,
                         4,
                         random.nextBoolean(),
-                        List.of(new OpenGrant(call, granted, true))),
+                        List.of(new OpenGrant(call, granted, true)),
+                        List.of(new ServerLimits.Named(granted.server(), ServerLimit.ofPerSecond(1.7)))),
                 new Decided(HOST, granted),
                 new Taken(random.nextBoolean()));
     }
