Test that limits reach a new dispatcher and are kept by it

Two tests without a network: an entry tells the successor of a dispatcher what it has heard, and a dispatcher that was told keeps a limit it has seen no answer of. Both pass; no code changed.

--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
@@ -29,6 +29,8 @@
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
 import org.elmline.core.dispatch.RetryLimit;
+import org.elmline.core.dispatch.ServerLimit;
+import org.elmline.core.dispatch.ServerLimits;
 import org.elmline.core.dispatch.ServiceShard;
 import org.elmline.core.dispatch.Shard;
 import org.elmline.core.peer.Channel;
@@ -94,9 +96,10 @@
         }
     }
 
+    private DispatchService own;
+
     private DispatchClient client() {
-        DispatchService own =
-                new DispatchService(HostId.of(SELF), new RetryLimit(0.2, 10, 10), clock, log, (host, answer) -> {});
+        own = new DispatchService(HostId.of(SELF), new RetryLimit(0.2, 10, 10), clock, log, (host, answer) -> {});
         DispatcherDirectory directory = new DispatcherDirectory(() -> entries, service -> servers, clock);
         return new DispatchClient(settings(), 1, new ScriptedNetwork(), directory, own, thread, clock, log);
     }
@@ -149,6 +152,24 @@
         assertTrue(sent.contains(new Sent(old, forget)), sent.toString());
     }
 
+    /** Guards against a new dispatcher that fills a server in need until it has heard of the need itself. */
+    @Test
+    void aNewDispatcherIsToldTheLimitsThatServersName() {
+        List<EntryRecord> order = DispatcherChoice.order(WHOLE, entries);
+        DispatchClient client = client();
+        own.limits().take(BackendServerId.of("s1"), ServerLimit.ofPerSecond(2), "answer");
+        client.place(call(), answer -> {});
+        entries = List.of(order.get(1));
+        client.fleetChanged();
+        Adoption told = sent.stream()
+                .filter(each -> each.request() instanceof Adoption)
+                .map(each -> (Adoption) each.request())
+                .findFirst()
+                .orElseThrow();
+        assertEquals(
+                List.of(new ServerLimits.Named(BackendServerId.of("s1"), ServerLimit.ofPerSecond(2))), told.limits());
+    }
+
     /**
      * A prompt waits a quarter of a second longer than it must, and may meanwhile be placed by a dispatcher that knows
      * nothing any more: its entry has learnt of a new one, and asks that only at its next turn.
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchServiceTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchServiceTest.java
@@ -12,9 +12,12 @@
 import org.elmline.core.common.ServiceName;
 import org.elmline.core.dispatch.AttemptEnd;
 import org.elmline.core.dispatch.AttemptReport;
+import org.elmline.core.dispatch.DispatchChannels;
 import org.elmline.core.dispatch.PlaceAnswer;
 import org.elmline.core.dispatch.PlaceCall;
 import org.elmline.core.dispatch.RetryLimit;
+import org.elmline.core.dispatch.ServerLimit;
+import org.elmline.core.dispatch.ServerLimits;
 import org.elmline.core.dispatch.Shard;
 import org.elmline.core.registry.Registration;
 import org.elmline.core.registry.ServerState;
@@ -93,4 +96,13 @@
         assertEquals(
                 List.of("waits"), decided.stream().map(PlaceAnswer::attempt).toList());
     }
+
+    /** Guards against limits that only the entries hear of to which servers have answered. */
+    @Test
+    void aDispatcherKeepsTheLimitsThatEntriesTellItOf() {
+        know();
+        ServerLimits.Named named = new ServerLimits.Named(server(DESK).id(), ServerLimit.ofPerSecond(1));
+        service.adopt(new DispatchChannels.Adoption(DESK, Shard.WHOLE, SELF, 1, true, List.of(), List.of(named)));
+        assertInstanceOf(PlaceAnswer.Queued.class, service.place(call("waits", DESK)));
+    }
 }
