Tell callers at once what a limited server can't take in their time

An entry that decides by itself keeps to a part of a limit, at 18 entries one request in 18 s where the server takes one a second. A call with one second left waited there until its time was over, and once the entry was asked first by all, the server stayed alone for the rest of the 18 s.

Cause: the wait was worked out from the calls ahead only, and the moment of the next request wasn't moved when the limit became wider.

LimitedServersTest.oneThatIsAskedFirstAgainHasTheWholeLimitAtOnce failed before (queued in place of refused).

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -198,7 +198,7 @@
         if (usable.isEmpty()) {
             return warming(now) ? Optional.empty() : refuse(call, PlaceAnswer.Why.NO_SERVER, SHORTEST_RETRY_MILLIS);
         }
-        long wait = waitMillis(usable);
+        long wait = waitMillis(usable, now);
         if (waiting.size() >= MAX_WAITING) {
             return refuse(call, PlaceAnswer.Why.QUEUE_FULL, wait);
         }
@@ -236,7 +236,7 @@
     }
 
     /** Milliseconds until all that waits now has begun, by the work it is. */
-    private long waitMillis(List<ServerAccount> usable) {
+    private long waitMillis(List<ServerAccount> usable, long now) {
         double work = 0;
         int places = 0;
         for (ServerAccount each : usable) {
@@ -245,7 +245,7 @@
         for (WaitingCall each : waiting) {
             work += placement.workMillis(each.call(), usable);
         }
-        return (long) Math.max(work / Math.max(1, places), limits.waitMillis(usable, waiting.size()));
+        return (long) Math.max(work / Math.max(1, places), limits.waitMillis(usable, waiting.size(), now));
     }
 
     /** Lets time pass: decisions on calls that waited, to be told to their entries. */
@@ -293,7 +293,7 @@
 
     /** @param ahead calls that wait and go before this one */
     private boolean isHopeless(WaitingCall waited, List<ServerAccount> usable, int ahead, long now) {
-        double wait = limits.waitMillis(usable, ahead);
+        double wait = limits.waitMillis(usable, ahead, now);
         return wait + placement.workMillis(waited.call(), usable) / 2 > waited.deadlineLeftMillis(now);
     }
 
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/RequestBudget.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/RequestBudget.java
@@ -21,6 +21,8 @@
         if (spacingNanos == 0 && next > 0) {
             // It may have been sent any number just before.
             nextAt = now + next;
+        } else if (next < spacingNanos) {
+            nextAt = Math.min(nextAt, now + next);
         }
         spacingNanos = next;
     }
@@ -34,9 +36,14 @@
         return NANOS_PER_MILLI / spacingNanos;
     }
 
+    /** Milliseconds until one more may be sent. */
+    double waitMillis(long now) {
+        return spacingNanos == 0 ? 0 : Math.max(0, (nextAt - now) / NANOS_PER_MILLI);
+    }
+
     /** Whether one more may be sent now. */
     boolean allows(long now) {
-        return spacingNanos == 0 || now - nextAt >= 0;
+        return waitMillis(now) == 0;
     }
 
     /** Counts one that is sent. */
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/RequestLimits.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/RequestLimits.java
@@ -65,15 +65,17 @@
         return isLong && !unlimited.isEmpty() ? unlimited : within;
     }
 
-    /** Milliseconds until the limits let so many calls be sent; 0 where a server names none. */
-    double waitMillis(List<ServerAccount> usable, int calls) {
+    /** Milliseconds until the limits let one more be sent after so many; 0 where a server names none. */
+    double waitMillis(List<ServerAccount> usable, int ahead, long now) {
         if (named.isEmpty()) {
             return 0;
         }
         double perMilli = 0;
+        double first = Double.MAX_VALUE;
         for (ServerAccount each : usable) {
             perMilli += each.requests().perMilli();
+            first = Math.min(first, each.requests().waitMillis(now));
         }
-        return calls / perMilli;
+        return first + ahead / perMilli;
     }
 }
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/LimitedServersTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/LimitedServersTest.java
@@ -169,6 +169,19 @@
         assertEquals(10, sent, 1);
     }
 
+    /** Guards against a server left alone for many seconds, as the one that decides now went by a part of its limit before. */
+    @Test
+    void oneThatIsAskedFirstAgainHasTheWholeLimitAtOnce() {
+        Dispatcher dispatcher = dispatcher(PLAIN, 1);
+        dispatcher.entries(18);
+        dispatcher.askedFirst(false, 0);
+        limits.learn(server(0), ServerLimit.ofPerSecond(1), 0);
+        assertInstanceOf(PlaceAnswer.Refused.class, dispatcher.place(call(0, 100, 1_000), 10 * MILLI));
+        dispatcher.askedFirst(true, SECOND);
+        assertInstanceOf(PlaceAnswer.Queued.class, dispatcher.place(call(0, 100, 5_000), SECOND));
+        assertEquals(1, dispatcher.tick(2_100 * MILLI).size());
+    }
+
     /** Guards against a limit that is known where an answer came, and not where the next request is decided. */
     @Test
     void aLimitIsLearnedFromReportsAndLiftedByThem() {
