Hold the polls of those who follow more than five control hosts for longer

Large fleets. Change: 250 ms more for each control host beyond five (1.5 s at nine) in place of 100 ms for each; six polls a second. News that wait for nobody are gathered as long as before (400 ms at nine), leaving servers and tables are told at once as before. A control host's opinion counts for as long as it can be held and 1.2 s more, or it would fall out between two polls. Sites with up to five control hosts poll as before.

Price: a lost entry is found after 1.95 s in place of 1.35.

FleetViewTest.aHostThatIsPolledLessOftenStaysCurrent is new.

--- a/elmline-core/src/main/java/org/elmline/core/registry/FleetView.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FleetView.java
@@ -23,7 +23,7 @@
     /** Time for which a union made without news since is used again; every call asks for it several times. */
     private static final long UNION_NANOS = 50 * NANOS_PER_MILLI;
 
-    private final long currentNanos;
+    private long currentNanos;
     private final long relearnNanos;
     private final long settleNanos;
     private final Map<BackendServerId, Registration> servers = new HashMap<>();
@@ -109,6 +109,11 @@
         this.settleNanos = settleNanos;
     }
 
+    /** Takes another time after an answer for which a control host's opinion counts. */
+    public void currentFor(long nanos) {
+        currentNanos = nanos;
+    }
+
     /** Takes a control host's answer. Returns whether anything changed by it. */
     public boolean take(Address from, FollowAnswer answer, long now) {
         Opinion opinion = opinions.computeIfAbsent(from, address -> new Opinion());
--- a/elmline-core/src/main/java/org/elmline/core/registry/OpenPoll.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/OpenPoll.java
@@ -14,12 +14,18 @@
     /** Longest hold that a follower may ask for, so that one that is gone is noticed. */
     private static final long LONGEST_HOLD_MILLIS = 5_000;
 
-    /** Part of the hold for each control host: a follower of many gives no more signs of life than one of few. */
-    private static final long HOLD_MILLIS_EACH = 100;
+    /** Control hosts up to which a follower polls each at the usual pace. */
+    private static final int USUAL_CONTROL_HOSTS = 5;
+
+    /** Longer hold for each control host beyond: a follower of eight stays within three kilobytes a second. */
+    private static final long HOLD_MILLIS_BEYOND = 250;
+
+    /** Part of a longer hold for which news are gathered longer, too; the other hosts tell of them meanwhile. */
+    private static final double GATHER_SHARE = 0.4;
 
     /** The hold that a follower of so many control hosts asks for. */
     public static long holdMillis(int controlHosts) {
-        return Math.max(HOLD_MILLIS, controlHosts * HOLD_MILLIS_EACH);
+        return HOLD_MILLIS + Math.max(0, controlHosts - USUAL_CONTROL_HOSTS) * HOLD_MILLIS_BEYOND;
     }
 
     /** Time for which the poll is held without news. */
@@ -41,7 +47,7 @@
      * hosts, and hears the same news from each of them.
      */
     private long gatherMillis() {
-        return Math.max(GATHER_MILLIS, holdMillis() - HOLD_MILLIS);
+        return Math.max(GATHER_MILLIS, (long) (GATHER_SHARE * (holdMillis() - HOLD_MILLIS)));
     }
 
     /** Whether it is to be answered now. */
--- a/elmline-core/src/test/java/org/elmline/core/registry/FleetViewTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/FleetViewTest.java
@@ -62,6 +62,15 @@
         assertEquals(0, view.usable(SECOND).size());
     }
 
+    /** Guards against control hosts that count as gone between two polls, as a follower of many polls each less often. */
+    @Test
+    void aHostThatIsPolledLessOftenStaysCurrent() {
+        view.currentFor(3 * SECOND);
+        view.take(A, answer(1, false, ServerState.READY), 0);
+        assertEquals(1, view.answering(3 * SECOND - 1));
+        assertEquals(0, view.answering(3 * SECOND));
+    }
+
     /**
      * All calls would be refused for a heartbeat's time: all control hosts are killed at once and come back with empty
      * registries, while the servers and this entry never stopped.
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Fleet.java
@@ -39,8 +39,8 @@
  * no control host answers, it goes on with what it holds. Used on the I/O thread only.
  */
 final class Fleet {
-    /** A control host that has not answered for this long has no say on who is silent. */
-    private static final long CURRENT_NANOS = Duration.ofMillis(1_700).toNanos();
+    /** A control host that has not answered for this long after a poll's hold has no say on who is silent. */
+    private static final long CURRENT_MILLIS = 1_200;
 
     /** Three heartbeats of a backend server, after which one that was not heard is silent. */
     private static final long RELEARN_NANOS = Duration.ofMillis(3_600).toNanos();
@@ -67,7 +67,7 @@
     private final Supplier<EntryRecord> self;
     private final Runnable onTable;
     private final Runnable onNews;
-    private final FleetView view = new FleetView(CURRENT_NANOS, RELEARN_NANOS, SETTLE_NANOS);
+    private final FleetView view = new FleetView(currentNanos(OpenPoll.HOLD_MILLIS), RELEARN_NANOS, SETTLE_NANOS);
     private final Map<Address, FollowLoop> follows = new HashMap<>();
     private final StaggeredStart<Address> starts;
     private final Map<ServiceName, List<BackendServerId>> byService = new HashMap<>();
@@ -129,10 +129,15 @@
                 timer);
         follows.put(control, loop);
         holdMillis = OpenPoll.holdMillis(follows.size());
+        view.currentFor(currentNanos(holdMillis));
         log.line("control host followed").with("control", control).write();
         loop.start();
     }
 
+    private static long currentNanos(long holdMillis) {
+        return Duration.ofMillis(holdMillis + CURRENT_MILLIS).toNanos();
+    }
+
     private void take(Address control, FollowAnswer answer) {
         boolean changed = view.take(control, answer, clock.nanos());
         answer.controls().forEach(starts::add);
