Look at waiting calls when they come, and leave idle entries alone

Hypothesis: each entry wakes ten times a second for the dispatchers it runs, of which nearly all run none; and a call that begins to wait at a dispatcher that was idle is looked at after up to a tenth of a second, when a limit or a server would have let it go sooner.

Change: QueueTicks. Every 10 ms while calls wait, from the moment one does; every 100 ms while there is a dispatcher; never else. Decisions are as before.

DispatchServiceTest.aCallThatBeginsToWaitIsLookedAtSoon and anEntryThatDecidesForNobodyIsNotWoken, on a manual thread (100 ms, then 10 at once; no wake-up). What it saves was not measured alone.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
@@ -49,6 +49,7 @@
     private List<Registration> usable = List.of();
     private List<EntryRecord> entries = List.of();
     private boolean settled;
+    private Runnable onWork = () -> {};
 
     private static final class Running {
         private final Dispatcher dispatcher;
@@ -159,6 +160,7 @@
                     .with("first", first)
                     .with("servers", servers.size())
                     .write();
+            onWork.run();
         }
         return Optional.of(running);
     }
@@ -168,6 +170,11 @@
         return limits;
     }
 
+    /** Tells of a dispatcher that was not there, and of each call that begins to wait. */
+    void onWork(Runnable listener) {
+        onWork = listener;
+    }
+
     PlaceAnswer place(PlaceCall call) {
         Optional<Running> dispatcher = dispatcher(call.key());
         if (dispatcher.isEmpty()) {
@@ -177,6 +184,7 @@
         PlaceAnswer answer = dispatcher.get().dispatcher.place(call, clock.nanos());
         if (answer instanceof PlaceAnswer.Queued) {
             waiting.put(call.attempt(), call.host());
+            onWork.run();
         }
         return answer;
     }
@@ -250,6 +258,11 @@
         }
     }
 
+    /** Whether this entry decides for anybody. */
+    boolean any() {
+        return !dispatchers.isEmpty();
+    }
+
     boolean anyWaiting() {
         return !waiting.isEmpty();
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Gateway.java
@@ -41,10 +41,6 @@
     private static final int NOT_READY = 503;
     private static final int EVENTS = 1_024;
 
-    /** Pause between two looks at waiting calls: a fifth of a pass of an engine. */
-    private static final long TICK_MILLIS = 10;
-
-    private static final long IDLE_TICK_MILLIS = 100;
     private static final long STOP_LOOK_MILLIS = 50;
 
     /** Time for which news are gathered. */
@@ -144,6 +140,7 @@
                 thread,
                 process.clock(),
                 log);
+        new QueueTicks(thread, dispatchers);
         open = new OpenCalls(thread);
         BackendConnections connections =
                 new BackendConnections(thread, ports.buffers(), process.clock(), process.metrics());
@@ -164,7 +161,6 @@
         calls = new CallHandler(parts, stop);
         dispatch.register(peers.handlers());
         fleet.start();
-        tick();
         log.line("started").with("incarnation", incarnation).write();
     }
 
@@ -228,12 +224,6 @@
         });
     }
 
-    private void tick() {
-        dispatchers.tick();
-        long pause = dispatchers.anyWaiting() ? TICK_MILLIS : IDLE_TICK_MILLIS;
-        thread.executeAfter(this::tick, pause, TimeUnit.MILLISECONDS);
-    }
-
     /** Tells an entry the decision on its call; one that does not know the call any more gives the place back. */
     private void tell(HostId host, PlaceAnswer answer) {
         if (host.equals(settings.host())) {
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchServiceTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchServiceTest.java
@@ -97,6 +97,29 @@
                 List.of("waits"), decided.stream().map(PlaceAnswer::attempt).toList());
     }
 
+    /** Guards against a call that waits for a tenth of a second longer, as the dispatcher had been idle. */
+    @Test
+    void aCallThatBeginsToWaitIsLookedAtSoon() {
+        ManualThread thread = new ManualThread();
+        new QueueTicks(thread, service);
+        know();
+        service.place(call("runs", DESK));
+        service.place(call("waits", DESK));
+        assertEquals(List.of(100L, 10L), thread.delays());
+        service.report(DESK, List.of(new AttemptReport("waits", AttemptEnd.CANCELLED)));
+        thread.runLater();
+        assertEquals(List.of(100L, 10L, 100L), thread.delays());
+    }
+
+    /** Guards against work on each entry of a large deployment that only those who decide have. */
+    @Test
+    void anEntryThatDecidesForNobodyIsNotWoken() {
+        ManualThread thread = new ManualThread();
+        new QueueTicks(thread, service);
+        know();
+        assertEquals(List.of(), thread.delays());
+    }
+
     /** Guards against limits that only the entries hear of to which servers have answered. */
     @Test
     void aDispatcherKeepsTheLimitsThatEntriesTellItOf() {
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/ManualThread.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/ManualThread.java
@@ -9,6 +9,7 @@
 /** Runs what is to be run at once, and keeps what is to be run later until the test runs it. */
 final class ManualThread implements XnioExecutor {
     private final List<Runnable> later = new ArrayList<>();
+    private final List<Long> delays = new ArrayList<>();
 
     /** Runs all that was left for later up to now. */
     void runLater() {
@@ -17,6 +18,11 @@
         due.forEach(Runnable::run);
     }
 
+    /** Milliseconds after which each command was to be run, in order, those that were taken back included. */
+    List<Long> delays() {
+        return delays;
+    }
+
     @Override
     public void execute(Runnable command) {
         command.run();
@@ -25,6 +31,7 @@
     @Override
     public Key executeAfter(Runnable command, long time, TimeUnit unit) {
         later.add(command);
+        delays.add(unit.toMillis(time));
         return () -> later.remove(command);
     }
 
