Look at a leader's members once it has published them; name two methods

Traced from its log: the leader had appended the promotion (index 560) and sent it before its own sync, as it may; the promoted replica took itself for a voter, and the test looked at the leader's status, which is published after the sync. The state was right, the look too early. It has been possible all along; steps that follow one another at once made it likelier.

Beside it: the hosts that a line names are typed, and the method that proposes a change of membership says so. Behaviour is the same.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/MembershipLog.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/MembershipLog.java
@@ -1,11 +1,13 @@
 package org.elmline.daemon.raft;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
 import com.codahale.metrics.MetricRegistry;
+import org.elmline.core.common.Address;
 import org.elmline.core.raft.MembershipChange;
 import org.elmline.core.raft.ProposeOutcome;
 import org.elmline.core.raft.RaftNode;
@@ -36,8 +38,8 @@
         metrics.gauge("raft.voters.missing", () -> () -> missingVoters);
     }
 
-    /** This replica asks to join. */
-    void asks(Object hosts) {
+    /** This replica asks these hosts to let it join. */
+    void asks(Collection<Address> hosts) {
         write(node.self(), "asks to join at " + hosts + ", knows " + node.membership());
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
@@ -155,7 +155,7 @@
             return;
         }
         pruneAt = now + parts.settings.electionTimeout().toNanos();
-        JoinPlan.prune(node.membership(), this::lost).ifPresent(change -> change(change, now));
+        JoinPlan.prune(node.membership(), this::lost).ifPresent(change -> proposeChange(change, now));
     }
 
     private void takeAll(List<Input> inputs, long now) {
@@ -212,7 +212,8 @@
 
     private void letIn(long now) {
         if (node.isLeader()) {
-            joins.next(node.membership(), this::readyToVote, this::lost, now).ifPresent(change -> change(change, now));
+            joins.next(node.membership(), this::readyToVote, this::lost, now)
+                    .ifPresent(change -> proposeChange(change, now));
         } else {
             joins.clear();
         }
@@ -224,7 +225,7 @@
         return heard && node.isCaughtUp(joining);
     }
 
-    private void change(MembershipChange change, long now) {
+    private void proposeChange(MembershipChange change, long now) {
         membershipLog.step(change, node.propose(now, change));
     }
 
--- a/elmline-daemon/src/test/java/org/elmline/daemon/raft/RaftDriverTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/raft/RaftDriverTest.java
@@ -12,6 +12,7 @@
 
 import org.elmline.core.common.Address;
 import org.elmline.core.raft.ProposeRefusal;
+import org.elmline.core.raft.ReplicaId;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -108,7 +109,15 @@
         emptied.stop();
         emptied.start(data.resolve("second"), false);
         await("replaced", this::allAgree);
-        assertEquals(3, leader().driver.status().membership().voters().size());
+        // A leader's status is published after its sync, when the replica that it promoted may know already.
+        TestReplica leader = leader();
+        await("known to the leader", () -> voters(leader).size() == 3);
+        assertEquals(
+                replicas.stream()
+                        .map(each -> each.driver.status().self())
+                        .sorted()
+                        .toList(),
+                voters(leader));
         assertTrue(stopped.count >= 550);
     }
 
@@ -199,6 +208,10 @@
         await("none missing", () -> missingVoters(leader) == 0);
     }
 
+    private static List<ReplicaId> voters(TestReplica leader) {
+        return leader.driver.status().membership().voters();
+    }
+
     private static int missingVoters(TestReplica leader) {
         return (Integer) leader.metrics.getGauges().get("raft.voters.missing").getValue();
     }
