--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerLimit.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerLimit.java
@@ -11,8 +11,8 @@
     private static final double MICROS_PER_SECOND = 1e6;
 
     /**
-     * Slowest pace that is kept. A server that names a lower limit, or none at all, would else never be asked again, and
-     * the end of its need would never be seen.
+     * Slowest pace that is kept. A server whose limit is lower, or zero, would else hardly be asked again, and the end of
+     * its need would not be seen.
      */
     private static final long LONGEST_SPACING_MICROS = 4_000_000;
 
