Do not start a slow handshake anew while the peer works on it

All hosts lose power at 38.8 s; logs are open and four control hosts stand for election at 45.0 to 45.5 s, but a leader stands only at 52.2 s. From 46 to 49 s nothing comes forward anywhere: of the entries 4 heard of a table in second 44, none in 45 to 48, 6 in 49 and 14 in 50; the control hosts registered 4 entries in second 48, 63 in 50. Cause: a connection that was not through its handshake 700 ms after it was begun was closed and begun again. That limit is meant for a host without power, which never accepts. A control host that has just started gets a connection from each entry and each other control host at once; on a fifth of a core it needs more than 700 ms for them, so all were given up while it worked on them, and it went on with dead ones. Votes wait in the same line. Ruled out: a lost quorum (six of nine voters are there, five are enough), candidates that lag (the winner holds what all hold), an older table handed out (all entries obey version 50 as soon as they have one). Change: 700 ms for the connection to be accepted, which a host without power never does; 4 s for the handshake after that. Test: waitsForSlowHandshakeOnOneConnection, a peer that is busy for 2 s. Before: not sent, "no connection"; after: answered on the one connection.

--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
@@ -37,6 +37,13 @@
      */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
+    /**
+     * Longest handshake on a connection that the peer's kernel has accepted. A host that has just started gets the
+     * connections of all other hosts at once and works through their handshakes for seconds; if they were given up
+     * sooner and started again, it would be busy with those given up and complete none.
+     */
+    private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(4);
+
     /**
      * Time without a received frame after which a connection with an unanswered call counts as dead. With a shorter
      * time, a host that stalls for a moment would lose the connections of all its callers and then be busy with their
@@ -278,16 +285,18 @@
                 return opened;
             }
             SocketOptions.apply(socket);
-            timer.schedule(() -> abandon(socket, opened), CONNECT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
             connect(socket, opened);
             return opened;
         }
 
         private void connect(AsynchronousSocketChannel socket, CompletableFuture<Connection> opened) {
             InetSocketAddress target = new InetSocketAddress(address.ip(), address.port());
+            ScheduledFuture<?> connectTimeout = abandonAfter(CONNECT_TIMEOUT, socket, opened);
             socket.connect(target, null, new CompletionHandler<Void, Void>() {
                 @Override
                 public void completed(Void done, Void attachment) {
+                    connectTimeout.cancel(false);
+                    abandonAfter(HANDSHAKE_TIMEOUT, socket, opened);
                     Connection connection = new Connection(
                             socket, key, Handshake.Side.CLIENT, noHandlers, limits, hybridClock, each -> {});
                     connection.ready().thenAccept(authenticated -> opened.complete(authenticated ? connection : null));
@@ -301,6 +310,11 @@
             });
         }
 
+        private ScheduledFuture<?> abandonAfter(
+                Duration time, AsynchronousSocketChannel socket, CompletableFuture<Connection> opened) {
+            return timer.schedule(() -> abandon(socket, opened), time.toMillis(), TimeUnit.MILLISECONDS);
+        }
+
         private void abandon(AsynchronousSocketChannel socket, CompletableFuture<Connection> opened) {
             if (!opened.complete(null)) {
                 return;
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.elmline.core.common.Address;
 import org.elmline.core.common.CallResult;
@@ -104,6 +105,48 @@
                 await(network(SECRET, PeerLimits.DEFAULT).call(unusedAddress, ECHO, new Request("x"), LONG_TIMEOUT)));
     }
 
+    /** A host that is busy with the connections of all others gets ever more of them and completes none. */
+    @Test
+    void waitsForSlowHandshakeOnOneConnection() throws Exception {
+        AtomicInteger accepted = new AtomicInteger();
+        try (ServerSocket busyHost = new ServerSocket(0)) {
+            workers.execute(() -> forwardAfter(Duration.ofSeconds(2), busyHost, accepted));
+            Address busyAddress = new Address("127.0.0.1", busyHost.getLocalPort());
+            TcpPeerNetwork network = network(SECRET, PeerLimits.DEFAULT);
+            assertInstanceOf(
+                    CallResult.NotSent.class, await(network.call(busyAddress, ECHO, new Request("x"), SHORT_TIMEOUT)));
+            assertEquals(
+                    new CallResult.Answered<>(new Reply("y")),
+                    await(network.call(busyAddress, ECHO, new Request("y"), LONG_TIMEOUT)));
+        }
+        assertEquals(1, accepted.get());
+    }
+
+    /** Accepts connections; the first byte of each reaches the server after this time. */
+    private void forwardAfter(Duration delay, ServerSocket from, AtomicInteger accepted) {
+        try {
+            while (true) {
+                Socket caller = from.accept();
+                accepted.incrementAndGet();
+                Thread.sleep(delay.toMillis());
+                Socket served = new Socket("127.0.0.1", server.port());
+                workers.execute(() -> copy(caller, served));
+                workers.execute(() -> copy(served, caller));
+            }
+        } catch (IOException | InterruptedException e) {
+            // The test has ended.
+        }
+    }
+
+    private static void copy(Socket from, Socket to) {
+        try (from;
+                to) {
+            from.getInputStream().transferTo(to.getOutputStream());
+        } catch (IOException e) {
+            // One side closed its connection, which ends the other one too.
+        }
+    }
+
     @Test
     void reportsNotSentForAWrongKey() throws Exception {
         TcpPeerNetwork network = network("another key of tests", PeerLimits.DEFAULT);
