Forget a lost leader on replicas that do not vote

Cause: the election timeout of a replica that is no voter ended before it dropped the leader; only candidates forgot theirs. What follows: a control host that rejoins counts itself in contact with a majority. It acknowledges leaving servers, and entries take its table for the newest one, while the log has no leader. Change: at the election timeout a replica without a vote becomes a follower without leader. Test: learnerForgetsLeaderAfterLosingContact, failed before.

--- a/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
@@ -38,6 +38,7 @@
         restartTimeout();
         // Learners, removed replicas and replicas with an empty data folder never start an election.
         if (!state.isVoter()) {
+            state.becomeFollower(state.term());
             return false;
         }
         return startPreVote();
--- a/elmline-core/src/test/java/org/elmline/core/raft/RaftNodeTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/RaftNodeTest.java
@@ -194,6 +194,21 @@
         assertNull(refusal(leader, new MembershipChange.Remove(fresh)));
     }
 
+    /** A learner that names a leader for ever would vouch for a table while the log has none. */
+    @Test
+    void learnerForgetsLeaderAfterLosingContact() {
+        ReplicaId learner = new ReplicaId(HostId.of("learner"), 1);
+        ReplicaId leader = new ReplicaId(HostId.of("leader"), 0);
+        RaftSettings settings = RaftSettings.builder().build();
+        RaftNode node = new RaftNode(learner, settings, RestoredState.EMPTY, new java.util.SplittableRandom(1), 0);
+        node.step(0, new Message.Heartbeat(leader, learner, 3, 0, 0));
+        node.tick(1);
+        assertEquals(leader, node.leader());
+        node.tick(2 * settings.electionTimeoutNanos());
+        assertNull(node.leader());
+        assertEquals(3, node.term());
+    }
+
     private static ProposeRefusal refusal(SimHost leader, MembershipChange change) {
         ProposeOutcome outcome = leader.node.propose(leader.clock(), change);
         leader.processReady();
