Serve callers by a table only while a leader can confirm it, within a bound

Cause: control hosts hand out the table they remember until their log is open, which can be older than one that was acknowledged; an entry obeyed it for as long as the election took, and answered 404 and 401 by it. Change: control hosts say how long they have had no contact with a leader. An entry that a majority of them answers, none with a leader for `unconfirmedRoutingMillis`, holds calls and then refuses them with a time to come back, until a leader is there and its table is in force. One that reaches no majority is cut off and goes on with what it has. A path or key that the table lacks gets 503 unless a leader stands.

--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
@@ -22,6 +22,8 @@
  * @param routing the routing document as text, for an entry of an earlier release that has none yet; null otherwise
  * @param packedRouting the routing document in compressed form, for an entry of a current release that has none yet;
  *     null otherwise
+ * @param leaderlessMillis how long this host has had no contact with a leader of the log, in milliseconds; 0 while it
+ *     has, and from an earlier release
  */
 public record FollowAnswer(
         long epoch,
@@ -35,7 +37,8 @@
         List<Address> controls,
         long routingVersion,
         RoutingText routing,
-        PackedRouting packedRouting) {
+        PackedRouting packedRouting,
+        long leaderlessMillis) {
     public FollowAnswer {
         servers = servers == null ? List.of() : List.copyOf(servers);
         heard = heard == null ? List.of() : List.copyOf(heard);
--- a/elmline-core/src/main/java/org/elmline/core/registry/RegistryView.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/RegistryView.java
@@ -59,6 +59,8 @@
         private long epoch;
         private long warmUpEndNanos;
         private long upSinceNanos;
+        private boolean leaderless;
+        private long leaderlessSinceNanos;
         private final Set<BackendServerId> alive = new HashSet<>();
         private final Set<BackendServerId> expired = new HashSet<>();
         private final Set<BackendServerId> restored = new HashSet<>();
@@ -97,6 +99,10 @@
             boolean warmingUp = now - warmUpEndNanos < 0;
             return alive.contains(id) || (warmingUp && aliveBeforeRestart.contains(id));
         }
+
+        long leaderlessNanos(long now) {
+            return leaderless ? now - leaderlessSinceNanos : 0;
+        }
     }
 
     /**
@@ -126,6 +132,8 @@
         changed |= now - view.lastAnswerNanos >= answerValidityNanos;
         view.lastAnswerNanos = now;
         view.upSinceNanos = now - answer.upMillis() * NANOS_PER_MILLI;
+        view.leaderless = answer.leaderlessMillis() > 0;
+        view.leaderlessSinceNanos = now - answer.leaderlessMillis() * NANOS_PER_MILLI;
         for (ServerUpdate each : answer.servers()) {
             changed |= apply(each.registration());
             changed |= view.apply(each);
@@ -246,6 +254,28 @@
         return currentViews(now).size();
     }
 
+    /**
+     * Time in nanoseconds for which the control hosts have been running without a leader: 0 when one of those that
+     * answer is in contact with one. Also 0 when no majority answers, since this entry is then cut off, or they are.
+     *
+     * @param controlHosts number of all control hosts
+     */
+    public long leaderlessNanos(int controlHosts, long now) {
+        List<ControlHostView> current = currentViews(now);
+        if (2 * current.size() <= controlHosts) {
+            return 0;
+        }
+        return current.stream()
+                .mapToLong(each -> each.leaderlessNanos(now))
+                .min()
+                .orElse(0);
+    }
+
+    /** Whether a control host in contact with a leader answers. */
+    public boolean hasLeader(long now) {
+        return currentViews(now).stream().anyMatch(each -> !each.leaderless);
+    }
+
     private List<ControlHostView> currentViews(long now) {
         List<ControlHostView> current = new ArrayList<>();
         for (ControlHostView each : controlHostViews.values()) {
--- a/elmline-core/src/test/java/org/elmline/core/registry/LiveEntriesTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/LiveEntriesTest.java
@@ -53,7 +53,8 @@
                 List.of(),
                 1,
                 null,
-                null);
+                null,
+                0);
         view.apply(CONTROL, answer, now);
         seen = live.lastChange();
         return whole ? live.all().size() : changes.size();
--- a/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
@@ -45,11 +45,12 @@
                 List.of(),
                 1,
                 null,
-                null);
+                null,
+                0);
     }
 
     private static FollowAnswer emptyAnswer(long epoch) {
-        return new FollowAnswer(epoch, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null);
+        return new FollowAnswer(epoch, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0);
     }
 
     /**
@@ -109,7 +110,7 @@
     private static FollowAnswer answerWithRestoredServer(long epoch) {
         ServerUpdate update = new ServerUpdate(server(ServerState.READY, 1), false, true);
         return new FollowAnswer(
-                epoch, 9_000, List.of(update), 1, null, List.of(), List.of(), 0, List.of(), 1, null, null);
+                epoch, 9_000, List.of(update), 1, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0);
     }
 
     /**
@@ -144,6 +145,34 @@
     }
 
     private static FollowAnswer answerAfterUptime(long millis) {
-        return new FollowAnswer(1, millis, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null);
+        return new FollowAnswer(1, millis, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0);
+    }
+
+    private static FollowAnswer leaderlessAnswer(long millis) {
+        return new FollowAnswer(
+                1, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, millis);
+    }
+
+    /**
+     * Guards against calls routed by an outdated table: all control hosts restart with tables they have restored, and
+     * their election takes long.
+     */
+    @Test
+    void countsTimeWithoutLeaderFromTheHostThatLostItLast() {
+        view.apply(A, leaderlessAnswer(900), 0);
+        view.apply(B, leaderlessAnswer(400), 0);
+        assertEquals(SECOND + 400_000_000L, view.leaderlessNanos(3, SECOND));
+        assertFalse(view.hasLeader(SECOND));
+        view.apply(B, leaderlessAnswer(0), SECOND);
+        assertEquals(0, view.leaderlessNanos(3, SECOND));
+        assertTrue(view.hasLeader(SECOND));
+    }
+
+    /** An entry that reaches only a minority, cut off with it, keeps serving by the table that it has. */
+    @Test
+    void countsNoTimeWithoutLeaderWhileAMinorityAnswers() {
+        view.apply(A, leaderlessAnswer(9_000), 0);
+        assertEquals(0, view.leaderlessNanos(3, SECOND));
+        assertEquals(10 * SECOND, view.leaderlessNanos(1, SECOND));
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -75,6 +75,7 @@
     private final List<Propagation> propagations = new ArrayList<>();
     private long lastLeaveChange;
     private long startedAtNanos;
+    private long leaderSeenNanos;
     private long persistedChanges;
     private long persistedAtNanos;
 
@@ -119,6 +120,7 @@
         long now = clock.nanos();
         synchronized (this) {
             startedAtNanos = now;
+            leaderSeenNanos = now;
             restored.forEach(each -> servers.restore(each, now));
             persistedChanges = servers.lastChange();
             persistedAtNanos = now;
@@ -240,6 +242,7 @@
                             .write();
                 }
                 persistServers(now);
+                leaderlessMillis(now);
             }
             routing.persist(now);
             answerPolls();
@@ -304,7 +307,16 @@
                 controlHosts.get(),
                 version,
                 sendsRouting && !request.acceptsPackedUpdates() ? routing.current() : null,
-                sendsRouting && request.acceptsPackedUpdates() ? routing.packed() : null);
+                sendsRouting && request.acceptsPackedUpdates() ? routing.packed() : null,
+                leaderlessMillis(now));
+    }
+
+    private long leaderlessMillis(long now) {
+        if (routing.hasQuorum()) {
+            leaderSeenNanos = now;
+            return 0;
+        }
+        return Math.max(1, (now - leaderSeenNanos) / NANOS_PER_MILLI);
     }
 
     private void completePropagations(long now, List<Runnable> completions) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -59,11 +59,13 @@
             refuse(exchange, null, BAD_REQUEST, e.getMessage());
             return;
         }
-        if (context.deployment().table().isEmpty()) {
+        boolean noTable = context.deployment().table().isEmpty();
+        if (noTable || context.deployment().isTableUnconfirmed()) {
+            String why = noTable ? "no routing table yet" : "no leader has confirmed the routing table";
             tableWaitQueue.add(
                     head.deadlineMillis(),
                     () -> readBody(exchange, head, receivedAtNanos),
-                    () -> refuseWithRetryAfter(exchange, head, "no routing table yet", RETRY_AFTER_MILLIS));
+                    () -> refuseWithRetryAfter(exchange, head, why, RETRY_AFTER_MILLIS));
             return;
         }
         readBody(exchange, head, receivedAtNanos);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -51,6 +51,8 @@
     /** Two polls of each entry, after which a restarted control host has a record of all live entries. */
     private static final long ENTRY_DISCOVERY_NANOS = Duration.ofMillis(1_000).toNanos();
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private static final Duration FETCH_TIMEOUT = Duration.ofMillis(600);
 
     /**
@@ -82,6 +84,7 @@
     private volatile long holdMillis = PendingPoll.HOLD_MILLIS;
     private boolean fetching;
     private boolean hadAllEntries;
+    private boolean unconfirmed;
 
     /**
      * @param selfRecord this entry's own record, sent with each poll
@@ -144,6 +147,7 @@
     }
 
     private void handleAnswer(Address control, FollowAnswer answer) {
+        boolean wasUnconfirmed = unconfirmed;
         boolean changed = view.apply(control, answer, clock.nanos());
         answer.controls().forEach(followStarter::add);
         dropLostControlHosts(answer.controls());
@@ -164,6 +168,7 @@
         if (heldVersion() < answer.routingVersion()) {
             fetch(control);
         }
+        changed |= wasUnconfirmed && !isTableUnconfirmed();
         if (changed || hasAllEntries() != hadAllEntries) {
             hadAllEntries = hasAllEntries();
             onChange.run();
@@ -255,9 +260,31 @@
         return Optional.ofNullable(table);
     }
 
-    /** Whether a control host answers, so that the state held is current. */
+    /** Whether the table in force is the newest one by a control host that is in contact with a leader. */
     boolean isCurrent() {
-        return view.answeringControlHosts(clock.nanos()) > 0;
+        return view.hasLeader(clock.nanos()) && heldVersion() >= announcedVersion;
+    }
+
+    /**
+     * Whether callers must not be served by the table in force, because the control hosts have been running for too
+     * long without a leader. After a loss of all hosts those that answer may have restored a table that is older than
+     * one that an operator has an acknowledgement for, and only a leader can tell.
+     */
+    boolean isTableUnconfirmed() {
+        long leaderlessMillis = view.leaderlessNanos(pollers.size(), clock.nanos()) / NANOS_PER_MILLI;
+        boolean overLimit = leaderlessMillis >= settings.unconfirmedRoutingMillis();
+        boolean ended = unconfirmed && heldVersion() >= announcedVersion;
+        if (overLimit == unconfirmed || (!overLimit && !ended)) {
+            return unconfirmed;
+        }
+        unconfirmed = overLimit;
+        log.line(unconfirmed ? "routing table unconfirmed" : "routing table confirmed")
+                .with("version", heldVersion())
+                .with("leaderlessMs", leaderlessMillis)
+                .with("controlHosts", pollers.size())
+                .with("answering", view.answeringControlHosts(clock.nanos()))
+                .write();
+        return unconfirmed;
     }
 
     /** Whether {@link #entries()} are all live entries; false for a moment after a loss of all hosts. */
--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/FollowCostMeasurement.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/FollowCostMeasurement.java
@@ -61,7 +61,7 @@
             List<EntryRecord> entries,
             List<EntryUpdate> entryUpdates,
             List<Address> controls) {
-        return new FollowAnswer(1, 9_000, servers, 5, List.of(), entries, entryUpdates, 6, controls, 7, null, null);
+        return new FollowAnswer(1, 9_000, servers, 5, List.of(), entries, entryUpdates, 6, controls, 7, null, null, 0);
     }
 
     private static EntryRecord entry(int i) {
