Let no restored server expire before its heartbeat can arrive

Cause: a control host restores the servers it knew and lets them expire two heartbeats (2.4 s) later unless it hears them. Ruled out: lost files (all control hosts with a disk restored 21 and 72 servers). Change: the time without a heartbeat counts from the moment the port is open.

--- a/elmline-core/src/main/java/org/elmline/core/registry/ServerRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/ServerRegistry.java
@@ -157,6 +157,14 @@
         return true;
     }
 
+    /**
+     * Counts the time without a heartbeat of each server from now on. A host that starts restores its servers before it
+     * opens the port for their heartbeats; it would otherwise report them as expired before they could send one.
+     */
+    public void restartTimeouts(long now) {
+        servers.values().forEach(each -> each.lastHeartbeatNanos = now);
+    }
+
     /** Expires and evicts servers without recent heartbeats. Returns whether a server has expired. */
     public boolean expire(long now) {
         boolean changed = false;
--- a/elmline-core/src/test/java/org/elmline/core/registry/ServerRegistryTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/ServerRegistryTest.java
@@ -50,6 +50,15 @@
         assertEquals(ServerState.DRAINING, state("s"));
     }
 
+    /** Guards against calls refused after a slow start: the port for heartbeats opens when restored servers expire. */
+    @Test
+    void restoredServerExpiresAfterTimeoutFromRestartOfTimeouts() {
+        registry.restore(registration("s", "10.0.0.1:80", ServerState.READY, 100, 1), 0);
+        registry.restartTimeouts(60 * SECOND);
+        assertFalse(registry.expire(60 * SECOND + 1));
+        assertTrue(registry.expire(120 * SECOND));
+    }
+
     /** Late heartbeats must not register a server again that has left; only a later start does. */
     @Test
     void serverThatLeftReturnsOnlyByLaterStart() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -189,6 +189,7 @@
             ports.addPort(new Address(settings.ip(), settings.metricsPort()), process.metricsHandler());
         }
         ports.start();
+        registry.onPortOpened();
         log.line("started")
                 .with("replica", driver.status().self())
                 .with("members", driver.status().membership())
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -76,6 +76,7 @@
     private long lastLeaveChange;
     private long startedAtNanos;
     private long leaderSeenNanos;
+    private boolean receivesHeartbeats;
     private long persistedChanges;
     private long persistedAtNanos;
 
@@ -231,11 +232,22 @@
         answerPolls();
     }
 
+    /** To be called once the port for heartbeats is open; until then no server expires. */
+    void onPortOpened() {
+        long now = clock.nanos();
+        synchronized (this) {
+            servers.restartTimeouts(now);
+            receivesHeartbeats = true;
+        }
+    }
+
     private void tick() {
         try {
             long now = clock.nanos();
             synchronized (this) {
-                servers.expire(now);
+                if (receivesHeartbeats) {
+                    servers.expire(now);
+                }
                 if (entries.expire(now)) {
                     log.line("entries expired")
                             .with("left", entries.all().size())
