Give a new leader more time for the first answers of a majority

Cause: a leader steps down when no majority has answered for one election timeout (600 ms), counted from its election; on hosts that have just started and are busy with handshakes the first answers take longer. Change: until a majority has answered for the first time a leader waits three election timeouts; after that one, as before. Leases are counted from acknowledged sends and unchanged. Test: newLeaderWaitsLongerForFirstAnswers, failed before. All raft tests of the core pass.

--- a/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
@@ -4,6 +4,12 @@
 
 /** State and behaviour of a replica as leader of one term. */
 final class Leader {
+    /**
+     * Election timeouts that a new leader waits for the first answers of a majority. After a start of all hosts these
+     * take longer than later ones, and each leader would step down for the next election.
+     */
+    private static final int FIRST_ANSWERS_TIMEOUTS = 3;
+
     private final NodeState state;
     private final Replicator replicator;
     private final Lease lease;
@@ -59,8 +65,11 @@
         // Measured from the receipt of answers, not from the send time as the lease is. Measured from the send time, a
         // leader whose disk stalled for a moment would step down although a majority still answers.
         long quorumContactNanos = Quorum.highestReached(state.log().membership(), replicator::lastContactNanos);
-        return state.nowNanos() - Math.max(quorumContactNanos, electedAtNanos)
-                < state.settings().electionTimeoutNanos();
+        long timeoutNanos = state.settings().electionTimeoutNanos();
+        if (quorumContactNanos < electedAtNanos) {
+            return state.nowNanos() - electedAtNanos < FIRST_ANSWERS_TIMEOUTS * timeoutNanos;
+        }
+        return state.nowNanos() - quorumContactNanos < timeoutNanos;
     }
 
     private void updateQuorumContact() {
--- a/elmline-core/src/test/java/org/elmline/core/raft/RaftNodeTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/RaftNodeTest.java
@@ -194,6 +194,32 @@
         assertNull(refusal(leader, new MembershipChange.Remove(fresh)));
     }
 
+    /**
+     * Guards against elections without end after a start of all hosts: their answers to the new leader take longer than
+     * an election timeout, and it steps down before the first one arrives.
+     */
+    @Test
+    void newLeaderWaitsLongerForFirstAnswers() {
+        ReplicaId self = new ReplicaId(HostId.of("a"), 0);
+        ReplicaId other = new ReplicaId(HostId.of("b"), 0);
+        RaftSettings settings = RaftSettings.builder().build();
+        RestoredState restored = RestoredState.bootstrap(
+                Membership.ofVoters(List.of(self, other, new ReplicaId(HostId.of("c"), 0))));
+        RaftNode node = new RaftNode(self, settings, restored, new java.util.SplittableRandom(1), 0);
+        long timeout = settings.electionTimeoutNanos();
+        long elected = 2 * timeout;
+        node.tick(elected);
+        node.step(elected, new Message.PreVoteResponse(other, self, node.term() + 1, true));
+        node.step(elected, new Message.VoteResponse(other, self, node.term(), true));
+        node.tick(elected + 2 * timeout);
+        assertTrue(node.isLeader());
+        node.step(elected + 2 * timeout, new Message.HeartbeatResponse(other, self, node.term(), elected));
+        node.tick(elected + 3 * timeout - 1);
+        assertTrue(node.isLeader());
+        node.tick(elected + 3 * timeout);
+        assertFalse(node.isLeader(), "an election timeout after the last answer");
+    }
+
     /** A learner that names a leader for ever would vouch for a table while the log has none. */
     @Test
     void learnerForgetsLeaderAfterLosingContact() {
