Follow the control hosts that others report at a slower pace

Seen: after a loss of all hosts the control hosts are busy for seconds with the handshakes and first polls of all entries, nine from each entry within half a second, while elections and the first tables wait behind them. Why three are enough: all entries of a start have the same three in their settings, so each of the three knows all entries; a drain that another control host hears spreads to the three at once.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -56,12 +56,18 @@
     private static final Duration FETCH_TIMEOUT = Duration.ofMillis(600);
 
     /**
-     * Pause before the next control host is followed. After a loss of all power every entry connected to all control
-     * hosts at once, and the handshakes took the control hosts longer than all other work before the first table could
-     * be sent.
+     * Pause before the next control host of the settings is followed. After a loss of all power every entry connected to
+     * all control hosts at once, and the handshakes took the control hosts longer than all other work before the first
+     * table could be sent.
      */
     private static final long FOLLOW_INTERVAL_MILLIS = 60;
 
+    /**
+     * Pause before the next control host that others report is followed. Those of the settings already tell all that an
+     * entry needs to serve; the others are for when these are lost, and must not hold up an election with handshakes.
+     */
+    private static final long FOLLOW_REPORTED_INTERVAL_MILLIS = 500;
+
     /** Consecutive failed polls after which a control host that no other one reports is no longer followed. */
     private static final int MAX_POLL_FAILURES = 12;
 
@@ -76,7 +82,8 @@
     private final RegistryView view = new RegistryView(
             controlTimeoutNanos(PendingPoll.HOLD_MILLIS), SERVER_DISCOVERY_NANOS, ENTRY_DISCOVERY_NANOS);
     private final Map<Address, RegistryPoller> pollers = new HashMap<>();
-    private final StaggeredStart<Address> followStarter;
+    private final StaggeredStart<Address> configuredStarter;
+    private final StaggeredStart<Address> reportedStarter;
     private final Map<ServiceName, List<BackendServerId>> serversByService = new HashMap<>();
     private List<Registration> groupedServers;
     private RoutingTable table;
@@ -109,7 +116,8 @@
         this.selfRecord = selfRecord;
         this.onRoutingTable = onRoutingTable;
         this.onChange = onChange;
-        this.followStarter = new StaggeredStart<>(thread, FOLLOW_INTERVAL_MILLIS, this::follow);
+        this.configuredStarter = new StaggeredStart<>(thread, FOLLOW_INTERVAL_MILLIS, this::follow);
+        this.reportedStarter = new StaggeredStart<>(thread, FOLLOW_REPORTED_INTERVAL_MILLIS, this::follow);
     }
 
     void start() {
@@ -121,10 +129,21 @@
 
     /** Follows these control hosts in addition to those already followed. */
     void followAll(List<Address> controls) {
-        controls.forEach(followStarter::add);
+        controls.forEach(configuredStarter::add);
+    }
+
+    /** Follows the control hosts that another one reports, each entry in an order of its own. */
+    private void followReported(List<Address> controls) {
+        List<Address> shuffled = new ArrayList<>(controls);
+        shuffled.removeAll(settings.controlPeerAddresses());
+        Collections.shuffle(shuffled);
+        shuffled.forEach(reportedStarter::add);
     }
 
     private void follow(Address control) {
+        if (pollers.containsKey(control)) {
+            return;
+        }
         ScheduledExecutorService timer = peers.timer();
         RegistryPoller poller = new RegistryPoller(
                 peers.network(),
@@ -149,7 +168,7 @@
     private void handleAnswer(Address control, FollowAnswer answer) {
         boolean wasUnconfirmed = unconfirmed;
         boolean changed = view.apply(control, answer, clock.nanos());
-        answer.controls().forEach(followStarter::add);
+        followReported(answer.controls());
         dropLostControlHosts(answer.controls());
         if (answer.routingVersion() > announcedVersion) {
             announcedVersion = answer.routingVersion();
@@ -185,7 +204,8 @@
                         .with("control", each.getKey())
                         .write();
                 each.getValue().close();
-                followStarter.remove(each.getKey());
+                configuredStarter.remove(each.getKey());
+                reportedStarter.remove(each.getKey());
                 view.removeControlHost(each.getKey());
                 peers.network().disconnect(each.getKey());
             }
