Report changes of entries early by three control hosts only

All 114 entries are restarted in turn; each change of one is told to 114 entries by each of nine control hosts, every 0.4 s. Ways: all nine report after 0.4 s (standing); three report after 0.4 s, the others with the next answer that is due anyway (1.5 s). What must be quick stays so at all nine: tables, leaving servers, changed servers and entries that expired. Test: PendingPollTest.holdsChangesOfEntriesForFollowerThatHearsThemFromOthers.

--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
@@ -16,6 +16,8 @@
  *     entries as a list and the routing document as text
  * @param holdMillis how long the poll may be held without changes, in milliseconds; 0 from an earlier release, which
  *     gets the default
+ * @param heldEntryChanges whether entries that appear or change their state are no reason to answer before the hold is
+ *     over, as other control hosts tell the follower of them sooner; false from an earlier release
  */
 public record FollowRequest(
         HostId host,
@@ -25,7 +27,8 @@
         long entriesSeen,
         long routingVersion,
         int form,
-        long holdMillis) {
+        long holdMillis,
+        boolean heldEntryChanges) {
     /** Form of answers that hold changes of single entries and the routing document compressed. */
     public static final int FORM_PACKED_UPDATES = 1;
 
--- a/elmline-core/src/main/java/org/elmline/core/registry/PendingPoll.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/PendingPoll.java
@@ -79,7 +79,10 @@
     }
 
     private boolean hasUpdates(RegistryVersions versions) {
-        boolean entries = request.entry() != null && versions.entryVersion() != request.entriesSeen();
+        boolean entriesChanged = request.heldEntryChanges()
+                ? versions.expiryVersion() > request.entriesSeen()
+                : versions.entryVersion() != request.entriesSeen();
+        boolean entries = request.entry() != null && entriesChanged;
         return entries || versions.serverVersion() > request.serversSeen();
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/registry/RegistryVersions.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/RegistryVersions.java
@@ -8,7 +8,13 @@
  * @param leavingVersion number of the latest change by which a server began to leave; the server waits until it has
  *     propagated
  * @param entryVersion number of the latest change of entries
+ * @param expiryVersion number of the latest change of entries by which one expired
  * @param routingVersion version of the latest routing table, -1 without one
  */
 public record RegistryVersions(
-        long epoch, long serverVersion, long leavingVersion, long entryVersion, long routingVersion) {}
+        long epoch,
+        long serverVersion,
+        long leavingVersion,
+        long entryVersion,
+        long expiryVersion,
+        long routingVersion) {}
--- a/elmline-core/src/test/java/org/elmline/core/registry/PendingPollTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/PendingPollTest.java
@@ -30,7 +30,15 @@
 
     private static FollowRequest request(EntryRecord entry, long servers, long entries, long version) {
         return new FollowRequest(
-                HostId.of("10.0.0.1"), entry, EPOCH, servers, entries, version, FollowRequest.FORM_PACKED_UPDATES, 0);
+                HostId.of("10.0.0.1"),
+                entry,
+                EPOCH,
+                servers,
+                entries,
+                version,
+                FollowRequest.FORM_PACKED_UPDATES,
+                0,
+                false);
     }
 
     private static PendingPoll poll(long servers, long entries, long version) {
@@ -39,7 +47,7 @@
 
     @Test
     void holdsPollWithoutChanges() {
-        RegistryVersions versions = new RegistryVersions(EPOCH, 5, 3, 4, 9);
+        RegistryVersions versions = new RegistryVersions(EPOCH, 5, 3, 4, 0, 9);
         assertFalse(poll(5, 4, 9).isDue(versions, 499 * MILLI));
         assertTrue(poll(5, 4, 9).isDue(versions, 500 * MILLI));
     }
@@ -49,9 +57,9 @@
     void holdsPollLongerForFollowerOfManyControlHosts() {
         assertEquals(500, PendingPoll.holdMillis(5));
         assertEquals(1_500, PendingPoll.holdMillis(9));
-        FollowRequest longHold = new FollowRequest(HostId.of("10.0.0.1"), entry(1), EPOCH, 5, 4, 9, 1, 1_500);
-        RegistryVersions unchanged = new RegistryVersions(EPOCH, 5, 3, 4, 9);
-        RegistryVersions entryChanged = new RegistryVersions(EPOCH, 5, 3, 5, 9);
+        FollowRequest longHold = new FollowRequest(HostId.of("10.0.0.1"), entry(1), EPOCH, 5, 4, 9, 1, 1_500, false);
+        RegistryVersions unchanged = new RegistryVersions(EPOCH, 5, 3, 4, 0, 9);
+        RegistryVersions entryChanged = new RegistryVersions(EPOCH, 5, 3, 5, 0, 9);
         assertFalse(
                 new PendingPoll(longHold, 0).isDue(entryChanged, 399 * MILLI),
                 "eight other control hosts report it, too");
@@ -59,18 +67,30 @@
         assertFalse(new PendingPoll(longHold, 0).isDue(unchanged, 1_499 * MILLI));
         assertTrue(new PendingPoll(longHold, 0).isDue(unchanged, 1_500 * MILLI));
         assertTrue(
-                new PendingPoll(longHold, 0).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 9), 0),
+                new PendingPoll(longHold, 0).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 0, 9), 0),
                 "a leaving server is reported without delay");
     }
 
+    /** Guards against a control host that spends its processor time on reporting what others have reported already. */
+    @Test
+    void holdsChangesOfEntriesForFollowerThatHearsThemFromOthers() {
+        FollowRequest request = new FollowRequest(HostId.of("10.0.0.1"), entry(1), EPOCH, 5, 4, 9, 1, 1_500, true);
+        PendingPoll poll = new PendingPoll(request, 0);
+        assertFalse(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 6, 4, 9), 1_499 * MILLI));
+        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 6, 4, 9), 1_500 * MILLI));
+        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 6, 5, 9), 400 * MILLI), "an entry has expired");
+        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 6, 3, 4, 4, 9), 400 * MILLI), "a server has changed");
+        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 4, 4, 10), 0), "a new table is reported without delay");
+    }
+
     @Test
     void answersAtOnceOnNewRoutingTable() {
-        assertTrue(poll(5, 4, 8).isDue(new RegistryVersions(EPOCH, 5, 3, 4, 9), 0));
+        assertTrue(poll(5, 4, 8).isDue(new RegistryVersions(EPOCH, 5, 3, 4, 0, 9), 0));
     }
 
     @Test
     void answersAtOnceWhenFollowerHasStateOfEarlierStart() {
-        assertTrue(poll(5, 4, 9).isDue(new RegistryVersions(EPOCH + 1, 0, 0, 0, -1), 0));
+        assertTrue(poll(5, 4, 9).isDue(new RegistryVersions(EPOCH + 1, 0, 0, 0, 0, -1), 0));
     }
 
     /**
@@ -80,14 +100,15 @@
      */
     @Test
     void answersAtOnceWhenServerLeaves() {
-        assertTrue(poll(5, 4, 9).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 9), 0));
+        assertTrue(poll(5, 4, 9).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 0, 9), 0));
         assertFalse(
-                poll(6, 4, 9).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 9), 0), "the follower has the change already");
+                poll(6, 4, 9).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 0, 9), 0),
+                "the follower has the change already");
     }
 
     @Test
     void batchesNewServersAndEntries() {
-        RegistryVersions versions = new RegistryVersions(EPOCH, 6, 3, 5, 9);
+        RegistryVersions versions = new RegistryVersions(EPOCH, 6, 3, 5, 0, 9);
         assertFalse(poll(5, 4, 9).isDue(versions, 99 * MILLI));
         assertTrue(poll(5, 4, 9).isDue(versions, 100 * MILLI));
     }
@@ -108,7 +129,7 @@
         int answers = 0;
         for (int millis = 1; millis <= 1_200; millis++) {
             long servers = (long) changes * millis / 1_200;
-            RegistryVersions versions = new RegistryVersions(EPOCH, servers, 0, 0, 9);
+            RegistryVersions versions = new RegistryVersions(EPOCH, servers, 0, 0, 0, 9);
             for (int i = 0; i < followers; i++) {
                 if (polls.get(i).isDue(versions, millis * MILLI)) {
                     answers++;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -269,6 +269,7 @@
                         () -> null,
                         () -> 0,
                         () -> PendingPoll.HOLD_MILLIS,
+                        () -> false,
                         registry::merge,
                         peers.timer());
                 pollers.put(each, poller);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -74,6 +74,7 @@
     private final List<Poll> openPolls = new ArrayList<>();
     private final List<Propagation> propagations = new ArrayList<>();
     private long lastLeaveChange;
+    private long lastEntryExpiry;
     private long startedAtNanos;
     private long leaderSeenNanos;
     private boolean receivesHeartbeats;
@@ -249,6 +250,7 @@
                     servers.expire(now);
                 }
                 if (entries.expire(now)) {
+                    lastEntryExpiry = entries.lastChange();
                     log.line("entries expired")
                             .with("left", entries.all().size())
                             .write();
@@ -277,7 +279,12 @@
         synchronized (this) {
             long now = clock.nanos();
             RegistryVersions versions = new RegistryVersions(
-                    epoch, servers.lastChange(), lastLeaveChange, entries.lastChange(), routing.currentVersion());
+                    epoch,
+                    servers.lastChange(),
+                    lastLeaveChange,
+                    entries.lastChange(),
+                    lastEntryExpiry,
+                    routing.currentVersion());
             Iterator<Poll> each = openPolls.iterator();
             while (each.hasNext()) {
                 Poll poll = each.next();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -6,11 +6,14 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.elmline.core.common.Address;
 import org.elmline.core.common.BackendServerId;
@@ -68,6 +71,12 @@
      */
     private static final long FOLLOW_REPORTED_INTERVAL_MILLIS = 500;
 
+    /**
+     * Control hosts that report changes of entries without delay; any two may fail. When all entries are restarted in
+     * turn, most of the processor time of a large deployment went into reporting each change nine times over.
+     */
+    private static final int PRIMARY_CONTROL_HOSTS = 3;
+
     /** Consecutive failed polls after which a control host that no other one reports is no longer followed. */
     private static final int MAX_POLL_FAILURES = 12;
 
@@ -81,7 +90,8 @@
     private final Runnable onChange;
     private final RegistryView view = new RegistryView(
             controlTimeoutNanos(PendingPoll.HOLD_MILLIS), SERVER_DISCOVERY_NANOS, ENTRY_DISCOVERY_NANOS);
-    private final Map<Address, RegistryPoller> pollers = new HashMap<>();
+    private final Map<Address, RegistryPoller> pollers = new LinkedHashMap<>();
+    private volatile Set<Address> primaries = Set.of();
     private final StaggeredStart<Address> configuredStarter;
     private final StaggeredStart<Address> reportedStarter;
     private final Map<ServiceName, List<BackendServerId>> serversByService = new HashMap<>();
@@ -152,15 +162,26 @@
                 selfRecord,
                 () -> announcedVersion,
                 () -> holdMillis,
+                () -> !primaries.contains(control),
                 answer -> handleAnswer(control, answer),
                 timer);
         pollers.put(control, poller);
+        choosePrimaries();
         holdMillis = PendingPoll.holdMillis(pollers.size());
         view.updateAnswerValidity(controlTimeoutNanos(holdMillis));
         log.line("following control host").with("control", control).write();
         poller.start();
     }
 
+    /** Chooses the hosts that report changes of entries without delay: the longest followed ones that answer. */
+    private void choosePrimaries() {
+        primaries = pollers.entrySet().stream()
+                .filter(each -> each.getValue().consecutiveFailures() == 0)
+                .limit(PRIMARY_CONTROL_HOSTS)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private static long controlTimeoutNanos(long holdMillis) {
         return Duration.ofMillis(holdMillis + CONTROL_TIMEOUT_MILLIS).toNanos();
     }
@@ -169,6 +190,7 @@
         boolean wasUnconfirmed = unconfirmed;
         boolean changed = view.apply(control, answer, clock.nanos());
         followReported(answer.controls());
+        choosePrimaries();
         dropLostControlHosts(answer.controls());
         if (answer.routingVersion() > announcedVersion) {
             announcedVersion = answer.routingVersion();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -49,6 +50,7 @@
     private final Supplier<EntryRecord> entryRecord;
     private final LongSupplier newestRoutingVersion;
     private final LongSupplier pollHoldMillis;
+    private final BooleanSupplier heldEntryChanges;
     private final Consumer<FollowAnswer> answerListener;
     private final ScheduledExecutorService timer;
     private long epoch;
@@ -63,6 +65,7 @@
      * @param newestRoutingVersion supplies the newest known version of the routing table, negative if none is known
      * @param pollHoldMillis supplies the time in milliseconds for which the control host holds a poll while it has no
      *     updates
+     * @param heldEntryChanges supplies whether changes of entries may wait for the end of the hold
      * @param answerListener receives each answer, on the thread that completes calls
      */
     public RegistryPoller(
@@ -72,6 +75,7 @@
             Supplier<EntryRecord> entryRecord,
             LongSupplier newestRoutingVersion,
             LongSupplier pollHoldMillis,
+            BooleanSupplier heldEntryChanges,
             Consumer<FollowAnswer> answerListener,
             ScheduledExecutorService timer) {
         this.network = network;
@@ -80,6 +84,7 @@
         this.entryRecord = entryRecord;
         this.newestRoutingVersion = newestRoutingVersion;
         this.pollHoldMillis = pollHoldMillis;
+        this.heldEntryChanges = heldEntryChanges;
         this.answerListener = answerListener;
         this.timer = timer;
     }
@@ -115,7 +120,8 @@
                     entriesSeen,
                     newestRoutingVersion.getAsLong(),
                     FollowRequest.FORM_PACKED_UPDATES,
-                    holdMillis);
+                    holdMillis,
+                    heldEntryChanges.getAsBoolean());
             timeout = consecutiveFailures == 0
                     ? Duration.ofMillis(holdMillis + ANSWER_MARGIN_MILLIS)
                     : TIMEOUT_AFTER_FAILURE;
--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
@@ -65,6 +65,7 @@
                 () -> null,
                 () -> routingVersion,
                 () -> 500,
+                () -> false,
                 answer -> {},
                 timer);
         poller.start();
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
@@ -174,7 +174,8 @@
                         3,
                         random.nextLong(),
                         random.nextInt(2),
-                        random.nextInt(900)),
+                        random.nextInt(900),
+                        random.nextBoolean()),
                 new FollowAnswer(
                         random.nextLong(),
                         random.nextLong(),
