Take a table as confirmed only from a control host that has applied its leader's first entry

At 48.95 s entries logged version 46 as confirmed, and answered 404 by it, while version 50 was acknowledged. At 53.4 s another one routed by version 46, though control hosts had announced 50 since 50.6 s. Cause: three holes in the bound. A control host that hears a new leader counts as in contact with it before it has applied what was committed earlier. An entry that two of its control hosts answered in time and others late took itself for cut off. One that was told of a newer table had no bound on fetching it from a busy host. Change: a control host's table is confirmed once it has applied an entry of the leader's term, and with it all that was committed before. A majority counts when it has answered within the bound, however late. RoutingLag keeps the time, without a network.

--- a/elmline-core/src/main/java/org/elmline/core/raft/RaftNode.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/RaftNode.java
@@ -281,6 +281,14 @@
         return state.log().membership();
     }
 
+    /**
+     * Whether this replica has applied an entry of the current leader's term, and with it all that was committed before
+     * that leader was elected.
+     */
+    public boolean isCurrent() {
+        return state.leader() != null && state.log().termAt(state.log().appliedIndex()) == state.term();
+    }
+
     public long committedIndex() {
         return state.log().committedIndex();
     }
--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
@@ -22,8 +22,8 @@
  * @param routing the routing document as text, for an entry of an earlier release that has none yet; null otherwise
  * @param packedRouting the routing document in compressed form, for an entry of a current release that has none yet;
  *     null otherwise
- * @param leaderlessMillis how long this host has had no contact with a leader of the log, in milliseconds; 0 while it
- *     has, and from an earlier release
+ * @param unconfirmedMillis how long no leader of the log has confirmed that this host's routing table is the newest, in
+ *     milliseconds; 0 while one does, and from an earlier release
  */
 public record FollowAnswer(
         long epoch,
@@ -38,7 +38,7 @@
         long routingVersion,
         RoutingText routing,
         PackedRouting packedRouting,
-        long leaderlessMillis) {
+        long unconfirmedMillis) {
     public FollowAnswer {
         servers = servers == null ? List.of() : List.copyOf(servers);
         heard = heard == null ? List.of() : List.copyOf(heard);
--- a/elmline-core/src/main/java/org/elmline/core/registry/RegistryView.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/RegistryView.java
@@ -59,8 +59,8 @@
         private long epoch;
         private long warmUpEndNanos;
         private long upSinceNanos;
-        private boolean leaderless;
-        private long leaderlessSinceNanos;
+        private boolean unconfirmed;
+        private long unconfirmedSinceNanos;
         private final Set<BackendServerId> alive = new HashSet<>();
         private final Set<BackendServerId> expired = new HashSet<>();
         private final Set<BackendServerId> restored = new HashSet<>();
@@ -100,8 +100,9 @@
             return alive.contains(id) || (warmingUp && aliveBeforeRestart.contains(id));
         }
 
-        long leaderlessNanos(long now) {
-            return leaderless ? now - leaderlessSinceNanos : 0;
+        /** The last moment for which a leader's confirmation of this host's routing table is known. */
+        long confirmedAtNanos() {
+            return unconfirmed ? unconfirmedSinceNanos : lastAnswerNanos;
         }
     }
 
@@ -132,8 +133,8 @@
         changed |= now - view.lastAnswerNanos >= answerValidityNanos;
         view.lastAnswerNanos = now;
         view.upSinceNanos = now - answer.upMillis() * NANOS_PER_MILLI;
-        view.leaderless = answer.leaderlessMillis() > 0;
-        view.leaderlessSinceNanos = now - answer.leaderlessMillis() * NANOS_PER_MILLI;
+        view.unconfirmed = answer.unconfirmedMillis() > 0;
+        view.unconfirmedSinceNanos = now - answer.unconfirmedMillis() * NANOS_PER_MILLI;
         for (ServerUpdate each : answer.servers()) {
             changed |= apply(each.registration());
             changed |= view.apply(each);
@@ -255,25 +256,22 @@
     }
 
     /**
-     * Time in nanoseconds for which the control hosts have been running without a leader: 0 when one of those that
-     * answer is in contact with one. Also 0 when no majority answers, since this entry is then cut off, or they are.
+     * Whether a majority of the control hosts has answered within this time, and for as long none of them had its
+     * routing table confirmed by a leader. Without a majority this entry is cut off, or most control hosts are down.
      *
      * @param controlHosts number of all control hosts
      */
-    public long leaderlessNanos(int controlHosts, long now) {
-        List<ControlHostView> current = currentViews(now);
-        if (2 * current.size() <= controlHosts) {
-            return 0;
-        }
-        return current.stream()
-                .mapToLong(each -> each.leaderlessNanos(now))
-                .min()
-                .orElse(0);
+    public boolean isUnconfirmedFor(long nanos, int controlHosts, long now) {
+        List<ControlHostView> recent = controlHostViews.values().stream()
+                .filter(each -> now - each.lastAnswerNanos < nanos)
+                .toList();
+        return 2 * recent.size() > controlHosts
+                && recent.stream().allMatch(each -> now - each.confirmedAtNanos() >= nanos);
     }
 
-    /** Whether a control host in contact with a leader answers. */
-    public boolean hasLeader(long now) {
-        return currentViews(now).stream().anyMatch(each -> !each.leaderless);
+    /** Whether a control host answers whose routing table is confirmed by a leader. */
+    public boolean isConfirmed(long now) {
+        return currentViews(now).stream().anyMatch(each -> !each.unconfirmed);
     }
 
     private List<ControlHostView> currentViews(long now) {
--- a/elmline-core/src/test/java/org/elmline/core/raft/RaftNodeTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/RaftNodeTest.java
@@ -203,8 +203,8 @@
         ReplicaId self = new ReplicaId(HostId.of("a"), 0);
         ReplicaId other = new ReplicaId(HostId.of("b"), 0);
         RaftSettings settings = RaftSettings.builder().build();
-        RestoredState restored = RestoredState.bootstrap(
-                Membership.ofVoters(List.of(self, other, new ReplicaId(HostId.of("c"), 0))));
+        RestoredState restored =
+                RestoredState.bootstrap(Membership.ofVoters(List.of(self, other, new ReplicaId(HostId.of("c"), 0))));
         RaftNode node = new RaftNode(self, settings, restored, new java.util.SplittableRandom(1), 0);
         long timeout = settings.electionTimeoutNanos();
         long elected = 2 * timeout;
--- a/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
@@ -148,7 +148,7 @@
         return new FollowAnswer(1, millis, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0);
     }
 
-    private static FollowAnswer leaderlessAnswer(long millis) {
+    private static FollowAnswer unconfirmedAnswer(long millis) {
         return new FollowAnswer(
                 1, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, millis);
     }
@@ -158,21 +158,25 @@
      * their election takes long.
      */
     @Test
-    void countsTimeWithoutLeaderFromTheHostThatLostItLast() {
-        view.apply(A, leaderlessAnswer(900), 0);
-        view.apply(B, leaderlessAnswer(400), 0);
-        assertEquals(SECOND + 400_000_000L, view.leaderlessNanos(3, SECOND));
-        assertFalse(view.hasLeader(SECOND));
-        view.apply(B, leaderlessAnswer(0), SECOND);
-        assertEquals(0, view.leaderlessNanos(3, SECOND));
-        assertTrue(view.hasLeader(SECOND));
+    void tableIsUnconfirmedWhenRunningHostsHaveHadNoLeaderForLong() {
+        view.apply(A, unconfirmedAnswer(900), 0);
+        view.apply(B, unconfirmedAnswer(400), 0);
+        assertFalse(view.isConfirmed(0));
+        assertFalse(view.isUnconfirmedFor(2 * SECOND, 3, SECOND));
+        assertTrue(view.isUnconfirmedFor(2 * SECOND, 3, 2 * SECOND - 400_000_000L));
+        view.apply(B, unconfirmedAnswer(0), SECOND);
+        assertTrue(view.isConfirmed(SECOND));
+        assertFalse(view.isUnconfirmedFor(2 * SECOND, 3, 2 * SECOND - 400_000_000L));
     }
 
-    /** An entry that reaches only a minority, cut off with it, keeps serving by the table that it has. */
+    /** An entry that is cut off, alone or with a minority of the control hosts, keeps serving by the table it has. */
     @Test
-    void countsNoTimeWithoutLeaderWhileAMinorityAnswers() {
-        view.apply(A, leaderlessAnswer(9_000), 0);
-        assertEquals(0, view.leaderlessNanos(3, SECOND));
-        assertEquals(10 * SECOND, view.leaderlessNanos(1, SECOND));
+    void tableStaysInUseWhileNoMajorityAnswers() {
+        view.apply(A, unconfirmedAnswer(9_000), 0);
+        assertFalse(view.isUnconfirmedFor(2 * SECOND, 3, SECOND));
+        assertTrue(view.isUnconfirmedFor(2 * SECOND, 1, SECOND));
+        view.apply(A, unconfirmedAnswer(0), 0);
+        assertFalse(view.isUnconfirmedFor(2 * SECOND, 1, 2 * SECOND - 1));
+        assertFalse(view.isUnconfirmedFor(2 * SECOND, 1, 9 * SECOND));
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -76,7 +76,7 @@
     private long lastLeaveChange;
     private long lastEntryExpiry;
     private long startedAtNanos;
-    private long leaderSeenNanos;
+    private long confirmedNanos;
     private boolean receivesHeartbeats;
     private long persistedChanges;
     private long persistedAtNanos;
@@ -122,7 +122,7 @@
         long now = clock.nanos();
         synchronized (this) {
             startedAtNanos = now;
-            leaderSeenNanos = now;
+            confirmedNanos = now;
             restored.forEach(each -> servers.restore(each, now));
             persistedChanges = servers.lastChange();
             persistedAtNanos = now;
@@ -256,7 +256,7 @@
                             .write();
                 }
                 persistServers(now);
-                leaderlessMillis(now);
+                unconfirmedMillis(now);
             }
             routing.persist(now);
             answerPolls();
@@ -327,15 +327,15 @@
                 version,
                 sendsRouting && !request.acceptsPackedUpdates() ? routing.current() : null,
                 sendsRouting && request.acceptsPackedUpdates() ? routing.packed() : null,
-                leaderlessMillis(now));
+                unconfirmedMillis(now));
     }
 
-    private long leaderlessMillis(long now) {
-        if (routing.hasQuorum()) {
-            leaderSeenNanos = now;
+    private long unconfirmedMillis(long now) {
+        if (routing.isConfirmed()) {
+            confirmedNanos = now;
             return 0;
         }
-        return Math.max(1, (now - leaderSeenNanos) / NANOS_PER_MILLI);
+        return Math.max(1, (now - confirmedNanos) / NANOS_PER_MILLI);
     }
 
     private void completePropagations(long now, List<Runnable> completions) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RoutingProvider.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RoutingProvider.java
@@ -64,6 +64,11 @@
         return store == null ? -1 : store.currentVersion();
     }
 
+    /** Whether a leader confirms that {@link #current()} holds all that was committed before its election. */
+    boolean isConfirmed() {
+        return store != null && store.isConfirmed();
+    }
+
     /** Whether this host leads or is in contact with a leader, and so with a majority of the voters. */
     boolean hasQuorum() {
         return store != null && store.hasQuorum();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RoutingStore.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RoutingStore.java
@@ -86,6 +86,11 @@
         return new RoutingText(true, object.ticket().value(), ((RoutingDocument) object.object()).text());
     }
 
+    /** Whether a leader confirms that this host has applied all that was committed before its election. */
+    boolean isConfirmed() {
+        return driver.status().current();
+    }
+
     /** Whether this host leads or is in contact with a leader, and so with a majority of the voters. */
     boolean hasQuorum() {
         return driver.status().leader() != null;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -60,8 +60,8 @@
             return;
         }
         boolean noTable = context.deployment().table().isEmpty();
-        if (noTable || context.deployment().isTableUnconfirmed()) {
-            String why = noTable ? "no routing table yet" : "no leader has confirmed the routing table";
+        if (noTable || context.deployment().isTableOutdated()) {
+            String why = noTable ? "no routing table yet" : "the routing table is outdated";
             tableWaitQueue.add(
                     head.deadlineMillis(),
                     () -> readBody(exchange, head, receivedAtNanos),
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -29,6 +29,7 @@
 import org.elmline.core.registry.RegistryChannels.RoutingQuery;
 import org.elmline.core.registry.RegistryChannels.RoutingText;
 import org.elmline.core.registry.RegistryView;
+import org.elmline.core.registry.RoutingLag;
 import org.elmline.core.routing.RoutingFormat;
 import org.elmline.core.routing.RoutingTable;
 import org.elmline.daemon.log.DecisionLog;
@@ -97,11 +98,11 @@
     private final Map<ServiceName, List<BackendServerId>> serversByService = new HashMap<>();
     private List<Registration> groupedServers;
     private RoutingTable table;
-    private volatile long announcedVersion = -1;
+    private final RoutingLag lag = new RoutingLag();
     private volatile long holdMillis = PendingPoll.HOLD_MILLIS;
     private boolean fetching;
     private boolean hadAllEntries;
-    private boolean unconfirmed;
+    private boolean outdated;
 
     /**
      * @param selfRecord this entry's own record, sent with each poll
@@ -160,7 +161,7 @@
                 control,
                 settings.host(),
                 selfRecord,
-                () -> announcedVersion,
+                lag::announcedVersion,
                 () -> holdMillis,
                 () -> !primaries.contains(control),
                 answer -> handleAnswer(control, answer),
@@ -187,16 +188,15 @@
     }
 
     private void handleAnswer(Address control, FollowAnswer answer) {
-        boolean wasUnconfirmed = unconfirmed;
+        boolean wasOutdated = outdated;
         boolean changed = view.apply(control, answer, clock.nanos());
         followReported(answer.controls());
         choosePrimaries();
         dropLostControlHosts(answer.controls());
-        if (answer.routingVersion() > announcedVersion) {
-            announcedVersion = answer.routingVersion();
+        if (lag.onAnnounced(answer.routingVersion(), clock.nanos())) {
             log.line("routing announced")
                     .with("control", control)
-                    .with("version", announcedVersion)
+                    .with("version", lag.announcedVersion())
                     .with("held", heldVersion())
                     .write();
         }
@@ -209,7 +209,7 @@
         if (heldVersion() < answer.routingVersion()) {
             fetch(control);
         }
-        changed |= wasUnconfirmed && !isTableUnconfirmed();
+        changed |= wasOutdated && !isTableOutdated();
         if (changed || hasAllEntries() != hadAllEntries) {
             hadAllEntries = hasAllEntries();
             onChange.run();
@@ -280,6 +280,7 @@
         RoutingTable.BuildResult buildResult = routingFormat.read(text.text().getBytes(StandardCharsets.UTF_8));
         if (buildResult instanceof RoutingTable.BuildResult.Valid valid) {
             table = valid.table();
+            lag.onHeld(table.version(), clock.nanos());
             log.line("routing in force")
                     .with("version", table.version())
                     .with("by", source)
@@ -302,31 +303,33 @@
         return Optional.ofNullable(table);
     }
 
-    /** Whether the table in force is the newest one by a control host that is in contact with a leader. */
+    /** Whether the table in force is the newest one by a control host that a leader confirms. */
     boolean isCurrent() {
-        return view.hasLeader(clock.nanos()) && heldVersion() >= announcedVersion;
+        return view.isConfirmed(clock.nanos()) && !lag.isLagging();
     }
 
     /**
-     * Whether callers must not be served by the table in force, because the control hosts have been running for too
-     * long without a leader. After a loss of all hosts those that answer may have restored a table that is older than
-     * one that an operator has an acknowledgement for, and only a leader can tell.
+     * Whether callers must not be served by the table in force: a newer one was announced too long ago, or the control
+     * hosts have been running too long without a leader. After a loss of all hosts those that answer may have restored
+     * a table that is older than one that an operator has an acknowledgement for, and only a leader can tell.
      */
-    boolean isTableUnconfirmed() {
-        long leaderlessMillis = view.leaderlessNanos(pollers.size(), clock.nanos()) / NANOS_PER_MILLI;
-        boolean overLimit = leaderlessMillis >= settings.unconfirmedRoutingMillis();
-        boolean ended = unconfirmed && heldVersion() >= announcedVersion;
-        if (overLimit == unconfirmed || (!overLimit && !ended)) {
-            return unconfirmed;
+    boolean isTableOutdated() {
+        long now = clock.nanos();
+        long unconfirmedNanos = settings.unconfirmedRoutingMillis() * NANOS_PER_MILLI;
+        boolean overdue = lag.isLaggingFor(settings.routingUpdateMillis() * NANOS_PER_MILLI, now);
+        boolean unconfirmed = view.isUnconfirmedFor(unconfirmedNanos, pollers.size(), now);
+        boolean next = overdue || unconfirmed || (outdated && lag.isLagging());
+        if (next != outdated) {
+            outdated = next;
+            log.line(outdated ? "routing table outdated" : "routing table up to date")
+                    .with("version", heldVersion())
+                    .with("announced", lag.announcedVersion())
+                    .with("unconfirmed", unconfirmed)
+                    .with("controlHosts", pollers.size())
+                    .with("answering", view.answeringControlHosts(now))
+                    .write();
         }
-        unconfirmed = overLimit;
-        log.line(unconfirmed ? "routing table unconfirmed" : "routing table confirmed")
-                .with("version", heldVersion())
-                .with("leaderlessMs", leaderlessMillis)
-                .with("controlHosts", pollers.size())
-                .with("answering", view.answeringControlHosts(clock.nanos()))
-                .write();
-        return unconfirmed;
+        return outdated;
     }
 
     /** Whether {@link #entries()} are all live entries; false for a moment after a loss of all hosts. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/NodeSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/NodeSettings.java
@@ -30,6 +30,7 @@
  * @param dataFolder folder of a coordinator's files
  * @param drainSeconds time that a stopping process has to finish calls in flight
  * @param heartbeatMillis time between two heartbeats of a backend server
+ * @param routingUpdateMillis time within which a newer routing table must be in force
  * @param unconfirmedRoutingMillis time for which an entry serves by a routing table while the control hosts run without a
  *     leader that could confirm it as the newest
  * @param directoryKeepSeconds time for which callers may cache a directory answer
@@ -51,11 +52,13 @@
         Path dataFolder,
         Double drainSeconds,
         Integer heartbeatMillis,
+        Integer routingUpdateMillis,
         Integer unconfirmedRoutingMillis,
         Integer directoryKeepSeconds,
         RetrySettings retries) {
     private static final double DEFAULT_DRAIN_SECONDS = 8.0;
     private static final int DEFAULT_HEARTBEAT_MILLIS = 1_200;
+    private static final int DEFAULT_ROUTING_UPDATE_MILLIS = 2_000;
     private static final int DEFAULT_UNCONFIRMED_ROUTING_MILLIS = 3_000;
     private static final int DEFAULT_DIRECTORY_KEEP_SECONDS = 3;
     private static final int MILLIS_PER_SECOND = 1_000;
@@ -65,6 +68,7 @@
         metricsPort = metricsPort == null ? 0 : metricsPort;
         drainSeconds = drainSeconds == null ? DEFAULT_DRAIN_SECONDS : drainSeconds;
         heartbeatMillis = heartbeatMillis == null ? DEFAULT_HEARTBEAT_MILLIS : heartbeatMillis;
+        routingUpdateMillis = routingUpdateMillis == null ? DEFAULT_ROUTING_UPDATE_MILLIS : routingUpdateMillis;
         unconfirmedRoutingMillis =
                 unconfirmedRoutingMillis == null ? DEFAULT_UNCONFIRMED_ROUTING_MILLIS : unconfirmedRoutingMillis;
         directoryKeepSeconds = directoryKeepSeconds == null ? DEFAULT_DIRECTORY_KEEP_SECONDS : directoryKeepSeconds;
@@ -114,6 +118,7 @@
         require(gateway || dataFolder != null, "/dataFolder is missing", problems);
         require(gateway || directory == null, "/directory belongs to an entry", problems);
         require(drainSeconds > 0, "/drainSeconds must be above 0", problems);
+        require(routingUpdateMillis > 0, "/routingUpdateMillis must be above 0", problems);
         require(unconfirmedRoutingMillis > 0, "/unconfirmedRoutingMillis must be above 0", problems);
         return problems;
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftStatus.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftStatus.java
@@ -9,6 +9,7 @@
  * A replica's status after its last input.
  *
  * @param leader null when none is known
+ * @param current whether the replica has applied an entry of the leader's term, see {@link RaftNode#isCurrent()}
  * @param leaseUntilNanos end of this replica's own lease on its monotonic clock, {@link RaftNode#NO_LEASE} without one
  */
 public record RaftStatus(
@@ -16,6 +17,7 @@
         Role role,
         long term,
         ReplicaId leader,
+        boolean current,
         long leaseUntilNanos,
         Membership membership,
         long committedIndex,
@@ -28,6 +30,7 @@
                 node.role(),
                 node.term(),
                 node.leader(),
+                node.isCurrent(),
                 node.leaseUntilNanos(),
                 node.membership(),
                 node.committedIndex(),
@@ -45,6 +48,7 @@
                 Role.FOLLOWER,
                 term,
                 null,
+                false,
                 RaftNode.NO_LEASE,
                 membership,
                 committedIndex,
