Follow control hosts one by one, and hold polls by the number there is

Cause: an entry followed the three hosts of its settings within 0.12 s, so each of them had 98 handshakes before the first table, as before; and it held its polls by the number of hosts that it followed so far, for 500 ms with ten answers a second, rather than 1.5 s with two and a half, until all nine were followed. Change: one pace of 300 ms for all control hosts; the hold and the majority go by all known ones. A table that can't be read no longer counts as one that is overdue.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -60,17 +60,10 @@
     private static final Duration FETCH_TIMEOUT = Duration.ofMillis(600);
 
     /**
-     * Pause before the next control host of the settings is followed. After a loss of all power every entry connected to
-     * all control hosts at once, and the handshakes took the control hosts longer than all other work before the first
-     * table could be sent.
+     * Pause before the next control host is followed. One tells all that an entry needs to serve, the others are for when
+     * it is lost. After a loss of all power the handshakes of all entries hold up the first tables and the election.
      */
-    private static final long FOLLOW_INTERVAL_MILLIS = 60;
-
-    /**
-     * Pause before the next control host that others report is followed. Those of the settings already tell all that an
-     * entry needs to serve; the others are for when these are lost, and must not hold up an election with handshakes.
-     */
-    private static final long FOLLOW_REPORTED_INTERVAL_MILLIS = 500;
+    private static final long FOLLOW_INTERVAL_MILLIS = 300;
 
     /**
      * Control hosts that report changes of entries without delay; any two may fail. When all entries are restarted in
@@ -93,8 +86,7 @@
             controlTimeoutNanos(PendingPoll.HOLD_MILLIS), SERVER_DISCOVERY_NANOS, ENTRY_DISCOVERY_NANOS);
     private final Map<Address, RegistryPoller> pollers = new LinkedHashMap<>();
     private volatile Set<Address> primaries = Set.of();
-    private final StaggeredStart<Address> configuredStarter;
-    private final StaggeredStart<Address> reportedStarter;
+    private final StaggeredStart<Address> followStarter;
     private final Map<ServiceName, List<BackendServerId>> serversByService = new HashMap<>();
     private List<Registration> groupedServers;
     private RoutingTable table;
@@ -127,8 +119,7 @@
         this.selfRecord = selfRecord;
         this.onRoutingTable = onRoutingTable;
         this.onChange = onChange;
-        this.configuredStarter = new StaggeredStart<>(thread, FOLLOW_INTERVAL_MILLIS, this::follow);
-        this.reportedStarter = new StaggeredStart<>(thread, FOLLOW_REPORTED_INTERVAL_MILLIS, this::follow);
+        this.followStarter = new StaggeredStart<>(thread, FOLLOW_INTERVAL_MILLIS, this::follow);
     }
 
     void start() {
@@ -140,21 +131,19 @@
 
     /** Follows these control hosts in addition to those already followed. */
     void followAll(List<Address> controls) {
-        controls.forEach(configuredStarter::add);
+        controls.forEach(followStarter::add);
     }
 
     /** Follows the control hosts that another one reports, each entry in an order of its own. */
     private void followReported(List<Address> controls) {
         List<Address> shuffled = new ArrayList<>(controls);
-        shuffled.removeAll(settings.controlPeerAddresses());
         Collections.shuffle(shuffled);
-        shuffled.forEach(reportedStarter::add);
+        shuffled.forEach(followStarter::add);
+        holdMillis = PendingPoll.holdMillis(followStarter.size());
+        view.updateAnswerValidity(controlTimeoutNanos(holdMillis));
     }
 
     private void follow(Address control) {
-        if (pollers.containsKey(control)) {
-            return;
-        }
         ScheduledExecutorService timer = peers.timer();
         RegistryPoller poller = new RegistryPoller(
                 peers.network(),
@@ -168,8 +157,6 @@
                 timer);
         pollers.put(control, poller);
         choosePrimaries();
-        holdMillis = PendingPoll.holdMillis(pollers.size());
-        view.updateAnswerValidity(controlTimeoutNanos(holdMillis));
         log.line("following control host").with("control", control).write();
         poller.start();
     }
@@ -226,8 +213,7 @@
                         .with("control", each.getKey())
                         .write();
                 each.getValue().close();
-                configuredStarter.remove(each.getKey());
-                reportedStarter.remove(each.getKey());
+                followStarter.remove(each.getKey());
                 view.removeControlHost(each.getKey());
                 peers.network().disconnect(each.getKey());
             }
@@ -287,6 +273,8 @@
                     .write();
             onRoutingTable.run();
         } else {
+            // It will not become valid by waiting, so it is no reason to hold calls.
+            lag.onHeld(text.version(), clock.nanos());
             log.line("routing table invalid")
                     .with("version", text.version())
                     .with("why", ((RoutingTable.BuildResult.Invalid) buildResult).reason())
@@ -317,7 +305,7 @@
         long now = clock.nanos();
         long unconfirmedNanos = settings.unconfirmedRoutingMillis() * NANOS_PER_MILLI;
         boolean overdue = lag.isLaggingFor(settings.routingUpdateMillis() * NANOS_PER_MILLI, now);
-        boolean unconfirmed = view.isUnconfirmedFor(unconfirmedNanos, pollers.size(), now);
+        boolean unconfirmed = view.isUnconfirmedFor(unconfirmedNanos, followStarter.size(), now);
         boolean next = overdue || unconfirmed || (outdated && lag.isLagging());
         if (next != outdated) {
             outdated = next;
@@ -325,7 +313,7 @@
                     .with("version", heldVersion())
                     .with("announced", lag.announcedVersion())
                     .with("unconfirmed", unconfirmed)
-                    .with("controlHosts", pollers.size())
+                    .with("controlHosts", followStarter.size())
                     .with("answering", view.answeringControlHosts(now))
                     .write();
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StaggeredStart.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StaggeredStart.java
@@ -36,6 +36,11 @@
         }
     }
 
+    /** Number of items added and not removed, started or not. */
+    int size() {
+        return added.size();
+    }
+
     /** Removes an item, which may then be added again. */
     void remove(T item) {
         added.remove(item);
