Choose primary control hosts and reported ones without work on each answer

An entry gets a dozen answers a second; each built streams, sets and a shuffled copy of nine addresses, in processes whose code is mostly cold. Now a short loop, and nothing when the reported hosts are the same as before.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -10,10 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import org.elmline.core.common.Address;
 import org.elmline.core.common.BackendServerId;
@@ -85,7 +83,8 @@
     private final RegistryView view = new RegistryView(
             controlTimeoutNanos(PendingPoll.HOLD_MILLIS), SERVER_DISCOVERY_NANOS, ENTRY_DISCOVERY_NANOS);
     private final Map<Address, RegistryPoller> pollers = new LinkedHashMap<>();
-    private volatile Set<Address> primaries = Set.of();
+    private volatile List<Address> primaries = List.of();
+    private List<Address> reportedControls = List.of();
     private final StaggeredStart<Address> followStarter;
     private final Map<ServiceName, List<BackendServerId>> serversByService = new HashMap<>();
     private List<Registration> groupedServers;
@@ -136,6 +135,10 @@
 
     /** Follows the control hosts that another one reports, each entry in an order of its own. */
     private void followReported(List<Address> controls) {
+        if (controls.equals(reportedControls)) {
+            return;
+        }
+        reportedControls = controls;
         List<Address> shuffled = new ArrayList<>(controls);
         Collections.shuffle(shuffled);
         shuffled.forEach(followStarter::add);
@@ -163,11 +166,16 @@
 
     /** Chooses the hosts that report changes of entries without delay: the longest followed ones that answer. */
     private void choosePrimaries() {
-        primaries = pollers.entrySet().stream()
-                .filter(each -> each.getValue().consecutiveFailures() == 0)
-                .limit(PRIMARY_CONTROL_HOSTS)
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
+        List<Address> next = new ArrayList<>(PRIMARY_CONTROL_HOSTS);
+        for (RegistryPoller each : pollers.values()) {
+            if (next.size() == PRIMARY_CONTROL_HOSTS) {
+                break;
+            }
+            if (each.consecutiveFailures() == 0) {
+                next.add(each.controlHost());
+            }
+        }
+        primaries = next;
     }
 
     private static long controlTimeoutNanos(long holdMillis) {
