Keep a silent connection for a second and a half

Cause, by the code: calls of the log time out after 600 ms; when nothing was received on the connection for 400 ms since, it is closed, and what lies on it is lost, votes and acknowledgements too. Control hosts that have just started are busy for longer than that, so their connections to each other are closed and opened again while they elect a leader. Ruled out: candidates behind the log (all hold index 64). Change: 1.5 s, under the shortest time-out of a poll. A connection that is silent for good costs calls on it 1.1 s more; a dispatcher behind it is passed over meanwhile. Test: keepsConnectionAfterAShortTimeout with an answer after 900 ms; failed before.

--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
@@ -46,10 +46,10 @@
 
     /**
      * Time without a received frame after which a connection with an unanswered call counts as dead. With a shorter
-     * time, a host that stalls for a moment would lose the connections of all its callers and then be busy with their
-     * handshakes.
+     * time, a host that stalls for a moment, or is busy for a second after its start, would lose the connections of all
+     * its callers, the votes and answers on them too, and then be busy with their handshakes.
      */
-    private static final Duration DEAD_CONNECTION_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration DEAD_CONNECTION_TIMEOUT = Duration.ofMillis(1_500);
 
     private final PeerKey key;
     private final PeerLimits limits;
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -66,7 +66,7 @@
         handlers.register(UNANSWERED, request -> new CompletableFuture<>());
         handlers.register(DELAYED, request -> {
             CompletableFuture<Reply> delayed = new CompletableFuture<>();
-            timer.schedule(() -> delayed.complete(new Reply(request.text())), 150, TimeUnit.MILLISECONDS);
+            timer.schedule(() -> delayed.complete(new Reply(request.text())), 900, TimeUnit.MILLISECONDS);
             return delayed;
         });
         handlers.register(THROWS, request -> {
