--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -94,7 +94,6 @@
     private boolean fetching;
     private boolean hadAllEntries;
     private boolean outdated;
-    private boolean everConfirmed;
 
     /**
      * @param selfRecord this entry's own record, sent with each poll
@@ -186,7 +185,6 @@
     private void handleAnswer(Address control, FollowAnswer answer) {
         boolean wasOutdated = outdated;
         boolean changed = view.apply(control, answer, clock.nanos());
-        everConfirmed |= view.isConfirmed(clock.nanos());
         followReported(answer.controls());
         choosePrimaries();
         dropLostControlHosts(answer.controls());
@@ -315,9 +313,7 @@
         long now = clock.nanos();
         long unconfirmedNanos = settings.unconfirmedRoutingMillis() * NANOS_PER_MILLI;
         boolean overdue = lag.isLaggingFor(settings.routingUpdateMillis() * NANOS_PER_MILLI, now);
-        // An entry that has had no confirmed table since its start has lost no contact by which it could be cut off.
-        int controlHosts = everConfirmed ? followStarter.size() : 1;
-        boolean unconfirmed = view.isUnconfirmedFor(unconfirmedNanos, controlHosts, now);
+        boolean unconfirmed = view.isUnconfirmedFor(unconfirmedNanos, followStarter.size(), now);
         boolean next = overdue || unconfirmed || (outdated && lag.isLagging());
         if (next != outdated) {
             outdated = next;
