Take caller limits that arrive before the ports are bound

Cause, by reading: the follower starts before the ports are bound. Since control host and servers of these tests are there before the entry, its first answer can bring the table first; HttpPorts.applyLimits then met no server and threw, inside the completion of the poll. The table was held (ready), but the poller never polled again, so the entry stayed not serving. An entry of a deployment can meet the same. Change: limits are remembered and applied once the ports are bound. Test: HttpPortsTest. It passes; that it fails without the change follows from the code and was not run.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
@@ -33,6 +33,8 @@
     private final Undertow.Builder builder = Undertow.builder();
     private final XnioWorker worker;
     private Undertow server;
+    private volatile Undertow startedServer;
+    private volatile CallerLimits appliedLimits;
 
     /** Starts the threads; binds no port yet. */
     public HttpPorts() throws IOException {
@@ -75,6 +77,8 @@
     public HttpPorts start() {
         server = builder.build();
         server.start();
+        startedServer = server;
+        applyLimitsOnceStarted();
         return this;
     }
 
@@ -88,8 +92,21 @@
         return buffers;
     }
 
-    /** Applies limits to new connections; open connections keep theirs. */
+    /**
+     * Applies limits to new connections; open connections keep theirs. A first routing table may bring them before the
+     * ports are bound.
+     */
     public void applyLimits(CallerLimits limits) {
+        appliedLimits = limits;
+        applyLimitsOnceStarted();
+    }
+
+    private void applyLimitsOnceStarted() {
+        Undertow running = startedServer;
+        CallerLimits limits = appliedLimits;
+        if (running == null || limits == null) {
+            return;
+        }
         OptionMap options = OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
@@ -99,7 +116,7 @@
                 .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMillis() + IDLE_GRACE_MILLIS)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headerTimeoutMillis())
                 .getMap();
-        server.getListenerInfo().forEach(each -> each.setServerOptions(options));
+        running.getListenerInfo().forEach(each -> each.setServerOptions(options));
     }
 
     @Override
--- /dev/null
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/HttpPortsTest.java
@@ -0,0 +1,17 @@
+package org.elmline.daemon.node;
+
+import org.elmline.core.routing.CallerLimits;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+
+class HttpPortsTest {
+    /** Guards against an entry that stops following a control host whose first table arrives before the ports are bound. */
+    @Test
+    void takesLimitsBeforeThePortsAreBound() throws Exception {
+        try (HttpPorts ports = new HttpPorts()) {
+            assertDoesNotThrow(() -> ports.applyLimits(CallerLimits.DEFAULT));
+            ports.start();
+        }
+    }
+}
