Withhold requests that a server does not want, at the one place that all of them pass

Cause: nobody read Retry-After of a server's refusal, nor Server-Leaving. Change: the adapter decodes both into a ServerNotice; BackendGate records the notice of every answer, of calls and of reservations, and every request passes it before a connection is taken and again before it is sent. SendRestrictions (no I/O) keeps them by start of a server: a backoff for this entry until it ends, leaving until the server has started anew. Requests for a place name the restricted servers, waiting calls too with each repetition, so a dispatcher grants others; where none is left it refuses at once. A grant that crosses a notice is given back and placed anew. The dispatcher is told of leaving with the reports and grants such a server to nobody. Renewals and releases of memory that a running prompt holds still go to a leaving engine, and at most two to one that backs off, whose reservation is renewed for as long as that. Notices of a server that has taken over an address (421) are no longer taken for those of the one that was meant, limits neither.

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchCall.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchCall.java
@@ -1,6 +1,8 @@
 package org.elmline.core.dispatch;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.FailureDomain;
@@ -24,7 +26,7 @@
  * @param firstLeftMillis time left until a first token is useless, because the caller closes a stream without one
  * @param deadlineLeftMillis time left until the deadline, when the caller no longer waits
  * @param repeated whether the call was sent to a backend server before
- * @param avoid servers that the call was sent to, or that could not be reached
+ * @param avoid servers that the call was sent to, that could not be reached, or that the entry may not send to
  */
 public record DispatchCall(
         String attempt,
@@ -55,15 +57,31 @@
 
     /** The same call, addressed to another shard. */
     public DispatchCall withShard(Shard newShard) {
-        return with(newShard, aimLeftMillis, firstLeftMillis, deadlineLeftMillis);
+        return with(newShard, aimLeftMillis, firstLeftMillis, deadlineLeftMillis, avoid);
+    }
+
+    /** The same call, which avoids exactly these servers. */
+    DispatchCall avoiding(List<BackendServerId> servers) {
+        return with(shard, aimLeftMillis, firstLeftMillis, deadlineLeftMillis, servers);
+    }
+
+    /** The same call, which avoids these servers too. */
+    public DispatchCall alsoAvoiding(List<BackendServerId> servers) {
+        if (servers.isEmpty()) {
+            return this;
+        }
+        Set<BackendServerId> all = new LinkedHashSet<>(avoid);
+        all.addAll(servers);
+        return avoiding(List.copyOf(all));
     }
 
     /** The same call with the times that remain now, in milliseconds. */
     DispatchCall withRemainingTimes(long aimMillis, long firstMillis, long deadlineMillis) {
-        return with(shard, aimMillis, firstMillis, deadlineMillis);
+        return with(shard, aimMillis, firstMillis, deadlineMillis, avoid);
     }
 
-    private DispatchCall with(Shard newShard, long aimMillis, long firstMillis, long deadlineMillis) {
+    private DispatchCall with(
+            Shard newShard, long aimMillis, long firstMillis, long deadlineMillis, List<BackendServerId> servers) {
         return new DispatchCall(
                 attempt,
                 host,
@@ -80,7 +98,7 @@
                 firstMillis,
                 deadlineMillis,
                 repeated,
-                avoid);
+                servers);
     }
 
     /** KV memory that the call needs on engines, in tokens. */
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -139,7 +139,7 @@
 
     /**
      * Places or queues a call. A repeated request for an attempt that waits or runs is answered again, but neither
-     * queued nor placed again.
+     * queued nor placed again; one that waits avoids from then on the servers that the repeated request names.
      */
     public DispatchAnswer place(DispatchCall call, long now) {
         ActiveGrant existing = grants.get(call.attempt());
@@ -148,6 +148,7 @@
         }
         int ahead = queuePosition(call.attempt());
         if (ahead >= 0) {
+            waiting.set(ahead, waiting.get(ahead).avoiding(call.avoid()));
             return new DispatchAnswer.Queued(call.attempt(), ahead);
         }
         rateLimits.applyChanges(isPrimary, now);
@@ -384,6 +385,9 @@
         if (report.limit() != null) {
             rateLimits.update(granted.answer().server(), report.limit(), now);
         }
+        if (report.leaving()) {
+            granted.members().get(0).markLeaving();
+        }
         if (report.end() == null) {
             granted.members().forEach(each -> each.startDecoding(report.attempt(), now));
             return;
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerLoad.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerLoad.java
@@ -23,6 +23,7 @@
     private Registration registration;
     private BatchTiming timing;
     private boolean isAvailable = true;
+    private boolean isLeaving;
     private long prefillFreeAtNanos;
     private long reservedForLongUntilNanos = Long.MIN_VALUE;
 
@@ -64,6 +65,16 @@
         isAvailable = false;
     }
 
+    /** Records that the server states that it leaves; this start of it gets no more calls. */
+    void markLeaving() {
+        isLeaving = true;
+    }
+
+    /** Whether calls may be placed here. */
+    boolean acceptsCalls() {
+        return isAvailable && !isLeaving;
+    }
+
     ServerHealth health() {
         return health;
     }
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerLoads.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerLoads.java
@@ -48,7 +48,7 @@
         List<ServerLoad> healthy = new ArrayList<>(loads.size());
         List<ServerLoad> all = new ArrayList<>(loads.size());
         for (ServerLoad each : loads.values()) {
-            if (!each.isAvailable() || avoid.contains(each.registration().id())) {
+            if (!each.acceptsCalls() || avoid.contains(each.registration().id())) {
                 continue;
             }
             all.add(each);
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/WaitingCall.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/WaitingCall.java
@@ -1,6 +1,9 @@
 package org.elmline.core.dispatch;
 
 import java.util.Comparator;
+import java.util.List;
+
+import org.elmline.core.common.BackendServerId;
 
 /**
  * A call that waits for a slot, with absolute monotonic times in nanoseconds instead of remaining times.
@@ -23,6 +26,12 @@
                 now + call.deadlineLeftMillis() * NANOS_PER_MILLI);
     }
 
+    /** The same call, which now avoids these servers. */
+    WaitingCall avoiding(List<BackendServerId> servers) {
+        return new WaitingCall(
+                call.avoiding(servers), enqueuedAtNanos, dueAtNanos, firstTokenDeadlineNanos, deadlineNanos);
+    }
+
     /**
      * The order in which calls are placed: those that can still meet their aim before late ones; within both by
      * priority, then by due time.
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerHead.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerHead.java
@@ -1,6 +1,6 @@
 package org.elmline.daemon.gateway;
 
-import org.elmline.core.dispatch.ServerRateLimit;
+import org.elmline.core.dispatch.ServerNotice;
 
 /**
  * The contents of the headers of a backend server's answer.
@@ -12,7 +12,7 @@
  * @param signed whether it carries the server's signature
  * @param keepAliveSeconds seconds for which the connection may stay idle, negative when not stated
  * @param closesConnection whether the server closes the connection after it
- * @param limit the server's rate limit; null when it could not be read
+ * @param notice what the server states about itself
  */
 public record AnswerHead(
         String requestId,
@@ -22,4 +22,4 @@
         boolean signed,
         int keepAliveSeconds,
         boolean closesConnection,
-        ServerRateLimit limit) {}
+        ServerNotice notice) {}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -9,7 +9,7 @@
 import org.elmline.core.dispatch.AttemptEnd;
 import org.elmline.core.dispatch.DispatchAnswer;
 import org.elmline.core.dispatch.DispatchCall;
-import org.elmline.core.dispatch.ServerRateLimit;
+import org.elmline.core.dispatch.ServerNotice;
 import org.elmline.core.routing.CallRoute;
 
 /** One attempt of a call on one backend server. Used on the I/O thread only. */
@@ -92,12 +92,12 @@
         String path = exchange.getRequestURI() + (query == null || query.isEmpty() ? "" : "?" + query);
         sent = true;
         backendCall = new BackendCall(
-                context.connections(),
-                granted.address(),
+                context.backends(),
+                new BackendTarget(granted.server(), granted.address()),
+                RequestPurpose.NEW_WORK,
                 BackendCall.newRequest(exchange.getRequestMethod(), path, requestHeaders),
                 call.body(),
                 !call.route().mayRetry(),
-                context.protocol(),
                 this);
         backendCall.start();
         startFirstEventTimer();
@@ -114,7 +114,7 @@
             if (backendCall != null) {
                 backendCall.cancel();
             }
-            call.context().dispatchClient().reportEnd(placementRequest, end, reportedLimit());
+            call.context().dispatchClient().reportEnd(placementRequest, end, notice());
         }
     }
 
@@ -148,12 +148,17 @@
         fail(AttemptEnd.NOT_SENT, why);
     }
 
+    @Override
+    public void onWithheld(String why) {
+        sent = false;
+        fail(AttemptEnd.NOT_SENT_HERE, why);
+    }
+
     @Override
     public void onHead(int answerStatus, HeaderMap answerHeaders, AnswerHead answerHead) {
         status = answerStatus;
         headers = answerHeaders;
         head = answerHead;
-        call.context().observedLimits().record(granted.server(), answerHead.limit(), "answer");
         boolean wrongRequest =
                 head.requestId() != null && !head.requestId().equals(call.head().requestId());
         if (wrongRequest || head.encoded()) {
@@ -170,9 +175,9 @@
         }
     }
 
-    /** The rate limit that the answer carries; null without an answer. */
-    private ServerRateLimit reportedLimit() {
-        return head == null ? null : head.limit();
+    /** What the server states about itself; null without an answer of this server. */
+    private ServerNotice notice() {
+        return head == null || head.wrongServer() ? null : head.notice();
     }
 
     private boolean isSuccess() {
@@ -205,7 +210,7 @@
 
     /** Handles an event that was forwarded to the caller. */
     void onEventForwarded() {
-        call.context().dispatchClient().reportFirstToken(placementRequest, reportedLimit());
+        call.context().dispatchClient().reportFirstToken(placementRequest, notice());
         if (call.route().mayRetry()) {
             inactivityTimer.restart(Math.max(
                     MIN_STREAM_TIMEOUT_MILLIS,
@@ -234,12 +239,12 @@
             fail(AttemptEnd.NOT_EXECUTED, "turned down with " + status);
         } else if (status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry() && call.mayRetry()) {
             tryEnd();
-            call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.SERVER_ERROR, reportedLimit());
+            call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.SERVER_ERROR, notice());
             call.onServerError(status, headers, bufferedBody);
         } else {
             tryEnd();
             AttemptEnd end = status >= MIN_SERVER_ERROR_STATUS ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE;
-            call.context().dispatchClient().reportEnd(placementRequest, end, reportedLimit());
+            call.context().dispatchClient().reportEnd(placementRequest, end, notice());
             call.answer(status, headers, bufferedBody);
         }
     }
@@ -250,7 +255,7 @@
             return;
         }
         tryEnd();
-        call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.DONE, reportedLimit());
+        call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.DONE, notice());
         stream.complete();
     }
 
@@ -267,7 +272,7 @@
 
     private void fail(AttemptEnd end, String why) {
         if (tryEnd()) {
-            call.context().dispatchClient().reportEnd(placementRequest, end, reportedLimit());
+            call.context().dispatchClient().reportEnd(placementRequest, end, notice());
             call.onAttemptFailed(end, why);
         }
     }
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendAccess.java
@@ -0,0 +1,4 @@
+package org.elmline.daemon.gateway;
+
+/** The parts that every request to a backend server uses. */
+record BackendAccess(BackendConnectionPool connections, CallProtocol protocol, BackendGate gate) {}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -11,7 +11,6 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
-import org.elmline.core.common.Address;
 import org.xnio.ChannelListener;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -21,35 +20,36 @@
  * after a complete answer. Used on the I/O thread only.
  */
 final class BackendCall {
-    private final BackendConnectionPool connections;
-    private final Address address;
+    private final BackendAccess access;
+    private final BackendTarget target;
+    private final RequestPurpose purpose;
     private final ClientRequest request;
     private final ByteBuffer body;
     private final boolean nonRepeatable;
-    private final CallProtocol protocol;
     private final BackendCallListener listener;
     private ClientConnection connection;
     private StreamSourceChannel responseChannel;
     private AnswerHead head;
+    private long serverBornMillis;
     private boolean bodySent;
     private boolean paused;
     private boolean ended;
 
     /** @param nonRepeatable whether the call must not be sent again once it may have run */
     BackendCall(
-            BackendConnectionPool connections,
-            Address address,
+            BackendAccess access,
+            BackendTarget target,
+            RequestPurpose purpose,
             ClientRequest request,
             byte[] body,
             boolean nonRepeatable,
-            CallProtocol protocol,
             BackendCallListener listener) {
-        this.connections = connections;
-        this.address = address;
+        this.access = access;
+        this.target = target;
+        this.purpose = purpose;
         this.request = request;
         this.body = ByteBuffer.wrap(body);
         this.nonRepeatable = nonRepeatable;
-        this.protocol = protocol;
         this.listener = listener;
     }
 
@@ -62,15 +62,23 @@
     }
 
     void start() {
-        connections.acquire(address, nonRepeatable, new BackendConnectionPool.AcquireCallback() {
+        if (!access.gate().tryPass(target.server(), purpose)) {
+            withhold();
+            return;
+        }
+        access.connections().acquire(target.address(), nonRepeatable, new BackendConnectionPool.AcquireCallback() {
             @Override
             public void onAcquired(ClientConnection acquired) {
                 if (ended) {
-                    connections.release(address, acquired, -1);
-                    return;
+                    access.connections().release(target.address(), acquired, -1);
+                } else if (!access.gate().stillAllows(target.server(), purpose)) {
+                    // The server has asked for it in another answer while this connection was opened.
+                    access.connections().release(target.address(), acquired, -1);
+                    withhold();
+                } else {
+                    connection = acquired;
+                    send();
                 }
-                connection = acquired;
-                send();
             }
 
             @Override
@@ -82,6 +90,12 @@
         });
     }
 
+    private void withhold() {
+        if (tryEnd()) {
+            listener.onWithheld("the server wants no requests");
+        }
+    }
+
     /**
      * Ends the call at once and closes its connection, so that the server stops working on it. The listener is not
      * called any more.
@@ -93,6 +107,7 @@
     }
 
     private void send() {
+        serverBornMillis = access.gate().bornMillis(target.server());
         connection.sendRequest(request, new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
@@ -158,7 +173,8 @@
                 }
                 int status = exchange.getResponse().getResponseCode();
                 HeaderMap headers = exchange.getResponse().getResponseHeaders();
-                head = protocol.read(status, headers);
+                head = access.protocol().read(status, headers);
+                access.gate().onAnswer(target.server(), serverBornMillis, head);
                 responseChannel = exchange.getResponseChannel();
                 responseChannel.getReadSetter().set((ChannelListener<StreamSourceChannel>) each -> read());
                 listener.onHead(status, headers, head);
@@ -221,7 +237,7 @@
             // cannot be reused.
             BackendConnectionPool.closeNow(connection);
         } else {
-            connections.release(address, connection, head.keepAliveSeconds());
+            access.connections().release(target.address(), connection, head.keepAliveSeconds());
         }
         listener.onComplete();
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCallListener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCallListener.java
@@ -9,6 +9,9 @@
     /** The call has ended: no byte of it has left this process. */
     void onNotSent(String why);
 
+    /** The call has ended: the server accepts no such request now, so none was sent. */
+    void onWithheld(String why);
+
     /** The answer has begun; {@code answerHead} is what its headers contain. */
     void onHead(int status, HeaderMap headers, AnswerHead answerHead);
 
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendGate.java
@@ -0,0 +1,113 @@
+package org.elmline.daemon.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.dispatch.SendRestrictions;
+import org.elmline.core.dispatch.ServerNotice;
+import org.elmline.core.registry.Registration;
+import org.elmline.daemon.log.DecisionLog;
+
+/**
+ * The one place that every request of this entry to a backend server passes, and every answer: records what answers
+ * state about their servers, and withholds requests that a server does not want. Used on the I/O thread only.
+ */
+final class BackendGate {
+    private final Function<BackendServerId, Registration> registrations;
+    private final ObservedServerLimits limits;
+    private final MonotonicClock clock;
+    private final DecisionLog log;
+    private final Counter withheld;
+    private final SendRestrictions restrictions = new SendRestrictions();
+
+    /** @param registrations the latest registration of a server, null for an unknown one */
+    BackendGate(
+            Function<BackendServerId, Registration> registrations,
+            ObservedServerLimits limits,
+            MonotonicClock clock,
+            DecisionLog log,
+            MetricRegistry metrics) {
+        this.registrations = registrations;
+        this.limits = limits;
+        this.clock = clock;
+        this.log = log;
+        this.withheld = metrics.counter("backend.requests.withheld");
+    }
+
+    /** Start of a server by its registration, in milliseconds since 1970; 0 for an unknown server. */
+    long bornMillis(BackendServerId server) {
+        Registration registration = registrations.apply(server);
+        return registration == null ? 0 : registration.bornMillis();
+    }
+
+    /** Whether a server may be sent new work now. */
+    boolean allows(BackendServerId server) {
+        return restrictions.allows(server, bornMillis(server), clock.nanos());
+    }
+
+    /** Whether a request of this purpose may be sent now; counts those that are withheld. */
+    boolean tryPass(BackendServerId server, RequestPurpose purpose) {
+        boolean passes =
+                switch (purpose) {
+                    case NEW_WORK -> allows(server);
+                    case RUNNING_WORK -> restrictions.tryEssential(server, bornMillis(server), clock.nanos());
+                };
+        if (!passes) {
+            withheld.inc();
+        }
+        return passes;
+    }
+
+    /** Whether a request that has passed may still be sent, after a connection to the server was opened. */
+    boolean stillAllows(BackendServerId server, RequestPurpose purpose) {
+        return purpose == RequestPurpose.RUNNING_WORK || allows(server);
+    }
+
+    /** Milliseconds for which a server wants no requests from this entry; 0 without such a wish. */
+    long backoffMillis(BackendServerId server) {
+        return restrictions.backoffMillis(server, bornMillis(server), clock.nanos());
+    }
+
+    /** The servers of a service that may not be sent new work now. */
+    List<BackendServerId> restrictedServers(ServiceName service) {
+        List<BackendServerId> restricted = new ArrayList<>();
+        for (BackendServerId each : restrictions.restricted(clock.nanos())) {
+            Registration registration = registrations.apply(each);
+            if (registration != null && registration.service().equals(service) && !allows(each)) {
+                restricted.add(each);
+            }
+        }
+        return restricted;
+    }
+
+    /**
+     * Records what an answer states about its server.
+     *
+     * @param bornMillis start of the server that the request was sent to
+     */
+    void onAnswer(BackendServerId server, long bornMillis, AnswerHead answer) {
+        if (answer.wrongServer()) {
+            // The notice is that of an unknown server that has taken over the address.
+            return;
+        }
+        ServerNotice notice = answer.notice();
+        limits.record(server, notice.limit(), "answer");
+        if (notice.backoffMillis() < 0) {
+            log.line("server backoff unreadable").with("server", server).write();
+        }
+        if (restrictions.update(server, bornMillis, notice, clock.nanos())) {
+            log.line("server restricted")
+                    .with("server", server)
+                    .with("born", bornMillis)
+                    .with("leaving", notice.leaving())
+                    .with("backoffMs", notice.backoffMillis())
+                    .write();
+        }
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -238,8 +238,13 @@
     private void send(DispatchCall request, DispatchAnswer.Granted granted) {
         Registration server = context.deployment().server(granted.server());
         boolean serverLeft = server != null && !server.state().acceptsWork();
+        if (!allServersAccept(granted)) {
+            context.dispatchClient().reportEnd(request, AttemptEnd.NOT_SENT_HERE);
+            retryOrFail("a server wants no requests", true);
+            return;
+        }
         if (serverLeft || remainingMillis() < MIN_SEND_MILLIS) {
-            context.dispatchClient().reportEnd(request, AttemptEnd.CANCELLED);
+            context.dispatchClient().reportEnd(request, AttemptEnd.NOT_SENT_HERE);
             triedServers.add(granted.server());
             retryOrFail(serverLeft ? "server left" : "no time left", true);
             return;
@@ -261,6 +266,11 @@
         attempt.start();
     }
 
+    private boolean allServersAccept(DispatchAnswer.Granted granted) {
+        BackendGate gate = context.backends().gate();
+        return gate.allows(granted.server()) && granted.helpers().stream().allMatch(each -> gate.allows(each.server()));
+    }
+
     /** Handles the end of an attempt that gave no answer for the caller. */
     void onAttemptFailed(AttemptEnd end, String why) {
         attempt = null;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -10,21 +10,19 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
+import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.ServiceName;
 import org.elmline.core.dispatch.AttemptEnd;
-import org.elmline.core.dispatch.AttemptReport;
 import org.elmline.core.dispatch.DispatchAnswer;
 import org.elmline.core.dispatch.DispatchCall;
 import org.elmline.core.dispatch.DispatchChannels;
 import org.elmline.core.dispatch.DispatchChannels.Acknowledgement;
-import org.elmline.core.dispatch.DispatchChannels.Adoption;
-import org.elmline.core.dispatch.GrantHolders;
-import org.elmline.core.dispatch.OpenGrant;
-import org.elmline.core.dispatch.ServerRateLimit;
+import org.elmline.core.dispatch.ServerNotice;
 import org.elmline.core.dispatch.ServiceShard;
 import org.elmline.core.peer.HandlerRegistry;
 import org.elmline.core.peer.PeerNetwork;
@@ -67,38 +65,38 @@
     private static final long STALL_THRESHOLD_NANOS = Duration.ofMillis(100).toNanos();
 
     private final NodeSettings settings;
-    private final long incarnation;
     private final PeerNetwork network;
     private final DispatcherDirectory directory;
+    private final Function<ServiceName, List<BackendServerId>> restrictedServers;
     private final DispatchService localDispatch;
     private final XnioExecutor thread;
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final Map<String, PendingPlacement> pendingPlacements = new HashMap<>();
-    private final Map<String, OpenGrant> openGrants = new HashMap<>();
-    private final GrantHolders grantHolders = new GrantHolders();
+    private final GrantReporter grants;
     private final Map<ServiceShard, EntryRecord> firstDispatchers = new HashMap<>();
-    private final ReportQueue reportQueue;
     private final Map<ServiceShard, Set<HostId>> informedDispatchers = new HashMap<>();
 
+    /** @param restrictedServers servers of a service that this entry may not send new work to now */
     DispatchClient(
             NodeSettings settings,
             long incarnation,
             PeerNetwork network,
             DispatcherDirectory directory,
+            Function<ServiceName, List<BackendServerId>> restrictedServers,
             DispatchService localDispatch,
             XnioExecutor thread,
             MonotonicClock clock,
             DecisionLog log) {
         this.settings = settings;
-        this.incarnation = incarnation;
         this.network = network;
         this.directory = directory;
+        this.restrictedServers = restrictedServers;
         this.localDispatch = localDispatch;
         this.thread = thread;
         this.clock = clock;
         this.log = log;
-        this.reportQueue = new ReportQueue(settings, network, localDispatch, thread);
+        this.grants = new GrantReporter(settings, incarnation, network, localDispatch, thread);
     }
 
     void register(HandlerRegistry handlers) {
@@ -142,18 +140,9 @@
         }
     }
 
-    /**
-     * Reports the first token, or the answer, of a granted call.
-     *
-     * @param limit the rate limit that the answer carries
-     */
-    void reportFirstToken(DispatchCall call, ServerRateLimit limit) {
-        OpenGrant grant = openGrants.get(call.attempt());
-        if (grant != null && !grant.writing() && call.promptTokens() > 0) {
-            openGrants.put(call.attempt(), new OpenGrant(grant.call(), grant.granted(), true));
-            AttemptReport report = new AttemptReport(call.attempt(), null, limit);
-            grantHolders.holdersOf(call.attempt()).forEach(each -> reportQueue.add(call.service(), each, report));
-        }
+    /** Reports the first token of a granted call; {@code notice} is what its server states about itself. */
+    void reportFirstToken(DispatchCall call, ServerNotice notice) {
+        grants.reportFirstToken(call, notice);
     }
 
     /** Reports the end of a call that got no answer, whether it was granted a place or not. */
@@ -161,15 +150,9 @@
         reportEnd(call, end, null);
     }
 
-    /**
-     * Reports the end of a call to all dispatchers that may hold a place or a queue entry for it.
-     *
-     * @param limit the rate limit that the answer carries, null without an answer
-     */
-    void reportEnd(DispatchCall call, AttemptEnd end, ServerRateLimit limit) {
-        openGrants.remove(call.attempt());
-        AttemptReport endReport = new AttemptReport(call.attempt(), end, limit);
-        grantHolders.removeAttempt(call.attempt()).forEach(each -> reportQueue.add(call.service(), each, endReport));
+    /** Reports the end of a call; {@code notice} is what its server states about itself, null without an answer. */
+    void reportEnd(DispatchCall call, AttemptEnd end, ServerNotice notice) {
+        grants.reportEnd(call, end, notice);
     }
 
     /** Sends this entry's open grants to the dispatcher of each shard whose dispatcher has changed. */
@@ -203,7 +186,7 @@
             }
             EntryRecord previous = firstDispatchers.put(each, order.get(0));
             if (previous == null || isOtherProcess(order.get(0), previous)) {
-                handOverGrants(each, order.get(0));
+                handOver(each, order.get(0));
                 changed = true;
             }
         }
@@ -221,71 +204,27 @@
         }
     }
 
-    private List<OpenGrant> openGrantsOn(ServiceShard shard) {
-        return openGrants.values().stream()
-                .filter(each -> each.call().service().equals(shard.service()))
-                .filter(each -> shard.shard().contains(each.granted().server()))
-                .toList();
-    }
-
-    private static boolean isOtherProcess(EntryRecord a, EntryRecord b) {
-        return !a.host().equals(b.host()) || a.incarnation() != b.incarnation();
-    }
-
-    private void handOverGrants(ServiceShard shard, EntryRecord dispatcher) {
-        List<OpenGrant> grants = openGrantsOn(shard);
+    private void handOver(ServiceShard shard, EntryRecord dispatcher) {
+        int open = grants.handOver(shard, dispatcher);
         log.line("dispatcher changed")
                 .with("service", shard)
                 .with("dispatcher", dispatcher.host())
-                .with("open", grants.size())
+                .with("open", open)
                 .write();
-        grants.forEach(each -> retainOnly(dispatcher.host(), each.call()));
-        sendAdoption(dispatcher, adoption(shard, true, grants));
-    }
-
-    private Adoption adoption(ServiceShard shard, boolean all, List<OpenGrant> grants) {
-        return new Adoption(
-                shard.service(),
-                shard.shard(),
-                settings.host(),
-                incarnation,
-                all,
-                grants,
-                localDispatch.observedLimits().all());
-    }
-
-    private void sendAdoption(EntryRecord dispatcher, Adoption adoption) {
-        if (dispatcher.host().equals(settings.host())) {
-            localDispatch.adopt(adoption);
-            return;
-        }
-        // Reports that are still queued go first: arriving later, a cancellation would end a grant that is adopted now.
-        reportQueue.flush();
-        network.call(dispatcher.peers(), DispatchChannels.ADOPT, adoption, ReportQueue.SEND_TIMEOUT);
     }
 
     /**
      * Sends the open grants to a dispatcher used in place of the first one, once each time the first one is passed
      * over. Without them it would place calls on full engines. It has all entries' grants within a few calls of each.
      */
-    private void sendOpenGrants(ServiceShard shard, EntryRecord dispatcher) {
-        if (!informedDispatchers.computeIfAbsent(shard, each -> new HashSet<>()).add(dispatcher.host())) {
-            return;
+    private void informReplacement(ServiceShard shard, EntryRecord dispatcher) {
+        if (informedDispatchers.computeIfAbsent(shard, each -> new HashSet<>()).add(dispatcher.host())) {
+            grants.sendAll(shard, dispatcher);
         }
-        List<OpenGrant> grants = openGrantsOn(shard);
-        grants.forEach(each -> grantHolders.addHolder(each.call().attempt(), dispatcher.host()));
-        sendAdoption(dispatcher, adoption(shard, true, grants));
     }
 
-    /** Keeps an attempt at one dispatcher and reports it as cancelled to the others. */
-    private void retainOnly(HostId dispatcher, DispatchCall call) {
-        reportCancelled(call.service(), grantHolders.retainOnly(call.attempt(), dispatcher), call);
-    }
-
-    /** Reports to dispatchers that they no longer hold an attempt; it runs or waits at another one. */
-    private void reportCancelled(ServiceName service, List<HostId> dispatchers, DispatchCall call) {
-        AttemptReport cancellation = new AttemptReport(call.attempt(), AttemptEnd.CANCELLED);
-        dispatchers.forEach(each -> reportQueue.add(service, each, cancellation));
+    private static boolean isOtherProcess(EntryRecord a, EntryRecord b) {
+        return !a.host().equals(b.host()) || a.incarnation() != b.incarnation();
     }
 
     /** Where to send a placement request: a shard, and the entry that decides for it. */
@@ -324,9 +263,8 @@
             Target target = nextTarget();
             if (target == null) {
                 ServiceShard shard = shards.get(0);
-                grantHolders.addHolder(call.attempt(), settings.host());
-                handleAnswer(
-                        shard, settings.host(), DispatchClient.this.localDispatch.place(call.withShard(shard.shard())));
+                grants.addHolder(call, settings.host());
+                handleAnswer(shard, settings.host(), localDispatch.place(requestTo(shard)));
                 return;
             }
             request(target);
@@ -335,10 +273,10 @@
         private void request(Target target) {
             HostId dispatcher = target.entry().host();
             if (!dispatcher.equals(directory.byPreference(target.shard()).get(0).host())) {
-                sendOpenGrants(target.shard(), target.entry());
+                informReplacement(target.shard(), target.entry());
             }
-            grantHolders.addHolder(call.attempt(), dispatcher);
-            DispatchCall request = call.withShard(target.shard().shard());
+            grants.addHolder(call, dispatcher);
+            DispatchCall request = requestTo(target.shard());
             if (dispatcher.equals(settings.host())) {
                 handleAnswer(target.shard(), dispatcher, localDispatch.place(request));
                 return;
@@ -348,6 +286,10 @@
                     .thenAccept(result -> onAnswer(target, sentAtNanos, result));
         }
 
+        private DispatchCall requestTo(ServiceShard shard) {
+            return call.withShard(shard.shard()).alsoAvoiding(restrictedServers.apply(call.service()));
+        }
+
         private void onAnswer(Target target, long sentAtNanos, CallResult<DispatchAnswer> result) {
             if (finished) {
                 return;
@@ -416,9 +358,7 @@
             }
             directory.suspect(dispatcher);
             skippedDispatchers.add(dispatcher);
-            // It may have granted a place although its answer did not arrive.
-            grantHolders.removeHolder(call.attempt(), dispatcher);
-            reportCancelled(call.service(), List.of(dispatcher), call);
+            grants.cancelAt(dispatcher, call);
             if (isQueued) {
                 scheduleRepeat();
             } else {
@@ -434,7 +374,7 @@
             if (answer instanceof DispatchAnswer.Queued) {
                 // The former dispatcher must not place the call: it has received cancellations of all running attempts
                 // and so treats engines in use as free.
-                retainOnly(dispatcher, call);
+                grants.retainOnly(dispatcher, call);
                 isQueued = true;
             }
             answeredShards.add(shard);
@@ -476,12 +416,12 @@
             }
             finished = true;
             pendingPlacements.remove(call.attempt());
-            retainOnly(dispatcher, call);
+            grants.retainOnly(dispatcher, call);
             if (answer instanceof DispatchAnswer.Granted granted) {
-                openGrants.put(call.attempt(), new OpenGrant(call, granted, false));
+                grants.addGrant(call, granted);
                 notifyFirstDispatcher(dispatcher, granted);
             } else {
-                grantHolders.removeAttempt(call.attempt());
+                grants.removeRefused(call);
             }
             callback.accept(answer);
         }
@@ -493,8 +433,7 @@
             if (order.isEmpty() || order.get(0).host().equals(dispatcher)) {
                 return;
             }
-            grantHolders.addHolder(call.attempt(), order.get(0).host());
-            sendAdoption(order.get(0), adoption(shard, false, List.of(openGrants.get(call.attempt()))));
+            grants.sendOne(shard, order.get(0), call);
         }
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -137,11 +137,14 @@
                 this::scheduleDeploymentUpdate);
         dispatchers = new DispatchService(
                 settings.host(), settings.retries().retryLimit(), process.clock(), log, this::sendDecision);
+        BackendGate gate = new BackendGate(
+                deployment::server, dispatchers.observedLimits(), process.clock(), log, process.metrics());
         dispatchClient = new DispatchClient(
                 settings,
                 incarnation,
                 peers.network(),
                 new DispatcherDirectory(deployment::entries, deployment::servers, process.clock()),
+                gate::restrictedServers,
                 dispatchers,
                 thread,
                 process.clock(),
@@ -157,7 +160,7 @@
                 deployment,
                 dispatchClient,
                 dispatchers.observedLimits(),
-                connections,
+                new BackendAccess(connections, protocol, gate),
                 thread,
                 process.clock(),
                 log,
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayContext.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayContext.java
@@ -13,7 +13,7 @@
         DeploymentFollower deployment,
         DispatchClient dispatchClient,
         ObservedServerLimits observedLimits,
-        BackendConnectionPool connections,
+        BackendAccess backends,
         XnioIoThread thread,
         MonotonicClock clock,
         DecisionLog log,
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/HelperReservations.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/HelperReservations.java
@@ -26,6 +26,15 @@
     /** Interval of renewals; two in a row may be lost before the reservation expires. */
     private static final long RENEW_INTERVAL_MILLIS = 1_000;
 
+    /**
+     * Longest reservation, for an engine that wants no requests until later: below the 9 s for which an engine may hold
+     * memory that nobody uses.
+     */
+    private static final long MAX_HOLD_MILLIS = 8_000;
+
+    /** Time before the end of a reservation at which an engine that wants no requests gets a renewal all the same. */
+    private static final long RENEWAL_MARGIN_MILLIS = 1_400;
+
     /** Time-out of a request to an engine; many round trips. */
     private static final long ANSWER_TIMEOUT_MILLIS = 250;
 
@@ -36,7 +45,7 @@
 
     private final GatewayContext context;
     private final DispatchAnswer.Granted granted;
-    private final List<Helper> helpers = new ArrayList<>();
+    private final List<Reservation> reservations = new ArrayList<>();
     private int pendingAnswers;
     private boolean failed;
     private boolean released;
@@ -46,7 +55,7 @@
         this.granted = granted;
         for (Helper each : granted.helpers()) {
             if (each.memoryTokens() > 0) {
-                helpers.add(each);
+                reservations.add(new Reservation(each));
             }
         }
     }
@@ -56,13 +65,13 @@
      * reserve, and never when {@link #release} is called before the last answer.
      */
     void reserve(Consumer<Boolean> onResult) {
-        if (helpers.isEmpty()) {
+        if (reservations.isEmpty()) {
             onResult.accept(true);
             return;
         }
-        pendingAnswers = helpers.size();
-        for (Helper each : helpers) {
-            sendRequest(each, reserveBody(each), accepted -> {
+        pendingAnswers = reservations.size();
+        for (Reservation each : reservations) {
+            each.reserve(RequestPurpose.NEW_WORK, HOLD_MILLIS, accepted -> {
                 failed |= !accepted;
                 pendingAnswers--;
                 if (pendingAnswers == 0 && !released) {
@@ -76,7 +85,7 @@
         context.log()
                 .line("memory reservation completed")
                 .with("attempt", granted.attempt())
-                .with("holders", helpers.size())
+                .with("holders", reservations.size())
                 .with("given", !failed)
                 .write();
         if (failed) {
@@ -95,7 +104,7 @@
         if (released) {
             return;
         }
-        helpers.forEach(each -> sendRequest(each, reserveBody(each), accepted -> {}));
+        reservations.forEach(Reservation::renew);
         scheduleRenewal();
     }
 
@@ -105,32 +114,57 @@
             return;
         }
         released = true;
-        helpers.forEach(each -> release(each, MAX_RELEASE_ATTEMPTS));
+        reservations.forEach(each -> each.release(MAX_RELEASE_ATTEMPTS));
     }
 
-    private void release(Helper helper, int attemptsLeft) {
-        sendRequest(helper, context.protocol().releaseBody(granted.attempt()), accepted -> {
-            if (!accepted && attemptsLeft > 1) {
-                release(helper, attemptsLeft - 1);
+    /** The memory on one helper. */
+    private final class Reservation {
+        private final Helper helper;
+        private long endsAtNanos;
+
+        Reservation(Helper helper) {
+            this.helper = helper;
+        }
+
+        void reserve(RequestPurpose purpose, long holdMillis, Consumer<Boolean> callback) {
+            endsAtNanos = context.clock().nanos() + TimeUnit.MILLISECONDS.toNanos(holdMillis);
+            byte[] body = context.protocol().reserveBody(granted.attempt(), helper.memoryTokens(), holdMillis);
+            sendRequest(helper, purpose, body, callback);
+        }
+
+        /** An engine that wants no requests for a while gets one renewal that lasts until then, or as few as possible. */
+        void renew() {
+            long backoffMillis = context.backends().gate().backoffMillis(helper.server());
+            long leftMillis =
+                    TimeUnit.NANOSECONDS.toMillis(endsAtNanos - context.clock().nanos());
+            if (backoffMillis > 0 && leftMillis > RENEWAL_MARGIN_MILLIS) {
+                return;
             }
-        });
-    }
+            long holdMillis = Math.min(backoffMillis + HOLD_MILLIS, MAX_HOLD_MILLIS);
+            reserve(RequestPurpose.RUNNING_WORK, holdMillis, accepted -> {});
+        }
 
-    private byte[] reserveBody(Helper helper) {
-        return context.protocol().reserveBody(granted.attempt(), helper.memoryTokens(), HOLD_MILLIS);
+        void release(int attemptsLeft) {
+            byte[] body = context.protocol().releaseBody(granted.attempt());
+            sendRequest(helper, RequestPurpose.RUNNING_WORK, body, accepted -> {
+                if (!accepted && attemptsLeft > 1) {
+                    release(attemptsLeft - 1);
+                }
+            });
+        }
     }
 
-    private void sendRequest(Helper helper, byte[] body, Consumer<Boolean> callback) {
+    private void sendRequest(Helper helper, RequestPurpose purpose, byte[] body, Consumer<Boolean> callback) {
         HeaderMap headers = context.protocol().reservationHeaders(helper);
         headers.put(Headers.CONTENT_LENGTH, body.length);
         ReservationRequest request = new ReservationRequest(callback);
         request.call = new BackendCall(
-                context.connections(),
-                helper.address(),
+                context.backends(),
+                new BackendTarget(helper.server(), helper.address()),
+                purpose,
                 BackendCall.newRequest(Methods.POST, context.protocol().reservationPath(), headers),
                 body,
                 false,
-                context.protocol(),
                 request);
         context.thread().executeAfter(request::expire, ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         request.call.start();
@@ -166,6 +200,11 @@
             finish(false);
         }
 
+        @Override
+        public void onWithheld(String why) {
+            finish(false);
+        }
+
         @Override
         public void onHead(int answerStatus, HeaderMap headers, AnswerHead answerHead) {
             status = answerStatus;
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
@@ -58,6 +58,7 @@
     private final Set<String> unresponsiveHosts = new HashSet<>();
     private Function<DispatchCall, DispatchAnswer> placeAnswer = call -> new DispatchAnswer.Queued(call.attempt(), 0);
     private List<BackendServerId> servers = List.of();
+    private List<BackendServerId> restricted = List.of();
     private Collection<EntryRecord> entries = List.of(entry("10.0.0.2"), entry("10.0.0.3"));
 
     private record SentRequest(String host, Object request) {}
@@ -104,7 +105,16 @@
         localDispatch =
                 new DispatchService(HostId.of(SELF), new RetryLimit(0.2, 10, 10), clock, log, (host, answer) -> {});
         DispatcherDirectory directory = new DispatcherDirectory(() -> entries, service -> servers, clock);
-        return new DispatchClient(settings(), 1, new ScriptedNetwork(), directory, localDispatch, thread, clock, log);
+        return new DispatchClient(
+                settings(),
+                1,
+                new ScriptedNetwork(),
+                directory,
+                service -> restricted,
+                localDispatch,
+                thread,
+                clock,
+                log);
     }
 
     private static DispatchCall call() {
