--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRestrictionTest.java
@@ -0,0 +1,120 @@
+package org.elmline.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.elmline.core.common.Address;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.registry.Registration;
+import org.elmline.core.registry.ServerState;
+import org.elmline.core.routing.RoutedService;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+/** Where calls go whose entries may not send to some servers. */
+class DispatcherRestrictionTest {
+    private static final long MILLI = 1_000_000L;
+    private static final ServiceName SERVICE = ServiceName.of("desk");
+    private static final RoutedService PLAIN = new RoutedService(SERVICE, 248, null);
+    private static final RetryLimit RETRIES = new RetryLimit(0.2, 2, 10_000 * MILLI);
+
+    private int nextAttempt;
+
+    private static List<Registration> servers(int count, int slots) {
+        List<Registration> servers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            servers.add(new Registration(
+                    BackendServerId.of("s" + i),
+                    SERVICE,
+                    new Address("10.0.0." + (i + 1), 80),
+                    FailureDomain.of("a"),
+                    slots,
+                    ServerState.READY,
+                    1,
+                    1));
+        }
+        return servers;
+    }
+
+    private static Dispatcher dispatcher(int servers, int slots) {
+        Dispatcher dispatcher = new Dispatcher(PLAIN, RETRIES, 0);
+        dispatcher.updateServers(PLAIN, servers(servers, slots), 0);
+        return dispatcher;
+    }
+
+    private DispatchCall call() {
+        return new DispatchCall(
+                "c" + nextAttempt++,
+                HostId.of("e"),
+                1,
+                FailureDomain.of("a"),
+                SERVICE,
+                Shard.WHOLE,
+                1,
+                0,
+                0,
+                0,
+                100,
+                0,
+                1_000,
+                1_000,
+                false,
+                List.of());
+    }
+
+    private static DispatchAnswer.Granted granted(DispatchAnswer answer) {
+        return assertInstanceOf(DispatchAnswer.Granted.class, answer);
+    }
+
+    /** Guards against calls of all other entries that reach a server which one entry was told is leaving. */
+    @Test
+    void placesNothingOnServerThatStatedThatItLeaves() {
+        Dispatcher dispatcher = dispatcher(2, 4);
+        DispatchCall first = call();
+        DispatchAnswer.Granted left = granted(dispatcher.place(first, 0));
+        ServerNotice leaving = new ServerNotice(ServerRateLimit.NONE, true, 0);
+        dispatcher.report(AttemptReport.of(first.attempt(), AttemptEnd.DONE, leaving), MILLI);
+        dispatcher.updateServers(PLAIN, servers(2, 4), 2 * MILLI);
+        for (int i = 0; i < 4; i++) {
+            assertNotEquals(
+                    left.server(), granted(dispatcher.place(call(), 3 * MILLI)).server());
+        }
+        assertInstanceOf(DispatchAnswer.Queued.class, dispatcher.place(call(), 3 * MILLI));
+    }
+
+    /** Guards against a waiting call that is granted a server which meanwhile has asked its entry for a pause. */
+    @Test
+    void waitingCallAvoidsServersOfItsRepeatedRequest() {
+        Dispatcher dispatcher = dispatcher(2, 1);
+        DispatchCall onFirst = call();
+        DispatchAnswer.Granted first = granted(dispatcher.place(onFirst, 0));
+        DispatchAnswer.Granted second = granted(dispatcher.place(call(), 0));
+        DispatchCall waiting = call();
+        assertInstanceOf(DispatchAnswer.Queued.class, dispatcher.place(waiting, 0));
+        DispatchCall repeated = waiting.alsoAvoiding(List.of(first.server()));
+        assertInstanceOf(DispatchAnswer.Queued.class, dispatcher.place(repeated, MILLI));
+        dispatcher.report(new AttemptReport(onFirst.attempt(), AttemptEnd.DONE), 2 * MILLI);
+        assertEquals(List.of(), dispatcher.tick(3 * MILLI));
+        dispatcher.report(new AttemptReport(second.attempt(), AttemptEnd.DONE), 4 * MILLI);
+        assertEquals(second.server(), granted(dispatcher.tick(5 * MILLI).get(0)).server());
+    }
+
+    /** Guards against a call that waits for its deadline although no server may take it. */
+    @Test
+    void refusesAtOnceWaitingCallThatNoServerMayTake() {
+        Dispatcher dispatcher = dispatcher(1, 1);
+        DispatchAnswer.Granted only = granted(dispatcher.place(call(), 0));
+        DispatchCall waiting = call();
+        dispatcher.place(waiting, 0);
+        dispatcher.place(waiting.alsoAvoiding(List.of(only.server())), MILLI);
+        DispatchAnswer.Refused refused = assertInstanceOf(
+                DispatchAnswer.Refused.class, dispatcher.tick(2 * MILLI).get(0));
+        assertEquals(DispatchAnswer.RefusalCause.NO_SERVER, refused.why());
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendGate.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendGate.java
@@ -74,6 +74,16 @@
         return restrictions.backoffMillis(server, bornMillis(server), clock.nanos());
     }
 
+    /** Milliseconds until the first server of a service accepts requests of this entry again; 0 if none backs off. */
+    long shortestBackoffMillis(ServiceName service) {
+        long shortest = Long.MAX_VALUE;
+        for (BackendServerId each : restrictedServers(service)) {
+            long millis = backoffMillis(each);
+            shortest = millis > 0 ? Math.min(shortest, millis) : shortest;
+        }
+        return shortest == Long.MAX_VALUE ? 0 : shortest;
+    }
+
     /** The servers of a service that may not be sent new work now. */
     List<BackendServerId> restrictedServers(ServiceName service) {
         List<BackendServerId> restricted = new ArrayList<>();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -232,7 +232,15 @@
                 .with("service", service)
                 .with("leftMs", remainingMillis())
                 .with("retryAfterMs", refused.retryAfterMillis()));
-        fail(refused.why().name(), refused.retryAfterMillis());
+        fail(refused.why().name(), retryAfterMillis(refused));
+    }
+
+    /** A backoff that the servers requested from this entry does not hold for the others. */
+    private long retryAfterMillis(DispatchAnswer.Refused refused) {
+        return refused.why() != DispatchAnswer.RefusalCause.NO_SERVER
+                        || context.deployment().hasOtherServingEntry()
+                ? refused.retryAfterMillis()
+                : Math.max(refused.retryAfterMillis(), context.backends().gate().shortestBackoffMillis(service));
     }
 
     private void send(DispatchCall request, DispatchAnswer.Granted granted) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -8,7 +8,6 @@
 import io.undertow.server.RequestTooBigException;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import org.elmline.core.common.HostId;
 import org.elmline.core.routing.RouteMatch;
 import org.elmline.core.routing.RoutingTable;
 import org.elmline.daemon.http.IoThreadBodyReader;
@@ -93,7 +92,9 @@
                         exchange,
                         head,
                         "the entry stops",
-                        hasOtherServingEntry() ? OTHER_ENTRY_RETRY_AFTER_MILLIS : RETRY_AFTER_MILLIS);
+                        context.deployment().hasOtherServingEntry()
+                                ? OTHER_ENTRY_RETRY_AFTER_MILLIS
+                                : RETRY_AFTER_MILLIS);
                 return;
             }
             new Call(context, exchange, head, allowed, body, receivedAtNanos, random.nextDouble()).start();
@@ -112,12 +113,6 @@
                 noRoute ? "no route leads from here" : "the key opens nothing");
     }
 
-    private boolean hasOtherServingEntry() {
-        HostId self = context.settings().host();
-        return context.deployment().entries().stream()
-                .anyMatch(each -> each.serving() && !each.host().equals(self));
-    }
-
     private void refuseWithRetryAfter(HttpServerExchange exchange, CallHead head, String why, long retryAfterMillis) {
         context.protocol().setRetryAfter(exchange.getResponseHeaders(), retryAfterMillis);
         refuse(exchange, head, UNAVAILABLE, why);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -341,6 +341,12 @@
         return view.entries(clock.nanos());
     }
 
+    /** Whether a caller that is refused here may be served by another entry. */
+    boolean hasOtherServingEntry() {
+        return entries().stream()
+                .anyMatch(each -> each.serving() && !each.host().equals(settings.host()));
+    }
+
     /** The servers of a service that accept work. */
     List<BackendServerId> servers(ServiceName service) {
         List<Registration> usable = usableServers();
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
@@ -377,4 +377,19 @@
         client().place(call("a1"), answer -> {});
         assertEquals(1, hostsRequestedFor("a1").size());
     }
+
+    /** Guards against a waiting call whose dispatcher never learns of a server that wants no requests. */
+    @Test
+    void namesRestrictedServersInEachRequest() {
+        DispatchClient client = client();
+        client.place(call(), answer -> {});
+        restricted = List.of(BackendServerId.of("s7"));
+        thread.runLater();
+        List<DispatchCall> requests = sentRequests.stream()
+                .filter(each -> each.request() instanceof DispatchCall)
+                .map(each -> (DispatchCall) each.request())
+                .toList();
+        assertEquals(List.of(), requests.get(0).avoid());
+        assertEquals(restricted, requests.get(requests.size() - 1).avoid());
+    }
 }
