--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -393,7 +393,13 @@
             return;
         }
         grants.remove(report.attempt());
-        granted.members().get(0).health().record(report.end(), now);
+        if (report.faultyHelper() == null) {
+            granted.members().get(0).health().record(report.end(), now);
+        } else {
+            granted.members().stream()
+                    .filter(each -> each.registration().id().equals(report.faultyHelper()))
+                    .forEach(each -> each.health().recordUnreachable(now));
+        }
         granted.members().forEach(each -> each.end(report.attempt(), now));
     }
 
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerHealth.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerHealth.java
@@ -47,6 +47,11 @@
         }
     }
 
+    /** Records that another server could not reach this one, or not use it. */
+    void recordUnreachable(long now) {
+        startBackoff(now);
+    }
+
     private void recordSuccess() {
         consecutiveFailures = 0;
         failureScore *= 1 - FAILURE_SCORE_WEIGHT;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerHead.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerHead.java
@@ -1,5 +1,6 @@
 package org.elmline.daemon.gateway;
 
+import org.elmline.core.common.BackendServerId;
 import org.elmline.core.dispatch.ServerNotice;
 
 /**
@@ -8,6 +9,7 @@
  * @param requestId the id of the request that it answers; null without one
  * @param notExecuted whether the server states that it did not run the request
  * @param wrongServer whether another server than the intended one has answered
+ * @param faultyServer the server because of which the request was refused; null when not stated
  * @param encoded whether the body was changed on the way, so that it isn't the server's own
  * @param signed whether it carries the server's signature
  * @param keepAliveSeconds seconds for which the connection may stay idle, negative when not stated
@@ -18,6 +20,7 @@
         String requestId,
         boolean notExecuted,
         boolean wrongServer,
+        BackendServerId faultyServer,
         boolean encoded,
         boolean signed,
         int keepAliveSeconds,
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -6,6 +6,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import org.elmline.core.common.BackendServerId;
 import org.elmline.core.dispatch.AttemptEnd;
 import org.elmline.core.dispatch.DispatchAnswer;
 import org.elmline.core.dispatch.DispatchCall;
@@ -139,7 +140,7 @@
             return;
         }
         cancel(AttemptEnd.SILENT);
-        call.onAttemptFailed(AttemptEnd.SILENT, "silent");
+        call.onAttemptFailed(AttemptEnd.SILENT, "silent", null);
     }
 
     @Override
@@ -272,11 +273,20 @@
 
     private void fail(AttemptEnd end, String why) {
         if (tryEnd()) {
-            call.context().dispatchClient().reportEnd(placementRequest, end, notice());
-            call.onAttemptFailed(end, why);
+            BackendServerId helper = faultyHelper();
+            call.context().dispatchClient().reportFailure(placementRequest, end, notice(), helper);
+            call.onAttemptFailed(end, why, helper);
         }
     }
 
+    /** The helper because of which the server refused the request; null if there is none. */
+    private BackendServerId faultyHelper() {
+        BackendServerId faulty = head == null ? null : head.faultyServer();
+        boolean isHelper =
+                granted.helpers().stream().anyMatch(each -> each.server().equals(faulty));
+        return isHelper ? faulty : null;
+    }
+
     private boolean tryEnd() {
         if (ended) {
             return false;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -279,8 +279,12 @@
         return gate.allows(granted.server()) && granted.helpers().stream().allMatch(each -> gate.allows(each.server()));
     }
 
-    /** Handles the end of an attempt that gave no answer for the caller. */
-    void onAttemptFailed(AttemptEnd end, String why) {
+    /**
+     * Handles the end of an attempt that gave no answer for the caller.
+     *
+     * @param faultyHelper the helper because of which the server refused the call, null without one
+     */
+    void onAttemptFailed(AttemptEnd end, String why, BackendServerId faultyHelper) {
         attempt = null;
         boolean mayHaveExecuted = end.mayHaveRun();
         mayHaveRun |= mayHaveExecuted;
@@ -289,15 +293,21 @@
             unexecutedAttempts++;
         }
         context.callMetrics().recordAttemptFailure(service, end.name());
-        requestLog.logFailure(
-                line("attempt failed").with("end", end).with("why", why).with("server", lastTriedServer()));
+        requestLog.logFailure(line("attempt failed")
+                .with("end", end)
+                .with("why", why)
+                .with("server", lastTriedServer())
+                .with("faultyHelper", faultyHelper));
+        if (faultyHelper != null) {
+            triedServers.set(triedServers.size() - 1, faultyHelper);
+        }
         retryOrFail(why, !mayHaveExecuted);
     }
 
     /** Handles an error answered by a server when the call may run once more. */
     void onServerError(int status, HeaderMap headers, ByteArrayOutputStream bytes) {
         serverFailure = new ServerFailure(status, headers, bytes);
-        onAttemptFailed(AttemptEnd.SERVER_ERROR, "answered " + status);
+        onAttemptFailed(AttemptEnd.SERVER_ERROR, "answered " + status, null);
     }
 
     private BackendServerId lastTriedServer() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -18,6 +18,7 @@
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.ServiceName;
 import org.elmline.core.dispatch.AttemptEnd;
+import org.elmline.core.dispatch.AttemptReport;
 import org.elmline.core.dispatch.DispatchAnswer;
 import org.elmline.core.dispatch.DispatchCall;
 import org.elmline.core.dispatch.DispatchChannels;
@@ -152,7 +153,12 @@
 
     /** Reports the end of a call; {@code notice} is what its server states about itself, null without an answer. */
     void reportEnd(DispatchCall call, AttemptEnd end, ServerNotice notice) {
-        grants.reportEnd(call, end, notice);
+        grants.reportEnd(call, AttemptReport.of(call.attempt(), end, notice));
+    }
+
+    /** Reports a failed attempt; {@code faultyHelper} is the helper because of which it was refused, or null. */
+    void reportFailure(DispatchCall call, AttemptEnd end, ServerNotice notice, BackendServerId faultyHelper) {
+        grants.reportEnd(call, AttemptReport.of(call.attempt(), end, notice).withFaultyHelper(faultyHelper));
     }
 
     /** Sends this entry's open grants to the dispatcher of each shard whose dispatcher has changed. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GrantReporter.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GrantReporter.java
@@ -75,14 +75,9 @@
         }
     }
 
-    /**
-     * Reports the end of a call to all dispatchers that may hold a place or a queue entry for it.
-     *
-     * @param notice what the server states about itself in the answer, null without an answer
-     */
-    void reportEnd(DispatchCall call, AttemptEnd end, ServerNotice notice) {
+    /** Reports the end of a call to all dispatchers that may hold a place or a queue entry for it. */
+    void reportEnd(DispatchCall call, AttemptReport endReport) {
         openGrants.remove(call.attempt());
-        AttemptReport endReport = AttemptReport.of(call.attempt(), end, notice);
         grantHolders.removeAttempt(call.attempt()).forEach(each -> reportQueue.add(call.service(), each, endReport));
     }
 
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
@@ -233,7 +233,7 @@
                         SERVICE,
                         List.of(
                                 new AttemptReport("a", null),
-                                new AttemptReport("b", AttemptEnd.DONE, ServerRateLimit.NONE, true))),
+                                new AttemptReport("b", AttemptEnd.DONE, ServerRateLimit.NONE, granted.server(), true))),
                 new Adoption(
                         SERVICE,
                         new Shard(1, 2),
