Let the stand-in service ask for a pause and say that it leaves, and keep to both in the product's own service calls

Callers of the product's own interface saw a refusal each time; the service got each of their calls although it had asked the entry for a pause. Change: the stand-in's refusals may carry Retry-After, its answers Elmline-Leaving while it leaves. ServiceClient reads both, ReplicaSelector leaves such a replica out, by the same SendRestrictions, per entry. The header's name stands once.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/service/ReplicaSelector.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ReplicaSelector.java
@@ -13,17 +13,24 @@
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.ServiceName;
+import org.elmline.core.dispatch.SendRestrictions;
+import org.elmline.core.dispatch.ServerNotice;
 import org.elmline.core.route.OwnerTable;
 import org.elmline.core.route.ServiceReplica;
+import org.jboss.logging.Logger;
 
 /**
- * Selects a replica of a plain service: the less busy of two drawn at random, by this entry's own open calls.
- * Thread-safe.
+ * Selects a replica of a plain service: the less busy of two drawn at random, by this entry's own open calls, among
+ * those that accept calls by what they stated. Thread-safe.
  */
 final class ReplicaSelector {
+    private static final Logger LOG = Logger.getLogger(ReplicaSelector.class);
+
     private final OwnerTable owners;
     private final MonotonicClock clock;
     private final Map<BackendServerId, AtomicInteger> openCalls = new ConcurrentHashMap<>();
+    /** Guarded by itself. */
+    private final SendRestrictions restrictions = new SendRestrictions();
 
     ReplicaSelector(OwnerTable owners, MonotonicClock clock) {
         this.owners = owners;
@@ -43,7 +50,7 @@
         List<ServiceReplica> candidates = new ArrayList<>();
         Set<BackendServerId> seen = new HashSet<>(tried);
         for (ServiceReplica each : owners.serviceReplicas(service, clock.nanos())) {
-            if (seen.add(each.server())) {
+            if (seen.add(each.server()) && allows(each)) {
                 candidates.add(each);
             }
         }
@@ -57,6 +64,26 @@
         return Optional.of(new AcquiredReplica(chosen, openCallsOf(chosen)));
     }
 
+    /** Records what a replica stated about itself in an answer. */
+    void onAnswer(ServiceReplica replica, ServerNotice notice) {
+        boolean restricted;
+        synchronized (restrictions) {
+            restricted =
+                    restrictions.update(replica.server(), replica.incarnation().value(), notice, clock.nanos());
+        }
+        if (restricted) {
+            LOG.infof(
+                    "%s gets no calls: leaving %s, backoff %d ms",
+                    replica.server(), notice.leaving(), notice.backoffMillis());
+        }
+    }
+
+    private boolean allows(ServiceReplica replica) {
+        synchronized (restrictions) {
+            return restrictions.allows(replica.server(), replica.incarnation().value(), clock.nanos());
+        }
+    }
+
     private static ServiceReplica pickRandom(List<ServiceReplica> candidates) {
         return candidates.get(ThreadLocalRandom.current().nextInt(candidates.size()));
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceClient.java
@@ -19,21 +19,23 @@
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.Ran;
 import org.elmline.core.control.RecordedAnswer;
+import org.elmline.core.dispatch.ServerNotice;
+import org.elmline.core.dispatch.ServerRateLimit;
 import org.elmline.daemon.engine.SendTracker;
+import org.elmline.wire.engine.EnginePaths;
+import org.jboss.logging.Logger;
 
 /**
  * Sends one call to one replica of a plain service, once. Blocks the calling worker until the result is known.
  * Thread-safe.
  */
 final class ServiceClient implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(ServiceClient.class);
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final int MAX_IDLE_CONNECTIONS = 64;
     private static final long IDLE_CONNECTION_SECONDS = 30;
-    /**
-     * A service that refuses a call before anything ran sends this header with {@code no}; no other answer counts as
-     * "did not run".
-     */
-    private static final String RAN_HEADER = "Elmline-Ran";
+    private static final int UNAVAILABLE = 503;
+    private static final long MILLIS_PER_SECOND = 1_000;
 
     private static final Set<String> EXCLUDED_ANSWER_HEADERS = hopByHopHeaders();
 
@@ -67,13 +69,13 @@
         return names;
     }
 
-    CallResult<RecordedAnswer> send(Address replica, ServiceCall call, Duration timeout) {
+    ServiceResult send(Address replica, ServiceCall call, Duration timeout) {
         SendTracker sendTracker = new SendTracker();
         Request request;
         try {
             request = request(replica, call).tag(SendTracker.class, sendTracker).build();
         } catch (IllegalArgumentException e) {
-            return new CallResult.NotSent<>("the call can't be passed on: " + e.getMessage());
+            return withoutAnswer(new CallResult.NotSent<>("the call can't be passed on: " + e.getMessage()));
         }
         OkHttpClient bounded = http.newBuilder()
                 .callTimeout(timeout)
@@ -81,14 +83,42 @@
                 .writeTimeout(timeout)
                 .build();
         try (Response response = bounded.newCall(request).execute()) {
-            if ("no".equals(response.header(RAN_HEADER))) {
-                return new CallResult.NotSent<>("the service refused with status " + response.code());
+            ServerNotice notice = notice(response);
+            // No other answer counts as "did not run".
+            if ("no".equals(response.header(EnginePaths.RAN_HEADER))) {
+                String why = "the service refused with status " + response.code();
+                return new ServiceResult(new CallResult.NotSent<>(why), notice);
             }
-            return new CallResult.Answered<>(RecordedAnswer.of(
-                    response.code(), headers(response), response.body().bytes()));
+            RecordedAnswer answer = RecordedAnswer.of(
+                    response.code(), headers(response), response.body().bytes());
+            return new ServiceResult(new CallResult.Answered<>(answer), notice);
         } catch (IOException e) {
             String why = String.valueOf(e.getMessage());
-            return sendTracker.ran() == Ran.NO ? new CallResult.NotSent<>(why) : new CallResult.Unknown<>(why);
+            return withoutAnswer(
+                    sendTracker.ran() == Ran.NO ? new CallResult.NotSent<>(why) : new CallResult.Unknown<>(why));
+        }
+    }
+
+    private static ServiceResult withoutAnswer(CallResult<RecordedAnswer> result) {
+        return new ServiceResult(result, ServerNotice.NONE);
+    }
+
+    private static ServerNotice notice(Response response) {
+        boolean leaving = "yes".equals(response.header(EnginePaths.LEAVING_HEADER));
+        String retryAfter = response.code() == UNAVAILABLE ? response.header(EnginePaths.RETRY_AFTER_HEADER) : null;
+        return new ServerNotice(ServerRateLimit.NONE, leaving, backoffMillis(retryAfter));
+    }
+
+    /** Milliseconds in a value in whole seconds; 0 without a value, -1 for one that is malformed or a date. */
+    private static long backoffMillis(String seconds) {
+        if (seconds == null) {
+            return 0;
+        }
+        try {
+            return Math.max(-1, Integer.parseInt(seconds.trim()) * MILLIS_PER_SECOND);
+        } catch (NumberFormatException e) {
+            LOG.warnf("a service's %s can't be read: %s", EnginePaths.RETRY_AFTER_HEADER, seconds);
+            return -1;
         }
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceGateway.java
@@ -138,7 +138,9 @@
             ReplicaSelector.AcquiredReplica acquired, Service service, ServiceCall call, long deadlineNanos) {
         try (acquired) {
             long millis = Math.min(service.timeoutMillis(), Math.max(1, remainingMillis(deadlineNanos)));
-            return client.send(acquired.replica().address(), call, Duration.ofMillis(millis));
+            ServiceResult sent = client.send(acquired.replica().address(), call, Duration.ofMillis(millis));
+            replicas.onAnswer(acquired.replica(), sent.notice());
+            return sent.result();
         }
     }
 
--- a/elmline-standin/src/main/java/org/elmline/standin/service/ServiceFaults.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/service/ServiceFaults.java
@@ -13,6 +13,7 @@
 
     private volatile Mode mode = Mode.NONE;
     private volatile long delayMillis;
+    private volatile long retryAfterSeconds;
 
     public Mode mode() {
         return mode;
@@ -31,8 +32,17 @@
         delayMillis = value;
     }
 
+    public long retryAfterSeconds() {
+        return retryAfterSeconds;
+    }
+
+    /** Seconds for which a refusal asks the entry to send nothing; 0 to ask for nothing. */
+    public void retryAfterSeconds(long value) {
+        retryAfterSeconds = value;
+    }
+
     /** Fault settings as a stand-in process accepts them over HTTP; null leaves a setting unchanged. */
-    public record Settings(Mode mode, Long delayMillis) {}
+    public record Settings(Mode mode, Long delayMillis, Long retryAfterSeconds) {}
 
     public void apply(Settings settings) {
         if (settings.mode() != null) {
@@ -41,5 +51,8 @@
         if (settings.delayMillis() != null) {
             delayMillis = settings.delayMillis();
         }
+        if (settings.retryAfterSeconds() != null) {
+            retryAfterSeconds = settings.retryAfterSeconds();
+        }
     }
 }
--- a/elmline-standin/src/main/java/org/elmline/standin/service/ServiceServer.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/service/ServiceServer.java
@@ -36,6 +36,8 @@
 public final class ServiceServer implements AutoCloseable {
     private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
     private static final HttpString RAN = new HttpString(EnginePaths.RAN_HEADER);
+    private static final HttpString LEAVING = new HttpString(EnginePaths.LEAVING_HEADER);
+    private static final HttpString RETRY_AFTER = new HttpString(EnginePaths.RETRY_AFTER_HEADER);
     private static final Duration LEAVE_ANNOUNCE_TIMEOUT = Duration.ofSeconds(5);
     private static final long LEAVE_POLL_MILLIS = 20;
 
@@ -43,6 +45,7 @@
     private final ServiceFaults faults = new ServiceFaults();
     private final RunCounts runs = new RunCounts();
     private final AtomicInteger inFlight = new AtomicInteger();
+    private final AtomicInteger refusals = new AtomicInteger();
     private final AtomicBoolean closed = new AtomicBoolean();
     private final StandinHttpServer http;
     private final Announcer announcer;
@@ -71,6 +74,11 @@
         return faults;
     }
 
+    /** Number of calls that were refused before anything ran. */
+    public int refusals() {
+        return refusals.get();
+    }
+
     /** Counts of the runs of each state-changing call. */
     public RunCounts runs() {
         return runs;
@@ -144,6 +152,9 @@
     private HttpHandler onWorker(HttpHandler handler) {
         return exchange -> exchange.dispatch((HttpHandler) dispatched -> {
             inFlight.incrementAndGet();
+            if (leaving) {
+                dispatched.getResponseHeaders().put(LEAVING, "yes");
+            }
             try {
                 dispatched.startBlocking();
                 Thread.sleep(faults.delayMillis());
@@ -160,7 +171,11 @@
 
     private void handleMutation(HttpServerExchange exchange) throws IOException {
         if (faults.mode() == ServiceFaults.Mode.FAIL_BEFORE_RUNNING) {
+            refusals.incrementAndGet();
             exchange.getResponseHeaders().put(RAN, "no");
+            if (faults.retryAfterSeconds() > 0) {
+                exchange.getResponseHeaders().put(RETRY_AFTER, faults.retryAfterSeconds());
+            }
             StandinHttpResponses.sendProblem(exchange, 503, "refused before running");
             return;
         }
--- a/elmline-wire/src/main/java/org/elmline/wire/engine/EnginePaths.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/engine/EnginePaths.java
@@ -22,5 +22,11 @@
     /** Answer header of a backend server that refused a call before running it; its value is then {@code no}. */
     public static final String RAN_HEADER = "Elmline-Ran";
 
+    /** Answer header of a backend server that is leaving; its value is then {@code yes}. */
+    public static final String LEAVING_HEADER = "Elmline-Leaving";
+
+    /** Answer header of a refusal: seconds for which the backend server wants no requests from the entry. */
+    public static final String RETRY_AFTER_HEADER = "Retry-After";
+
     private EnginePaths() {}
 }
