--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -94,6 +94,8 @@
     private boolean fetching;
     private boolean hadAllEntries;
     private boolean outdated;
+    private boolean everConfirmed;
+    private long firstTableAtNanos;
 
     /**
      * @param selfRecord this entry's own record, sent with each poll
@@ -185,6 +187,7 @@
     private void handleAnswer(Address control, FollowAnswer answer) {
         boolean wasOutdated = outdated;
         boolean changed = view.apply(control, answer, clock.nanos());
+        everConfirmed |= view.isConfirmed(clock.nanos());
         followReported(answer.controls());
         choosePrimaries();
         dropLostControlHosts(answer.controls());
@@ -273,6 +276,7 @@
         }
         RoutingTable.BuildResult buildResult = routingFormat.read(text.text().getBytes(StandardCharsets.UTF_8));
         if (buildResult instanceof RoutingTable.BuildResult.Valid valid) {
+            firstTableAtNanos = table == null ? clock.nanos() : firstTableAtNanos;
             table = valid.table();
             lag.onHeld(table.version(), clock.nanos());
             log.line("routing in force")
@@ -306,14 +310,19 @@
 
     /**
      * Whether callers must not be served by the table in force: a newer one was announced too long ago, or the control
-     * hosts have been running too long without a leader. After a loss of all hosts those that answer may have restored
-     * a table that is older than one that an operator has an acknowledgement for, and only a leader can tell.
+     * hosts have been running too long without a leader, or none was confirmed since this entry's start. After a loss of
+     * all hosts those that answer may have restored a table that is older than one that an operator has an
+     * acknowledgement for, and only a leader can tell.
      */
     boolean isTableOutdated() {
         long now = clock.nanos();
         long unconfirmedNanos = settings.unconfirmedRoutingMillis() * NANOS_PER_MILLI;
         boolean overdue = lag.isLaggingFor(settings.routingUpdateMillis() * NANOS_PER_MILLI, now);
-        boolean unconfirmed = view.isUnconfirmedFor(unconfirmedNanos, followStarter.size(), now);
+        // An entry whose table was never confirmed since its start may have got a restored one from a host that is
+        // alone.
+        boolean unconfirmed = everConfirmed
+                ? view.isUnconfirmedFor(unconfirmedNanos, followStarter.size(), now)
+                : table != null && now - firstTableAtNanos >= unconfirmedNanos;
         boolean next = overdue || unconfirmed || (outdated && lag.isLagging());
         if (next != outdated) {
             outdated = next;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftDriver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftDriver.java
@@ -63,11 +63,11 @@
     }
 
     private void register(HandlerRegistry handlers) {
-        handlers.register(RaftChannels.MESSAGES, request -> {
+        handlers.registerImmediate(RaftChannels.MESSAGES, request -> {
             request.messages().forEach(each -> enqueue(new RaftInput.MessageReceived(each)));
             return CompletableFuture.completedFuture(new RaftChannels.Acknowledged());
         });
-        handlers.register(RaftChannels.JOIN, request -> {
+        handlers.registerImmediate(RaftChannels.JOIN, request -> {
             enqueue(new RaftInput.Join(request.replica()));
             RaftStatus now = status();
             return CompletableFuture.completedFuture(new RaftChannels.JoinAnswer(now.leader(), now.membership()));
--- a/elmline-daemon/src/test/java/org/elmline/daemon/raft/MemoryNetwork.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/raft/MemoryNetwork.java
@@ -26,6 +26,11 @@
             public <Q, R> void register(Channel<Q, R> channel, PeerHandler<Q, R> handler) {
                 handlers.put(channel.name(), handler);
             }
+
+            @Override
+            public <Q, R> void registerImmediate(Channel<Q, R> channel, PeerHandler<Q, R> handler) {
+                register(channel, handler);
+            }
         };
     }
 
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/PeerHandlers.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/PeerHandlers.java
@@ -24,8 +24,18 @@
 
     @Override
     public <Q, R> void register(Channel<Q, R> channel, PeerHandler<Q, R> handler) {
-        if (handlersByChannel.putIfAbsent(channel.name(), new RegisteredHandler<>(channel, handler)) != null) {
-            throw new IllegalStateException("channel " + channel.name() + " is registered twice");
+        add(new RegisteredHandler<>(channel, handler, workers));
+    }
+
+    @Override
+    public <Q, R> void registerImmediate(Channel<Q, R> channel, PeerHandler<Q, R> handler) {
+        add(new RegisteredHandler<>(channel, handler, Runnable::run));
+    }
+
+    private void add(RegisteredHandler<?, ?> registered) {
+        String name = registered.channel().name();
+        if (handlersByChannel.putIfAbsent(name, registered) != null) {
+            throw new IllegalStateException("channel " + name + " is registered twice");
         }
     }
 
@@ -35,7 +45,7 @@
             return CompletableFuture.completedFuture(new Answer.Refused("unknown channel " + channel));
         }
         try {
-            return CompletableFuture.supplyAsync(() -> registered.run(body), workers)
+            return CompletableFuture.supplyAsync(() -> registered.run(body), registered.executor())
                     .thenCompose(stage -> stage);
         } catch (RejectedExecutionException e) {
             return CompletableFuture.completedFuture(new Answer.Refused("too busy"));
@@ -51,7 +61,7 @@
         record Refused(String reason) implements Answer {}
     }
 
-    private record RegisteredHandler<Q, R>(Channel<Q, R> channel, PeerHandler<Q, R> handler) {
+    private record RegisteredHandler<Q, R>(Channel<Q, R> channel, PeerHandler<Q, R> handler, Executor executor) {
         CompletionStage<Answer> run(byte[] body) {
             Decoded<Q> decoded = Codecs.MESSAGE_PACK.decode(body, channel.request());
             if (decoded instanceof Decoded.Value<Q> request) {
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -187,6 +188,36 @@
         assertInstanceOf(CallResult.Unknown.class, await(pending));
     }
 
+    /** Votes that wait behind the polls of all other hosts come after the election's timeout. */
+    @Test
+    void immediateHandlerAnswersWhileAllWorkersAreBusy() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        ExecutorService busyWorker = Executors.newSingleThreadExecutor();
+        closer.register(busyWorker::shutdownNow);
+        busyWorker.execute(() -> awaitUnchecked(released));
+        PeerHandlers handlers = new PeerHandlers(busyWorker);
+        handlers.register(ECHO, request -> CompletableFuture.completedFuture(new Reply("waited")));
+        handlers.registerImmediate(DELAYED, request -> CompletableFuture.completedFuture(new Reply(request.text())));
+        TcpPeerServer busy = closer.register(TcpPeerServer.start(
+                loopback(), handlers, new PeerKey(SECRET), PeerLimits.DEFAULT, group, timer, CLOCK));
+        TcpPeerNetwork network = network(SECRET, PeerLimits.DEFAULT);
+        Address busyAddress = busy.address("127.0.0.1");
+        CompletableFuture<CallResult<Reply>> waiting = network.call(busyAddress, ECHO, new Request("x"), LONG_TIMEOUT);
+        assertEquals(
+                new CallResult.Answered<>(new Reply("vote")),
+                await(network.call(busyAddress, DELAYED, new Request("vote"), LONG_TIMEOUT)));
+        released.countDown();
+        assertEquals(new CallResult.Answered<>(new Reply("waited")), await(waiting));
+    }
+
+    private static void awaitUnchecked(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Guards against a host that stalls for a moment and loses the connections of all its callers. */
     @Test
     void keepsConnectionAfterAShortTimeout() throws Exception {
