Hold the retry budget in every window, and give back what was never sent

The shards of a service lost a small slack by rounding. Change: retries are counted over a little more than a window, first sends over a little less (SlidingCount). A call that waited in vain, or whose attempt never reached a server, does not count; a call is repeated only once an attempt may have reached a server. Each shard has its part of the slack, all together the whole.

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/AttemptEnd.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/AttemptEnd.java
@@ -39,6 +39,11 @@
         };
     }
 
+    /** Whether the request may have reached a server, even one that did not run it. */
+    public boolean mayHaveReachedServer() {
+        return this != NOT_SENT && this != NOT_SENT_HERE;
+    }
+
     /** What the end of an attempt indicates about the server's health. */
     enum HealthSignal {
         SUCCESS,
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchCall.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchCall.java
@@ -25,7 +25,7 @@
  * @param gapMillis longest acceptable gap between events, 0 for a call without events
  * @param firstLeftMillis time left until a first token is useless, because the caller closes a stream without one
  * @param deadlineLeftMillis time left until the deadline, when the caller no longer waits
- * @param repeated whether the call was sent to a backend server before
+ * @param repeated whether an earlier attempt of the call may have reached a backend server
  * @param avoid servers that the call was sent to, that could not be reached, or that the entry may not send to
  */
 public record DispatchCall(
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.HostId;
@@ -30,9 +31,6 @@
     /** Time after a call's deadline for which its grant is kept when its end is not reported. */
     private static final long UNREPORTED_GRANT_RETENTION_NANOS = 2_000 * NANOS_PER_MILLI;
 
-    /** Time for which engines are reserved for a waiting long prompt; about the duration of a short answer. */
-    private static final long LONG_RESERVATION_NANOS = 400 * NANOS_PER_MILLI;
-
     /**
      * Time for which a new dispatcher without any registered server queues calls: two heartbeats. After a restart of
      * the whole system each server is registered within one heartbeat; if calls were refused sooner, callers would use
@@ -48,11 +46,6 @@
      */
     private static final long SECONDARY_HOLD_NANOS = 1_000 * NANOS_PER_MILLI;
 
-    /**
-     * One in so many engines, at least one, is reserved for a waiting long prompt beside those that suit it already.
-     */
-    private static final int ENGINES_PER_RESERVATION = 5;
-
     /**
      * Calls of a class, short or long, that fail to be placed in one tick before the rest of that class is skipped:
      * when all engines are full they would all fail, and trying hundreds every few milliseconds takes more CPU time
@@ -194,7 +187,7 @@
         Optional<PlacementPlan> plan =
                 placement.plan(call, rateLimits.withinLimits(usable, isLong, now), !isPrimary, now);
         if (plan.isEmpty() && isLong) {
-            reserveEnginesForLong(usable, now);
+            LongPromptReservation.reserve(usable, placement, now);
         }
         return plan.map(each -> grant(next, call, each, now));
     }
@@ -287,6 +280,7 @@
             }
             if (usable.isEmpty() || willMissDeadline(next, usable, ahead, now)) {
                 each.remove();
+                retryBudget.takeBack(next.call().repeated(), now);
                 DispatchAnswer.RefusalCause why =
                         usable.isEmpty() ? DispatchAnswer.RefusalCause.NO_SERVER : DispatchAnswer.RefusalCause.TOO_LATE;
                 refuse(next.call(), why, MIN_RETRY_AFTER_MILLIS).ifPresent(decided::add);
@@ -318,27 +312,6 @@
                 > waitingCall.deadlineLeftMillis(now);
     }
 
-    /**
-     * Reserves for long prompts the engines that suit them and some others, those with the fewest running calls.
-     * Without the latter, engines that are all packed with short answers never suit a long prompt, and it waits until
-     * its caller times out.
-     */
-    private void reserveEnginesForLong(List<ServerLoad> usable, long now) {
-        List<ServerLoad> unsuitable = new ArrayList<>();
-        for (ServerLoad each : usable) {
-            if (placement.isUnsuitableForLong(each, now)) {
-                unsuitable.add(each);
-            } else {
-                each.reserveForLong(now + LONG_RESERVATION_NANOS);
-            }
-        }
-        unsuitable.sort(Comparator.comparingInt(ServerLoad::running));
-        int count = Math.max(1, usable.size() / ENGINES_PER_RESERVATION);
-        for (ServerLoad each : unsuitable.subList(0, Math.min(count, unsuitable.size()))) {
-            each.reserveForLong(now + LONG_RESERVATION_NANOS);
-        }
-    }
-
     private DispatchAnswer grant(WaitingCall waitingCall, DispatchCall call, PlacementPlan plan, long now) {
         ServerLoad primary = plan.primary();
         List<Helper> helpers = new ArrayList<>();
@@ -379,7 +352,7 @@
     public void report(AttemptReport report, long now) {
         ActiveGrant granted = grants.get(report.attempt());
         if (granted == null) {
-            waiting.removeIf(each -> each.call().attempt().equals(report.attempt()));
+            removeWaiting(each -> each.attempt().equals(report.attempt()), now);
             return;
         }
         if (report.limit() != null) {
@@ -393,6 +366,9 @@
             return;
         }
         grants.remove(report.attempt());
+        if (!report.end().mayHaveReachedServer()) {
+            retryBudget.takeBack(granted.call().repeated(), now);
+        }
         if (report.faultyHelper() == null) {
             granted.members().get(0).health().record(report.end(), now);
         } else {
@@ -468,7 +444,18 @@
             }
         }
         ofEntry.forEach(each -> report(new AttemptReport(each, AttemptEnd.CANCELLED), now));
-        waiting.removeIf(each -> each.call().host().equals(host) && each.call().incarnation() == incarnation);
+        removeWaiting(each -> each.host().equals(host) && each.incarnation() == incarnation, now);
+    }
+
+    /** Removes waiting calls; none of them was sent, so they do not count in the retry budget. */
+    private void removeWaiting(Predicate<DispatchCall> condition, long now) {
+        waiting.removeIf(each -> {
+            boolean removed = condition.test(each.call());
+            if (removed) {
+                retryBudget.takeBack(each.call().repeated(), now);
+            }
+            return removed;
+        });
     }
 
     private void expireGrants(long now) {
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/RetryLimit.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/RetryLimit.java
@@ -8,8 +8,9 @@
  * @param windowNanos length of the window
  */
 public record RetryLimit(double ratio, long slack, long windowNanos) {
-    /** The limit for each of so many parts that together must keep to this one. */
-    public RetryLimit dividedInto(int parts) {
-        return parts == 1 ? this : new RetryLimit(ratio, slack / parts, windowNanos);
+    /** The limit for one shard; those of all shards together keep to this one. */
+    public RetryLimit forShard(Shard shard) {
+        long rest = slack % shard.count();
+        return new RetryLimit(ratio, slack / shard.count() + (shard.index() < rest ? 1 : 0), windowNanos);
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServiceRetryBudget.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServiceRetryBudget.java
@@ -2,48 +2,45 @@
 
 /**
  * Bounds how many calls are retried, over all entries together: without a bound a fault of a few servers doubles the
- * load on the rest. Counts in half windows; the bound applies to the current and the previous one together. Not safe
- * for concurrent use.
+ * load on the rest. The bound holds in every window of the limit's length: retries are counted over a little more than a
+ * window, first sends over a little less. Not safe for concurrent use.
  */
 final class ServiceRetryBudget {
+    /** Parts that a window is counted in. */
+    private static final int PARTS = 20;
+
     private final RetryLimit limit;
-    private long halfWindowStartNanos;
-    private long currentFirstSends;
-    private long previousFirstSends;
-    private long currentRetries;
-    private long previousRetries;
+    private final long partNanos;
+    private final long startNanos;
+    private final SlidingCount firstSends = new SlidingCount(PARTS);
+    private final SlidingCount retries = new SlidingCount(PARTS + 1);
 
     ServiceRetryBudget(RetryLimit limit, long now) {
         this.limit = limit;
-        this.halfWindowStartNanos = now;
+        this.partNanos = Math.max(1, limit.windowNanos() / PARTS);
+        this.startNanos = now;
     }
 
     void recordFirstSend(long now) {
-        advanceWindow(now);
-        currentFirstSends++;
+        firstSends.add(part(now));
     }
 
     /** Takes one retry out of the budget; false if none is left. */
     boolean tryAcquireRetry(long now) {
-        advanceWindow(now);
-        double allowed = limit.ratio() * (currentFirstSends + previousFirstSends) + limit.slack();
-        if (currentRetries + previousRetries + 1 > allowed) {
+        double allowed = limit.ratio() * firstSends.sum(part(now)) + limit.slack();
+        if (retries.sum(part(now)) + 1 > allowed) {
             return false;
         }
-        currentRetries++;
+        retries.add(part(now));
         return true;
     }
 
-    private void advanceWindow(long now) {
-        long halfWindowNanos = limit.windowNanos() / 2;
-        if (now - halfWindowStartNanos < halfWindowNanos) {
-            return;
-        }
-        boolean adjacent = now - halfWindowStartNanos < 2 * halfWindowNanos;
-        previousFirstSends = adjacent ? currentFirstSends : 0;
-        previousRetries = adjacent ? currentRetries : 0;
-        currentFirstSends = 0;
-        currentRetries = 0;
-        halfWindowStartNanos = now;
+    /** Takes back a first send, or a retry, that did not take place. */
+    void takeBack(boolean retry, long now) {
+        (retry ? retries : firstSends).removeNewest(part(now));
+    }
+
+    private long part(long now) {
+        return (now - startNanos) / partNanos;
     }
 }
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRestrictionTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRestrictionTest.java
@@ -117,4 +117,43 @@
                 DispatchAnswer.Refused.class, dispatcher.tick(2 * MILLI).get(0));
         assertEquals(DispatchAnswer.RefusalCause.NO_SERVER, refused.why());
     }
+
+    /** Guards against a retry budget that is used up by retries that waited in vain and were never sent. */
+    @Test
+    void retryThatWasNeverSentLeavesTheBudgetAsItWas() {
+        Dispatcher dispatcher = dispatcher(2, 1);
+        DispatchAnswer.Granted first = granted(dispatcher.place(call(), 0));
+        granted(dispatcher.place(call(), 0));
+        for (int i = 0; i < 5; i++) {
+            DispatchCall retry = repeated(call());
+            assertInstanceOf(DispatchAnswer.Queued.class, dispatcher.place(retry, MILLI));
+            dispatcher.report(new AttemptReport(retry.attempt(), AttemptEnd.CANCELLED), 2 * MILLI);
+        }
+        dispatcher.report(new AttemptReport(first.attempt(), AttemptEnd.DONE), 3 * MILLI);
+        for (int i = 0; i < 5; i++) {
+            DispatchCall retry = repeated(call());
+            granted(dispatcher.place(retry, 4 * MILLI));
+            dispatcher.report(new AttemptReport(retry.attempt(), AttemptEnd.NOT_SENT_HERE), 4 * MILLI);
+        }
+    }
+
+    private static DispatchCall repeated(DispatchCall call) {
+        return new DispatchCall(
+                call.attempt(),
+                call.host(),
+                call.incarnation(),
+                call.failureDomain(),
+                call.service(),
+                call.shard(),
+                call.priority(),
+                call.promptTokens(),
+                call.answerTokens(),
+                call.maxAnswerTokens(),
+                call.aimLeftMillis(),
+                call.gapMillis(),
+                call.firstLeftMillis(),
+                call.deadlineLeftMillis(),
+                true,
+                call.avoid());
+    }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -78,6 +78,7 @@
     private int sendCount;
     private int unexecutedAttempts;
     private boolean mayHaveRun;
+    private boolean reachedServer;
     private boolean ended;
 
     /** An error answered by a server, kept while the call is retried on another one. */
@@ -112,7 +113,7 @@
     }
 
     void start() {
-        place(false);
+        place();
     }
 
     GatewayContext context() {
@@ -168,7 +169,7 @@
                 .with("ageMs", elapsedMillis());
     }
 
-    private void place(boolean repeated) {
+    private void place() {
         long firstEventMillis = firstEventRemainingMillis();
         long answerTokens = head.expectedAnswerTokens() > 0 ? head.expectedAnswerTokens() : head.maxAnswerTokens();
         pendingPlacement = new DispatchCall(
@@ -186,7 +187,7 @@
                 route.gapMillis(),
                 firstEventMillis,
                 remainingMillis(),
-                repeated,
+                reachedServer,
                 triedServers);
         DispatchCall request = pendingPlacement;
         if (route.isStreaming()) {
@@ -288,6 +289,7 @@
         attempt = null;
         boolean mayHaveExecuted = end.mayHaveRun();
         mayHaveRun |= mayHaveExecuted;
+        reachedServer |= end.mayHaveReachedServer();
         if (!mayHaveExecuted) {
             sendCount--;
             unexecutedAttempts++;
@@ -331,7 +333,7 @@
         }
         boolean allowed = (notRun && !mayHaveRun) || route.mayRetry();
         if (allowed && hasSendsLeft()) {
-            place(true);
+            place();
         } else {
             fail(why, RETRY_AFTER_MILLIS);
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchService.java
@@ -166,8 +166,8 @@
             long now = clock.nanos();
             boolean first = isFirstDispatcher(shard);
             List<Registration> servers = serversOf(shard);
-            running = new RunningDispatcher(new Dispatcher(
-                    service, retries.dividedInto(shard.shard().count()), observedLimits.serverLimits(), now));
+            running = new RunningDispatcher(
+                    new Dispatcher(service, retries.forShard(shard.shard()), observedLimits.serverLimits(), now));
             running.dispatcher.updateServers(service, servers, now);
             running.dispatcher.updatePrimary(first, now);
             running.dispatcher.updateEntryCount(entries.size());
