Release calls that wait for a newer table only once there is one

Callers of an entry whose table is outdated (no leader confirms it, or a newer one was announced) were served by that very table: such calls wait for a newer one, and any change of the deployment, a server's heartbeat or an entry, released them all to the old one. Ruled out: control hosts that claim a confirmation they don't have (RegistryService.unconfirmedMillis is 1 at least). Change: waiting calls are released when the table in force is not outdated. Test: UnconfirmedRoutingTest.changeOfServerReleasesNoCallThatWaitsForNewerTable (200 before, on the first of five calls).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -70,9 +70,11 @@
         readBody(exchange, head, receivedAtNanos);
     }
 
-    /** To be called when the first routing table is in force or the table has changed. */
-    void onRoutingTable() {
-        tableWaitQueue.releaseAll();
+    /** To be called after each change of the deployment. Calls that wait for a newer table wait on without one. */
+    void onDeploymentChanged() {
+        if (!context.deployment().isTableOutdated()) {
+            tableWaitQueue.releaseAll();
+        }
     }
 
     private void readBody(HttpServerExchange exchange, CallHead head, long receivedAtNanos) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -229,7 +229,7 @@
             }
             dispatchers.update(table, deployment.usableServers(), deployment.entries(), deployment.hasAllEntries());
             dispatchClient.onDeploymentChanged();
-            callHandler.onRoutingTable();
+            callHandler.onDeploymentChanged();
         });
     }
 
