Count the bound of a table that was never confirmed from the start of the entry

An entry that gets its first, restored table seconds after its start served by it for the whole bound from then on; by that time it counts as in touch again. Change: the bound counts from the start of the entry, whenever the table comes. A table that is restored later is held for a leader's word at once.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -95,7 +95,7 @@
     private boolean hadAllEntries;
     private boolean outdated;
     private boolean everConfirmed;
-    private long firstTableAtNanos;
+    private final long startedAtNanos;
 
     /**
      * @param selfRecord this entry's own record, sent with each poll
@@ -120,6 +120,7 @@
         this.selfRecord = selfRecord;
         this.onRoutingTable = onRoutingTable;
         this.onChange = onChange;
+        this.startedAtNanos = clock.nanos();
         this.followStarter = new StaggeredStart<>(thread, FOLLOW_INTERVAL_MILLIS, this::follow);
     }
 
@@ -276,7 +277,6 @@
         }
         RoutingTable.BuildResult buildResult = routingFormat.read(text.text().getBytes(StandardCharsets.UTF_8));
         if (buildResult instanceof RoutingTable.BuildResult.Valid valid) {
-            firstTableAtNanos = table == null ? clock.nanos() : firstTableAtNanos;
             table = valid.table();
             lag.onHeld(table.version(), clock.nanos());
             log.line("routing in force")
@@ -322,7 +322,7 @@
         // alone.
         boolean unconfirmed = everConfirmed
                 ? view.isUnconfirmedFor(unconfirmedNanos, followStarter.size(), now)
-                : table != null && now - firstTableAtNanos >= unconfirmedNanos;
+                : table != null && now - startedAtNanos >= unconfirmedNanos;
         boolean next = overdue || unconfirmed || (outdated && lag.isLagging());
         if (next != outdated) {
             outdated = next;
