Name only registered servers in requests for a place

Callers saw nothing yet. Change: only servers that still accept work by the registry are named; those that have left stay restricted at the gate. Test: BackendGateTest (with the gate's other decisions, without a network).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendGate.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendGate.java
@@ -20,20 +20,26 @@
  */
 final class BackendGate {
     private final Function<BackendServerId, Registration> registrations;
+    private final Function<BackendServerId, Registration> usableServers;
     private final ObservedServerLimits limits;
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final Counter withheld;
     private final SendRestrictions restrictions = new SendRestrictions();
 
-    /** @param registrations the latest registration of a server, null for an unknown one */
+    /**
+     * @param registrations the latest registration of a server, null for an unknown one
+     * @param usableServers the same, null also for one that does not accept work
+     */
     BackendGate(
             Function<BackendServerId, Registration> registrations,
+            Function<BackendServerId, Registration> usableServers,
             ObservedServerLimits limits,
             MonotonicClock clock,
             DecisionLog log,
             MetricRegistry metrics) {
         this.registrations = registrations;
+        this.usableServers = usableServers;
         this.limits = limits;
         this.clock = clock;
         this.log = log;
@@ -84,11 +90,11 @@
         return shortest == Long.MAX_VALUE ? 0 : shortest;
     }
 
-    /** The servers of a service that may not be sent new work now. */
+    /** The registered servers of a service that may not be sent new work now; those that have left are not among them. */
     List<BackendServerId> restrictedServers(ServiceName service) {
         List<BackendServerId> restricted = new ArrayList<>();
         for (BackendServerId each : restrictions.restricted(clock.nanos())) {
-            Registration registration = registrations.apply(each);
+            Registration registration = usableServers.apply(each);
             if (registration != null && registration.service().equals(service) && !allows(each)) {
                 restricted.add(each);
             }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -87,6 +87,7 @@
     private List<Address> reportedControls = List.of();
     private final StaggeredStart<Address> followStarter;
     private final Map<ServiceName, List<BackendServerId>> serversByService = new HashMap<>();
+    private final Map<BackendServerId, Registration> usableById = new HashMap<>();
     private List<Registration> groupedServers;
     private RoutingTable table;
     private final RoutingLag lag = new RoutingLag();
@@ -358,17 +359,30 @@
 
     /** The servers of a service that accept work. */
     List<BackendServerId> servers(ServiceName service) {
+        groupServers();
+        return serversByService.getOrDefault(service, List.of());
+    }
+
+    /** The registration of a server that accepts work; null for any other one. */
+    Registration usableServer(BackendServerId id) {
+        groupServers();
+        return usableById.get(id);
+    }
+
+    private void groupServers() {
         List<Registration> usable = usableServers();
-        if (usable != groupedServers) {
-            groupedServers = usable;
-            serversByService.clear();
-            for (Registration each : usable) {
-                serversByService
-                        .computeIfAbsent(each.service(), name -> new ArrayList<>())
-                        .add(each.id());
-            }
+        if (usable == groupedServers) {
+            return;
+        }
+        groupedServers = usable;
+        serversByService.clear();
+        usableById.clear();
+        for (Registration each : usable) {
+            usableById.put(each.id(), each);
+            serversByService
+                    .computeIfAbsent(each.service(), name -> new ArrayList<>())
+                    .add(each.id());
         }
-        return serversByService.getOrDefault(service, List.of());
     }
 
     Registration server(BackendServerId id) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -138,7 +138,12 @@
         dispatchers = new DispatchService(
                 settings.host(), settings.retries().retryLimit(), process.clock(), log, this::sendDecision);
         BackendGate gate = new BackendGate(
-                deployment::server, dispatchers.observedLimits(), process.clock(), log, process.metrics());
+                deployment::server,
+                deployment::usableServer,
+                dispatchers.observedLimits(),
+                process.clock(),
+                log,
+                process.metrics());
         dispatchClient = new DispatchClient(
                 settings,
                 incarnation,
--- /dev/null
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/BackendGateTest.java
@@ -0,0 +1,96 @@
+package org.elmline.daemon.gateway;
+
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.codahale.metrics.MetricRegistry;
+import org.elmline.core.common.Address;
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.FailureDomain;
+import org.elmline.core.common.ManualClock;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.dispatch.ServerNotice;
+import org.elmline.core.dispatch.ServerRateLimit;
+import org.elmline.core.registry.Registration;
+import org.elmline.core.registry.ServerState;
+import org.elmline.daemon.log.DecisionLog;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What passes to backend servers after what their answers state. */
+class BackendGateTest {
+    private static final ServiceName DESK = ServiceName.of("desk");
+    private static final BackendServerId SERVER = BackendServerId.of("s1");
+    private static final ServerNotice LEAVING = new ServerNotice(ServerRateLimit.NONE, true, 0);
+
+    private final ManualClock clock = new ManualClock();
+    private final DecisionLog log = new DecisionLog("h", "entry", clock, OutputStream.nullOutputStream());
+    private final Map<BackendServerId, Registration> registered = new HashMap<>();
+    private final BackendGate gate = new BackendGate(
+            registered::get,
+            id -> registered.containsKey(id) && registered.get(id).state().acceptsWork() ? registered.get(id) : null,
+            new ObservedServerLimits(clock, log),
+            clock,
+            log,
+            new MetricRegistry());
+
+    private void register(ServerState state, long bornMillis) {
+        registered.put(
+                SERVER,
+                new Registration(
+                        SERVER, DESK, new Address("10.0.0.1", 80), FailureDomain.of("a"), 4, state, bornMillis, 1));
+    }
+
+    private static AnswerHead answer(boolean wrongServer, ServerNotice notice) {
+        return new AnswerHead("q", false, wrongServer, null, false, true, -1, false, notice);
+    }
+
+    @Test
+    void withholdsWorkFromLeavingServerUntilItsNextStart() {
+        register(ServerState.READY, 5);
+        gate.onAnswer(SERVER, 5, answer(false, LEAVING));
+        assertFalse(gate.tryPass(SERVER, RequestPurpose.NEW_WORK));
+        assertFalse(gate.stillAllows(SERVER, RequestPurpose.NEW_WORK));
+        assertTrue(gate.tryPass(SERVER, RequestPurpose.RUNNING_WORK));
+        register(ServerState.READY, 6);
+        assertTrue(gate.tryPass(SERVER, RequestPurpose.NEW_WORK));
+    }
+
+    /** Guards against requests for a place that name every server which has left since this entry's start. */
+    @Test
+    void namesOnlyServersThatAreStillRegistered() {
+        register(ServerState.READY, 5);
+        gate.onAnswer(SERVER, 5, answer(false, LEAVING));
+        assertEquals(List.of(SERVER), gate.restrictedServers(DESK));
+        assertEquals(List.of(), gate.restrictedServers(ServiceName.of("other")));
+        register(ServerState.GONE, 5);
+        assertEquals(List.of(), gate.restrictedServers(DESK));
+        assertFalse(gate.allows(SERVER));
+    }
+
+    /** Guards against a server that gets nothing because another one, at its former address, leaves. */
+    @Test
+    void takesNoNoticeOfAServerThatHasTakenOverTheAddress() {
+        register(ServerState.READY, 5);
+        gate.onAnswer(SERVER, 5, answer(true, LEAVING));
+        assertTrue(gate.allows(SERVER));
+    }
+
+    @Test
+    void namesTimeUntilTheFirstServerAcceptsRequestsAgain() {
+        register(ServerState.READY, 5);
+        assertEquals(0, gate.shortestBackoffMillis(DESK));
+        gate.onAnswer(SERVER, 5, answer(false, new ServerNotice(ServerRateLimit.NONE, false, 2_000)));
+        clock.advance(Duration.ofMillis(500));
+        assertEquals(1_500, gate.shortestBackoffMillis(DESK));
+        clock.advance(Duration.ofMillis(1_500));
+        assertEquals(0, gate.shortestBackoffMillis(DESK));
+        assertTrue(gate.allows(SERVER));
+    }
+}
