Word requested backoffs by the field's terms, and renew a reservation until a renewal is accepted

Names, comments and log reasons say "requested backoff" and "accepts" (CONTRIBUTING, Wording); RequestPurpose has its behaviour. Found in reading: a renewal that an engine refused or that was withheld counted as made, so the next one came late and the memory of a running prompt could expire.

--- a/elmline-cli/src/test/java/org/elmline/cli/local/ServicePauseTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/local/ServiceBackoffTest.java
@@ -13,36 +13,36 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** A plain service that refuses calls and asks each entry that called it for a pause. */
-class ServicePauseTest {
-    private static final long PAUSE_SECONDS = 3;
+/** A plain service whose refusals request a backoff from the entry that called it. */
+class ServiceBackoffTest {
+    private static final long BACKOFF_SECONDS = 3;
 
-    /** Guards against an entry that goes on calling a service which asked it for a pause. */
+    /** Guards against an entry that goes on calling a service that requested a backoff. */
     @Test
-    void entrySendsNothingDuringThePauseThatItWasAskedFor() throws Exception {
+    void entrySendsNothingDuringRequestedBackoff() throws Exception {
         try (LocalDeployment deployment = LocalDeployment.builder().entries(2).start()) {
             Client caller = new Client(deployment.callerKey());
             for (int entry = 0; entry < 2; entry++) {
                 String url = url(deployment, entry);
                 Client.await(
-                        "entry " + entry + " knows the service",
+                        "entry " + entry + " has a record of the service",
                         () -> caller.get(url + "/v1/services/booking/schedule").status() == 200);
             }
-            deployment.service().faults().retryAfterSeconds(PAUSE_SECONDS);
+            deployment.service().faults().retryAfterSeconds(BACKOFF_SECONDS);
             deployment.service().faults().mode(ServiceFaults.Mode.FAIL_BEFORE_RUNNING);
-            long pausedAt = System.nanoTime();
+            long backoffStart = System.nanoTime();
             for (int i = 0; i < 5; i++) {
                 assertDidNotRun(hold(deployment, caller, 0));
             }
             assertEquals(1, deployment.service().refusals());
             assertDidNotRun(hold(deployment, caller, 1));
-            assertEquals(2, deployment.service().refusals(), "the other entry was not asked");
+            assertEquals(2, deployment.service().refusals(), "a backoff holds for one entry");
             deployment.service().faults().mode(ServiceFaults.Mode.NONE);
             Client.await(
-                    "calls after the pause", () -> hold(deployment, caller, 0).status() == 200);
-            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - pausedAt);
+                    "calls after the backoff", () -> hold(deployment, caller, 0).status() == 200);
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - backoffStart);
             assertEquals(2, deployment.service().refusals());
-            assertTrue(millis >= PAUSE_SECONDS * 1_000, "served after " + millis + " ms");
+            assertTrue(millis >= BACKOFF_SECONDS * 1_000, "served after " + millis + " ms");
         }
     }
 
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerNotice.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerNotice.java
@@ -5,8 +5,8 @@
  *
  * @param limit requests that it accepts from all entries together; null if the value is malformed
  * @param leaving whether it accepts no new requests until it has started anew
- * @param backoffMillis milliseconds for which it wants no requests from the entry that gets the answer; 0 without such a
- *     wish, negative if the value is malformed
+ * @param backoffMillis milliseconds for which it accepts no requests from the entry that receives the answer; 0 if none
+ *     is requested, negative if the value is malformed
  */
 public record ServerNotice(ServerRateLimit limit, boolean leaving, long backoffMillis) {
     public static final ServerNotice NONE = new ServerNotice(ServerRateLimit.NONE, false, 0);
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRestrictionTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRestrictionTest.java
@@ -72,7 +72,7 @@
         return assertInstanceOf(DispatchAnswer.Granted.class, answer);
     }
 
-    /** Guards against calls of all other entries that reach a server which one entry was told is leaving. */
+    /** Guards against calls of other entries to a server that stated to one entry that it leaves. */
     @Test
     void placesNothingOnServerThatStatedThatItLeaves() {
         Dispatcher dispatcher = dispatcher(2, 4);
@@ -88,7 +88,7 @@
         assertInstanceOf(DispatchAnswer.Queued.class, dispatcher.place(call(), 3 * MILLI));
     }
 
-    /** Guards against a waiting call that is granted a server which meanwhile has asked its entry for a pause. */
+    /** Guards against a waiting call that is granted a server which has meanwhile requested a backoff from its entry. */
     @Test
     void waitingCallAvoidsServersOfItsRepeatedRequest() {
         Dispatcher dispatcher = dispatcher(2, 1);
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/SendRestrictionsTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/SendRestrictionsTest.java
@@ -22,7 +22,7 @@
         return new ServerNotice(ServerRateLimit.NONE, false, millis);
     }
 
-    /** Guards against a pause that ends early because a later answer names none or a shorter one. */
+    /** Guards against a backoff that ends early because a later answer names none or a shorter one. */
     @Test
     void backoffLastsUntilItsLatestEnd() {
         assertTrue(restrictions.update(SERVER, BORN, backoff(3_000), 0));
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -72,7 +72,7 @@
                 if (ended) {
                     access.connections().release(target.address(), acquired, -1);
                 } else if (!access.gate().stillAllows(target.server(), purpose)) {
-                    // The server has asked for it in another answer while this connection was opened.
+                    // Another answer of the server arrived while the connection was opened.
                     access.connections().release(target.address(), acquired, -1);
                     withhold();
                 } else {
@@ -92,7 +92,7 @@
 
     private void withhold() {
         if (tryEnd()) {
-            listener.onWithheld("the server wants no requests");
+            listener.onWithheld("the server accepts no requests now");
         }
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendGate.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendGate.java
@@ -16,7 +16,7 @@
 
 /**
  * The one place that every request of this entry to a backend server passes, and every answer: records what answers
- * state about their servers, and withholds requests that a server does not want. Used on the I/O thread only.
+ * state about their servers, and withholds requests that a server does not accept now. Used on the I/O thread only.
  */
 final class BackendGate {
     private final Function<BackendServerId, Registration> registrations;
@@ -59,11 +59,7 @@
 
     /** Whether a request of this purpose may be sent now; counts those that are withheld. */
     boolean tryPass(BackendServerId server, RequestPurpose purpose) {
-        boolean passes =
-                switch (purpose) {
-                    case NEW_WORK -> allows(server);
-                    case RUNNING_WORK -> restrictions.tryEssential(server, bornMillis(server), clock.nanos());
-                };
+        boolean passes = purpose.tryPass(restrictions, server, bornMillis(server), clock.nanos());
         if (!passes) {
             withheld.inc();
         }
@@ -72,10 +68,10 @@
 
     /** Whether a request that has passed may still be sent, after a connection to the server was opened. */
     boolean stillAllows(BackendServerId server, RequestPurpose purpose) {
-        return purpose == RequestPurpose.RUNNING_WORK || allows(server);
+        return !purpose.mustStillBeAllowed() || allows(server);
     }
 
-    /** Milliseconds for which a server wants no requests from this entry; 0 without such a wish. */
+    /** Milliseconds until the backoff that a server requested from this entry ends; 0 without one. */
     long backoffMillis(BackendServerId server) {
         return restrictions.backoffMillis(server, bornMillis(server), clock.nanos());
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -249,7 +249,7 @@
         boolean serverLeft = server != null && !server.state().acceptsWork();
         if (!allServersAccept(granted)) {
             context.dispatchClient().reportEnd(request, AttemptEnd.NOT_SENT_HERE);
-            retryOrFail("a server wants no requests", true);
+            retryOrFail("a server accepts no requests now", true);
             return;
         }
         if (serverLeft || remainingMillis() < MIN_SEND_MILLIS) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/HelperReservations.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/HelperReservations.java
@@ -27,12 +27,12 @@
     private static final long RENEW_INTERVAL_MILLIS = 1_000;
 
     /**
-     * Longest reservation, for an engine that wants no requests until later: below the 9 s for which an engine may hold
+     * Longest reservation, made on an engine that requested a backoff: below the 9 s for which an engine may hold
      * memory that nobody uses.
      */
     private static final long MAX_HOLD_MILLIS = 8_000;
 
-    /** Time before the end of a reservation at which an engine that wants no requests gets a renewal all the same. */
+    /** Remaining time of a reservation below which it is renewed even on an engine that requested a backoff. */
     private static final long RENEWAL_MARGIN_MILLIS = 1_400;
 
     /** Time-out of a request to an engine; many round trips. */
@@ -127,12 +127,15 @@
         }
 
         void reserve(RequestPurpose purpose, long holdMillis, Consumer<Boolean> callback) {
-            endsAtNanos = context.clock().nanos() + TimeUnit.MILLISECONDS.toNanos(holdMillis);
+            long requestedEndNanos = context.clock().nanos() + TimeUnit.MILLISECONDS.toNanos(holdMillis);
             byte[] body = context.protocol().reserveBody(granted.attempt(), helper.memoryTokens(), holdMillis);
-            sendRequest(helper, purpose, body, callback);
+            sendRequest(helper, purpose, body, accepted -> {
+                endsAtNanos = accepted ? requestedEndNanos : endsAtNanos;
+                callback.accept(accepted);
+            });
         }
 
-        /** An engine that wants no requests for a while gets one renewal that lasts until then, or as few as possible. */
+        /** Renews the reservation; during a backoff as rarely as possible, and for the rest of it. */
         void renew() {
             long backoffMillis = context.backends().gate().backoffMillis(helper.server());
             long leftMillis =
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
@@ -378,7 +378,7 @@
         assertEquals(1, hostsRequestedFor("a1").size());
     }
 
-    /** Guards against a waiting call whose dispatcher never learns of a server that wants no requests. */
+    /** Guards against a waiting call whose dispatcher has no record of a server that the entry may not send to. */
     @Test
     void namesRestrictedServersInEachRequest() {
         DispatchClient client = client();
--- a/elmline-standin/src/main/java/org/elmline/standin/service/ServiceFaults.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/service/ServiceFaults.java
@@ -36,7 +36,7 @@
         return retryAfterSeconds;
     }
 
-    /** Seconds for which a refusal asks the entry to send nothing; 0 to ask for nothing. */
+    /** Backoff that a refusal requests from the entry, in seconds; 0 for none. */
     public void retryAfterSeconds(long value) {
         retryAfterSeconds = value;
     }
--- a/elmline-wire/src/main/java/org/elmline/wire/engine/EnginePaths.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/engine/EnginePaths.java
@@ -25,7 +25,7 @@
     /** Answer header of a backend server that is leaving; its value is then {@code yes}. */
     public static final String LEAVING_HEADER = "Elmline-Leaving";
 
-    /** Answer header of a refusal: seconds for which the backend server wants no requests from the entry. */
+    /** Answer header of a refusal: backoff in seconds that the backend server requests from the entry. */
     public static final String RETRY_AFTER_HEADER = "Retry-After";
 
     private EnginePaths() {}
