Give no retry budget back for a grant that another dispatcher counted

Servers could have got a retry beyond the budget: an attempt that was never sent gives its retry back at each dispatcher that knows of it, also at one that had only adopted the grant and counted nothing. Found in reading again; callers saw nothing. Change: an adopted grant is marked and gives nothing back. Test: DispatcherRestrictionTest.adoptedGrantThatWasNeverSentGivesNothingBack (Granted before, where RETRY_BUDGET is due). The test's copy of a call's constructor is one method with a parameter now.

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -71,8 +71,13 @@
     private boolean isPrimary = true;
     private long secondarySinceNanos;
 
+    /** @param adopted whether another dispatcher granted it, and counted it in its own retry budget */
     private record ActiveGrant(
-            DispatchCall call, DispatchAnswer.Granted answer, List<ServerLoad> members, long expiresAtNanos) {}
+            DispatchCall call,
+            DispatchAnswer.Granted answer,
+            List<ServerLoad> members,
+            long expiresAtNanos,
+            boolean adopted) {}
 
     public Dispatcher(RoutedService service, RetryLimit limit, long now) {
         this(service, limit, new ServerRateLimits(), now);
@@ -341,7 +346,11 @@
         grants.put(
                 call.attempt(),
                 new ActiveGrant(
-                        call, answer, plan.members(), waitingCall.deadlineNanos() + UNREPORTED_GRANT_RETENTION_NANOS));
+                        call,
+                        answer,
+                        plan.members(),
+                        waitingCall.deadlineNanos() + UNREPORTED_GRANT_RETENTION_NANOS,
+                        false));
         return answer;
     }
 
@@ -366,7 +375,7 @@
             return;
         }
         grants.remove(report.attempt());
-        if (!report.end().mayHaveReachedServer()) {
+        if (!granted.adopted() && !report.end().mayHaveReachedServer()) {
             retryBudget.takeBack(granted.call().repeated(), now);
         }
         if (report.faultyHelper() == null) {
@@ -432,7 +441,7 @@
             }
         }
         long expiresAtNanos = now + call.deadlineLeftMillis() * NANOS_PER_MILLI + UNREPORTED_GRANT_RETENTION_NANOS;
-        grants.put(call.attempt(), new ActiveGrant(call, open.granted(), members, expiresAtNanos));
+        grants.put(call.attempt(), new ActiveGrant(call, open.granted(), members, expiresAtNanos, true));
     }
 
     /** Ends the grants, and removes the waiting calls, of an incarnation of an entry that is gone. */
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRestrictionTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRestrictionTest.java
@@ -49,6 +49,10 @@
     }
 
     private DispatchCall call() {
+        return call(false);
+    }
+
+    private DispatchCall call(boolean repeated) {
         return new DispatchCall(
                 "c" + nextAttempt++,
                 HostId.of("e"),
@@ -64,7 +68,7 @@
                 0,
                 1_000,
                 1_000,
-                false,
+                repeated,
                 List.of());
     }
 
@@ -125,35 +129,31 @@
         DispatchAnswer.Granted first = granted(dispatcher.place(call(), 0));
         granted(dispatcher.place(call(), 0));
         for (int i = 0; i < 5; i++) {
-            DispatchCall retry = repeated(call());
+            DispatchCall retry = call(true);
             assertInstanceOf(DispatchAnswer.Queued.class, dispatcher.place(retry, MILLI));
             dispatcher.report(new AttemptReport(retry.attempt(), AttemptEnd.CANCELLED), 2 * MILLI);
         }
         dispatcher.report(new AttemptReport(first.attempt(), AttemptEnd.DONE), 3 * MILLI);
         for (int i = 0; i < 5; i++) {
-            DispatchCall retry = repeated(call());
+            DispatchCall retry = call(true);
             granted(dispatcher.place(retry, 4 * MILLI));
             dispatcher.report(new AttemptReport(retry.attempt(), AttemptEnd.NOT_SENT_HERE), 4 * MILLI);
         }
     }
 
-    private static DispatchCall repeated(DispatchCall call) {
-        return new DispatchCall(
-                call.attempt(),
-                call.host(),
-                call.incarnation(),
-                call.failureDomain(),
-                call.service(),
-                call.shard(),
-                call.priority(),
-                call.promptTokens(),
-                call.answerTokens(),
-                call.maxAnswerTokens(),
-                call.aimLeftMillis(),
-                call.gapMillis(),
-                call.firstLeftMillis(),
-                call.deadlineLeftMillis(),
-                true,
-                call.avoid());
+    /** Guards against retries beyond the budget: a grant of another dispatcher was never counted here. */
+    @Test
+    void adoptedGrantThatWasNeverSentGivesNothingBack() {
+        Dispatcher dispatcher = dispatcher(2, 4);
+        granted(dispatcher.place(call(true), 0));
+        DispatchAnswer.Granted last = granted(dispatcher.place(call(true), 0));
+        DispatchCall adopted = call(true);
+        DispatchAnswer.Granted elsewhere =
+                new DispatchAnswer.Granted(adopted.attempt(), last.server(), last.address(), List.of(), 50, 100, 0, 0);
+        dispatcher.adopt(new OpenGrant(adopted, elsewhere, false), MILLI);
+        dispatcher.report(new AttemptReport(adopted.attempt(), AttemptEnd.NOT_SENT_HERE), 2 * MILLI);
+        DispatchAnswer.Refused refused =
+                assertInstanceOf(DispatchAnswer.Refused.class, dispatcher.place(call(true), 3 * MILLI));
+        assertEquals(DispatchAnswer.RefusalCause.RETRY_BUDGET, refused.why());
     }
 }
