--- a/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRestrictionTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRestrictionTest.java
@@ -1,15 +1,10 @@
 package org.elmline.core.dispatch;
 
-import java.util.ArrayList;
 import java.util.List;
 
-import org.elmline.core.common.Address;
-import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.FailureDomain;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.ServiceName;
-import org.elmline.core.registry.Registration;
-import org.elmline.core.registry.ServerState;
 import org.elmline.core.routing.RoutedService;
 import org.junit.jupiter.api.Test;
 
@@ -20,31 +15,15 @@
 /** Where calls go whose entries may not send to some servers. */
 class DispatcherRestrictionTest {
     private static final long MILLI = 1_000_000L;
-    private static final ServiceName SERVICE = ServiceName.of("desk");
+    private static final ServiceName SERVICE = TestServers.SERVICE;
     private static final RoutedService PLAIN = new RoutedService(SERVICE, 248, null);
     private static final RetryLimit RETRIES = new RetryLimit(0.2, 2, 10_000 * MILLI);
 
     private int nextAttempt;
 
-    private static List<Registration> servers(int count, int slots) {
-        List<Registration> servers = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            servers.add(new Registration(
-                    BackendServerId.of("s" + i),
-                    SERVICE,
-                    new Address("10.0.0." + (i + 1), 80),
-                    FailureDomain.of("a"),
-                    slots,
-                    ServerState.READY,
-                    1,
-                    1));
-        }
-        return servers;
-    }
-
     private static Dispatcher dispatcher(int servers, int slots) {
         Dispatcher dispatcher = new Dispatcher(PLAIN, RETRIES, 0);
-        dispatcher.updateServers(PLAIN, servers(servers, slots), 0);
+        dispatcher.updateServers(PLAIN, TestServers.servers(servers, slots), 0);
         return dispatcher;
     }
 
@@ -84,7 +63,7 @@
         DispatchAnswer.Granted left = granted(dispatcher.place(first, 0));
         ServerNotice leaving = new ServerNotice(ServerRateLimit.NONE, true, 0);
         dispatcher.report(AttemptReport.of(first.attempt(), AttemptEnd.DONE, leaving), MILLI);
-        dispatcher.updateServers(PLAIN, servers(2, 4), 2 * MILLI);
+        dispatcher.updateServers(PLAIN, TestServers.servers(2, 4), 2 * MILLI);
         for (int i = 0; i < 4; i++) {
             assertNotEquals(
                     left.server(), granted(dispatcher.place(call(), 3 * MILLI)).server());
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherTest.java
@@ -8,13 +8,10 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.elmline.core.common.Address;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.FailureDomain;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.ServiceName;
-import org.elmline.core.registry.Registration;
-import org.elmline.core.registry.ServerState;
 import org.elmline.core.routing.BatchTiming;
 import org.elmline.core.routing.RoutedService;
 import org.junit.jupiter.api.Test;
@@ -27,7 +24,7 @@
 /** Placement, queueing and release of slots by a dispatcher. */
 class DispatcherTest {
     private static final long MILLI = 1_000_000L;
-    private static final ServiceName SERVICE = ServiceName.of("desk");
+    private static final ServiceName SERVICE = TestServers.SERVICE;
     private static final BatchTiming TIMING =
             new BatchTiming(11, 450_000, 46, 0.925, 0.007, 0.00254, 256, 0.0917, 2048, 0.1);
     private static final RoutedService ENGINES = new RoutedService(SERVICE, 819, TIMING);
@@ -36,25 +33,9 @@
 
     private int nextAttempt;
 
-    private static List<Registration> servers(int count, int slots) {
-        List<Registration> servers = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            servers.add(new Registration(
-                    BackendServerId.of("s" + i),
-                    SERVICE,
-                    new Address("10.0.0." + (i + 1), 80),
-                    FailureDomain.of("a"),
-                    slots,
-                    ServerState.READY,
-                    1,
-                    1));
-        }
-        return servers;
-    }
-
     private static Dispatcher dispatcher(RoutedService service, int servers, int slots) {
         Dispatcher dispatcher = new Dispatcher(service, RETRIES, 0);
-        dispatcher.updateServers(service, servers(servers, slots), 0);
+        dispatcher.updateServers(service, TestServers.servers(servers, slots), 0);
         return dispatcher;
     }
 
@@ -262,7 +243,7 @@
         Dispatcher dispatcher = new Dispatcher(PLAIN, RETRIES, 0);
         DispatchCall first = plainCall(2_000);
         assertInstanceOf(DispatchAnswer.Queued.class, dispatcher.place(first, 0));
-        dispatcher.updateServers(PLAIN, servers(1, 2), 900 * MILLI);
+        dispatcher.updateServers(PLAIN, TestServers.servers(1, 2), 900 * MILLI);
         assertEquals(
                 first.attempt(), granted(dispatcher.tick(900 * MILLI).get(0)).attempt());
         dispatcher.updateServers(PLAIN, List.of(), 1_000 * MILLI);
