Count a request that is withheld after its connection was opened

The metric backend.requests.withheld, which docs/OPERATIONS.md describes, missed the second of the gate's two checks. Callers and servers see no difference. Test: BackendGateTest (1 before, by reading; 2 now).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendGate.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendGate.java
@@ -59,16 +59,17 @@
 
     /** Whether a request of this purpose may be sent now; counts those that are withheld. */
     boolean tryPass(BackendServerId server, RequestPurpose purpose) {
-        boolean passes = purpose.tryPass(restrictions, server, bornMillis(server), clock.nanos());
-        if (!passes) {
-            withheld.inc();
-        }
+        return countIfWithheld(purpose.tryPass(restrictions, server, bornMillis(server), clock.nanos()));
+    }
+
+    private boolean countIfWithheld(boolean passes) {
+        withheld.inc(passes ? 0 : 1);
         return passes;
     }
 
-    /** Whether a request that has passed may still be sent, after a connection to the server was opened. */
+    /** Whether a request that has passed may still be sent, after a connection was opened; counts it otherwise. */
     boolean stillAllows(BackendServerId server, RequestPurpose purpose) {
-        return !purpose.mustStillBeAllowed() || allows(server);
+        return countIfWithheld(!purpose.mustStillBeAllowed() || allows(server));
     }
 
     /** Milliseconds until the backoff that a server requested from this entry ends; 0 without one. */
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/BackendGateTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/BackendGateTest.java
@@ -31,6 +31,7 @@
 
     private final ManualClock clock = new ManualClock();
     private final DecisionLog log = new DecisionLog("h", "entry", clock, OutputStream.nullOutputStream());
+    private final MetricRegistry metrics = new MetricRegistry();
     private final Map<BackendServerId, Registration> registered = new HashMap<>();
     private final BackendGate gate = new BackendGate(
             registered::get,
@@ -38,7 +39,7 @@
             new ObservedServerLimits(clock, log),
             clock,
             log,
-            new MetricRegistry());
+            metrics);
 
     private void register(ServerState state, long bornMillis) {
         registered.put(
@@ -58,6 +59,7 @@
         assertFalse(gate.tryPass(SERVER, RequestPurpose.NEW_WORK));
         assertFalse(gate.stillAllows(SERVER, RequestPurpose.NEW_WORK));
         assertTrue(gate.tryPass(SERVER, RequestPurpose.RUNNING_WORK));
+        assertEquals(2, metrics.counter("backend.requests.withheld").getCount());
         register(ServerState.READY, 6);
         assertTrue(gate.tryPass(SERVER, RequestPurpose.NEW_WORK));
     }
