Show that an entry whose links to servers are cut serves nobody

A test network (ServerLinks) stands in for the dialer of the connection pool, as a listening socket can't tell who connects to it; new connections hang or are refused, open ones live on or are reset. No logic is changed.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
@@ -1,7 +1,6 @@
 package org.elmline.daemon.gateway;
 
 import java.io.IOException;
-import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -12,12 +11,10 @@
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.MonotonicClock;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -44,6 +41,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long SWEEP_INTERVAL_MILLIS = 1_000;
 
+    private final BackendDialer dialer;
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final MonotonicClock clock;
@@ -60,7 +58,13 @@
         void onFailed(String why);
     }
 
-    BackendConnectionPool(XnioIoThread thread, ByteBufferPool buffers, MonotonicClock clock, MetricRegistry metrics) {
+    BackendConnectionPool(
+            BackendDialer dialer,
+            XnioIoThread thread,
+            ByteBufferPool buffers,
+            MonotonicClock clock,
+            MetricRegistry metrics) {
+        this.dialer = dialer;
         this.thread = thread;
         this.buffers = buffers;
         this.clock = clock;
@@ -106,8 +110,7 @@
         ConnectAttempt connectAttempt = new ConnectAttempt(callback);
         connectAttempt.timer =
                 thread.executeAfter(connectAttempt::expire, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        UndertowClient.getInstance()
-                .connect(connectAttempt, URI.create("http://" + address), thread, buffers, OptionMap.EMPTY);
+        dialer.connect(address, thread, buffers, connectAttempt);
     }
 
     /** One attempt to connect; ends once. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -54,6 +54,7 @@
     private final CallProtocol protocol;
     private final DirectoryProtocol directory;
     private final RoutingFormat routingFormat;
+    private final BackendDialer dialer;
     private final DecisionLog log;
     private final ProcessComponent process;
     private final long incarnation = System.currentTimeMillis();
@@ -75,11 +76,13 @@
             CallProtocol protocol,
             DirectoryProtocol directory,
             RoutingFormat routingFormat,
+            BackendDialer dialer,
             DecisionLog log) {
         this.settings = settings;
         this.protocol = protocol;
         this.directory = directory;
         this.routingFormat = routingFormat;
+        this.dialer = dialer;
         this.log = log;
         this.process = DaggerProcessComponent.factory()
                 .create(settings.host(), Incarnation.of(incarnation), new TimelineSettings(EVENT_CAPACITY));
@@ -94,7 +97,19 @@
             RoutingFormat routingFormat,
             DecisionLog log)
             throws IOException {
-        EntryGateway gateway = new EntryGateway(settings, protocol, directory, routingFormat, log);
+        return start(settings, protocol, directory, routingFormat, BackendDialer.TCP, log);
+    }
+
+    /** The same, with other connections to backend servers than those over TCP. */
+    public static EntryGateway start(
+            NodeSettings settings,
+            CallProtocol protocol,
+            DirectoryProtocol directory,
+            RoutingFormat routingFormat,
+            BackendDialer dialer,
+            DecisionLog log)
+            throws IOException {
+        EntryGateway gateway = new EntryGateway(settings, protocol, directory, routingFormat, dialer, log);
         try {
             gateway.open();
             return gateway;
@@ -157,7 +172,7 @@
         new DispatchTicker(thread, dispatchers);
         openCalls = new OpenCalls(thread);
         BackendConnectionPool connections =
-                new BackendConnectionPool(thread, ports.buffers(), process.clock(), process.metrics());
+                new BackendConnectionPool(dialer, thread, ports.buffers(), process.clock(), process.metrics());
         GatewayContext context = new GatewayContext(
                 settings,
                 incarnation,
