Send requests of entries without a path to a server through other entries

What callers saw: at entries whose links to the backend servers were cut, 503 after a second (four attempts of 250 ms each, all behind the same cut); 3 of 113 first tries served, 100 of 102 at the other entries.

Cause: an entry had one way to a server, and took every connection that failed for a fault of the server. Its NOT_SENT rested that server for all entries.

Change: an entry that can't connect to a server sends the request, in the same attempt, over another entry, which sends it once and passes the answer back as it arrives, over HTTP by the libraries that are there. ServerPaths tells a server that is down (the other entry can't connect either: NOT_SENT, as before) from a path that is cut (the other entry gets through: the server isn't blamed, and further requests to it go around at once). Two servers of a service in a row without a connection between them cut the whole service. A trial connection, two a second at most, ends it. RelayChoice picks any serving entry at random, leaves out for 2 s one that has no path either, for 0.2 s one that forwards 64 requests already. Closing, deadlines and at most once hold through the connection between the entries: a broken one says nothing, a refusal says that no byte left. The port takes only requests with a proof of the peer key.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -89,14 +89,12 @@
         if (call.body().length > 0 || exchange.getRequestHeaders().contains(Headers.CONTENT_LENGTH)) {
             requestHeaders.put(Headers.CONTENT_LENGTH, call.body().length);
         }
-        String query = exchange.getQueryString();
-        String path = exchange.getRequestURI() + (query == null || query.isEmpty() ? "" : "?" + query);
         sent = true;
         backendCall = new BackendCall(
                 context.backends(),
                 new BackendTarget(granted.server(), granted.address()),
                 RequestPurpose.NEW_WORK,
-                BackendCall.newRequest(exchange.getRequestMethod(), path, requestHeaders),
+                BackendCall.newRequest(exchange.getRequestMethod(), BackendCall.pathAndQuery(exchange), requestHeaders),
                 call.body(),
                 !call.route().mayRetry(),
                 this);
@@ -139,7 +137,10 @@
         if (ended || !call.mayRetry()) {
             return;
         }
-        cancel(AttemptEnd.SILENT);
+        // Of a request that another entry forwards it is not known whether the server or that entry is silent.
+        AttemptEnd reported = backendCall.isRelayed() ? AttemptEnd.CANCELLED : AttemptEnd.SILENT;
+        backendCall.cancelUnanswered();
+        cancel(reported);
         call.onAttemptFailed(AttemptEnd.SILENT, "silent", null);
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendAccess.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendAccess.java
@@ -1,4 +1,4 @@
 package org.elmline.daemon.gateway;
 
 /** The parts that every request to a backend server uses. */
-record BackendAccess(BackendConnectionPool connections, CallProtocol protocol, BackendGate gate) {}
+record BackendAccess(ServerLinks links, CallProtocol protocol, BackendGate gate) {}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -4,10 +4,10 @@
 import java.nio.ByteBuffer;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
@@ -27,7 +27,8 @@
     private final ByteBuffer body;
     private final boolean nonRepeatable;
     private final BackendCallListener listener;
-    private ClientConnection connection;
+    private LinkSearch search;
+    private ServerLink link;
     private StreamSourceChannel responseChannel;
     private AnswerHead head;
     private long serverBornMillis;
@@ -53,6 +54,12 @@
         this.listener = listener;
     }
 
+    /** Path and query of a received request, as they were sent. */
+    static String pathAndQuery(HttpServerExchange exchange) {
+        String query = exchange.getQueryString();
+        return exchange.getRequestURI() + (query == null || query.isEmpty() ? "" : "?" + query);
+    }
+
     /** Creates the request line and headers of a call. */
     static ClientRequest newRequest(HttpString method, String pathAndQuery, HeaderMap headers) {
         ClientRequest request =
@@ -66,25 +73,35 @@
             withhold();
             return;
         }
-        access.connections().acquire(target.address(), nonRepeatable, new BackendConnectionPool.AcquireCallback() {
+        search = access.links().newSearch(target, nonRepeatable);
+        searchLink();
+    }
+
+    private void searchLink() {
+        search.next(new LinkSearch.Listener() {
             @Override
-            public void onAcquired(ClientConnection acquired) {
+            public void onLink(ServerLink found) {
                 if (ended) {
-                    access.connections().release(target.address(), acquired, -1);
+                    access.links().release(found, -1);
                 } else if (!access.gate().stillAllows(target.server(), purpose)) {
                     // Another answer of the server arrived while the connection was opened.
-                    access.connections().release(target.address(), acquired, -1);
+                    access.links().release(found, -1);
                     withhold();
                 } else {
-                    connection = acquired;
+                    link = found;
                     send();
                 }
             }
 
             @Override
-            public void onFailed(String why) {
-                if (tryEnd()) {
+            public void onNoLink(String why, boolean serverDown) {
+                if (!tryEnd()) {
+                    return;
+                }
+                if (serverDown) {
                     listener.onNotSent(why);
+                } else {
+                    listener.onWithheld("no path to the server: " + why);
                 }
             }
         });
@@ -101,27 +118,52 @@
      * called any more.
      */
     void cancel() {
-        if (tryEnd() && connection != null) {
-            BackendConnectionPool.closeNow(connection);
+        if (tryEnd() && link != null) {
+            BackendConnectionPool.closeNow(link.connection());
         }
     }
 
+    /** Ends the call as {@link #cancel()} does, because no answer came in time. */
+    void cancelUnanswered() {
+        if (isRelayed() && head == null) {
+            search.onRelayFailed(link);
+        }
+        cancel();
+    }
+
+    /** Whether another entry forwards the call, so that a missing answer does not show that the server has failed. */
+    boolean isRelayed() {
+        return link != null && link.isRelayed();
+    }
+
     private void send() {
         serverBornMillis = access.gate().bornMillis(target.server());
-        connection.sendRequest(request, new ClientCallback<>() {
+        body.rewind();
+        bodySent = false;
+        ServerLink used = link;
+        used.connection().sendRequest(requestOn(used), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
-                exchange.setResponseListener(responseCallback());
+                exchange.setResponseListener(responseCallback(used));
                 writeBody(exchange);
             }
 
             @Override
             public void failed(IOException e) {
-                fail(e);
+                fail(used, e);
             }
         });
     }
 
+    private ClientRequest requestOn(ServerLink chosen) {
+        if (!chosen.isRelayed()) {
+            return request;
+        }
+        ClientRequest relayed = newRequest(request.getMethod(), request.getPath(), request.getRequestHeaders());
+        access.links().addRelayHeaders(relayed, new RelayRequest(target, purpose, nonRepeatable));
+        return relayed;
+    }
+
     private void writeBody(ClientExchange exchange) {
         if (!body.hasRemaining()) {
             bodySent = true;
@@ -149,7 +191,7 @@
             sink.suspendWrites();
             bodySent = true;
         } catch (IOException e) {
-            fail(e);
+            fail(link, e);
         }
     }
 
@@ -160,19 +202,23 @@
                 bodySent = true;
             }
         } catch (IOException e) {
-            fail(e);
+            fail(link, e);
         }
     }
 
-    private ClientCallback<ClientExchange> responseCallback() {
+    private ClientCallback<ClientExchange> responseCallback(ServerLink used) {
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
-                if (ended) {
+                if (ended || used != link) {
                     return;
                 }
                 int status = exchange.getResponse().getResponseCode();
                 HeaderMap headers = exchange.getResponse().getResponseHeaders();
+                if (isRelayed() && headers.contains(RelayRequest.REFUSAL)) {
+                    onRelayRefused(headers.getFirst(RelayRequest.REFUSAL));
+                    return;
+                }
                 head = access.protocol().read(status, headers);
                 access.gate().onAnswer(target.server(), serverBornMillis, head);
                 responseChannel = exchange.getResponseChannel();
@@ -183,11 +229,20 @@
 
             @Override
             public void failed(IOException e) {
-                fail(e);
+                fail(used, e);
             }
         };
     }
 
+    /** Searches the next link: the entry states that it did not forward the request. */
+    private void onRelayRefused(String refusal) {
+        ServerLink refusing = link;
+        link = null;
+        BackendConnectionPool.closeNow(refusing.connection());
+        search.onRefused(refusing, RelayRefusal.valueOf(refusal));
+        searchLink();
+    }
+
     /** Suspends reading while the caller reads more slowly than the server sends. */
     void pause() {
         paused = true;
@@ -207,7 +262,7 @@
         if (ended || paused || responseChannel == null) {
             return;
         }
-        try (PooledByteBuffer pooled = connection.getBufferPool().allocate()) {
+        try (PooledByteBuffer pooled = link.connection().getBufferPool().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
             while (!ended && !paused) {
                 buffer.clear();
@@ -224,7 +279,7 @@
                 listener.onData(buffer);
             }
         } catch (IOException e) {
-            fail(e);
+            fail(link, e);
         }
     }
 
@@ -235,16 +290,20 @@
         if (!bodySent || head.closesConnection()) {
             // A server that answered before it read the whole body may still wait for the rest of it, so the connection
             // cannot be reused.
-            BackendConnectionPool.closeNow(connection);
+            BackendConnectionPool.closeNow(link.connection());
         } else {
-            access.connections().release(target.address(), connection, head.keepAliveSeconds());
+            access.links().release(link, head.keepAliveSeconds());
         }
         listener.onComplete();
     }
 
-    private void fail(IOException e) {
-        if (tryEnd()) {
-            BackendConnectionPool.closeNow(connection);
+    /** Handles a failure of the link in use; one that an entry refused to forward on was closed before. */
+    private void fail(ServerLink used, IOException e) {
+        if (used == link && tryEnd()) {
+            if (isRelayed() && head == null) {
+                search.onRelayFailed(link);
+            }
+            BackendConnectionPool.closeNow(link.connection());
             listener.onBroken(e.getMessage() == null ? e.toString() : e.getMessage());
         }
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
@@ -53,7 +53,8 @@
 
     /** Receives a connection, or the reason why there is none. */
     interface AcquireCallback {
-        void onAcquired(ClientConnection connection);
+        /** @param opened whether the connection is new */
+        void onAcquired(ClientConnection connection, boolean opened);
 
         void onFailed(String why);
     }
@@ -83,9 +84,9 @@
         IdleConnection idle = pollIdle(address, nonRepeatable);
         if (idle != null) {
             reused.inc();
-            callback.onAcquired(idle.connection());
+            callback.onAcquired(idle.connection(), false);
         } else {
-            connect(address, callback);
+            open(address, callback);
         }
     }
 
@@ -105,7 +106,8 @@
         return null;
     }
 
-    private void connect(Address address, AcquireCallback callback) {
+    /** Opens a connection. */
+    void open(Address address, AcquireCallback callback) {
         opened.inc();
         ConnectAttempt connectAttempt = new ConnectAttempt(callback);
         connectAttempt.timer =
@@ -126,7 +128,7 @@
         @Override
         public void completed(ClientConnection connection) {
             if (tryEnd()) {
-                callback.onAcquired(connection);
+                callback.onAcquired(connection, true);
             } else {
                 closeNow(connection);
             }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -30,7 +30,7 @@
  * One call of a caller, from the last byte of its request to the last byte of its answer: requests a place, sends the
  * call, sends it again where that is allowed, and answers. Used on the I/O thread only.
  */
-final class Call {
+final class Call implements OpenCall {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /**
@@ -446,7 +446,8 @@
         }
     }
 
-    void checkCaller() {
+    @Override
+    public void checkCaller() {
         if (ended) {
             return;
         }
@@ -468,8 +469,8 @@
         fail("time is up", RETRY_AFTER_MILLIS);
     }
 
-    /** Ends the call because this process stops. */
-    void abort() {
+    @Override
+    public void abort() {
         if (ended) {
             return;
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -22,6 +22,7 @@
 import org.elmline.core.dispatch.DispatchChannels;
 import org.elmline.core.dispatch.DispatchChannels.Acknowledgement;
 import org.elmline.core.dispatch.DispatchChannels.QueuedDecision;
+import org.elmline.core.path.RelayChoice;
 import org.elmline.core.registry.CallerDirectory;
 import org.elmline.core.registry.EntryRecord;
 import org.elmline.core.routing.CallerLimits;
@@ -33,6 +34,7 @@
 import org.elmline.daemon.node.NodeSettings;
 import org.elmline.daemon.node.PeerEndpoint;
 import org.elmline.daemon.settings.TimelineSettings;
+import org.elmline.wire.tcp.PeerKey;
 import org.xnio.XnioIoThread;
 
 /**
@@ -68,6 +70,7 @@
     private DispatchClient dispatchClient;
     private OpenCalls openCalls;
     private CallHandler callHandler;
+    private RelayHandler relayHandler;
     private CallerLimits callerLimits;
     private boolean changePending;
 
@@ -127,6 +130,9 @@
         thread.execute(this::assemble);
         ports.addPort(settings.callers(), new HttpContinueReadHandler(this::handleCall))
                 .addPort(settings.ready(), this::handleReady);
+        if (settings.relayPort() > 0) {
+            ports.addRelayPort(new Address(settings.ip(), settings.relayPort()), this::handleRelayed);
+        }
         if (settings.directory() != null) {
             ports.addPort(
                     settings.directory(),
@@ -159,20 +165,13 @@
                 process.clock(),
                 log,
                 process.metrics());
-        dispatchClient = new DispatchClient(
-                settings,
-                incarnation,
-                peers.network(),
-                new DispatcherDirectory(deployment::entries, deployment::servers, process.clock()),
-                gate::restrictedServers,
-                dispatchers,
-                thread,
-                process.clock(),
-                log);
+        dispatchClient = newDispatchClient(gate);
         new DispatchTicker(thread, dispatchers);
         openCalls = new OpenCalls(thread);
         BackendConnectionPool connections =
                 new BackendConnectionPool(dialer, thread, ports.buffers(), process.clock(), process.metrics());
+        DirectLinks directLinks =
+                new DirectLinks(connections, deployment::server, process.clock(), log, process.metrics());
         GatewayContext context = new GatewayContext(
                 settings,
                 incarnation,
@@ -180,7 +179,7 @@
                 deployment,
                 dispatchClient,
                 dispatchers.observedLimits(),
-                new BackendAccess(connections, protocol, gate),
+                new BackendAccess(relayedLinks(directLinks, connections), protocol, gate),
                 thread,
                 process.clock(),
                 log,
@@ -188,15 +187,55 @@
                 new AttemptIdGenerator(settings.host(), incarnation),
                 openCalls);
         callHandler = new CallHandler(context, shutdown);
+        relayHandler = new RelayHandler(
+                new BackendAccess(directLinks, protocol, gate),
+                new PeerKey(settings.peerKey()),
+                openCalls,
+                shutdown,
+                log,
+                process.metrics());
         dispatchClient.register(peers.handlers());
         deployment.start();
         log.line("started").with("incarnation", incarnation).write();
     }
 
+    private DispatchClient newDispatchClient(BackendGate gate) {
+        return new DispatchClient(
+                settings,
+                incarnation,
+                peers.network(),
+                new DispatcherDirectory(deployment::entries, deployment::servers, process.clock()),
+                gate::restrictedServers,
+                dispatchers,
+                thread,
+                process.clock(),
+                log);
+    }
+
+    /** Links that lead through other entries too, where the settings give a port for that. */
+    private ServerLinks relayedLinks(DirectLinks direct, BackendConnectionPool connections) {
+        if (settings.relayPort() == 0) {
+            return direct;
+        }
+        return new RelayedLinks(
+                direct,
+                connections,
+                deployment::entries,
+                new RelayChoice(settings.host(), random),
+                settings.relayPort(),
+                new PeerKey(settings.peerKey()),
+                process.clock(),
+                process.metrics());
+    }
+
     private void handleCall(HttpServerExchange exchange) {
         callHandler.handleRequest(exchange);
     }
 
+    private void handleRelayed(HttpServerExchange exchange) {
+        relayHandler.handleRequest(exchange);
+    }
+
     private void handleReady(HttpServerExchange exchange) {
         exchange.setStatusCode(isServing() ? READY_STATUS : NOT_READY_STATUS);
     }
@@ -292,7 +331,7 @@
         while (openCalls != null && !tryEnd()) {
             Thread.sleep(STOP_CHECK_MILLIS);
         }
-        thread.execute(() -> openCalls.all().forEach(Call::abort));
+        thread.execute(() -> openCalls.all().forEach(OpenCall::abort));
         Thread.sleep(STOP_CHECK_MILLIS);
         log.line("stopped")
                 .with("open", openCalls == null ? 0 : openCalls.size())
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCall.java
@@ -0,0 +1,10 @@
+package org.elmline.daemon.gateway;
+
+/** A call that is not answered yet. */
+interface OpenCall {
+    /** Ends the call if the connection on which it came is closed. */
+    void checkCaller();
+
+    /** Ends the call because this process stops. */
+    void abort();
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCalls.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCalls.java
@@ -9,14 +9,14 @@
 import org.xnio.XnioIoThread;
 
 /**
- * The open calls. Detects callers that have disconnected while nothing is written to them by polling their connections.
+ * The open calls of callers and of other entries. Detects those that have disconnected while nothing is written to them by polling their connections.
  * Used on the I/O thread only.
  */
 final class OpenCalls {
     /** Interval of the checks; a backend server must be notified within half a second. */
     private static final long CHECK_INTERVAL_MILLIS = 120;
 
-    private final Set<Call> calls = new LinkedHashSet<>();
+    private final Set<OpenCall> calls = new LinkedHashSet<>();
     private final XnioIoThread thread;
 
     OpenCalls(XnioIoThread thread) {
@@ -24,11 +24,11 @@
         checkCallers();
     }
 
-    void add(Call call) {
+    void add(OpenCall call) {
         calls.add(call);
     }
 
-    void remove(Call call) {
+    void remove(OpenCall call) {
         calls.remove(call);
     }
 
@@ -36,12 +36,12 @@
         return calls.size();
     }
 
-    List<Call> all() {
+    List<OpenCall> all() {
         return List.copyOf(calls);
     }
 
     private void checkCallers() {
-        for (Call each : new ArrayList<>(calls)) {
+        for (OpenCall each : new ArrayList<>(calls)) {
             each.checkCaller();
         }
         thread.executeAfter(this::checkCallers, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -0,0 +1,150 @@
+package org.elmline.daemon.gateway;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import org.elmline.daemon.http.CallerDisconnectDetector;
+import org.xnio.IoUtils;
+
+/**
+ * One request that this entry forwards for another one: sent once, its answer passed back byte by byte as it arrives.
+ * Used on the I/O thread only.
+ */
+final class RelayedCall implements OpenCall, BackendCallListener {
+    private final BackendAccess access;
+    private final HttpServerExchange exchange;
+    private final Consumer<RelayedCall> onEnd;
+    private final CallerDisconnectDetector disconnectDetector;
+    private final BackendCall backendCall;
+    private CallerChannel answer;
+    private boolean ended;
+
+    /** @param onEnd called once, when the answer is passed back or will not be */
+    RelayedCall(
+            BackendAccess access,
+            HttpServerExchange exchange,
+            RelayRequest relayRequest,
+            byte[] body,
+            Consumer<RelayedCall> onEnd) {
+        this.access = access;
+        this.exchange = exchange;
+        this.onEnd = onEnd;
+        this.disconnectDetector = new CallerDisconnectDetector(exchange);
+        ClientRequest request = BackendCall.newRequest(
+                exchange.getRequestMethod(),
+                BackendCall.pathAndQuery(exchange),
+                forwardedHeaders(exchange.getRequestHeaders()));
+        this.backendCall = new BackendCall(
+                access,
+                relayRequest.target(),
+                relayRequest.purpose(),
+                request,
+                body,
+                relayRequest.nonRepeatable(),
+                this);
+    }
+
+    private static HeaderMap forwardedHeaders(HeaderMap received) {
+        HeaderMap headers = new HeaderMap();
+        received.forEach(each -> headers.putAll(each.getHeaderName(), each));
+        RelayRequest.removeFrom(headers);
+        headers.remove(Headers.CONNECTION);
+        return headers;
+    }
+
+    void start() {
+        backendCall.start();
+    }
+
+    @Override
+    public void onNotSent(String why) {
+        refuse(RelayRefusal.UNREACHABLE);
+    }
+
+    @Override
+    public void onWithheld(String why) {
+        refuse(RelayRefusal.WITHHELD);
+    }
+
+    private void refuse(RelayRefusal refusal) {
+        if (tryEnd()) {
+            RelayHandler.refuse(exchange, refusal);
+        }
+    }
+
+    @Override
+    public void onHead(int status, HeaderMap headers, AnswerHead answerHead) {
+        exchange.setStatusCode(status);
+        HeaderMap responseHeaders = exchange.getResponseHeaders();
+        access.protocol().copyAnswerHeaders(headers, responseHeaders);
+        if (!responseHeaders.contains(Headers.CONTENT_LENGTH)) {
+            // Set explicitly: an answer that ends with its connection would look complete when it is broken off.
+            responseHeaders.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
+        answer = new CallerChannel(exchange, backendCall::resume, this::onChannelClosed);
+    }
+
+    @Override
+    public void onData(ByteBuffer bytes) {
+        byte[] copy = new byte[bytes.remaining()];
+        bytes.get(copy);
+        if (!answer.write(copy)) {
+            backendCall.pause();
+        }
+    }
+
+    @Override
+    public void onComplete() {
+        answer.complete();
+    }
+
+    /** The request may have run: closes the connection, which states nothing. */
+    @Override
+    public void onBroken(String why) {
+        if (answer != null) {
+            answer.abort();
+        } else if (tryEnd()) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
+    private void onChannelClosed() {
+        if (tryEnd()) {
+            backendCall.cancel();
+        }
+    }
+
+    @Override
+    public void checkCaller() {
+        if (ended) {
+            return;
+        }
+        try {
+            disconnectDetector.checkConnected();
+        } catch (IOException e) {
+            abort();
+        }
+    }
+
+    @Override
+    public void abort() {
+        if (tryEnd()) {
+            backendCall.cancel();
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
+    private boolean tryEnd() {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        onEnd.accept(this);
+        return true;
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
@@ -1,6 +1,7 @@
 package org.elmline.daemon.node;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
@@ -29,12 +30,16 @@
 
     private static final int BUFFER_BYTES = 8 * 1024;
 
+    /** Bytes of the headers that entries add to those of a caller. */
+    private static final int RELAY_HEADER_BYTES = 4 * 1024;
+
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final Undertow.Builder builder = Undertow.builder();
     private final XnioWorker worker;
     private Undertow server;
     private volatile Undertow startedServer;
     private volatile CallerLimits appliedLimits;
+    private Address relayPort;
 
     /** Starts the threads; binds no port yet. */
     public HttpPorts() throws IOException {
@@ -73,6 +78,12 @@
         return this;
     }
 
+    /** Adds the port on which other entries send requests of their callers. Must be called before {@link #start()}. */
+    public HttpPorts addRelayPort(Address address, HttpHandler handler) {
+        relayPort = address;
+        return addPort(address, handler);
+    }
+
     /** Binds all ports. */
     public HttpPorts start() {
         server = builder.build();
@@ -107,16 +118,27 @@
         if (running == null || limits == null) {
             return;
         }
-        OptionMap options = OptionMap.builder()
+        OptionMap options = options(limits, limits.maxHeaderBytes());
+        OptionMap relayOptions = options(limits, limits.maxHeaderBytes() + RELAY_HEADER_BYTES);
+        running.getListenerInfo().forEach(each -> each.setServerOptions(isRelayPort(each) ? relayOptions : options));
+    }
+
+    private boolean isRelayPort(Undertow.ListenerInfo listener) {
+        return relayPort != null
+                && listener.getAddress() instanceof InetSocketAddress address
+                && address.getPort() == relayPort.port();
+    }
+
+    private static OptionMap options(CallerLimits limits, int maxHeaderBytes) {
+        return OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
-                .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+                .set(UndertowOptions.MAX_HEADER_SIZE, maxHeaderBytes)
                 .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
                 .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMillis() + IDLE_GRACE_MILLIS)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headerTimeoutMillis())
                 .getMap();
-        running.getListenerInfo().forEach(each -> each.setServerOptions(options));
     }
 
     @Override
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/NodeSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/NodeSettings.java
@@ -24,6 +24,8 @@
  * @param directory address on which a gateway answers which entries callers should use; null on a gateway without a
  *     directory and on a coordinator
  * @param peerPort port on which elmline processes communicate, the same on all hosts
+ * @param relayPort port on which entries forward requests of entries without a path to a server, the same on all hosts;
+ *     0 for none
  * @param metricsPort port of the metrics; 0 for none
  * @param controlHosts operators' addresses of some control hosts, which report the others
  * @param firstStart whether the deployment starts for the first time, with empty disks
@@ -45,6 +47,7 @@
         Address operators,
         Address directory,
         int peerPort,
+        Integer relayPort,
         Integer metricsPort,
         String peerKey,
         List<Address> controlHosts,
@@ -65,6 +68,7 @@
 
     public NodeSettings {
         controlHosts = controlHosts == null ? List.of() : List.copyOf(controlHosts);
+        relayPort = relayPort == null ? 0 : relayPort;
         metricsPort = metricsPort == null ? 0 : metricsPort;
         drainSeconds = drainSeconds == null ? DEFAULT_DRAIN_SECONDS : drainSeconds;
         heartbeatMillis = heartbeatMillis == null ? DEFAULT_HEARTBEAT_MILLIS : heartbeatMillis;
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/PeerKey.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/PeerKey.java
@@ -27,7 +27,8 @@
         key = Arrays.copyOf(bytes.length > BLOCK_BYTES ? digest().digest(bytes) : bytes, BLOCK_BYTES);
     }
 
-    byte[] sign(String purpose, byte[] first, byte[] second) {
+    /** The signature of two texts for one purpose. */
+    public byte[] sign(String purpose, byte[] first, byte[] second) {
         MessageDigest digest = digest();
         digest.update(padded(INNER_PAD));
         digest.update(purpose.getBytes(StandardCharsets.UTF_8));
@@ -37,7 +38,8 @@
         return digest.digest(inner);
     }
 
-    boolean verify(String purpose, byte[] first, byte[] second, byte[] signature) {
+    /** Whether a signature is that of the two texts for this purpose. */
+    public boolean verify(String purpose, byte[] first, byte[] second, byte[] signature) {
         return MessageDigest.isEqual(sign(purpose, first, second), signature);
     }
 
