Reset the connection of a call that is abandoned

Found by reading what our sockets do on a cut that hangs: the close of an abandoned call was an ordinary one, after which the kernel goes on sending what a cut holds up. When the link is back the server gets the request and runs a call whose caller left long before. Now the connection is reset, which discards the bytes. Ruled out: keep-alive and TCP_USER_TIMEOUT, of which our HTTP connections and their libraries set neither.

SilentServerTest.resetsConnectionOfAbandonedCall failed before (the server saw an ordinary close).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -119,7 +119,7 @@
      */
     void cancel() {
         if (tryEnd() && link != null) {
-            BackendConnectionPool.closeNow(link.connection());
+            BackendConnectionPool.reset(link.connection());
         }
     }
 
@@ -303,7 +303,7 @@
             if (isRelayed() && head == null) {
                 search.onRelayFailed(link);
             }
-            BackendConnectionPool.closeNow(link.connection());
+            BackendConnectionPool.reset(link.connection());
             listener.onBroken(e.getMessage() == null ? e.toString() : e.getMessage());
         }
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
@@ -15,6 +15,8 @@
 import org.elmline.core.common.Address;
 import org.elmline.core.common.MonotonicClock;
 import org.xnio.IoUtils;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -192,6 +194,22 @@
         }
     }
 
+    /**
+     * Closes a connection with a request under way, as {@link #closeNow} does, and resets it: bytes of the request that
+     * a cut of the link holds up would otherwise reach the server when the link is back, and it would run a call that
+     * was abandoned long before.
+     */
+    static void reset(ClientConnection connection) {
+        try {
+            StreamConnection socket = connection.performUpgrade();
+            socket.setOption(Options.CLOSE_ABORT, true);
+            IoUtils.safeClose(socket);
+        } catch (IOException e) {
+            // Already closed.
+            IoUtils.safeClose(connection);
+        }
+    }
+
     private void evictExpired() {
         long now = clock.nanos();
         idleConnections.values().removeIf(idle -> {
