Let a stream's server be silent for a second

A sound server may be silent for a second and go on. Streams with short pauses were given up after 700 ms: they were read again by another engine, while their own went on. The shortest time-out is 1.2 s: callers leave after 2 s without an event, and the next server needs some hundred milliseconds. Time-outs of three pauses over 400 ms stay as they were.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -31,8 +31,11 @@
     /** Time-out between events of a stream, in allowed gaps of the route; its server then counts as failed. */
     private static final int STREAM_TIMEOUT_GAPS = 3;
 
-    /** Shortest such time-out; engines stall for a moment when many prompts arrive at once. */
-    private static final long MIN_STREAM_TIMEOUT_MILLIS = 700;
+    /**
+     * Shortest such time-out: a sound server may be silent for a second. Callers leave a stream after two seconds
+     * without an event, and another server needs some hundred milliseconds to go on.
+     */
+    private static final long MIN_STREAM_TIMEOUT_MILLIS = 1_200;
 
     /** Part of the time left to the call's aim after which a call that may be retried is sent to another server. */
     private static final double ANSWER_TIMEOUT_SHARE = 0.65;
