--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.HostId;
 import org.elmline.core.dispatch.AttemptEnd;
 import org.elmline.core.dispatch.DispatchAnswer;
 import org.elmline.core.dispatch.DispatchCall;
@@ -110,6 +111,11 @@
         return sent;
     }
 
+    /** The entry that forwards the call to the server; null without one. */
+    HostId relay() {
+        return backendCall == null ? null : backendCall.relay();
+    }
+
     /** Cancels the attempt at once and reports its end to the dispatcher. */
     void cancel(AttemptEnd end) {
         if (tryEnd()) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendAccess.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendAccess.java
@@ -1,4 +1,6 @@
 package org.elmline.daemon.gateway;
 
+import org.elmline.wire.tcp.PeerKey;
+
 /** The parts that every request to a backend server uses. */
-record BackendAccess(ServerLinks links, CallProtocol protocol, BackendGate gate) {}
+record BackendAccess(ServerLinks links, CallProtocol protocol, BackendGate gate, PeerKey peerKey) {}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -11,6 +11,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
+import org.elmline.core.common.HostId;
 import org.xnio.ChannelListener;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -136,6 +137,11 @@
         return link != null && link.isRelayed();
     }
 
+    /** The entry that forwards the call; null when it is sent to the server itself, or not yet. */
+    HostId relay() {
+        return link == null ? null : link.relay();
+    }
+
     private void send() {
         serverBornMillis = access.gate().bornMillis(target.server());
         body.rewind();
@@ -160,7 +166,8 @@
             return request;
         }
         ClientRequest relayed = newRequest(request.getMethod(), request.getPath(), request.getRequestHeaders());
-        access.links().addRelayHeaders(relayed, new RelayRequest(target, purpose, nonRepeatable));
+        new RelayRequest(target, purpose, nonRepeatable)
+                .writeTo(relayed.getRequestHeaders(), relayed.getPath(), access.peerKey());
         return relayed;
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -11,6 +11,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.HostId;
 import org.elmline.core.common.OrganisationId;
 import org.elmline.core.common.ServiceName;
 import org.elmline.core.dispatch.AttemptEnd;
@@ -286,6 +287,7 @@
      * @param faultyHelper the helper because of which the server refused the call, null without one
      */
     void onAttemptFailed(AttemptEnd end, String why, BackendServerId faultyHelper) {
+        HostId relay = relay();
         attempt = null;
         boolean mayHaveExecuted = end.mayHaveRun();
         mayHaveRun |= mayHaveExecuted;
@@ -299,6 +301,7 @@
                 .with("end", end)
                 .with("why", why)
                 .with("server", lastTriedServer())
+                .with("relay", relay)
                 .with("faultyHelper", faultyHelper));
         if (faultyHelper != null) {
             triedServers.set(triedServers.size() - 1, faultyHelper);
@@ -316,6 +319,11 @@
         return triedServers.isEmpty() ? null : triedServers.get(triedServers.size() - 1);
     }
 
+    /** The entry that forwards the attempt under way; null without one. */
+    private HostId relay() {
+        return attempt == null ? null : attempt.relay();
+    }
+
     /** Whether the route allows another send of a call that may have run. */
     boolean mayRetry() {
         return route.mayRetry() && hasSendsLeft();
@@ -390,6 +398,7 @@
                 .with("status", status)
                 .with("bytes", bytes.size())
                 .with("server", lastTriedServer())
+                .with("relay", relay())
                 .with("sends", sendCount);
         if (status >= MIN_SERVER_ERROR_STATUS) {
             requestLog.logFailure(line);
@@ -418,6 +427,7 @@
                 .with("firstMs", stream.firstEventAtMillis() - receivedAtNanos / NANOS_PER_MILLI)
                 .with("longestPauseMs", stream.longestPauseMillis())
                 .with("server", lastTriedServer())
+                .with("relay", relay())
                 .with("sends", sendCount));
         context.callMetrics()
                 .recordFirstEvent(service, stream.firstEventAtMillis() - receivedAtNanos / NANOS_PER_MILLI);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DirectLinks.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DirectLinks.java
@@ -4,7 +4,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientRequest;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.ServiceName;
@@ -44,11 +43,6 @@
         connections.release(link.peer(), link.connection(), keepAliveSeconds);
     }
 
-    @Override
-    public void addRelayHeaders(ClientRequest request, RelayRequest relayRequest) {
-        throw new IllegalStateException("no entry forwards on these links");
-    }
-
     @Override
     public boolean isCut(BackendServerId server) {
         ServiceName service = serviceOf(server);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -172,6 +172,7 @@
                 new BackendConnectionPool(dialer, thread, ports.buffers(), process.clock(), process.metrics());
         DirectLinks directLinks =
                 new DirectLinks(connections, deployment::server, process.clock(), log, process.metrics());
+        PeerKey peerKey = new PeerKey(settings.peerKey());
         GatewayContext context = new GatewayContext(
                 settings,
                 incarnation,
@@ -179,7 +180,7 @@
                 deployment,
                 dispatchClient,
                 dispatchers.observedLimits(),
-                new BackendAccess(relayedLinks(directLinks, connections), protocol, gate),
+                new BackendAccess(relayedLinks(directLinks, connections), protocol, gate, peerKey),
                 thread,
                 process.clock(),
                 log,
@@ -188,12 +189,7 @@
                 openCalls);
         callHandler = new CallHandler(context, shutdown);
         relayHandler = new RelayHandler(
-                new BackendAccess(directLinks, protocol, gate),
-                new PeerKey(settings.peerKey()),
-                openCalls,
-                shutdown,
-                log,
-                process.metrics());
+                new BackendAccess(directLinks, protocol, gate, peerKey), openCalls, shutdown, log, process.metrics());
         dispatchClient.register(peers.handlers());
         deployment.start();
         log.line("started").with("incarnation", incarnation).write();
@@ -223,7 +219,6 @@
                 deployment::entries,
                 new RelayChoice(settings.host(), random),
                 settings.relayPort(),
-                new PeerKey(settings.peerKey()),
                 process.clock(),
                 process.metrics());
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
@@ -10,7 +10,6 @@
 import io.undertow.util.SameThreadExecutor;
 import org.elmline.daemon.http.IoThreadBodyReader;
 import org.elmline.daemon.log.DecisionLog;
-import org.elmline.wire.tcp.PeerKey;
 import org.xnio.IoUtils;
 
 /**
@@ -25,7 +24,6 @@
     private static final int UNAVAILABLE = 503;
 
     private final BackendAccess access;
-    private final PeerKey key;
     private final OpenCalls openCalls;
     private final GracefulShutdown shutdown;
     private final DecisionLog log;
@@ -35,13 +33,11 @@
     /** @param access with links to the servers themselves, so that no request is forwarded twice */
     RelayHandler(
             BackendAccess access,
-            PeerKey key,
             OpenCalls openCalls,
             GracefulShutdown shutdown,
             DecisionLog log,
             MetricRegistry metrics) {
         this.access = access;
-        this.key = key;
         this.openCalls = openCalls;
         this.shutdown = shutdown;
         this.log = log;
@@ -55,7 +51,7 @@
 
     private void handle(HttpServerExchange exchange) {
         Optional<RelayRequest> request =
-                RelayRequest.read(exchange.getRequestHeaders(), BackendCall.pathAndQuery(exchange), key);
+                RelayRequest.read(exchange.getRequestHeaders(), BackendCall.pathAndQuery(exchange), access.peerKey());
         if (request.isEmpty()) {
             log.line("relay request rejected")
                     .with("from", exchange.getSourceAddress())
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedLinks.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedLinks.java
@@ -9,14 +9,12 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientRequest;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.path.RelayChoice;
 import org.elmline.core.registry.EntryRecord;
-import org.elmline.wire.tcp.PeerKey;
 
 /**
  * Links to the servers themselves, and through another entry to those that this entry has no path to. Used on the I/O
@@ -31,7 +29,6 @@
     private final Supplier<Collection<EntryRecord>> entries;
     private final RelayChoice relays;
     private final int relayPort;
-    private final PeerKey key;
     private final MonotonicClock clock;
     private final Counter relayed;
     private final Counter refused;
@@ -46,7 +43,6 @@
             Supplier<Collection<EntryRecord>> entries,
             RelayChoice relays,
             int relayPort,
-            PeerKey key,
             MonotonicClock clock,
             MetricRegistry metrics) {
         this.direct = direct;
@@ -54,7 +50,6 @@
         this.entries = entries;
         this.relays = relays;
         this.relayPort = relayPort;
-        this.key = key;
         this.clock = clock;
         this.relayed = metrics.counter("backend.relays.requested");
         this.refused = metrics.counter("backend.relays.refused");
@@ -70,11 +65,6 @@
         connections.release(link.peer(), link.connection(), keepAliveSeconds);
     }
 
-    @Override
-    public void addRelayHeaders(ClientRequest request, RelayRequest relayRequest) {
-        relayRequest.writeTo(request.getRequestHeaders(), request.getPath(), key);
-    }
-
     @Override
     public boolean isCut(BackendServerId server) {
         return direct.isCut(server);
