Take a refusal to forward only from the entry, not from a server's answer

What callers could have seen: "did not run" for a payment that ran, and the payment sent once more, if a server's answer carried the header in which an entry says that it did not forward a request. Found by reading; no server of the platform sends it. Cause: the forwarding entry passed all of the server's headers back. It now takes that one out. A name that only a later release knows counts as "no path" rather than ending in an exception.

LostServerPathTest.takesNoServersHeaderForARefusalToForward failed before (503, ran: no, where the server had run it).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -246,7 +246,7 @@
         ServerLink refusing = link;
         link = null;
         BackendConnectionPool.closeNow(refusing.connection());
-        search.onRefused(refusing, RelayRefusal.valueOf(refusal));
+        search.onRefused(refusing, RelayRefusal.of(refusal));
         searchLink();
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCalls.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCalls.java
@@ -9,8 +9,8 @@
 import org.xnio.XnioIoThread;
 
 /**
- * The open calls of callers and of other entries. Detects those that have disconnected while nothing is written to them by polling their connections.
- * Used on the I/O thread only.
+ * The open calls, of callers and of other entries. Detects senders that have disconnected while nothing is written to
+ * them by polling their connections. Used on the I/O thread only.
  */
 final class OpenCalls {
     /** Interval of the checks; a backend server must be notified within half a second. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayRefusal.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayRefusal.java
@@ -34,6 +34,16 @@
         }
     };
 
+    /** The refusal of this name; {@link #NO_PATH} for one that only a later release knows. */
+    static RelayRefusal of(String name) {
+        for (RelayRefusal each : values()) {
+            if (each.name().equals(name)) {
+                return each;
+            }
+        }
+        return NO_PATH;
+    }
+
     /** Records in which cases the entry is not to be chosen for a while. */
     abstract void record(RelayChoice relays, HostId relay, long now);
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -82,6 +82,8 @@
         exchange.setStatusCode(status);
         HeaderMap responseHeaders = exchange.getResponseHeaders();
         access.protocol().copyAnswerHeaders(headers, responseHeaders);
+        // From a server it would deny that the request has run.
+        responseHeaders.remove(RelayRequest.REFUSAL);
         if (!responseHeaders.contains(Headers.CONTENT_LENGTH)) {
             // Set explicitly: an answer that ends with its connection would look complete when it is broken off.
             responseHeaders.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedLinks.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedLinks.java
@@ -62,7 +62,7 @@
 
     @Override
     public void release(ServerLink link, int keepAliveSeconds) {
-        connections.release(link.peer(), link.connection(), keepAliveSeconds);
+        direct.release(link, keepAliveSeconds);
     }
 
     @Override
