Send a request of the log again only when a later message was answered

Cause: a new leader whose first request had no answer for 200 ms took it for lost and began at the next index after the last matching one: at index 1, as nothing matches yet in a new term. On hosts of 0.075 of a core the first answers take 700 ms, so each heartbeat's answer made it send the whole log, up to 256 KB, to each of eight followers, and again 200 ms later.

The leader of term 4 sent 3.4 MB from 52.6 to 53.6.

Change: a request counts as lost once the follower has answered a message that was sent after it, as it answers in the order of receipt; no time is involved. A lost probe is repeated as it was.

--- a/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
@@ -194,7 +194,7 @@
 
     void onHeartbeatResponse(Message.HeartbeatResponse answer) {
         if (recordAck(answer.from(), answer.sentNanos())) {
-            replicator.onHeartbeatResponse(answer.from());
+            replicator.onHeartbeatResponse(answer.from(), answer.sentNanos());
         }
     }
 
--- a/elmline-core/src/main/java/org/elmline/core/raft/Progress.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Progress.java
@@ -11,7 +11,7 @@
     /** Send and contact time of a replica that has not acknowledged anything in this term. */
     static final long NEVER = Long.MIN_VALUE;
 
-    private record Inflight(long lastIndex, long bytes) {}
+    private record Inflight(long lastIndex, long bytes, long sentNanos) {}
 
     private final Deque<Inflight> inflightAppends = new ArrayDeque<>();
     private ProgressState state = ProgressState.PROBE;
@@ -19,15 +19,14 @@
     private long nextIndex;
     private long inflightBytes;
     private boolean probeSent;
-    private long lastProgressNanos;
+    private long requestSentNanos;
     private long ackedSentNanos = NEVER;
     private long lastContactNanos = NEVER;
     private Snapshot snapshot;
     private long snapshotOffset;
 
-    Progress(long nextIndex, long nowNanos) {
+    Progress(long nextIndex) {
         this.nextIndex = nextIndex;
-        this.lastProgressNanos = nowNanos;
     }
 
     ProgressState state() {
@@ -69,26 +68,20 @@
     void recordSent(long lastIndex, long bytes, long nowNanos) {
         if (state == ProgressState.PROBE) {
             probeSent = true;
-            lastProgressNanos = nowNanos;
+            requestSentNanos = nowNanos;
             return;
         }
-        if (inflightAppends.isEmpty()) {
-            lastProgressNanos = nowNanos;
-        }
-        inflightAppends.add(new Inflight(lastIndex, bytes));
+        inflightAppends.add(new Inflight(lastIndex, bytes, nowNanos));
         inflightBytes += bytes;
         nextIndex = lastIndex + 1;
     }
 
     /** Records that the logs match up to an index. Returns whether the match index has advanced. */
-    boolean recordMatch(long index, long nowNanos) {
+    boolean recordMatch(long index) {
         while (!inflightAppends.isEmpty() && inflightAppends.peek().lastIndex() <= index) {
             inflightBytes -= inflightAppends.poll().bytes();
         }
         boolean advanced = index > matchIndex;
-        if (advanced || state == ProgressState.PROBE) {
-            lastProgressNanos = nowNanos;
-        }
         matchIndex = Math.max(matchIndex, index);
         nextIndex = Math.max(nextIndex, matchIndex + 1);
         boolean snapshotDone = state == ProgressState.SNAPSHOT && index >= snapshot.index();
@@ -102,46 +95,62 @@
     }
 
     /** Records that the logs do not match at the previous entry of a request. Returns false for an outdated answer. */
-    boolean recordReject(long prevIndex, long conflictHint, long nowNanos) {
+    boolean recordReject(long prevIndex, long conflictHint) {
         boolean stale = prevIndex <= matchIndex
                 || state == ProgressState.SNAPSHOT
                 || (state == ProgressState.PROBE && prevIndex != nextIndex - 1);
         if (stale) {
             return false;
         }
-        probeFrom(Math.max(matchIndex, Math.min(conflictHint, prevIndex - 1)) + 1, nowNanos);
+        probeFrom(Math.max(matchIndex, Math.min(conflictHint, prevIndex - 1)) + 1);
         return true;
     }
 
-    private void probeFrom(long index, long nowNanos) {
+    private void probeFrom(long index) {
         state = ProgressState.PROBE;
         nextIndex = index;
         probeSent = false;
         inflightAppends.clear();
         inflightBytes = 0;
-        lastProgressNanos = nowNanos;
     }
 
-    /** Prepares to send again after a time without progress, as a request or its answer was lost. */
-    void prepareResend(long nowNanos) {
-        if (state == ProgressState.SNAPSHOT) {
-            lastProgressNanos = nowNanos;
-            return;
-        }
-        probeFrom(matchIndex + 1, nowNanos);
+    /**
+     * Whether a request or its answer was lost: the replica has answered a later message of this leader, and answers in
+     * the order of receipt. The time since the request shows nothing, as a busy replica may take seconds for its answer.
+     *
+     * @param answeredSentNanos send time of the message that the replica has answered
+     */
+    boolean isRequestLost(long answeredSentNanos) {
+        return switch (state) {
+            case PROBE -> probeSent && answeredSentNanos > requestSentNanos;
+            case REPLICATE -> !inflightAppends.isEmpty()
+                    && answeredSentNanos > inflightAppends.peek().sentNanos();
+            case SNAPSHOT -> answeredSentNanos > requestSentNanos;
+        };
     }
 
-    boolean isStalled(long nowNanos, long timeoutNanos) {
-        return nowNanos - lastProgressNanos >= timeoutNanos;
+    /** Prepares to send a lost request again; a lost probe shows nothing of the replica's log and is repeated as it was. */
+    void prepareResend() {
+        switch (state) {
+            case PROBE -> probeSent = false;
+            case REPLICATE -> probeFrom(matchIndex + 1);
+            default -> {
+                // The chunk at the offset that the replica has reached is sent again.
+            }
+        }
     }
 
-    void startSnapshot(Snapshot newSnapshot, long nowNanos) {
-        probeFrom(newSnapshot.index() + 1, nowNanos);
+    void startSnapshot(Snapshot newSnapshot) {
+        probeFrom(newSnapshot.index() + 1);
         state = ProgressState.SNAPSHOT;
         snapshot = newSnapshot;
         snapshotOffset = 0;
     }
 
+    void recordChunkSent(long nowNanos) {
+        requestSentNanos = nowNanos;
+    }
+
     Snapshot snapshot() {
         return snapshot;
     }
@@ -151,11 +160,10 @@
     }
 
     /** Records how many bytes of the snapshot the replica has received. Returns whether to send the next chunk. */
-    boolean recordSnapshotProgress(long index, long offset, long nowNanos) {
+    boolean recordSnapshotProgress(long index, long offset) {
         boolean isCurrent = state == ProgressState.SNAPSHOT && snapshot.index() == index && offset != snapshotOffset;
         if (isCurrent) {
             snapshotOffset = Math.min(offset, snapshot.data().length);
-            lastProgressNanos = nowNanos;
         }
         return isCurrent;
     }
--- a/elmline-core/src/main/java/org/elmline/core/raft/Replicator.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Replicator.java
@@ -24,7 +24,7 @@
         for (ReplicaId each : membership.all()) {
             if (!each.equals(state.self())) {
                 progressByReplica.computeIfAbsent(
-                        each, id -> new Progress(state.log().lastIndex() + 1, state.nowNanos()));
+                        each, id -> new Progress(state.log().lastIndex() + 1));
             }
         }
     }
@@ -78,7 +78,7 @@
                 return;
             }
             if (!state.log().hasTermAt(to.nextIndex() - 1)) {
-                to.startSnapshot(state.log().snapshot(), state.nowNanos());
+                to.startSnapshot(state.log().snapshot());
                 sendChunk(id, to);
                 return;
             }
@@ -106,6 +106,7 @@
     private void sendChunk(ReplicaId id, Progress to) {
         Snapshot snapshot = to.snapshot();
         byte[] data = snapshot.data();
+        to.recordChunkSent(state.nowNanos());
         int from = (int) to.snapshotOffset();
         int until = Math.min(data.length, from + state.settings().snapshotChunkBytes());
         state.send(new Message.SnapshotChunk(
@@ -131,13 +132,13 @@
         }
     }
 
-    void onHeartbeatResponse(ReplicaId id) {
+    void onHeartbeatResponse(ReplicaId id, long sentNanos) {
         Progress from = progressByReplica.get(id);
         boolean behind = from.matchIndex() < state.log().lastIndex();
-        if (!behind || !from.isStalled(state.nowNanos(), 2 * state.settings().heartbeatNanos())) {
+        if (!behind || !from.isRequestLost(sentNanos)) {
             return;
         }
-        from.prepareResend(state.nowNanos());
+        from.prepareResend();
         if (from.state() == ProgressState.SNAPSHOT) {
             sendChunk(id, from);
         } else {
@@ -151,9 +152,9 @@
         boolean advanced;
         if (answer.accepted()) {
             advanced =
-                    from.recordMatch(Math.min(answer.matchIndex(), state.log().lastIndex()), state.nowNanos());
+                    from.recordMatch(Math.min(answer.matchIndex(), state.log().lastIndex()));
         } else {
-            advanced = from.recordReject(answer.prevIndex(), answer.matchIndex(), state.nowNanos());
+            advanced = from.recordReject(answer.prevIndex(), answer.matchIndex());
         }
         sendTo(answer.from());
         return advanced && answer.accepted();
@@ -161,7 +162,7 @@
 
     void onSnapshotResponse(Message.SnapshotResponse answer) {
         Progress from = progressByReplica.get(answer.from());
-        if (from.recordSnapshotProgress(answer.index(), answer.nextOffset(), state.nowNanos())) {
+        if (from.recordSnapshotProgress(answer.index(), answer.nextOffset())) {
             sendChunk(answer.from(), from);
         }
     }
