Send the first entry of a term with a new leader's first requests

Cause: the leader appended its first entry before it set the followers' next index, so that the first request named that entry as its predecessor. No follower has it, and each refused.

Change: the next index is set first.

--- a/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
@@ -30,8 +30,9 @@
         for (long i = log.committedIndex() + 1; i <= log.lastIndex(); i++) {
             uncommittedBytes += log.entryAt(i).sizeBytes();
         }
-        append(Entry.startOfTerm(termStartIndex, state.term()));
+        // Created before the first entry is appended, so that the first requests carry that entry.
         this.replicator = new Replicator(state);
+        append(Entry.startOfTerm(termStartIndex, state.term()));
         sendHeartbeats();
         replicator.sendToAll();
     }
--- a/elmline-core/src/test/java/org/elmline/core/raft/LateAnswerTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/LateAnswerTest.java
@@ -79,6 +79,14 @@
         return appendRequests(step(now, new Message.HeartbeatResponse(B, A, 3, sentNanos)));
     }
 
+    /** Without the entry each follower would refuse the request, and the first commit would take one more round trip. */
+    @Test
+    void firstRequestOfTermCarriesItsFirstEntry() {
+        electWithLongLog();
+        assertEquals(node.lastIndex() - 1, firstRequest.prevIndex());
+        assertEquals(1, firstRequest.entries().size());
+    }
+
     @Test
     void busyFollowerGetsNothingTwice() {
         electWithLongLog();
