Wait for votes for as long as they arrive

Cause: a candidate began anew, and dropped the votes it had, one to two election timeouts after it stood, also while votes were arriving one by one; on busy hosts a round of votes of nine takes longer than that.

Change: each granted vote restarts the candidate's election timeout, and so does the step from pre-vote to vote. Votes of a host count once, so an election is longer by one timeout a voter at most. The lease is untouched.

--- a/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
@@ -20,7 +20,8 @@
 
     /**
      * Restarts the election timeout with a random length between one and two election timeouts, so that split votes are
-     * rare.
+     * rare. A candidate restarts it with each vote that it receives: busy hosts answer one after the other, and an
+     * election that is abandoned while votes still arrive would be repeated without end.
      */
     void restartTimeout() {
         long timeout = state.settings().electionTimeoutNanos();
@@ -66,6 +67,7 @@
     }
 
     private boolean startElection(boolean transfer) {
+        restartTimeout();
         state.becomeCandidate();
         tally = new VoteTally(state.log().membership());
         tally.addVote(state.self());
@@ -116,6 +118,7 @@
         if (!isValid) {
             return false;
         }
+        restartTimeout();
         tally.addVote(response.from());
         return tally.hasMajority() && startElection(false);
     }
@@ -149,6 +152,7 @@
         if (state.role() != Role.CANDIDATE || !response.granted()) {
             return false;
         }
+        restartTimeout();
         tally.addVote(response.from());
         return tally.hasMajority();
     }
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/raft/SlowHostsElectionTest.java
@@ -0,0 +1,49 @@
+package org.elmline.core.raft;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against seconds without a leader after a loss of all power, where hosts have a small share of a processor. */
+class SlowHostsElectionTest {
+    private static final long START_NANOS = Duration.ofSeconds(2).toNanos();
+
+    /** Entries refuse calls once their routing table has been unconfirmed for this long. */
+    private static final long UNCONFIRMED_NANOS = Duration.ofSeconds(4).toNanos();
+
+    private static final int SEEDS = 50;
+    private static final int VOTERS = 9;
+    private static final int VOTERS_WITH_LOG = 6;
+    private static final int COMMANDS = 40;
+    private static final int COMMAND_BYTES = 8_000;
+    private static final Duration KILOBYTE = Duration.ofNanos(250_000);
+    private static final RaftSettings SETTINGS = RaftSettings.builder()
+            .electionTimeout(Duration.ofMillis(600))
+            .heartbeat(Duration.ofMillis(100))
+            .build();
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 10, 20, 35})
+    void leaderCommitsBeforeEntriesRefuseCalls(int messageMillis) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SlowCluster cluster = startAfterPowerLoss(seed, Duration.ofMillis(messageMillis));
+            assertTrue(
+                    cluster.runUntilCommit(START_NANOS + UNCONFIRMED_NANOS),
+                    "no commit with seed " + seed + " at " + messageMillis + " ms a message");
+        }
+    }
+
+    private static SlowCluster startAfterPowerLoss(int seed, Duration message) {
+        SlowCluster cluster = new SlowCluster(SETTINGS, seed, message, KILOBYTE);
+        List<ReplicaId> ids = SlowCluster.ids(VOTERS);
+        RestoredState restored = SlowCluster.log(Membership.ofVoters(ids), COMMANDS, COMMAND_BYTES);
+        for (ReplicaId each : ids.subList(0, VOTERS_WITH_LOG)) {
+            cluster.start(each, restored, START_NANOS);
+        }
+        return cluster;
+    }
+}
