Let messages of the log wait for a connection that is being opened

What callers saw: as before (no service for seconds after a loss of all power). Six of nine voters have their logs then and five votes are needed, so that each lost vote costs a round.

Cause: a message was a call with one election timeout, 600 ms, the handshake included; a host that has just started takes longer. Each message also had a timer, a future and a count of its own.

Change: PeerNetwork.send, a message whose answer is ignored. It waits for the connection (eight at most, then they are dropped: a burst of outdated heartbeats would keep the host busy) and has no timer; a connection on which nothing was received for 1.5 s while messages were sent is closed with the next one, as calls do. On the wire it is a call as before, so both releases work together. Messages that waited are sent in order; calls that wait for a connection are sent last first, which their callers don't mind.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftMessageSender.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftMessageSender.java
@@ -5,8 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -20,20 +18,13 @@
 import org.elmline.core.raft.ReplicaId;
 
 /**
- * Sends messages to the hosts of other replicas, those of one step to one host in one call. Lost messages are not
- * resent. Used by the log's thread; answers arrive on the network's threads.
+ * Sends messages to the hosts of other replicas, those of one step to one host together. Lost messages are not resent.
+ * Used by the log's thread; answers to join requests arrive on the network's threads.
  */
 final class RaftMessageSender {
-    /**
-     * Limit on unanswered calls to one host; further messages to it are dropped, so that a host that does not answer
-     * uses bounded memory here.
-     */
-    private static final int MAX_UNANSWERED_CALLS = 64;
-
     private final PeerNetwork network;
     private final Function<HostId, Address> addresses;
     private final Duration timeout;
-    private final Map<HostId, AtomicInteger> unansweredCalls = new ConcurrentHashMap<>();
     private final Counter sent;
     private final Counter unsent;
 
@@ -56,15 +47,9 @@
 
     private void send(HostId host, List<Message> messages) {
         Address address = addresses.apply(host);
-        AtomicInteger unanswered = unansweredCalls.computeIfAbsent(host, key -> new AtomicInteger());
-        if (address == null || unanswered.get() >= MAX_UNANSWERED_CALLS) {
-            unsent.inc(messages.size());
-            return;
-        }
-        sent.inc(messages.size());
-        unanswered.incrementAndGet();
-        network.call(address, RaftChannels.MESSAGES, new RaftChannels.Messages(messages), timeout)
-                .whenComplete((answer, failure) -> unanswered.decrementAndGet());
+        boolean accepted =
+                address != null && network.send(address, RaftChannels.MESSAGES, new RaftChannels.Messages(messages));
+        (accepted ? sent : unsent).inc(messages.size());
     }
 
     /** Sends a join request to these hosts; a host that does not answer is ignored. */
--- a/elmline-daemon/src/test/java/org/elmline/daemon/entry/LeaseRenewerTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/entry/LeaseRenewerTest.java
@@ -89,6 +89,11 @@
 
     /** A leader that grants every renewal and sends the same change each time. */
     private static final class GrantingNetwork implements PeerNetwork {
+        @Override
+        public <Q> boolean send(Address to, Channel<Q, ?> channel, Q message) {
+            throw new UnsupportedOperationException("only calls are expected");
+        }
+
         @Override
         public <Q, R> CompletableFuture<CallResult<R>> call(
                 Address to, Channel<Q, R> channel, Q request, Duration timeout) {
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/DispatchClientTest.java
@@ -84,6 +84,11 @@
 
     /** Answers placement requests as the test sets, and records what was sent. */
     private final class ScriptedNetwork implements PeerNetwork {
+        @Override
+        public <Q> boolean send(Address to, Channel<Q, ?> channel, Q message) {
+            throw new UnsupportedOperationException("only calls are expected");
+        }
+
         @Override
         public <Q, R> CompletableFuture<CallResult<R>> call(
                 Address to, Channel<Q, R> channel, Q request, Duration timeout) {
--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
@@ -44,6 +44,11 @@
     }
 
     private static final class UnreachableNetwork implements PeerNetwork {
+        @Override
+        public <Q> boolean send(Address to, Channel<Q, ?> channel, Q message) {
+            throw new UnsupportedOperationException("only calls are expected");
+        }
+
         @Override
         public <Q, R> CompletableFuture<CallResult<R>> call(
                 Address to, Channel<Q, R> channel, Q request, Duration timeout) {
--- a/elmline-daemon/src/test/java/org/elmline/daemon/raft/MemoryNetwork.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/raft/MemoryNetwork.java
@@ -38,6 +38,11 @@
         hosts.remove(address);
     }
 
+    @Override
+    public <Q> boolean send(Address to, Channel<Q, ?> channel, Q message) {
+        return !(call(to, channel, message, Duration.ZERO).getNow(null) instanceof CallResult.NotSent<?>);
+    }
+
     @Override
     @SuppressWarnings("unchecked")
     public <Q, R> CompletableFuture<CallResult<R>> call(
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/Connection.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/Connection.java
@@ -27,6 +27,7 @@
     private final CompletableFuture<Boolean> ready = new CompletableFuture<>();
     private volatile boolean closed;
     private volatile long receivedAtNanos = System.nanoTime();
+    private volatile long unansweredSinceNanos = receivedAtNanos;
 
     Connection(
             AsynchronousSocketChannel socket,
@@ -84,6 +85,21 @@
         return new PendingCall(result, () -> callsInFlight.remove(number));
     }
 
+    /** Sends a call whose answer is ignored; returns false when it could not be queued. */
+    boolean send(String channel, byte[] body) {
+        if (receivedAtNanos - unansweredSinceNanos >= 0) {
+            unansweredSinceNanos = System.nanoTime();
+        }
+        long number = nextCall.incrementAndGet();
+        return frames.send(
+                Codecs.MESSAGE_PACK.encode(new Envelope(number, Envelope.Kind.CALL, channel, hybridClock.now(), body)));
+    }
+
+    /** Time for which messages have been sent and no frame received, in nanoseconds. */
+    long silentNanos() {
+        return receivedAtNanos - unansweredSinceNanos >= 0 ? 0 : System.nanoTime() - unansweredSinceNanos;
+    }
+
     /** A call in flight; {@code discard} removes it from the connection, so that a late answer is ignored. */
     record PendingCall(CompletableFuture<CallResult<byte[]>> result, Runnable discard) {}
 
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
@@ -6,6 +6,8 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -51,6 +53,9 @@
      */
     private static final Duration DEAD_CONNECTION_TIMEOUT = Duration.ofMillis(1_500);
 
+    /** Messages that wait for the connection to one address; later ones are dropped, as they would arrive in one burst. */
+    private static final int MAX_WAITING_MESSAGES = 8;
+
     private final PeerKey key;
     private final PeerLimits limits;
     private final AsynchronousChannelGroup group;
@@ -96,6 +101,15 @@
         return result;
     }
 
+    @Override
+    public <Q> boolean send(Address to, Channel<Q, ?> channel, Q message) {
+        if (closed) {
+            return false;
+        }
+        byte[] body = Codecs.MESSAGE_PACK.encode(message);
+        return links.computeIfAbsent(to, PeerLink::new).send(new WaitingMessage(channel.name(), body));
+    }
+
     /** Closes the connection to an address that has left the deployment and releases its resources. */
     public void disconnect(Address address) {
         PeerLink link = links.remove(address);
@@ -239,9 +253,16 @@
         }
     }
 
+    private record WaitingMessage(String channel, byte[] body) {
+        boolean sendOn(Connection connection) {
+            return connection != null && connection.send(channel, body);
+        }
+    }
+
     /** The connection to one address, opened on demand. */
     private final class PeerLink {
         private final Address address;
+        private final List<WaitingMessage> waitingMessages = new ArrayList<>();
         private CompletableFuture<Connection> currentConnection;
 
         PeerLink(Address address) {
@@ -256,6 +277,34 @@
             return currentConnection;
         }
 
+        synchronized boolean send(WaitingMessage message) {
+            closeIfSilent();
+            CompletableFuture<Connection> opened = connection();
+            if (opened.isDone() && waitingMessages.isEmpty()) {
+                return message.sendOn(opened.getNow(null));
+            }
+            if (waitingMessages.size() >= MAX_WAITING_MESSAGES) {
+                return false;
+            }
+            waitingMessages.add(message);
+            if (waitingMessages.size() == 1) {
+                opened.thenAccept(this::sendWaiting);
+            }
+            return true;
+        }
+
+        private void closeIfSilent() {
+            Connection connection = currentConnection == null ? null : currentConnection.getNow(null);
+            if (connection != null && connection.silentNanos() >= DEAD_CONNECTION_TIMEOUT.toNanos()) {
+                connection.close("silent after messages");
+            }
+        }
+
+        private synchronized void sendWaiting(Connection connection) {
+            waitingMessages.forEach(each -> each.sendOn(connection));
+            waitingMessages.clear();
+        }
+
         synchronized void close() {
             if (currentConnection != null) {
                 currentConnection.thenAccept(each -> {
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -123,6 +123,32 @@
         assertEquals(1, accepted.get());
     }
 
+    /** After a long handshake a burst of outdated messages would keep the host busy. */
+    @Test
+    void limitsMessagesThatWaitForConnection() throws Exception {
+        try (ServerSocket busyHost = new ServerSocket(0)) {
+            Address busyAddress = new Address("127.0.0.1", busyHost.getLocalPort());
+            TcpPeerNetwork network = network(SECRET, PeerLimits.DEFAULT);
+            int accepted = 0;
+            while (network.send(busyAddress, ECHO, new Request("x"))) {
+                accepted++;
+            }
+            assertEquals(8, accepted);
+        }
+    }
+
+    /** A connection may be dead without a reset; messages without a timeout would go on being sent on it for ever. */
+    @Test
+    void opensNewConnectionWhenMessagesGetNoFrameBack() throws Exception {
+        TcpPeerNetwork network = network(SECRET, PeerLimits.DEFAULT);
+        await(network.call(address, ECHO, new Request("connect first"), LONG_TIMEOUT));
+        CompletableFuture<CallResult<Reply>> lost = network.call(address, UNANSWERED, new Request("x"), LONG_TIMEOUT);
+        timer.scheduleWithFixedDelay(
+                () -> network.send(address, UNANSWERED, new Request("x")), 0, 100, TimeUnit.MILLISECONDS);
+        assertEquals(new CallResult.Unknown<>("the connection closed: silent after messages"), await(lost));
+        assertInstanceOf(CallResult.Answered.class, await(network.call(address, ECHO, new Request("y"), LONG_TIMEOUT)));
+    }
+
     /** Accepts connections; the first byte of each reaches the server after this time. */
     private void forwardAfter(Duration delay, ServerSocket from, AtomicInteger accepted) {
         try {
