Spread candidates out after rounds without a leader

Seen on the bed of nine busy hosts only: where all nine have their logs and a message takes 45 ms or more at its sender and its receiver, they all stand at the same time, each round's requests and answers take longer than the election timeout, and rounds follow each other without a leader.

Change: the random part of the election timeout doubles after each round without a leader, twice at most, and is short again with the next one. The shortest timeout, on which the lease rests, stays.

--- a/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
@@ -7,10 +7,14 @@
  * sections 4.2.3 (no votes while a leader is in contact) and 9.6 (pre-vote).
  */
 final class Elector {
+    /** Rounds without a leader for which the random part of the election timeout doubles. */
+    private static final int MAX_DOUBLINGS = 2;
+
     private final NodeState state;
     private final RandomGenerator random;
     private VoteTally tally;
     private long electionDeadlineNanos;
+    private int roundsWithoutLeader;
 
     Elector(NodeState state, RandomGenerator random) {
         this.state = state;
@@ -20,12 +24,19 @@
 
     /**
      * Restarts the election timeout with a random length between one and two election timeouts, so that split votes are
-     * rare. A candidate restarts it with each vote that it receives: busy hosts answer one after the other, and an
+     * rare. After rounds without a leader the random part is longer, since hosts so busy that none is elected are kept
+     * busy by the candidates that stand at the same time. A candidate restarts it with each vote that it receives: busy hosts answer one after the other, and an
      * election that is abandoned while votes still arrive would be repeated without end.
      */
     void restartTimeout() {
         long timeout = state.settings().electionTimeoutNanos();
-        electionDeadlineNanos = state.nowNanos() + timeout + random.nextLong(timeout);
+        long longest = timeout << Math.min(roundsWithoutLeader, MAX_DOUBLINGS);
+        electionDeadlineNanos = state.nowNanos() + timeout + random.nextLong(longest);
+    }
+
+    void onLeaderKnown() {
+        roundsWithoutLeader = 0;
+        restartTimeout();
     }
 
     /**
@@ -36,12 +47,14 @@
         if (state.role() == Role.LEADER || state.nowNanos() < electionDeadlineNanos) {
             return false;
         }
-        restartTimeout();
         // Learners, removed replicas and replicas with an empty data folder never start an election.
         if (!state.isVoter()) {
+            restartTimeout();
             state.becomeFollower(state.term());
             return false;
         }
+        roundsWithoutLeader++;
+        restartTimeout();
         return startPreVote();
     }
 
--- a/elmline-core/src/main/java/org/elmline/core/raft/RaftNode.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/RaftNode.java
@@ -71,7 +71,7 @@
     private void dispatchCurrentTerm(Message message) {
         if (message.fromLeader()) {
             state.onLeaderContact(message.from());
-            elector.restartTimeout();
+            elector.onLeaderKnown();
             dispatchFromLeader(message);
         } else if (message instanceof Message.VoteResponse response) {
             if (elector.onVoteResponse(response)) {
@@ -115,6 +115,7 @@
 
     private void becomeLeader() {
         state.becomeLeader();
+        elector.onLeaderKnown();
         leader = new Leader(state);
     }
 
--- a/elmline-core/src/test/java/org/elmline/core/raft/SlowHostsElectionTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/SlowHostsElectionTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -15,6 +16,9 @@
     /** Entries refuse calls once their routing table has been unconfirmed for this long. */
     private static final long UNCONFIRMED_NANOS = Duration.ofSeconds(4).toNanos();
 
+    /** Callers must be served this long after all hosts are back. */
+    private static final long RECOVERY_NANOS = Duration.ofSeconds(15).toNanos();
+
     private static final int SEEDS = 50;
     private static final int VOTERS = 9;
     private static final int VOTERS_WITH_LOG = 6;
@@ -30,18 +34,27 @@
     @ValueSource(ints = {1, 10, 20, 35})
     void leaderCommitsBeforeEntriesRefuseCalls(int messageMillis) {
         for (int seed = 0; seed < SEEDS; seed++) {
-            SlowCluster cluster = startAfterPowerLoss(seed, Duration.ofMillis(messageMillis));
+            SlowCluster cluster = startAfterPowerLoss(seed, Duration.ofMillis(messageMillis), VOTERS_WITH_LOG);
             assertTrue(
                     cluster.runUntilCommit(START_NANOS + UNCONFIRMED_NANOS),
                     "no commit with seed " + seed + " at " + messageMillis + " ms a message");
         }
     }
 
-    private static SlowCluster startAfterPowerLoss(int seed, Duration message) {
+    /** Candidates that stand at the same time would keep all hosts busy with their requests, and each other from winning. */
+    @Test
+    void leaderCommitsThoughAllHostsStand() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SlowCluster cluster = startAfterPowerLoss(seed, Duration.ofMillis(45), VOTERS);
+            assertTrue(cluster.runUntilCommit(START_NANOS + RECOVERY_NANOS), "no commit with seed " + seed);
+        }
+    }
+
+    private static SlowCluster startAfterPowerLoss(int seed, Duration message, int voters) {
         SlowCluster cluster = new SlowCluster(SETTINGS, seed, message, KILOBYTE);
         List<ReplicaId> ids = SlowCluster.ids(VOTERS);
         RestoredState restored = SlowCluster.log(Membership.ofVoters(ids), COMMANDS, COMMAND_BYTES);
-        for (ReplicaId each : ids.subList(0, VOTERS_WITH_LOG)) {
+        for (ReplicaId each : ids.subList(0, voters)) {
             cluster.start(each, restored, START_NANOS);
         }
         return cluster;
