Log what a replica has sent when it gains or loses leadership

A leader that commits nothing could not be told, from its own lines, from one whose followers are lost: of today's fault (the whole log sent again and again) nothing was seen but its term's end. The line "became LEADER" and "became FOLLOWER" now has the committed index, the messages sent and dropped and the bytes of entries sent; the bytes are a metric, raft.entries.bytes.sent.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
@@ -386,7 +386,9 @@
         long firstLedTerm = after.leads() ? after.term() : Long.MAX_VALUE;
         pendingOperations.onDeposed(firstLedTerm, after.leader(), "this replica leads no more");
         if (after.role() != before.role() && (after.leads() || before.leads())) {
-            LOG.infof("replica %s became %s in term %d", after.self(), after.role(), after.term());
+            LOG.infof(
+                    "replica %s became %s in term %d, committed %d, %s",
+                    after.self(), after.role(), after.term(), after.committedIndex(), sender.totals());
         }
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftMessageSender.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftMessageSender.java
@@ -27,6 +27,7 @@
     private final Duration timeout;
     private final Counter sent;
     private final Counter unsent;
+    private final Counter entryBytes;
 
     RaftMessageSender(
             PeerNetwork network, Function<HostId, Address> addresses, Duration timeout, MetricRegistry metrics) {
@@ -35,11 +36,15 @@
         this.timeout = timeout;
         this.sent = metrics.counter("raft.messages.sent");
         this.unsent = metrics.counter("raft.messages.unsent");
+        this.entryBytes = metrics.counter("raft.entries.bytes.sent");
     }
 
     void send(List<Message> messages) {
         Map<HostId, List<Message>> byHost = new LinkedHashMap<>();
         for (Message each : messages) {
+            if (each instanceof Message.AppendRequest request) {
+                request.entries().forEach(entry -> entryBytes.inc(entry.sizeBytes()));
+            }
             byHost.computeIfAbsent(each.to().host(), host -> new ArrayList<>()).add(each);
         }
         byHost.forEach(this::send);
@@ -52,6 +57,12 @@
         (accepted ? sent : unsent).inc(messages.size());
     }
 
+    /** Messages and bytes of entries sent since the start, for the log. */
+    String totals() {
+        return sent.getCount() + " messages sent, " + unsent.getCount() + " dropped, " + entryBytes.getCount()
+                + " bytes of entries";
+    }
+
     /** Sends a join request to these hosts; a host that does not answer is ignored. */
     void requestJoin(List<Address> hosts, ReplicaId self, Consumer<RaftChannels.JoinAnswer> answers) {
         for (Address each : hosts) {
