Forget paths to servers that have gone

Read in the code, not seen: an entry kept for ever the ids of servers that it failed to connect to and that were then taken away, and two such servers in a row, with no new connection between them, made it send around all others of their service.

Change: with each failed connection the servers that accept no work any more are forgotten. Test: ServerPathsTest.serversThatHaveGoneCutNoPath, failed with the removal left out.

--- a/elmline-core/src/main/java/org/elmline/core/path/ServerPaths.java
+++ b/elmline-core/src/main/java/org/elmline/core/path/ServerPaths.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.ServiceName;
@@ -78,6 +79,14 @@
         }
     }
 
+    /** Forgets the servers that accept no work any more: a server that has gone shows nothing of the path. */
+    public void retain(Predicate<BackendServerId> acceptsWork) {
+        for (ServicePath each : services.values()) {
+            each.cutServers.removeIf(acceptsWork.negate());
+            each.failedInARow.removeIf(acceptsWork.negate());
+        }
+    }
+
     /** Whether to try a connection over a path that is cut, which counts as tried from then on. */
     public boolean tryTrial(ServiceName service, long now) {
         ServicePath path = services.get(service);
--- a/elmline-core/src/test/java/org/elmline/core/path/ServerPathsTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/path/ServerPathsTest.java
@@ -53,6 +53,17 @@
         assertFalse(paths.isCut(DESK, server(1)));
     }
 
+    /** Guards against an entry that takes itself for cut off when servers are taken away, and keeps their ids for ever. */
+    @Test
+    void serversThatHaveGoneCutNoPath() {
+        paths.recordUnreachable(DESK, server(1));
+        paths.retain(each -> !each.equals(server(1)));
+        paths.recordUnreachable(DESK, server(2));
+        assertFalse(paths.isCut(DESK));
+        assertFalse(paths.isCut(DESK, server(1)));
+        assertTrue(paths.isCut(DESK, server(2)));
+    }
+
     @Test
     void connectionEndsTheCut() {
         paths.recordUnreachable(DESK, server(1));
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DirectLinks.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DirectLinks.java
@@ -93,6 +93,7 @@
     private void recordUnreachable(BackendServerId server) {
         ServiceName service = serviceOf(server);
         if (service != null) {
+            paths.retain(this::acceptsWork);
             update(service, server, () -> paths.recordUnreachable(service, server));
         }
     }
@@ -102,6 +103,11 @@
         return registration == null ? null : registration.service();
     }
 
+    private boolean acceptsWork(BackendServerId server) {
+        Registration registration = registrations.apply(server);
+        return registration != null && registration.state().acceptsWork();
+    }
+
     private void update(ServiceName service, BackendServerId server, Runnable change) {
         boolean wasCut = paths.isCut(service, server);
         boolean wasServiceCut = paths.isCut(service);
