Check the own path before calling a server down for another entry

Change: before it answers, the entry connects to another server of the service (one connection at a time for a service, also for many requests). If that fails too it has no path, says so, and the request goes through a third entry; if it succeeds the server is down. Without another server the answer stays as it was.

Weighed: to believe only an entry that has had an answer of the service since the attempt began. At the size to design for an entry has less than one call a second, so that most answers about dark servers would be "unknown", and each call would wait for four entries in turn.

Test: LostServerPathTest.doesNotBlameServersThatTheForwardingEntryHasJustLostToo, failed before (NOT_SENT in the log).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DirectLinks.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DirectLinks.java
@@ -83,14 +83,16 @@
         });
     }
 
-    private void recordConnected(BackendServerId server) {
+    /** Records a new connection to a server. */
+    void recordConnected(BackendServerId server) {
         ServiceName service = serviceOf(server);
         if (service != null) {
             update(service, server, () -> paths.recordConnected(service, server));
         }
     }
 
-    private void recordUnreachable(BackendServerId server) {
+    /** Records that this entry could not connect to a server. */
+    void recordUnreachable(BackendServerId server) {
         ServiceName service = serviceOf(server);
         if (service != null) {
             paths.retain(this::acceptsWork);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -189,7 +189,12 @@
                 openCalls);
         callHandler = new CallHandler(context, shutdown);
         relayHandler = new RelayHandler(
-                new BackendAccess(directLinks, protocol, gate, peerKey), openCalls, shutdown, log, process.metrics());
+                new BackendAccess(directLinks, protocol, gate, peerKey),
+                new PathCheck(connections, deployment::servers, deployment::server, directLinks),
+                openCalls,
+                shutdown,
+                log,
+                process.metrics());
         dispatchClient.register(peers.handlers());
         deployment.start();
         log.line("started").with("incarnation", incarnation).write();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
@@ -24,6 +24,7 @@
     private static final int UNAVAILABLE = 503;
 
     private final BackendAccess access;
+    private final PathCheck pathCheck;
     private final OpenCalls openCalls;
     private final GracefulShutdown shutdown;
     private final DecisionLog log;
@@ -33,11 +34,13 @@
     /** @param access with links to the servers themselves, so that no request is forwarded twice */
     RelayHandler(
             BackendAccess access,
+            PathCheck pathCheck,
             OpenCalls openCalls,
             GracefulShutdown shutdown,
             DecisionLog log,
             MetricRegistry metrics) {
         this.access = access;
+        this.pathCheck = pathCheck;
         this.openCalls = openCalls;
         this.shutdown = shutdown;
         this.log = log;
@@ -73,7 +76,7 @@
         }
         forwarding++;
         forwarded.inc();
-        RelayedCall call = new RelayedCall(access, exchange, request, body, ended -> {
+        RelayedCall call = new RelayedCall(access, pathCheck, exchange, request, body, ended -> {
             forwarding--;
             openCalls.remove(ended);
         });
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayRefusal.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayRefusal.java
@@ -12,7 +12,7 @@
             relays.recordUnfit(relay, now);
         }
     },
-    /** It could not connect to the server. */
+    /** It could not connect to the server, and reaches another one of the service. */
     UNREACHABLE {
         @Override
         void record(RelayChoice relays, HostId relay, long now) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -8,6 +8,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import org.elmline.core.common.BackendServerId;
 import org.elmline.daemon.http.CallerDisconnectDetector;
 import org.xnio.IoUtils;
 
@@ -17,6 +18,8 @@
  */
 final class RelayedCall implements OpenCall, BackendCallListener {
     private final BackendAccess access;
+    private final PathCheck pathCheck;
+    private final BackendServerId server;
     private final HttpServerExchange exchange;
     private final Consumer<RelayedCall> onEnd;
     private final CallerDisconnectDetector disconnectDetector;
@@ -27,11 +30,14 @@
     /** @param onEnd called once, when the answer is passed back or will not be */
     RelayedCall(
             BackendAccess access,
+            PathCheck pathCheck,
             HttpServerExchange exchange,
             RelayRequest relayRequest,
             byte[] body,
             Consumer<RelayedCall> onEnd) {
         this.access = access;
+        this.pathCheck = pathCheck;
+        this.server = relayRequest.target().server();
         this.exchange = exchange;
         this.onEnd = onEnd;
         this.disconnectDetector = new CallerDisconnectDetector(exchange);
@@ -63,7 +69,7 @@
 
     @Override
     public void onNotSent(String why) {
-        refuse(RelayRefusal.UNREACHABLE);
+        pathCheck.check(server, cut -> refuse(cut ? RelayRefusal.NO_PATH : RelayRefusal.UNREACHABLE));
     }
 
     @Override
