Look up the server's worker once at a start

What was seen: processes end by themselves with code 134, now and then, as they start.

Cause, from the bytes printed there: at read+0x4a stands e9 d1 50 12 fe in place of the system call and the begin of the comparison after it (0f 05 48 3d 00). The place was rewritten to a five-byte jump while "main" was inside of its two-byte system call; it went on at read+0x4c, in the middle of the jump, and reached the rest of the old comparison, f0 ff ff, which is no instruction. The other threads that run then and read are "gateway-connection-1" and "XNIO-1 Accept".

Change: what is ours is to read the program's file while other threads run. HttpPorts binds its ports itself; the server builder looked the worker's provider up a second time, in the program's file. Limits of callers that arrive before a port is added now hold for it too.

Ruled out by this output: the runtime's compiler, the class record, the code cache (the crash is in a C function called by a compiled native method whose code is whole). Not shown: that no other such read remains.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
@@ -2,18 +2,24 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import org.elmline.core.common.Address;
+import org.elmline.core.common.Closer;
 import org.elmline.core.routing.CallerLimits;
+import org.xnio.ChannelListeners;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /**
  * The HTTP ports of one process, served by one thread. Hosts have one core, on which more threads would only alternate,
@@ -33,13 +39,24 @@
     /** Bytes of the headers that entries add to those of a caller. */
     private static final int RELAY_HEADER_BYTES = 4 * 1024;
 
+    private static final OptionMap SOCKET_OPTIONS = OptionMap.builder()
+            .set(Options.BACKLOG, ACCEPT_BACKLOG_CONNECTIONS)
+            .set(Options.REUSE_ADDRESSES, true)
+            .set(Options.TCP_NODELAY, true)
+            .getMap();
+
+    private final Closer closer = new Closer();
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
-    private final Undertow.Builder builder = Undertow.builder();
+    private final List<HttpPort> ports = new CopyOnWriteArrayList<>();
     private final XnioWorker worker;
-    private Undertow server;
-    private volatile Undertow startedServer;
-    private volatile CallerLimits appliedLimits;
-    private Address relayPort;
+    private volatile CallerLimits callerLimits = CallerLimits.DEFAULT;
+
+    /** @param additionalHeaderBytes bytes of headers accepted beyond the callers' limit */
+    private record HttpPort(Address address, HttpOpenListener listener, int additionalHeaderBytes) {
+        void apply(CallerLimits limits) {
+            listener.setUndertowOptions(options(limits, additionalHeaderBytes));
+        }
+    }
 
     /** Starts the threads; binds no port yet. */
     public HttpPorts() throws IOException {
@@ -50,49 +67,48 @@
                         .set(Options.WORKER_TASK_MAX_THREADS, 1)
                         .set(Options.TCP_NODELAY, true)
                         .getMap());
-        builder.setByteBufferPool(buffers)
-                .setWorker(worker)
-                .setServerOption(UndertowOptions.DECODE_URL, false)
-                .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-                .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setSocketOption(Options.BACKLOG, ACCEPT_BACKLOG_CONNECTIONS)
-                .setSocketOption(Options.TCP_NODELAY, true);
-        setInitialLimits(CallerLimits.DEFAULT);
-    }
-
-    private void setInitialLimits(CallerLimits limits) {
-        builder.setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMillis() + IDLE_GRACE_MILLIS)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headerTimeoutMillis());
+        closer.register(worker::shutdownNow);
     }
 
     /** Adds a port with its handler. Must be called before {@link #start()}. */
     public HttpPorts addPort(Address address, HttpHandler handler) {
-        builder.addListener(new Undertow.ListenerBuilder()
-                .setType(Undertow.ListenerType.HTTP)
-                .setHost(address.ip())
-                .setPort(address.port())
-                .setRootHandler(handler));
-        return this;
+        return addPort(address, handler, 0);
     }
 
     /** Adds the port on which other entries send requests of their callers. Must be called before {@link #start()}. */
     public HttpPorts addRelayPort(Address address, HttpHandler handler) {
-        relayPort = address;
-        return addPort(address, handler);
+        return addPort(address, handler, RELAY_HEADER_BYTES);
     }
 
-    /** Binds all ports. */
-    public HttpPorts start() {
-        server = builder.build();
-        server.start();
-        startedServer = server;
-        applyLimitsOnceStarted();
+    private HttpPorts addPort(Address address, HttpHandler handler, int additionalHeaderBytes) {
+        HttpOpenListener listener = new HttpOpenListener(buffers);
+        listener.setRootHandler(handler);
+        HttpPort port = new HttpPort(address, listener, additionalHeaderBytes);
+        ports.add(port);
+        port.apply(callerLimits);
         return this;
     }
 
+    /**
+     * Binds all ports. The ports are bound here rather than by {@code Undertow}, which looks up the provider of the
+     * worker again, in the program's file, while the threads of this process run already.
+     */
+    public HttpPorts start() throws IOException {
+        for (HttpPort each : ports) {
+            bind(each);
+        }
+        return this;
+    }
+
+    private void bind(HttpPort port) throws IOException {
+        InetSocketAddress address =
+                new InetSocketAddress(port.address().ip(), port.address().port());
+        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
+                address, ChannelListeners.openListenerAdapter(port.listener()), SOCKET_OPTIONS);
+        closer.register(server);
+        server.resumeAccepts();
+    }
+
     /** The server's threads; a single I/O thread runs all handlers. */
     public XnioWorker worker() {
         return worker;
@@ -105,36 +121,19 @@
 
     /**
      * Applies limits to new connections; open connections keep theirs. A first routing table may bring them before the
-     * ports are bound.
+     * ports are added.
      */
     public void applyLimits(CallerLimits limits) {
-        appliedLimits = limits;
-        applyLimitsOnceStarted();
-    }
-
-    private void applyLimitsOnceStarted() {
-        Undertow running = startedServer;
-        CallerLimits limits = appliedLimits;
-        if (running == null || limits == null) {
-            return;
-        }
-        OptionMap options = options(limits, limits.maxHeaderBytes());
-        OptionMap relayOptions = options(limits, limits.maxHeaderBytes() + RELAY_HEADER_BYTES);
-        running.getListenerInfo().forEach(each -> each.setServerOptions(isRelayPort(each) ? relayOptions : options));
+        callerLimits = limits;
+        ports.forEach(each -> each.apply(limits));
     }
 
-    private boolean isRelayPort(Undertow.ListenerInfo listener) {
-        return relayPort != null
-                && listener.getAddress() instanceof InetSocketAddress address
-                && address.getPort() == relayPort.port();
-    }
-
-    private static OptionMap options(CallerLimits limits, int maxHeaderBytes) {
+    private static OptionMap options(CallerLimits limits, int additionalHeaderBytes) {
         return OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
-                .set(UndertowOptions.MAX_HEADER_SIZE, maxHeaderBytes)
+                .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes() + additionalHeaderBytes)
                 .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
                 .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMillis() + IDLE_GRACE_MILLIS)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headerTimeoutMillis())
@@ -143,9 +142,6 @@
 
     @Override
     public void close() {
-        if (server != null) {
-            server.stop();
-        }
-        worker.shutdownNow();
+        closer.close();
     }
 }
