Ask one host at a time whether a voter was replaced

What callers saw: as before.

Cause: a voter without a leader for two election timeouts may have been replaced, and asked all other hosts in each timeout; after a loss of all power that is every voter, 8 requests and answers each 600 ms, while they elect a leader.

Change: it asks one host, another one each time; an answer that names a leader leads to it. Replicas with a new folder ask all hosts, as before.

Tests: JoinRequesterTest, two of three failed before (72 requests in ten timeouts, nine allowed; all hosts asked in place of the leader).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/JoinRequester.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/JoinRequester.java
@@ -14,8 +14,9 @@
 import org.elmline.core.raft.ReplicaId;
 
 /**
- * Sends the join requests of a replica that is no voter. Each answer names the leader and all members, so that one
- * reachable member is enough, whether the settings name it or not. Used by the log's thread only.
+ * Sends the join requests of a replica that is no voter, or may have been replaced as one. Each answer names the leader
+ * and all members, so that one reachable member is enough, whether the settings name it or not. Used by the log's thread
+ * only.
  */
 final class JoinRequester {
     /** Limit on hosts learned from answers and messages; beyond it all are dropped, as most of them are outdated. */
@@ -49,30 +50,49 @@
         this.leaderSeenNanos = nextRequestNanos;
     }
 
-    /** Sends join requests to all known hosts, once per election timeout. */
+    /** Sends join requests, once per election timeout. */
     void tick(long now) {
         if (node.leader() != null) {
             leaderSeenNanos = now;
         }
-        if (shouldJoin(now) && now >= nextRequestNanos) {
-            nextRequestNanos = now + requestIntervalNanos;
-            requestedAddresses.clear();
+        if (now < nextRequestNanos) {
+            return;
+        }
+        if (isNew()) {
+            startRound(now);
             request(knownAddresses());
+        } else if (mayBeReplaced(now)) {
+            startRound(now);
+            request(oneOf(knownAddresses()));
         }
     }
 
+    private void startRound(long now) {
+        nextRequestNanos = now + requestIntervalNanos;
+        requestedAddresses.clear();
+    }
+
     /**
-     * Whether this replica should join. One with a new data folder requests it until it is a voter; one that an
-     * operator removed does not request it again. Where lost voters are replaced automatically, a replica without
-     * contact to a leader for two election timeouts requests it too: it may have been replaced while partitioned, and
-     * no member sends messages to a replaced replica.
+     * Whether this replica has a new data folder and is no voter yet. It requests to join until it is; one that an
+     * operator removed does not.
      */
-    private boolean shouldJoin(long now) {
+    private boolean isNew() {
         Membership membership = node.membership();
-        boolean fresh = membership.equals(Membership.EMPTY) || membership.isLearner(node.self());
-        boolean mayBeReplaced =
-                configuration.voterLostTimeout != null && now - leaderSeenNanos >= 2 * requestIntervalNanos;
-        return fresh || mayBeReplaced;
+        return membership.equals(Membership.EMPTY) || membership.isLearner(node.self());
+    }
+
+    /**
+     * Whether this replica may have been replaced while it was partitioned: no member sends messages to a replaced
+     * replica. After a loss of all power every voter is without a leader for seconds, so that each sends one request at a
+     * time; to all hosts they would be a third of all messages while a leader is elected.
+     */
+    private boolean mayBeReplaced(long now) {
+        return configuration.voterLostTimeout != null && now - leaderSeenNanos >= 2 * requestIntervalNanos;
+    }
+
+    private Collection<Address> oneOf(Collection<Address> hosts) {
+        List<Address> all = List.copyOf(hosts);
+        return all.isEmpty() ? all : List.of(all.get(configuration.random.nextInt(all.size())));
     }
 
     private Collection<Address> knownAddresses() {
@@ -103,14 +123,18 @@
         if (answer.leader() != null) {
             addLearnedHost(answer.leader().host());
         }
-        if (shouldJoin(now)) {
+        if (isNew()) {
             request(knownAddresses());
+        } else if (mayBeReplaced(now) && answer.leader() != null) {
+            List<Address> leaderAddress = new ArrayList<>();
+            addAddress(answer.leader().host(), leaderAddress);
+            request(leaderAddress);
         }
     }
 
     /** Handles a message to the replica that this host had before it lost its disk: its sender is a member. */
-    void onMessageToPredecessor(ReplicaId from, long now) {
-        if (addLearnedHost(from.host()) && shouldJoin(now)) {
+    void onMessageToPredecessor(ReplicaId from) {
+        if (addLearnedHost(from.host()) && isNew()) {
             request(knownAddresses());
         }
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftLoop.java
@@ -186,7 +186,7 @@
     private void handle(RaftInput input, long now) {
         if (input instanceof RaftInput.MessageReceived received) {
             if (!received.message().to().equals(node.self())) {
-                joinRequester.onMessageToPredecessor(received.message().from(), now);
+                joinRequester.onMessageToPredecessor(received.message().from());
             }
             node.step(now, received.message());
         } else if (input instanceof RaftInput.ChangeMembership change) {
