Count only a leader's own running time as silence of its followers

Cause: a leader stepped down when the last answer of a majority was an election timeout old. One that is itself held up, as it sends the log to three hosts that lost their disks with 0.075 of a core, receives no answers in that time, although they have arrived.

Change: QuorumContact counts of the time between two ticks one heartbeat interval at most. On a host that runs, nothing changes. A leader that was suspended keeps its role for 600 ms of its running time at most; its lease ends by the clock as before.

Test: SlowHostsElectionTest.busyLeaderStays, failed before.

--- a/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Leader.java
@@ -4,16 +4,11 @@
 
 /** State and behaviour of a replica as leader of one term. */
 final class Leader {
-    /**
-     * Election timeouts that a new leader waits for the first answers of a majority. After a start of all hosts these
-     * take longer than later ones, and each leader would step down for the next election.
-     */
-    private static final int FIRST_ANSWERS_TIMEOUTS = 3;
-
     private final NodeState state;
     private final Replicator replicator;
     private final Lease lease;
     private final ReadQueue readQueue = new ReadQueue();
+    private final QuorumContact quorumContact;
     private final long electedAtNanos;
     private final long termStartIndex;
     private LeadershipTransfer transfer;
@@ -25,6 +20,7 @@
         this.state = state;
         this.lease = new Lease(state.settings());
         this.electedAtNanos = state.nowNanos();
+        this.quorumContact = new QuorumContact(state.settings(), electedAtNanos);
         this.termStartIndex = state.log().lastIndex() + 1;
         RaftLog log = state.log();
         for (long i = log.committedIndex() + 1; i <= log.lastIndex(); i++) {
@@ -43,7 +39,9 @@
     }
 
     void tick() {
-        if (!hasQuorum()) {
+        quorumContact.tick(
+                state.nowNanos(), Quorum.highestReached(state.log().membership(), replicator::lastContactNanos));
+        if (quorumContact.isLost()) {
             // Without contact to a majority this replica can commit nothing and would only keep callers from the new
             // leader.
             state.becomeFollower(state.term());
@@ -62,17 +60,6 @@
         updateQuorumContact();
     }
 
-    private boolean hasQuorum() {
-        // Measured from the receipt of answers, not from the send time as the lease is. Measured from the send time, a
-        // leader whose disk stalled for a moment would step down although a majority still answers.
-        long quorumContactNanos = Quorum.highestReached(state.log().membership(), replicator::lastContactNanos);
-        long timeoutNanos = state.settings().electionTimeoutNanos();
-        if (quorumContactNanos < electedAtNanos) {
-            return state.nowNanos() - electedAtNanos < FIRST_ANSWERS_TIMEOUTS * timeoutNanos;
-        }
-        return state.nowNanos() - quorumContactNanos < timeoutNanos;
-    }
-
     private void updateQuorumContact() {
         long quorumSentNanos = Quorum.highestReached(state.log().membership(), replicator::ackedSentNanos);
         lease.extend(quorumSentNanos);
--- a/elmline-core/src/test/java/org/elmline/core/raft/SlowHostsElectionTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/SlowHostsElectionTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against seconds without a leader after a loss of all power, where hosts have a small share of a processor. */
@@ -50,6 +51,16 @@
         }
     }
 
+    /** A leader that is busy itself would take its followers for lost, and callers would wait for the next one. */
+    @Test
+    void busyLeaderStays() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SlowCluster cluster = startAfterPowerLoss(seed, Duration.ofMillis(40), VOTERS_WITH_LOG);
+            assertTrue(cluster.runUntilCommit(START_NANOS + RECOVERY_NANOS), "no commit with seed " + seed);
+            assertEquals(0, cluster.countLostLeaders(START_NANOS + 2 * RECOVERY_NANOS), "with seed " + seed);
+        }
+    }
+
     private static SlowCluster startAfterPowerLoss(int seed, Duration message, int voters) {
         SlowCluster cluster = new SlowCluster(SETTINGS, seed, message, KILOBYTE);
         List<ReplicaId> ids = SlowCluster.ids(VOTERS);
