Process a replica's ready work in one place of the tests

LateAnswerTest and SafeguardTest had the same loop; Disk.process is it now. Assertions unchanged. The comment on the election timeout is wrapped and says first what the longer random part is for.

--- a/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
@@ -24,9 +24,9 @@
 
     /**
      * Restarts the election timeout with a random length between one and two election timeouts, so that split votes are
-     * rare. After rounds without a leader the random part is longer, since hosts so busy that none is elected are kept
-     * busy by the candidates that stand at the same time. A candidate restarts it with each vote that it receives: busy hosts answer one after the other, and an
-     * election that is abandoned while votes still arrive would be repeated without end.
+     * rare. After rounds without a leader the random part is longer: candidates that stand at the same time keep hosts so
+     * busy that none of them wins. A candidate restarts the timeout with each vote that it receives, as busy hosts answer
+     * one after the other, and an election that is abandoned while votes still arrive would be repeated without end.
      */
     void restartTimeout() {
         long timeout = state.settings().electionTimeoutNanos();
--- a/elmline-core/src/test/java/org/elmline/core/raft/Disk.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/Disk.java
@@ -29,6 +29,19 @@
         }
     }
 
+    /** Writes and applies everything that a replica has ready, and returns the messages that it sends. */
+    List<Message> process(RaftNode node, long now) {
+        List<Message> sent = new ArrayList<>();
+        while (node.hasReady()) {
+            Ready ready = node.ready();
+            write(ready);
+            sent.addAll(ready.messagesBeforeSync());
+            sent.addAll(ready.messagesAfterSync());
+            node.advance(now, ready);
+        }
+        return sent;
+    }
+
     void write(Snapshot compacted) {
         snapshot = compacted;
         entries.removeIf(each -> each.index() <= compacted.index());
--- a/elmline-core/src/test/java/org/elmline/core/raft/LateAnswerTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/LateAnswerTest.java
@@ -1,6 +1,5 @@
 package org.elmline.core.raft;
 
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -54,15 +53,7 @@
     }
 
     private List<Message> processReady(long now) {
-        List<Message> sent = new ArrayList<>();
-        while (node.hasReady()) {
-            Ready ready = node.ready();
-            disk.write(ready);
-            sent.addAll(ready.messagesBeforeSync());
-            sent.addAll(ready.messagesAfterSync());
-            node.advance(now, ready);
-        }
-        return sent;
+        return disk.process(node, now);
     }
 
     private List<Message> step(long now, Message message) {
--- a/elmline-core/src/test/java/org/elmline/core/raft/SafeguardTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/SafeguardTest.java
@@ -30,15 +30,7 @@
 
     /** Processes everything that is ready and returns the messages sent. */
     private List<Message> processReady(long now) {
-        List<Message> sent = new ArrayList<>();
-        while (node.hasReady()) {
-            Ready ready = node.ready();
-            disk.write(ready);
-            sent.addAll(ready.messagesBeforeSync());
-            sent.addAll(ready.messagesAfterSync());
-            node.advance(now, ready);
-        }
-        return sent;
+        return disk.process(node, now);
     }
 
     private List<Message> step(long now, Message message) {
