Let voters leave a candidate more time after a round without a leader

Cause: on busy hosts the votes of one candidate take 1.1 to 1.5 s; a voter stood again one to two election timeouts after its vote.

Change: once a round has passed without a leader a voter leaves two more election timeouts.

Test: SlowHostsElectionTest.voterLeavesCandidateTimeAfterRoundWithoutLeader, failed before.

--- a/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
+++ b/elmline-core/src/main/java/org/elmline/core/raft/Elector.java
@@ -10,6 +10,9 @@
     /** Rounds without a leader for which the random part of the election timeout doubles. */
     private static final int MAX_DOUBLINGS = 2;
 
+    /** Further election timeouts that a voter leaves a candidate on busy hosts. */
+    private static final int CANDIDATE_TIMEOUTS = 2;
+
     private final NodeState state;
     private final RandomGenerator random;
     private VoteTally tally;
@@ -156,10 +159,21 @@
                 && state.voteFor(request.from());
         if (granted) {
             restartTimeout();
+            waitForCandidate();
         }
         state.send(new Message.VoteResponse(state.self(), request.from(), state.term(), granted));
     }
 
+    /**
+     * Leaves a candidate more time once a round has passed without a leader: on busy hosts its votes take longer than an
+     * election timeout, and a voter that stood meanwhile would raise the term and undo its election.
+     */
+    private void waitForCandidate() {
+        if (roundsWithoutLeader > 0) {
+            electionDeadlineNanos += CANDIDATE_TIMEOUTS * state.settings().electionTimeoutNanos();
+        }
+    }
+
     /** Counts a vote. Returns whether the election is won. */
     boolean onVoteResponse(Message.VoteResponse response) {
         if (state.role() != Role.CANDIDATE || !response.granted()) {
--- a/elmline-core/src/test/java/org/elmline/core/raft/SlowHostsElectionTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/raft/SlowHostsElectionTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -61,6 +62,23 @@
         }
     }
 
+    /** A voter that stands while the candidate's other votes arrive would raise the term and undo the election. */
+    @Test
+    void voterLeavesCandidateTimeAfterRoundWithoutLeader() {
+        long timeout = SETTINGS.electionTimeoutNanos();
+        List<ReplicaId> ids = SlowCluster.ids(VOTERS);
+        for (int seed = 0; seed < SEEDS; seed++) {
+            RestoredState restored = SlowCluster.log(Membership.ofVoters(ids), COMMANDS, COMMAND_BYTES);
+            RaftNode voter = new RaftNode(ids.get(0), SETTINGS, restored, new SplittableRandom(seed), 0);
+            long votedAt = 2 * timeout;
+            voter.tick(votedAt);
+            assertEquals(Role.PRE_CANDIDATE, voter.role());
+            voter.step(votedAt, new Message.VoteRequest(ids.get(1), ids.get(0), 2, COMMANDS + 1, 1, false));
+            voter.tick(votedAt + 3 * timeout - 1);
+            assertEquals(Role.FOLLOWER, voter.role(), "with seed " + seed);
+        }
+    }
+
     private static SlowCluster startAfterPowerLoss(int seed, Duration message, int voters) {
         SlowCluster cluster = new SlowCluster(SETTINGS, seed, message, KILOBYTE);
         List<ReplicaId> ids = SlowCluster.ids(VOTERS);
