Log the parts of a prompt and how far its answer had gone when an attempt fails

The lines of a failed attempt named the server and nothing of the prompt, so that servers that end under one part of prompts, servers that are bad themselves and servers crashed by load looked the same. Now the shared parts of a prompt are read (the last belongs to the request), and the line has them, the time since the answer's head and the last event. The header is passed on unchanged.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -16,6 +16,7 @@
 
 /** One attempt of a call on one backend server. Used on the I/O thread only. */
 final class Attempt implements BackendCallListener {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MAX_SUCCESS_STATUS = 299;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
@@ -54,6 +55,7 @@
     private AnswerHead head;
     private HeaderMap headers;
     private int status;
+    private long headAtNanos;
     private boolean sent;
     private boolean ended;
 
@@ -111,6 +113,11 @@
         return sent;
     }
 
+    /** Milliseconds since the head of the answer arrived; negative before. */
+    long millisSinceHead() {
+        return head == null ? -1 : (call.context().clock().nanos() - headAtNanos) / NANOS_PER_MILLI;
+    }
+
     /** The entry that forwards the call to the server; null without one. */
     HostId relay() {
         return backendCall == null ? null : backendCall.relay();
@@ -168,6 +175,7 @@
     @Override
     public void onHead(int answerStatus, HeaderMap answerHeaders, AnswerHead answerHead) {
         status = answerStatus;
+        headAtNanos = call.context().clock().nanos();
         headers = answerHeaders;
         head = answerHead;
         boolean wrongRequest =
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -3,8 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
@@ -34,11 +32,6 @@
 final class Call implements OpenCall {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /**
-     * Attempts that reached no server, or that a server rejected without running, beyond the sends that a route allows.
-     */
-    private static final int MAX_UNEXECUTED_ATTEMPTS = 3;
-
     /** Remaining time below which no request is sent: less than any server needs to answer. */
     private static final long MIN_SEND_MILLIS = 5;
 
@@ -70,16 +63,12 @@
     private final long deadlineAtNanos;
     private final CallerDisconnectDetector disconnectDetector;
     private final SampledRequestLog requestLog;
-    private final List<BackendServerId> triedServers = new ArrayList<>();
+    private final AttemptHistory history;
     private final XnioExecutor.Key deadlineTimer;
     private DispatchCall pendingPlacement;
     private Attempt attempt;
     private StreamForwarder stream;
     private ServerFailure serverFailure;
-    private int sendCount;
-    private int unexecutedAttempts;
-    private boolean mayHaveRun;
-    private boolean reachedServer;
     private boolean ended;
 
     /** An error answered by a server, kept while the call is retried on another one. */
@@ -106,6 +95,7 @@
                 ? route.timeoutMillis()
                 : Math.min(head.deadlineMillis(), route.timeoutMillis());
         this.deadlineAtNanos = receivedAtNanos + timeoutMillis * NANOS_PER_MILLI;
+        this.history = new AttemptHistory(route.maxAttempts());
         this.disconnectDetector = new CallerDisconnectDetector(exchange);
         this.requestLog = new SampledRequestLog(head.requestId());
         this.deadlineTimer =
@@ -188,8 +178,8 @@
                 route.gapMillis(),
                 firstEventMillis,
                 remainingMillis(),
-                reachedServer,
-                triedServers);
+                history.reachedServer(),
+                history.triedServers());
         DispatchCall request = pendingPlacement;
         if (route.isStreaming()) {
             context.thread()
@@ -255,7 +245,7 @@
         }
         if (serverLeft || remainingMillis() < MIN_SEND_MILLIS) {
             context.dispatchClient().reportEnd(request, AttemptEnd.NOT_SENT_HERE);
-            triedServers.add(granted.server());
+            history.addTried(granted.server());
             retryOrFail(serverLeft ? "server left" : "no time left", true);
             return;
         }
@@ -270,8 +260,7 @@
                 .with("limited", context.observedLimits().isLimited(granted.server()))
                 .with("leftMs", remainingMillis()));
         context.callMetrics().recordPlacement(service, elapsedMillis());
-        triedServers.add(granted.server());
-        sendCount++;
+        history.recordSend(granted.server());
         attempt = new Attempt(this, request, granted);
         attempt.start();
     }
@@ -288,25 +277,20 @@
      */
     void onAttemptFailed(AttemptEnd end, String why, BackendServerId faultyHelper) {
         HostId relay = relay();
+        long millisSinceHead = attempt == null ? -1 : attempt.millisSinceHead();
         attempt = null;
-        boolean mayHaveExecuted = end.mayHaveRun();
-        mayHaveRun |= mayHaveExecuted;
-        reachedServer |= end.mayHaveReachedServer();
-        if (!mayHaveExecuted) {
-            sendCount--;
-            unexecutedAttempts++;
-        }
         context.callMetrics().recordAttemptFailure(service, end.name());
         requestLog.logFailure(line("attempt failed")
                 .with("end", end)
                 .with("why", why)
-                .with("server", lastTriedServer())
+                .with("server", history.lastTriedServer())
                 .with("relay", relay)
+                .with("sinceHeadMs", millisSinceHead)
+                .with("lastEvent", stream == null ? -1 : stream.lastEventId())
+                .with("parts", head.sharedParts())
                 .with("faultyHelper", faultyHelper));
-        if (faultyHelper != null) {
-            triedServers.set(triedServers.size() - 1, faultyHelper);
-        }
-        retryOrFail(why, !mayHaveExecuted);
+        history.recordFailure(end, faultyHelper);
+        retryOrFail(why, !end.mayHaveRun());
     }
 
     /** Handles an error answered by a server when the call may run once more. */
@@ -315,10 +299,6 @@
         onAttemptFailed(AttemptEnd.SERVER_ERROR, "answered " + status, null);
     }
 
-    private BackendServerId lastTriedServer() {
-        return triedServers.isEmpty() ? null : triedServers.get(triedServers.size() - 1);
-    }
-
     /** The entry that forwards the attempt under way; null without one. */
     private HostId relay() {
         return attempt == null ? null : attempt.relay();
@@ -330,16 +310,14 @@
     }
 
     private boolean hasSendsLeft() {
-        return sendCount < Math.max(1, route.maxAttempts())
-                && unexecutedAttempts <= MAX_UNEXECUTED_ATTEMPTS
-                && remainingMillis() >= MIN_SEND_MILLIS;
+        return history.hasSendsLeft() && remainingMillis() >= MIN_SEND_MILLIS;
     }
 
     private void retryOrFail(String why, boolean notRun) {
         if (ended) {
             return;
         }
-        boolean allowed = (notRun && !mayHaveRun) || route.mayRetry();
+        boolean allowed = (notRun && !history.mayHaveRun()) || route.mayRetry();
         if (allowed && hasSendsLeft()) {
             place();
         } else {
@@ -369,12 +347,13 @@
             return;
         }
         boolean pastDeadline = remainingMillis() < MIN_SEND_MILLIS;
+        boolean mayHaveRun = history.mayHaveRun();
         int status = mayHaveRun ? (pastDeadline ? 504 : 502) : 503;
         requestLog.logFailure(line("refused")
                 .with("status", status)
                 .with("why", why)
                 .with("mayHaveRun", mayHaveRun)
-                .with("sends", sendCount)
+                .with("sends", history.sends())
                 .with("leftMs", remainingMillis()));
         if (!mayHaveRun) {
             context.protocol().setRetryAfter(exchange.getResponseHeaders(), retryAfterMillis);
@@ -397,9 +376,9 @@
         LogLine line = line("answered")
                 .with("status", status)
                 .with("bytes", bytes.size())
-                .with("server", lastTriedServer())
+                .with("server", history.lastTriedServer())
                 .with("relay", relay())
-                .with("sends", sendCount);
+                .with("sends", history.sends());
         if (status >= MIN_SERVER_ERROR_STATUS) {
             requestLog.logFailure(line);
         } else {
@@ -426,9 +405,9 @@
                 .with("lastEvent", stream.lastEventId())
                 .with("firstMs", stream.firstEventAtMillis() - receivedAtNanos / NANOS_PER_MILLI)
                 .with("longestPauseMs", stream.longestPauseMillis())
-                .with("server", lastTriedServer())
+                .with("server", history.lastTriedServer())
                 .with("relay", relay())
-                .with("sends", sendCount));
+                .with("sends", history.sends()));
         context.callMetrics()
                 .recordFirstEvent(service, stream.firstEventAtMillis() - receivedAtNanos / NANOS_PER_MILLI);
         finish("streamed");
@@ -439,7 +418,8 @@
         if (ended) {
             return;
         }
-        requestLog.logFailure(line("caller left").with("sends", sendCount).with("placing", pendingPlacement != null));
+        requestLog.logFailure(
+                line("caller left").with("sends", history.sends()).with("placing", pendingPlacement != null));
         cancelInFlight();
         IoUtils.safeClose(exchange.getConnection());
         finish("caller_left");
@@ -473,7 +453,7 @@
             return;
         }
         if (attempt != null) {
-            mayHaveRun |= attempt.mayHaveRun();
+            history.recordAbandoned(attempt);
         }
         cancelInFlight();
         fail("time is up", RETRY_AFTER_MILLIS);
@@ -485,7 +465,7 @@
             return;
         }
         if (attempt != null) {
-            mayHaveRun |= attempt.mayHaveRun();
+            history.recordAbandoned(attempt);
         }
         cancelInFlight();
         fail("the entry stops", RETRY_AFTER_MILLIS);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHead.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHead.java
@@ -1,5 +1,9 @@
 package org.elmline.daemon.gateway;
 
+import java.util.List;
+
+import org.elmline.core.quarantine.PromptPart;
+
 /**
  * The contents of a call's headers.
  *
@@ -10,6 +14,7 @@
  * @param maxAnswerTokens most tokens of the answer, 0 for a call that generates nothing
  * @param expectedAnswerTokens the caller's estimate; 0 without one
  * @param lastEventId id of the last event that the caller has received, negative without one
+ * @param sharedParts parts of the prompt that other prompts may share; empty for a call without a prompt
  */
 public record CallHead(
         String requestId,
@@ -18,4 +23,9 @@
         long promptTokens,
         long maxAnswerTokens,
         long expectedAnswerTokens,
-        long lastEventId) {}
+        long lastEventId,
+        List<PromptPart> sharedParts) {
+    public CallHead {
+        sharedParts = List.copyOf(sharedParts);
+    }
+}
