--- a/elmline-core/src/main/java/org/elmline/core/path/ServerPaths.java
+++ b/elmline-core/src/main/java/org/elmline/core/path/ServerPaths.java
@@ -63,13 +63,21 @@
         }
     }
 
-    /** Records that this entry could not connect to a server. */
+    /** Records that a server did not answer when this entry connected. */
     public void recordUnreachable(ServiceName service, BackendServerId server) {
         ServicePath path = services.computeIfAbsent(service, each -> new ServicePath());
         path.cutServers.add(server);
         path.failedInARow.add(server);
     }
 
+    /**
+     * Records that a connection to a server was refused. It shows nothing of the other servers: many that end within a
+     * second would otherwise look like a cut path, and a refusal costs no time-out.
+     */
+    public void recordRefused(ServiceName service, BackendServerId server) {
+        services.computeIfAbsent(service, each -> new ServicePath()).cutServers.add(server);
+    }
+
     /** Records that another entry could not connect to a server either: the server is down, and no path is cut. */
     public void recordDown(ServiceName service, BackendServerId server) {
         ServicePath path = services.get(service);
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
@@ -0,0 +1,359 @@
+package org.elmline.core.quarantine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.elmline.core.common.HostId;
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.quarantine.QuarantineRecord.Key;
+
+/**
+ * Decides on one control host which groups of parts are quarantined. All control hosts get the reports of all entries
+ * that reach them and decide alike without a quorum; they merge each other's records, of which later revisions hold.
+ * Only the leader of the control hosts grants trials, so that there is one at a time. Times named {@code now} are
+ * monotonic, in nanoseconds. Not safe for concurrent use.
+ */
+public final class QuarantineRegistry {
+    /** Shortest suspicion: within it, answers that show a part to be sound are reported. */
+    private static final long CONFIRMATION_NANOS = Duration.ofMillis(250).toNanos();
+
+    /** Time without a crash after which a suspicion ends. */
+    private static final long SUSPICION_NANOS = Duration.ofSeconds(5).toNanos();
+
+    /** Time after a crash in which other calls that were sent before it end. */
+    private static final long TRIAL_DELAY_NANOS = Duration.ofMillis(300).toNanos();
+
+    /** Time in which the result of a trial is expected: a long prompt's prefill and the beginning of its answer. */
+    private static final long TRIAL_NANOS = Duration.ofSeconds(3).toNanos();
+
+    /** Pause before the first trial of a quarantined group; it doubles with each trial. */
+    private static final long FIRST_PAUSE_NANOS = Duration.ofMinutes(10).toNanos();
+
+    /** Trials of a quarantined group; each may end a server. Afterwards only an operator releases it. */
+    private static final int MAX_TRIALS = 2;
+
+    private static final long UNUSED_NANOS = Duration.ofDays(1).toNanos();
+
+    /** Longer than control hosts stay away, so that one that returns does not quarantine a released group again. */
+    private static final long RELEASED_RETENTION_NANOS = Duration.ofDays(2).toNanos();
+
+    private static final int MAX_RESTRICTED = 64;
+    private static final int MAX_RECORDS = 256;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final CrashEvidence evidence = new CrashEvidence();
+    private final Map<Key, Case> cases = new LinkedHashMap<>();
+    private final Map<ServiceName, Long> lastPassNanos = new HashMap<>();
+    private long changes;
+
+    /** A record with what only this host knows of it. */
+    private static final class Case {
+        private QuarantineRecord quarantine;
+        private long sinceNanos;
+        private long lastCrashNanos;
+        private long lastDemandNanos;
+        private long trialSinceNanos;
+        private long nextTrialNanos;
+
+        Case(QuarantineRecord quarantine, long now) {
+            this.quarantine = quarantine;
+            sinceNanos = now;
+            lastCrashNanos = now;
+            lastDemandNanos = now;
+            trialSinceNanos = now;
+        }
+
+        boolean restricts() {
+            return quarantine.stage().restricts();
+        }
+
+        boolean isIn(QuarantineStage stage) {
+            return quarantine.stage() == stage;
+        }
+
+        boolean byOperator() {
+            return quarantine.reason() == QuarantineReason.OPERATOR;
+        }
+
+        /** Whether the next trial may be granted. */
+        boolean isTrialDue(long now) {
+            if (!restricts() || byOperator() || quarantine.trialEntry() != null) {
+                return false;
+            }
+            return isIn(QuarantineStage.SUSPECTED) && now - lastCrashNanos >= TRIAL_DELAY_NANOS
+                    || isIn(QuarantineStage.QUARANTINED)
+                            && quarantine.trials() < MAX_TRIALS
+                            && now - nextTrialNanos >= 0;
+        }
+
+        void scheduleTrial(long now) {
+            nextTrialNanos = now + (FIRST_PAUSE_NANOS << quarantine.trials());
+        }
+
+        /** Milliseconds until the next trial; negative without one. */
+        long untilTrialMillis(long now) {
+            if (isIn(QuarantineStage.SUSPECTED)) {
+                return 0;
+            }
+            boolean hasTrial = isIn(QuarantineStage.QUARANTINED) && !byOperator() && quarantine.trials() < MAX_TRIALS;
+            return hasTrial ? Math.max(0, (nextTrialNanos - now) / NANOS_PER_MILLI) : -1;
+        }
+    }
+
+    /** Number of the latest change. */
+    public long changeNumber() {
+        return changes;
+    }
+
+    /** Applies what an entry reports. Passes come first: they may void what a crash seems to show. */
+    public void apply(EvidenceReport report, boolean leads, long now) {
+        report.passes().forEach(each -> applyPass(each, now));
+        report.crashes().forEach(each -> applyCrash(each, now));
+        report.demands().forEach(each -> applyDemand(each, report.entry(), leads, now));
+    }
+
+    private void applyPass(PartPass pass, long now) {
+        long atNanos = now - pass.ageMillis() * NANOS_PER_MILLI;
+        lastPassNanos.merge(pass.service(), atNanos, (a, b) -> a - b >= 0 ? a : b);
+        if (pass.part() == null) {
+            return;
+        }
+        evidence.addPass(pass.service(), pass.part(), atNanos);
+        for (Case each : List.copyOf(cases.values())) {
+            boolean concerned = each.restricts()
+                    && !each.byOperator()
+                    && each.quarantine.service().equals(pass.service())
+                    && each.quarantine.group().parts().contains(pass.part())
+                    && atNanos - (each.sinceNanos - CrashEvidence.PASS_VALIDITY_NANOS) > 0;
+            if (concerned) {
+                narrow(each, pass.part(), now);
+            }
+        }
+    }
+
+    private void narrow(Case known, PromptPart sound, long now) {
+        QuarantineRecord wide = known.quarantine;
+        PartGroup rest = wide.group().without(sound);
+        if (rest.isEmpty()) {
+            release(known, QuarantineReason.ANSWERED, now);
+            return;
+        }
+        release(known, QuarantineReason.NARROWED, now);
+        Case narrowed = restrict(wide.service(), rest, wide.stage(), QuarantineReason.CRASHES, now);
+        narrowed.sinceNanos = known.sinceNanos;
+        narrowed.lastCrashNanos = known.lastCrashNanos;
+        narrowed.nextTrialNanos = known.nextTrialNanos;
+    }
+
+    private void applyCrash(ServerCrash crash, long now) {
+        if (!evidence.addCrash(crash, now)) {
+            return;
+        }
+        changes++;
+        for (Case each : cases.values()) {
+            QuarantineRecord known = each.quarantine;
+            if (each.restricts()
+                    && known.service().equals(crash.service())
+                    && known.group().isContainedIn(crash.parts())) {
+                each.lastCrashNanos = now;
+                endTrial(each, now);
+            }
+        }
+        evidence.suspect(crash, restrictedGroups(crash.service()))
+                .ifPresent(group ->
+                        restrict(crash.service(), group, QuarantineStage.SUSPECTED, QuarantineReason.CRASHES, now));
+        quarantineProven(now);
+    }
+
+    private Collection<PartGroup> restrictedGroups(ServiceName service) {
+        return cases.values().stream()
+                .filter(each -> each.restricts() && each.quarantine.service().equals(service))
+                .map(each -> each.quarantine.group())
+                .toList();
+    }
+
+    private void endTrial(Case known, long now) {
+        QuarantineRecord held = known.quarantine;
+        if (held.trialEntry() == null) {
+            return;
+        }
+        known.quarantine =
+                held.withoutTrial(evidence.support(held.service(), held.group()).servers());
+        known.scheduleTrial(now);
+        changes++;
+    }
+
+    private void applyDemand(GroupDemand demand, HostId entry, boolean leads, long now) {
+        Case known = cases.get(new Key(demand.service(), demand.group()));
+        if (known == null) {
+            return;
+        }
+        known.lastDemandNanos = now;
+        if (leads && known.isTrialDue(now)) {
+            known.quarantine = known.quarantine.withTrial(entry);
+            known.trialSinceNanos = now;
+            changes++;
+        }
+    }
+
+    /** Puts a group into a stage that restricts calls, unless it is in that stage. */
+    private Case restrict(
+            ServiceName service, PartGroup group, QuarantineStage stage, QuarantineReason reason, long now) {
+        Case known = cases.get(new Key(service, group));
+        if (known != null && known.quarantine.stage() == stage) {
+            return known;
+        }
+        int servers = evidence.support(service, group).servers();
+        Case next = new Case(current(service, group).next(stage, reason, servers), now);
+        next.scheduleTrial(now);
+        put(next, now);
+        return next;
+    }
+
+    private QuarantineRecord current(ServiceName service, PartGroup group) {
+        Case known = cases.get(new Key(service, group));
+        return known == null ? QuarantineRecord.unrestricted(service, group) : known.quarantine;
+    }
+
+    private void put(Case next, long now) {
+        cases.remove(next.quarantine.key());
+        cases.put(next.quarantine.key(), next);
+        changes++;
+        evict(now);
+    }
+
+    private void evict(long now) {
+        List<Case> restricted = cases.values().stream().filter(Case::restricts).toList();
+        if (restricted.size() > MAX_RESTRICTED) {
+            leastNeeded(restricted, now).ifPresent(each -> release(each, QuarantineReason.EVICTED, now));
+        }
+        if (cases.size() > MAX_RECORDS) {
+            cases.values().stream()
+                    .filter(each -> !each.restricts())
+                    .findFirst()
+                    .ifPresent(each -> cases.remove(each.quarantine.key()));
+        }
+    }
+
+    private static Optional<Case> leastNeeded(List<Case> restricted, long now) {
+        return restricted.stream()
+                .filter(each -> !each.byOperator())
+                .max((a, b) -> Long.compare(now - a.lastDemandNanos, now - b.lastDemandNanos));
+    }
+
+    private void release(Case known, QuarantineReason reason, long now) {
+        Case released = new Case(known.quarantine.next(QuarantineStage.RELEASED, reason, 0), now);
+        if (reason.clearsEvidence()) {
+            evidence.clear(known.quarantine.service(), known.quarantine.group(), now);
+        }
+        put(released, now);
+    }
+
+    /** To be called often: ends suspicions one way or the other, and trials without a result. */
+    public void tick(long now) {
+        quarantineProven(now);
+        for (Case each : List.copyOf(cases.values())) {
+            if (each.isIn(QuarantineStage.SUSPECTED) && now - each.lastCrashNanos >= SUSPICION_NANOS) {
+                release(each, QuarantineReason.NO_FURTHER_CRASH, now);
+            } else if (each.isIn(QuarantineStage.QUARANTINED)
+                    && !each.byOperator()
+                    && now - each.lastDemandNanos >= UNUSED_NANOS) {
+                release(each, QuarantineReason.UNUSED, now);
+            } else if (each.restricts()
+                    && each.quarantine.trialEntry() != null
+                    && now - each.trialSinceNanos >= TRIAL_NANOS) {
+                endTrial(each, now);
+            } else if (!each.restricts() && now - each.sinceNanos >= RELEASED_RETENTION_NANOS) {
+                cases.remove(each.quarantine.key());
+            }
+        }
+    }
+
+    private void quarantineProven(long now) {
+        for (Case each : List.copyOf(cases.values())) {
+            if (each.isIn(QuarantineStage.SUSPECTED) && now - each.sinceNanos >= CONFIRMATION_NANOS && isProven(each)) {
+                restrict(
+                        each.quarantine.service(),
+                        each.quarantine.group(),
+                        QuarantineStage.QUARANTINED,
+                        QuarantineReason.CRASHES,
+                        now);
+            }
+        }
+    }
+
+    /**
+     * One server more is needed when none has ended since calls are held: the trial's, or that of a call sent before.
+     * While no answer of a service goes on, its servers may crash whatever the prompt.
+     */
+    private boolean isProven(Case suspected) {
+        QuarantineRecord known = suspected.quarantine;
+        Long passed = lastPassNanos.get(known.service());
+        boolean othersPass = passed != null && passed - (suspected.sinceNanos - CrashEvidence.PASS_VALIDITY_NANOS) > 0;
+        boolean likelySound = !othersPass || evidence.hasPassedBefore(known.service(), known.group());
+        boolean crashedSince = suspected.lastCrashNanos - suspected.sinceNanos > 0;
+        return Threshold.toQuarantine(likelySound)
+                .isReachedBy(evidence.support(known.service(), known.group()), crashedSince ? 0 : 1);
+    }
+
+    /** Merges the records of another control host, or restored ones. */
+    public void merge(List<QuarantineRecord> records, long now) {
+        for (QuarantineRecord each : records) {
+            Case known = cases.get(each.key());
+            if (known == null || each.supersedes(known.quarantine)) {
+                adopt(each, now);
+            }
+        }
+    }
+
+    private void adopt(QuarantineRecord other, long now) {
+        Case adopted = new Case(other, now);
+        Case known = cases.get(other.key());
+        if (known != null && known.quarantine.stage() == other.stage()) {
+            adopted.sinceNanos = known.sinceNanos;
+            adopted.lastCrashNanos = known.lastCrashNanos;
+            adopted.lastDemandNanos = known.lastDemandNanos;
+        }
+        adopted.nextTrialNanos = now + Math.max(0, other.untilTrialMillis()) * NANOS_PER_MILLI;
+        if (!other.stage().restricts() && other.reason().clearsEvidence()) {
+            evidence.clear(other.service(), other.group(), now);
+        }
+        put(adopted, now);
+    }
+
+    /** Quarantines a group until an operator releases it. */
+    public void quarantineByOperator(ServiceName service, PartGroup group, long now) {
+        QuarantineRecord decided =
+                current(service, group).next(QuarantineStage.QUARANTINED, QuarantineReason.OPERATOR, 0);
+        put(new Case(decided.overriding(), now), now);
+    }
+
+    /** Releases a group. Returns false when it is not restricted. */
+    public boolean releaseByOperator(ServiceName service, PartGroup group, long now) {
+        Case known = cases.get(new Key(service, group));
+        if (known == null || !known.restricts()) {
+            return false;
+        }
+        known.quarantine = known.quarantine.overriding();
+        release(known, QuarantineReason.OPERATOR, now);
+        return true;
+    }
+
+    /** All that entries and other control hosts need. */
+    public QuarantineNews news(long now) {
+        return new QuarantineNews(changes, records(now), evidence.suspects());
+    }
+
+    /** All records, with the times that remain now. */
+    public List<QuarantineRecord> records(long now) {
+        List<QuarantineRecord> records = new ArrayList<>();
+        cases.values().forEach(each -> records.add(each.quarantine.withUntilTrial(each.untilTrialMillis(now))));
+        return records;
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/ServerCrash.java
@@ -0,0 +1,26 @@
+package org.elmline.core.quarantine;
+
+import java.util.List;
+
+import org.elmline.core.common.BackendServerId;
+import org.elmline.core.common.ServiceName;
+
+/**
+ * A server that ended before an answer had gone on past its beginning, as the entry that sent the request reports it.
+ *
+ * @param request the caller's id of the request
+ * @param bornMillis start of the server, in milliseconds since 1970
+ * @param parts parts of the prompt that other prompts may share
+ * @param ageMillis time since the answer ended, in milliseconds
+ */
+public record ServerCrash(
+        String request,
+        ServiceName service,
+        BackendServerId server,
+        long bornMillis,
+        List<PromptPart> parts,
+        long ageMillis) {
+    public ServerCrash {
+        parts = parts == null ? List.of() : List.copyOf(parts);
+    }
+}
--- /dev/null
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/SuspectParts.java
@@ -0,0 +1,12 @@
+package org.elmline.core.quarantine;
+
+import java.util.List;
+
+import org.elmline.core.common.ServiceName;
+
+/** Parts of prompts under which servers of a service ended; entries report answers that show that one is sound. */
+public record SuspectParts(ServiceName service, List<PromptPart> parts) {
+    public SuspectParts {
+        parts = parts == null ? List.of() : List.copyOf(parts);
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.elmline.core.common.Address;
+import org.elmline.core.quarantine.QuarantineNews;
 import org.elmline.core.registry.RegistryChannels.RoutingText;
 
 /**
@@ -24,6 +25,7 @@
  *     null otherwise
  * @param unconfirmedMillis how long no leader of the log has confirmed that this host's routing table is the newest, in
  *     milliseconds; 0 while one does, and from an earlier release
+ * @param quarantine all that this host holds on quarantined parts of prompts; null when it has not changed
  */
 public record FollowAnswer(
         long epoch,
@@ -38,7 +40,8 @@
         long routingVersion,
         RoutingText routing,
         PackedRouting packedRouting,
-        long unconfirmedMillis) {
+        long unconfirmedMillis,
+        QuarantineNews quarantine) {
     public FollowAnswer {
         servers = servers == null ? List.of() : List.copyOf(servers);
         heard = heard == null ? List.of() : List.copyOf(heard);
--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowRequest.java
@@ -18,6 +18,7 @@
  *     gets the default
  * @param heldEntryChanges whether entries that appear or change their state are no reason to answer before the hold is
  *     over, as other control hosts tell the follower of them sooner; false from an earlier release
+ * @param quarantineSeen number of the latest change of the quarantine that the follower has applied
  */
 public record FollowRequest(
         HostId host,
@@ -28,7 +29,8 @@
         long routingVersion,
         int form,
         long holdMillis,
-        boolean heldEntryChanges) {
+        boolean heldEntryChanges,
+        long quarantineSeen) {
     /** Form of answers that hold changes of single entries and the routing document compressed. */
     public static final int FORM_PACKED_UPDATES = 1;
 
--- a/elmline-core/src/main/java/org/elmline/core/registry/PendingPoll.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/PendingPoll.java
@@ -83,6 +83,7 @@
                 ? versions.expiryVersion() > request.entriesSeen()
                 : versions.entryVersion() != request.entriesSeen();
         boolean entries = request.entry() != null && entriesChanged;
-        return entries || versions.serverVersion() > request.serversSeen();
+        boolean quarantine = versions.quarantineVersion() != request.quarantineSeen();
+        return entries || quarantine || versions.serverVersion() > request.serversSeen();
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/registry/RegistryVersions.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/RegistryVersions.java
@@ -10,6 +10,7 @@
  * @param entryVersion number of the latest change of entries
  * @param expiryVersion number of the latest change of entries by which one expired
  * @param routingVersion version of the latest routing table, -1 without one
+ * @param quarantineVersion number of the latest change of the quarantine
  */
 public record RegistryVersions(
         long epoch,
@@ -17,4 +18,5 @@
         long leavingVersion,
         long entryVersion,
         long expiryVersion,
-        long routingVersion) {}
+        long routingVersion,
+        long quarantineVersion) {}
--- a/elmline-core/src/test/java/org/elmline/core/registry/LiveEntriesTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/LiveEntriesTest.java
@@ -54,7 +54,8 @@
                 1,
                 null,
                 null,
-                0);
+                0,
+                null);
         view.apply(CONTROL, answer, now);
         seen = live.lastChange();
         return whole ? live.all().size() : changes.size();
--- a/elmline-core/src/test/java/org/elmline/core/registry/PendingPollTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/PendingPollTest.java
@@ -38,7 +38,8 @@
                 version,
                 FollowRequest.FORM_PACKED_UPDATES,
                 0,
-                false);
+                false,
+                0);
     }
 
     private static PendingPoll poll(long servers, long entries, long version) {
@@ -47,7 +48,7 @@
 
     @Test
     void holdsPollWithoutChanges() {
-        RegistryVersions versions = new RegistryVersions(EPOCH, 5, 3, 4, 0, 9);
+        RegistryVersions versions = new RegistryVersions(EPOCH, 5, 3, 4, 0, 9, 0);
         assertFalse(poll(5, 4, 9).isDue(versions, 499 * MILLI));
         assertTrue(poll(5, 4, 9).isDue(versions, 500 * MILLI));
     }
@@ -57,9 +58,9 @@
     void holdsPollLongerForFollowerOfManyControlHosts() {
         assertEquals(500, PendingPoll.holdMillis(5));
         assertEquals(1_500, PendingPoll.holdMillis(9));
-        FollowRequest longHold = new FollowRequest(HostId.of("10.0.0.1"), entry(1), EPOCH, 5, 4, 9, 1, 1_500, false);
-        RegistryVersions unchanged = new RegistryVersions(EPOCH, 5, 3, 4, 0, 9);
-        RegistryVersions entryChanged = new RegistryVersions(EPOCH, 5, 3, 5, 0, 9);
+        FollowRequest longHold = new FollowRequest(HostId.of("10.0.0.1"), entry(1), EPOCH, 5, 4, 9, 1, 1_500, false, 0);
+        RegistryVersions unchanged = new RegistryVersions(EPOCH, 5, 3, 4, 0, 9, 0);
+        RegistryVersions entryChanged = new RegistryVersions(EPOCH, 5, 3, 5, 0, 9, 0);
         assertFalse(
                 new PendingPoll(longHold, 0).isDue(entryChanged, 399 * MILLI),
                 "eight other control hosts report it, too");
@@ -67,30 +68,31 @@
         assertFalse(new PendingPoll(longHold, 0).isDue(unchanged, 1_499 * MILLI));
         assertTrue(new PendingPoll(longHold, 0).isDue(unchanged, 1_500 * MILLI));
         assertTrue(
-                new PendingPoll(longHold, 0).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 0, 9), 0),
+                new PendingPoll(longHold, 0).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 0, 9, 0), 0),
                 "a leaving server is reported without delay");
     }
 
     /** Guards against a control host that spends its processor time on reporting what others have reported already. */
     @Test
     void holdsChangesOfEntriesForFollowerThatHearsThemFromOthers() {
-        FollowRequest request = new FollowRequest(HostId.of("10.0.0.1"), entry(1), EPOCH, 5, 4, 9, 1, 1_500, true);
+        FollowRequest request = new FollowRequest(HostId.of("10.0.0.1"), entry(1), EPOCH, 5, 4, 9, 1, 1_500, true, 0);
         PendingPoll poll = new PendingPoll(request, 0);
-        assertFalse(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 6, 4, 9), 1_499 * MILLI));
-        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 6, 4, 9), 1_500 * MILLI));
-        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 6, 5, 9), 400 * MILLI), "an entry has expired");
-        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 6, 3, 4, 4, 9), 400 * MILLI), "a server has changed");
-        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 4, 4, 10), 0), "a new table is reported without delay");
+        assertFalse(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 6, 4, 9, 0), 1_499 * MILLI));
+        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 6, 4, 9, 0), 1_500 * MILLI));
+        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 5, 3, 6, 5, 9, 0), 400 * MILLI), "an entry has expired");
+        assertTrue(poll.isDue(new RegistryVersions(EPOCH, 6, 3, 4, 4, 9, 0), 400 * MILLI), "a server has changed");
+        assertTrue(
+                poll.isDue(new RegistryVersions(EPOCH, 5, 3, 4, 4, 10, 0), 0), "a new table is reported without delay");
     }
 
     @Test
     void answersAtOnceOnNewRoutingTable() {
-        assertTrue(poll(5, 4, 8).isDue(new RegistryVersions(EPOCH, 5, 3, 4, 0, 9), 0));
+        assertTrue(poll(5, 4, 8).isDue(new RegistryVersions(EPOCH, 5, 3, 4, 0, 9, 0), 0));
     }
 
     @Test
     void answersAtOnceWhenFollowerHasStateOfEarlierStart() {
-        assertTrue(poll(5, 4, 9).isDue(new RegistryVersions(EPOCH + 1, 0, 0, 0, 0, -1), 0));
+        assertTrue(poll(5, 4, 9).isDue(new RegistryVersions(EPOCH + 1, 0, 0, 0, 0, -1, 0), 0));
     }
 
     /**
@@ -100,15 +102,15 @@
      */
     @Test
     void answersAtOnceWhenServerLeaves() {
-        assertTrue(poll(5, 4, 9).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 0, 9), 0));
+        assertTrue(poll(5, 4, 9).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 0, 9, 0), 0));
         assertFalse(
-                poll(6, 4, 9).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 0, 9), 0),
+                poll(6, 4, 9).isDue(new RegistryVersions(EPOCH, 6, 6, 4, 0, 9, 0), 0),
                 "the follower has the change already");
     }
 
     @Test
     void batchesNewServersAndEntries() {
-        RegistryVersions versions = new RegistryVersions(EPOCH, 6, 3, 5, 0, 9);
+        RegistryVersions versions = new RegistryVersions(EPOCH, 6, 3, 5, 0, 9, 0);
         assertFalse(poll(5, 4, 9).isDue(versions, 99 * MILLI));
         assertTrue(poll(5, 4, 9).isDue(versions, 100 * MILLI));
     }
@@ -129,7 +131,7 @@
         int answers = 0;
         for (int millis = 1; millis <= 1_200; millis++) {
             long servers = (long) changes * millis / 1_200;
-            RegistryVersions versions = new RegistryVersions(EPOCH, servers, 0, 0, 0, 9);
+            RegistryVersions versions = new RegistryVersions(EPOCH, servers, 0, 0, 0, 9, 0);
             for (int i = 0; i < followers; i++) {
                 if (polls.get(i).isDue(versions, millis * MILLI)) {
                     answers++;
--- a/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
@@ -46,11 +46,13 @@
                 1,
                 null,
                 null,
-                0);
+                0,
+                null);
     }
 
     private static FollowAnswer emptyAnswer(long epoch) {
-        return new FollowAnswer(epoch, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0);
+        return new FollowAnswer(
+                epoch, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0, null);
     }
 
     /**
@@ -110,7 +112,7 @@
     private static FollowAnswer answerWithRestoredServer(long epoch) {
         ServerUpdate update = new ServerUpdate(server(ServerState.READY, 1), false, true);
         return new FollowAnswer(
-                epoch, 9_000, List.of(update), 1, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0);
+                epoch, 9_000, List.of(update), 1, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0, null);
     }
 
     /**
@@ -145,12 +147,13 @@
     }
 
     private static FollowAnswer answerAfterUptime(long millis) {
-        return new FollowAnswer(1, millis, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0);
+        return new FollowAnswer(
+                1, millis, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, 0, null);
     }
 
     private static FollowAnswer unconfirmedAnswer(long millis) {
         return new FollowAnswer(
-                1, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, millis);
+                1, 9_000, List.of(), 0, null, List.of(), List.of(), 0, List.of(), 1, null, null, millis, null);
     }
 
     /**
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -16,6 +16,7 @@
 import org.elmline.core.common.Address;
 import org.elmline.core.common.Closer;
 import org.elmline.core.common.Incarnation;
+import org.elmline.core.quarantine.QuarantineChannels;
 import org.elmline.core.raft.RaftSettings;
 import org.elmline.core.raft.ReplicaId;
 import org.elmline.core.registry.PendingPoll;
@@ -81,6 +82,7 @@
     private final Map<Address, RegistryPoller> pollers = new HashMap<>();
     private volatile RaftDriver driver;
     private PeerEndpoint peers;
+    private QuarantineService quarantine;
     private RegistryService registry;
     private String lastStatus = "";
     private volatile List<Address> configuredControlHosts;
@@ -123,6 +125,12 @@
         closer.register(handlers::shutdownNow);
         peers = closer.register(new PeerEndpoint(settings, "coordinator", handlers, process.hybridClock()));
         RoutingProvider routingProvider = new RoutingProvider(persistedValue("routing", RoutingText.class));
+        quarantine = new QuarantineService(
+                process.clock(),
+                this::isLeader,
+                persistedValue("quarantine", PersistedQuarantine.class),
+                process.metrics(),
+                log);
         registry = new RegistryService(
                 epoch,
                 settings.heartbeatMillis(),
@@ -130,10 +138,15 @@
                 this::controlHostAddresses,
                 routingProvider,
                 persistedValue("servers", PersistedServers.class),
+                quarantine,
                 process.metrics(),
                 log);
         registry.start(peers.timer());
         peers.handlers().register(RegistryChannels.FOLLOW, registry::follow);
+        peers.handlers()
+                .register(
+                        QuarantineChannels.REPORT,
+                        report -> CompletableFuture.completedFuture(registry.applyEvidence(report)));
         peers.handlers()
                 .register(
                         RegistryChannels.FETCH_PACKED,
@@ -146,8 +159,8 @@
         RoutingStore store = new RoutingStore(driver, machine);
         routingProvider.attachStore(store);
         // The applying thread holds the state machine's lock here, so the polls are answered on the timer thread.
-        machine.onApplied((command, result) -> peers.timer().execute(registry::onRoutingChanged));
-        peers.timer().execute(registry::onRoutingChanged);
+        machine.onApplied((command, result) -> peers.timer().execute(registry::onDecision));
+        peers.timer().execute(registry::onDecision);
         serve(store);
     }
 
@@ -184,7 +197,9 @@
         routing.register(peers.handlers());
         peers.timer().scheduleWithFixedDelay(this::checkStatus, 0, STATUS_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         HttpPorts ports = closer.register(new HttpPorts());
-        ports.addPort(settings.operators(), protocol.operatorHandler(routing, registry));
+        ports.addPort(
+                settings.operators(),
+                new QuarantineHandler(quarantine, registry::onDecision, protocol.operatorHandler(routing, registry)));
         if (settings.metricsPort() > 0) {
             ports.addPort(new Address(settings.ip(), settings.metricsPort()), process.metricsHandler());
         }
@@ -197,6 +212,11 @@
                 .write();
     }
 
+    private boolean isLeader() {
+        RaftDriver running = driver;
+        return running != null && running.isLeader();
+    }
+
     /** Peer address of the leader, null when none is known. */
     private Address leaderAddress() {
         ReplicaId leader = driver.status().leader();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -16,6 +16,8 @@
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.HostId;
 import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.quarantine.EvidenceReport;
+import org.elmline.core.quarantine.QuarantineNews;
 import org.elmline.core.registry.FollowAnswer;
 import org.elmline.core.registry.FollowRequest;
 import org.elmline.core.registry.LiveEntries;
@@ -66,6 +68,7 @@
     private final Supplier<List<Address>> controlHosts;
     private final RoutingProvider routing;
     private final Counter unreadableHeartbeat;
+    private final QuarantineService quarantine;
     private final DecisionLog log;
     private final ServerRegistry servers;
     private final PersistedValue<PersistedServers> persistedServers;
@@ -99,6 +102,7 @@
             Supplier<List<Address>> controlHosts,
             RoutingProvider routing,
             PersistedValue<PersistedServers> persistedServers,
+            QuarantineService quarantine,
             MetricRegistry metrics,
             DecisionLog log) {
         this.epoch = epoch;
@@ -106,6 +110,7 @@
         this.controlHosts = controlHosts;
         this.routing = routing;
         this.unreadableHeartbeat = metrics.counter("registry.heartbeats.unreadable");
+        this.quarantine = quarantine;
         this.log = log;
         this.persistedServers = persistedServers;
         long heartbeatNanos = heartbeatMillis * NANOS_PER_MILLI;
@@ -225,11 +230,21 @@
             answer.servers().forEach(each -> servers.merge(each, now));
             answer.heard().forEach(each -> servers.merge(each, now - each.ageMillis() * NANOS_PER_MILLI));
         }
+        if (answer.quarantine() != null) {
+            quarantine.merge(answer.quarantine().records());
+        }
+        answerPolls();
+    }
+
+    /** Applies what an entry reports on crashed servers. Returns all that this host holds then. */
+    QuarantineNews applyEvidence(EvidenceReport report) {
+        QuarantineNews news = quarantine.apply(report);
         answerPolls();
+        return news;
     }
 
-    /** To be called when the routing table has changed. */
-    void onRoutingChanged() {
+    /** To be called when the routing table or the quarantine has changed. */
+    void onDecision() {
         answerPolls();
     }
 
@@ -259,6 +274,7 @@
                 unconfirmedMillis(now);
             }
             routing.persist(now);
+            quarantine.tick();
             answerPolls();
         } catch (RuntimeException e) {
             log.line("registry tick failed").with("why", e).write();
@@ -284,7 +300,8 @@
                     lastLeaveChange,
                     entries.lastChange(),
                     lastEntryExpiry,
-                    routing.currentVersion());
+                    routing.currentVersion(),
+                    quarantine.changeNumber());
             Iterator<Poll> each = openPolls.iterator();
             while (each.hasNext()) {
                 Poll poll = each.next();
@@ -327,7 +344,8 @@
                 version,
                 sendsRouting && !request.acceptsPackedUpdates() ? routing.current() : null,
                 sendsRouting && request.acceptsPackedUpdates() ? routing.packed() : null,
-                unconfirmedMillis(now));
+                unconfirmedMillis(now),
+                quarantine.newsSince(full ? 0 : request.quarantineSeen()));
     }
 
     private long unconfirmedMillis(long now) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerHead.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerHead.java
@@ -25,4 +25,11 @@
         boolean signed,
         int keepAliveSeconds,
         boolean closesConnection,
-        ServerNotice notice) {}
+        ServerNotice notice) {
+    private static final int MIN_SUCCESS_STATUS = 200;
+    private static final int MAX_SUCCESS_STATUS = 299;
+
+    static boolean isSuccess(int status) {
+        return status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.function.Consumer;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
@@ -17,8 +18,6 @@
 /** One attempt of a call on one backend server. Used on the I/O thread only. */
 final class Attempt implements BackendCallListener {
     private static final long NANOS_PER_MILLI = 1_000_000L;
-    private static final int MIN_SUCCESS_STATUS = 200;
-    private static final int MAX_SUCCESS_STATUS = 299;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
     /** Longest answer that is buffered until it is complete, so that a call with a broken answer can be retried. */
@@ -51,6 +50,7 @@
     private final InactivityTimer inactivityTimer;
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
     private BackendCall backendCall;
+    private AnswerObserver observer;
     private StreamForwarder stream;
     private AnswerHead head;
     private HeaderMap headers;
@@ -96,9 +96,18 @@
             requestHeaders.put(Headers.CONTENT_LENGTH, call.body().length);
         }
         sent = true;
+        BackendTarget target = new BackendTarget(granted.server(), granted.address());
+        observer = new AnswerObserver(
+                context.quarantine(),
+                context.clock(),
+                target,
+                context.backends().gate().bornMillis(granted.server()),
+                placementRequest.service(),
+                call.head().requestId(),
+                call.head().sharedParts());
         backendCall = new BackendCall(
                 context.backends(),
-                new BackendTarget(granted.server(), granted.address()),
+                target,
                 RequestPurpose.NEW_WORK,
                 BackendCall.newRequest(exchange.getRequestMethod(), BackendCall.pathAndQuery(exchange), requestHeaders),
                 call.body(),
@@ -113,6 +122,11 @@
         return sent;
     }
 
+    /** Whether the server may be kept from beginning an answer. */
+    boolean hasNoHead() {
+        return head == null;
+    }
+
     /** Milliseconds since the head of the answer arrived; negative before. */
     long millisSinceHead() {
         return head == null ? -1 : (call.context().clock().nanos() - headAtNanos) / NANOS_PER_MILLI;
@@ -200,7 +214,7 @@
     }
 
     private boolean isSuccess() {
-        return status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
+        return AnswerHead.isSuccess(status);
     }
 
     @Override
@@ -230,6 +244,7 @@
     /** Handles an event that was forwarded to the caller. */
     void onEventForwarded() {
         call.context().dispatchClient().reportFirstToken(placementRequest, notice());
+        observe(AnswerObserver::onContent);
         if (call.route().mayRetry()) {
             inactivityTimer.restart(Math.max(
                     MIN_STREAM_TIMEOUT_MILLIS,
@@ -237,6 +252,13 @@
         }
     }
 
+    /** The entry that forwards an answer observes it. */
+    private void observe(Consumer<AnswerObserver> observation) {
+        if (!backendCall.isRelayed()) {
+            observation.accept(observer);
+        }
+    }
+
     void pause() {
         backendCall.pause();
     }
@@ -262,6 +284,12 @@
             call.onServerError(status, headers, bufferedBody);
         } else {
             tryEnd();
+            if (isSuccess() && bufferedBody.size() > 0) {
+                observe(each -> {
+                    each.onContent();
+                    each.onComplete();
+                });
+            }
             AttemptEnd end = status >= MIN_SERVER_ERROR_STATUS ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE;
             call.context().dispatchClient().reportEnd(placementRequest, end, notice());
             call.answer(status, headers, bufferedBody);
@@ -270,17 +298,35 @@
 
     private void completeStream() {
         if (stream.hasPartialEvent()) {
-            fail(AttemptEnd.BROKEN, "the stream ends amid an event");
+            breakOff("the stream ends amid an event");
             return;
         }
         tryEnd();
+        observe(AnswerObserver::onComplete);
         call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.DONE, notice());
         stream.complete();
     }
 
     @Override
     public void onBroken(String why) {
-        fail(AttemptEnd.BROKEN, why);
+        breakOff(why);
+    }
+
+    /**
+     * Ends the attempt because its answer broke off. Where the server may have ended because of the prompt, the call goes
+     * on once that is reported, so that a second server is not sent a prompt that is known to crash it.
+     */
+    private void breakOff(String why) {
+        if (!tryEnd()) {
+            return;
+        }
+        call.context().dispatchClient().reportFailure(placementRequest, AttemptEnd.BROKEN, notice(), null);
+        Runnable proceed = () -> call.onAttemptFailed(AttemptEnd.BROKEN, why, null);
+        if (backendCall.isRelayed() || (head != null && !isSuccess())) {
+            proceed.run();
+        } else {
+            observer.onBroken(proceed);
+        }
     }
 
     /** Rejects an unusable answer and stops the server's work on it. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -9,8 +9,11 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
 import io.undertow.util.Protocols;
+import io.undertow.util.StatusCodes;
 import org.elmline.core.common.HostId;
 import org.xnio.ChannelListener;
 import org.xnio.channels.StreamSinkChannel;
@@ -33,6 +36,8 @@
     private StreamSourceChannel responseChannel;
     private AnswerHead head;
     private long serverBornMillis;
+    private boolean needsContent;
+    private boolean hasContent;
     private boolean bodySent;
     private boolean paused;
     private boolean ended;
@@ -228,6 +233,7 @@
                 }
                 head = access.protocol().read(status, headers);
                 access.gate().onAnswer(target.server(), serverBornMillis, head);
+                needsContent = endsOnlyWithConnection(headers) && AnswerHead.isSuccess(status) && mayHaveBody(status);
                 responseChannel = exchange.getResponseChannel();
                 responseChannel.getReadSetter().set((ChannelListener<StreamSourceChannel>) each -> read());
                 listener.onHead(status, headers, head);
@@ -241,6 +247,14 @@
         };
     }
 
+    private static boolean endsOnlyWithConnection(HeaderMap headers) {
+        return !headers.contains(Headers.CONTENT_LENGTH) && !headers.contains(Headers.TRANSFER_ENCODING);
+    }
+
+    private boolean mayHaveBody(int status) {
+        return status != StatusCodes.NO_CONTENT && !request.getMethod().equals(Methods.HEAD);
+    }
+
     /** Searches the next link: the entry states that it did not forward the request. */
     private void onRelayRefused(String refusal) {
         ServerLink refusing = link;
@@ -283,6 +297,7 @@
                     return;
                 }
                 buffer.flip();
+                hasContent = true;
                 listener.onData(buffer);
             }
         } catch (IOException e) {
@@ -291,6 +306,11 @@
     }
 
     private void complete() {
+        if (needsContent && !hasContent) {
+            // A server that ends right after the head of an answer without a length leaves the same bytes.
+            fail(link, new IOException("the connection ended right after the head"));
+            return;
+        }
         if (!tryEnd()) {
             return;
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
@@ -59,6 +59,11 @@
         void onAcquired(ClientConnection connection, boolean opened);
 
         void onFailed(String why);
+
+        /** The other side answered at once that it accepts no connection. */
+        default void onRefused(String why) {
+            onFailed(why);
+        }
     }
 
     BackendConnectionPool(
@@ -139,7 +144,7 @@
         @Override
         public void failed(IOException e) {
             if (tryEnd()) {
-                callback.onFailed(String.valueOf(e.getMessage()));
+                callback.onRefused(String.valueOf(e.getMessage()));
             }
         }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -64,6 +64,7 @@
     private final CallerDisconnectDetector disconnectDetector;
     private final SampledRequestLog requestLog;
     private final AttemptHistory history;
+    private final CallQuarantine quarantine;
     private final XnioExecutor.Key deadlineTimer;
     private DispatchCall pendingPlacement;
     private Attempt attempt;
@@ -71,9 +72,6 @@
     private ServerFailure serverFailure;
     private boolean ended;
 
-    /** An error answered by a server, kept while the call is retried on another one. */
-    private record ServerFailure(int status, HeaderMap headers, ByteArrayOutputStream body) {}
-
     Call(
             GatewayContext context,
             HttpServerExchange exchange,
@@ -96,6 +94,7 @@
                 : Math.min(head.deadlineMillis(), route.timeoutMillis());
         this.deadlineAtNanos = receivedAtNanos + timeoutMillis * NANOS_PER_MILLI;
         this.history = new AttemptHistory(route.maxAttempts());
+        this.quarantine = new CallQuarantine(context, service, head.sharedParts(), history);
         this.disconnectDetector = new CallerDisconnectDetector(exchange);
         this.requestLog = new SampledRequestLog(head.requestId());
         this.deadlineTimer =
@@ -161,6 +160,13 @@
     }
 
     private void place() {
+        quarantine.admit(this::requestPlace, this::fail, this::firstEventRemainingMillis);
+    }
+
+    private void requestPlace() {
+        if (ended) {
+            return;
+        }
         long firstEventMillis = firstEventRemainingMillis();
         long answerTokens = head.expectedAnswerTokens() > 0 ? head.expectedAnswerTokens() : head.maxAnswerTokens();
         pendingPlacement = new DispatchCall(
@@ -425,6 +431,14 @@
         finish("caller_left");
     }
 
+    /** Cancels what is in flight of a call that is then answered by this entry. */
+    private void abandonInFlight() {
+        if (attempt != null) {
+            history.recordAbandoned(attempt);
+        }
+        cancelInFlight();
+    }
+
     private void cancelInFlight() {
         if (pendingPlacement != null) {
             context.dispatchClient().withdraw(pendingPlacement);
@@ -448,14 +462,21 @@
         }
     }
 
+    @Override
+    public void checkQuarantine() {
+        boolean waits = pendingPlacement != null || (attempt != null && attempt.hasNoHead());
+        if (ended || !waits || !quarantine.mustGiveUp()) {
+            return;
+        }
+        abandonInFlight();
+        place();
+    }
+
     private void onDeadline() {
         if (ended) {
             return;
         }
-        if (attempt != null) {
-            history.recordAbandoned(attempt);
-        }
-        cancelInFlight();
+        abandonInFlight();
         fail("time is up", RETRY_AFTER_MILLIS);
     }
 
@@ -464,16 +485,14 @@
         if (ended) {
             return;
         }
-        if (attempt != null) {
-            history.recordAbandoned(attempt);
-        }
-        cancelInFlight();
+        abandonInFlight();
         fail("the entry stops", RETRY_AFTER_MILLIS);
     }
 
     private void finish(String outcome) {
         context.callMetrics().recordEnd(service, outcome, elapsedMillis());
         ended = true;
+        quarantine.end();
         deadlineTimer.remove();
         context.openCalls().remove(this);
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 import org.elmline.core.common.Address;
@@ -18,6 +19,7 @@
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.ServiceName;
+import org.elmline.core.quarantine.QuarantineNews;
 import org.elmline.core.registry.EntryRecord;
 import org.elmline.core.registry.FollowAnswer;
 import org.elmline.core.registry.PackedRouting;
@@ -80,6 +82,7 @@
     private final Supplier<EntryRecord> selfRecord;
     private final Runnable onRoutingTable;
     private final Runnable onChange;
+    private final BiConsumer<Address, QuarantineNews> quarantineListener;
     private final RegistryView view = new RegistryView(
             controlTimeoutNanos(PendingPoll.HOLD_MILLIS), SERVER_DISCOVERY_NANOS, ENTRY_DISCOVERY_NANOS);
     private final Map<Address, RegistryPoller> pollers = new LinkedHashMap<>();
@@ -102,6 +105,7 @@
      * @param selfRecord this entry's own record, sent with each poll
      * @param onRoutingTable called once a new routing table is held, before any other part can use it
      * @param onChange called after every change of servers or entries
+     * @param quarantineListener receives what a control host holds on quarantined parts of prompts
      */
     DeploymentFollower(
             NodeSettings settings,
@@ -112,7 +116,8 @@
             DecisionLog log,
             Supplier<EntryRecord> selfRecord,
             Runnable onRoutingTable,
-            Runnable onChange) {
+            Runnable onChange,
+            BiConsumer<Address, QuarantineNews> quarantineListener) {
         this.settings = settings;
         this.peers = peers;
         this.routingFormat = routingFormat;
@@ -121,6 +126,7 @@
         this.selfRecord = selfRecord;
         this.onRoutingTable = onRoutingTable;
         this.onChange = onChange;
+        this.quarantineListener = quarantineListener;
         this.startedAtNanos = clock.nanos();
         this.followStarter = new StaggeredStart<>(thread, FOLLOW_INTERVAL_MILLIS, this::follow);
     }
@@ -209,6 +215,9 @@
         if (heldVersion() < answer.routingVersion()) {
             fetch(control);
         }
+        if (answer.quarantine() != null) {
+            quarantineListener.accept(control, answer.quarantine());
+        }
         changed |= wasOutdated && !isTableOutdated();
         if (changed || hasAllEntries() != hadAllEntries) {
             hadAllEntries = hasAllEntries();
@@ -385,6 +394,11 @@
         }
     }
 
+    /** Peer addresses of the control hosts that this entry follows. */
+    Collection<Address> controlHosts() {
+        return List.copyOf(pollers.keySet());
+    }
+
     Registration server(BackendServerId id) {
         return view.server(id);
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DirectLinks.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DirectLinks.java
@@ -1,5 +1,6 @@
 package org.elmline.daemon.gateway;
 
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
@@ -91,12 +92,21 @@
         }
     }
 
-    /** Records that this entry could not connect to a server. */
+    /** Records that a server did not answer when this entry connected. */
     void recordUnreachable(BackendServerId server) {
+        recordFailure(server, service -> paths.recordUnreachable(service, server));
+    }
+
+    /** Records that a connection to a server was refused. */
+    void recordRefused(BackendServerId server) {
+        recordFailure(server, service -> paths.recordRefused(service, server));
+    }
+
+    private void recordFailure(BackendServerId server, Consumer<ServiceName> change) {
         ServiceName service = serviceOf(server);
         if (service != null) {
             paths.retain(this::acceptsWork);
-            update(service, server, () -> paths.recordUnreachable(service, server));
+            update(service, server, () -> change.accept(service));
         }
     }
 
@@ -151,6 +161,12 @@
                     recordUnreachable(target.server());
                     listener.onNoLink(why, true);
                 }
+
+                @Override
+                public void onRefused(String why) {
+                    recordRefused(target.server());
+                    listener.onNoLink(why, true);
+                }
             });
         }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -69,6 +69,8 @@
     private DispatchService dispatchers;
     private DispatchClient dispatchClient;
     private OpenCalls openCalls;
+    private HeldCalls heldCalls;
+    private QuarantineClient quarantine;
     private CallHandler callHandler;
     private RelayHandler relayHandler;
     private CallerLimits callerLimits;
@@ -155,7 +157,8 @@
                 log,
                 this::entryRecord,
                 this::updateDeployment,
-                this::scheduleDeploymentUpdate);
+                this::scheduleDeploymentUpdate,
+                (control, news) -> quarantine.onNews(control, news));
         dispatchers = new DispatchService(
                 settings.host(), settings.retries().retryLimit(), process.clock(), log, this::sendDecision);
         BackendGate gate = new BackendGate(
@@ -172,6 +175,9 @@
                 new BackendConnectionPool(dialer, thread, ports.buffers(), process.clock(), process.metrics());
         DirectLinks directLinks =
                 new DirectLinks(connections, deployment::server, process.clock(), log, process.metrics());
+        PathCheck pathCheck = new PathCheck(connections, deployment::servers, deployment::server, directLinks);
+        heldCalls = new HeldCalls(thread);
+        quarantine = newQuarantineClient(new CrashCheck(connections, pathCheck));
         PeerKey peerKey = new PeerKey(settings.peerKey());
         GatewayContext context = new GatewayContext(
                 settings,
@@ -181,6 +187,8 @@
                 dispatchClient,
                 dispatchers.observedLimits(),
                 new BackendAccess(relayedLinks(directLinks, connections), protocol, gate, peerKey),
+                quarantine,
+                heldCalls,
                 thread,
                 process.clock(),
                 log,
@@ -188,13 +196,7 @@
                 new AttemptIdGenerator(settings.host(), incarnation),
                 openCalls);
         callHandler = new CallHandler(context, shutdown);
-        relayHandler = new RelayHandler(
-                new BackendAccess(directLinks, protocol, gate, peerKey),
-                new PathCheck(connections, deployment::servers, deployment::server, directLinks),
-                openCalls,
-                shutdown,
-                log,
-                process.metrics());
+        relayHandler = newRelayHandler(new BackendAccess(directLinks, protocol, gate, peerKey), pathCheck);
         dispatchClient.register(peers.handlers());
         deployment.start();
         log.line("started").with("incarnation", incarnation).write();
@@ -213,6 +215,31 @@
                 log);
     }
 
+    /** @param access with links to the servers themselves */
+    private RelayHandler newRelayHandler(BackendAccess access, PathCheck pathCheck) {
+        return new RelayHandler(
+                access,
+                pathCheck,
+                new RelayedAnswerObservers(quarantine, deployment::server, process.clock()),
+                openCalls,
+                shutdown,
+                log,
+                process.metrics());
+    }
+
+    private QuarantineClient newQuarantineClient(CrashCheck crashCheck) {
+        return new QuarantineClient(
+                settings.host(),
+                peers.network(),
+                deployment,
+                crashCheck,
+                this::onQuarantineChanged,
+                thread,
+                process.clock(),
+                log,
+                process.metrics());
+    }
+
     /** Links that lead through other entries too, where the settings give a port for that. */
     private ServerLinks relayedLinks(DirectLinks direct, BackendConnectionPool connections) {
         if (settings.relayPort() == 0) {
@@ -279,6 +306,11 @@
         }
     }
 
+    private void onQuarantineChanged() {
+        openCalls.all().forEach(OpenCall::checkQuarantine);
+        heldCalls.retryAll();
+    }
+
     private void updateDeployment() {
         changePending = false;
         deployment.table().ifPresent(table -> {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayContext.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayContext.java
@@ -14,6 +14,8 @@
         DispatchClient dispatchClient,
         ObservedServerLimits observedLimits,
         BackendAccess backends,
+        QuarantineClient quarantine,
+        HeldCalls heldCalls,
         XnioIoThread thread,
         MonotonicClock clock,
         DecisionLog log,
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCall.java
@@ -5,6 +5,9 @@
     /** Ends the call if the connection on which it came is closed. */
     void checkCaller();
 
+    /** Ends the call if its prompt has been quarantined and no server has begun to answer it. */
+    void checkQuarantine();
+
     /** Ends the call because this process stops. */
     void abort();
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
@@ -25,6 +25,7 @@
 
     private final BackendAccess access;
     private final PathCheck pathCheck;
+    private final RelayedAnswerObservers observers;
     private final OpenCalls openCalls;
     private final GracefulShutdown shutdown;
     private final DecisionLog log;
@@ -35,12 +36,14 @@
     RelayHandler(
             BackendAccess access,
             PathCheck pathCheck,
+            RelayedAnswerObservers observers,
             OpenCalls openCalls,
             GracefulShutdown shutdown,
             DecisionLog log,
             MetricRegistry metrics) {
         this.access = access;
         this.pathCheck = pathCheck;
+        this.observers = observers;
         this.openCalls = openCalls;
         this.shutdown = shutdown;
         this.log = log;
@@ -69,22 +72,27 @@
     }
 
     private void forward(HttpServerExchange exchange, RelayRequest request, byte[] body) {
-        Optional<RelayRefusal> refusal = refusal(request);
+        CallHead head = access.protocol().read(exchange.getRequestHeaders());
+        Optional<RelayRefusal> refusal = refusal(request, head);
         if (refusal.isPresent()) {
             refuse(exchange, refusal.get());
             return;
         }
         forwarding++;
         forwarded.inc();
-        RelayedCall call = new RelayedCall(access, pathCheck, exchange, request, body, ended -> {
-            forwarding--;
-            openCalls.remove(ended);
-        });
+        RelayedCall call = new RelayedCall(
+                access, pathCheck, observers.create(request.target(), head), exchange, request, body, ended -> {
+                    forwarding--;
+                    openCalls.remove(ended);
+                });
         openCalls.add(call);
         call.start();
     }
 
-    private Optional<RelayRefusal> refusal(RelayRequest request) {
+    private Optional<RelayRefusal> refusal(RelayRequest request, CallHead head) {
+        if (observers.isRefused(request.target().server(), head)) {
+            return Optional.of(RelayRefusal.WITHHELD);
+        }
         if (forwarding >= MAX_FORWARDED) {
             return Optional.of(RelayRefusal.BUSY);
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -19,24 +19,28 @@
 final class RelayedCall implements OpenCall, BackendCallListener {
     private final BackendAccess access;
     private final PathCheck pathCheck;
+    private final AnswerObserver observer;
     private final BackendServerId server;
     private final HttpServerExchange exchange;
     private final Consumer<RelayedCall> onEnd;
     private final CallerDisconnectDetector disconnectDetector;
     private final BackendCall backendCall;
     private CallerChannel answer;
+    private boolean success;
     private boolean ended;
 
     /** @param onEnd called once, when the answer is passed back or will not be */
     RelayedCall(
             BackendAccess access,
             PathCheck pathCheck,
+            AnswerObserver observer,
             HttpServerExchange exchange,
             RelayRequest relayRequest,
             byte[] body,
             Consumer<RelayedCall> onEnd) {
         this.access = access;
         this.pathCheck = pathCheck;
+        this.observer = observer;
         this.server = relayRequest.target().server();
         this.exchange = exchange;
         this.onEnd = onEnd;
@@ -85,6 +89,7 @@
 
     @Override
     public void onHead(int status, HeaderMap headers, AnswerHead answerHead) {
+        success = AnswerHead.isSuccess(status);
         exchange.setStatusCode(status);
         HeaderMap responseHeaders = exchange.getResponseHeaders();
         access.protocol().copyAnswerHeaders(headers, responseHeaders);
@@ -101,6 +106,9 @@
     public void onData(ByteBuffer bytes) {
         byte[] copy = new byte[bytes.remaining()];
         bytes.get(copy);
+        if (success) {
+            observer.onContent();
+        }
         if (!answer.write(copy)) {
             backendCall.pause();
         }
@@ -108,12 +116,16 @@
 
     @Override
     public void onComplete() {
+        observer.onComplete();
         answer.complete();
     }
 
     /** The request may have run: closes the connection, which states nothing. */
     @Override
     public void onBroken(String why) {
+        if (answer == null || success) {
+            observer.onBroken(() -> {});
+        }
         if (answer != null) {
             answer.abort();
         } else if (tryEnd()) {
@@ -139,6 +151,12 @@
         }
     }
 
+    /** The entry that sends the request decides; it gives up the connection. */
+    @Override
+    public void checkQuarantine() {
+        // Nothing to do here.
+    }
+
     @Override
     public void abort() {
         if (tryEnd()) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
@@ -56,6 +56,7 @@
     private long epoch;
     private long serversSeen;
     private long entriesSeen;
+    private long quarantineSeen;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
     private int consecutiveFailures;
     private volatile boolean closed;
@@ -121,7 +122,8 @@
                     newestRoutingVersion.getAsLong(),
                     FollowRequest.FORM_PACKED_UPDATES,
                     holdMillis,
-                    heldEntryChanges.getAsBoolean());
+                    heldEntryChanges.getAsBoolean(),
+                    quarantineSeen);
             timeout = consecutiveFailures == 0
                     ? Duration.ofMillis(holdMillis + ANSWER_MARGIN_MILLIS)
                     : TIMEOUT_AFTER_FAILURE;
@@ -142,6 +144,9 @@
             epoch = answer.epoch();
             serversSeen = answer.serversNow();
             entriesSeen = answer.entriesNow();
+            quarantineSeen = answer.quarantine() == null
+                    ? quarantineSeen
+                    : answer.quarantine().number();
             backoffMillis = INITIAL_BACKOFF_MILLIS;
             consecutiveFailures = 0;
         }
--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/FollowCostMeasurement.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/FollowCostMeasurement.java
@@ -47,7 +47,7 @@
         }
         singleEntry.add(new EntryUpdate(entry(3), false));
         for (int repeat = 0; repeat < 3; repeat++) {
-            print("request", new FollowRequest(HostId.of("10.1.0.1"), entry(1), 1, 2, 3, 4, 1, 900, false));
+            print("request", new FollowRequest(HostId.of("10.1.0.1"), entry(1), 1, 2, 3, 4, 1, 900, false, 0));
             print("nothing new", answer(List.of(), null, List.of(), controls));
             print("one entry", answer(List.of(), null, singleEntry, controls));
             print("all entries", answer(List.of(), entries, List.of(), controls));
@@ -61,7 +61,8 @@
             List<EntryRecord> entries,
             List<EntryUpdate> entryUpdates,
             List<Address> controls) {
-        return new FollowAnswer(1, 9_000, servers, 5, List.of(), entries, entryUpdates, 6, controls, 7, null, null, 0);
+        return new FollowAnswer(
+                1, 9_000, servers, 5, List.of(), entries, entryUpdates, 6, controls, 7, null, null, 0, null);
     }
 
     private static EntryRecord entry(int i) {
