Quarantine prefixes that crash engines on the product's own API, and settle what the relayed and released paths need

Stand-in engines have the fault (crashOnPromptsWith), settable while they run, also by 'elmline standin fault'; one run from the command line starts again after three seconds. 'elmline quarantine' shows, adds and releases, on entries and control hosts alike.

Found by further tests of the whole path, each failed first: a forwarding entry whose server ended was itself left out for two seconds (it now states that the server gave no answer, after its report); a trial that met a server which was down already was not made again, so that suspicion lasted until its next one; a group that was suspected once more got no trial, as an earlier one had the same number. In the last two cases calls with the part got 503 with two seconds for longer than needed.

--- a/elmline-cli/src/main/java/org/elmline/cli/operator/OperatorClient.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/operator/OperatorClient.java
@@ -50,6 +50,10 @@
         return sendToFirstAvailable(builder -> builder.put(RequestBody.create(body, JSON)), path);
     }
 
+    OperatorAnswer delete(String path) {
+        return sendToFirstAvailable(Request.Builder::delete, path);
+    }
+
     /** Sends the request to one host only. */
     OperatorAnswer readFrom(HttpUrl host, String path) {
         return send(host, builder -> builder, path);
--- a/elmline-cli/src/main/java/org/elmline/cli/role/StandinCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/StandinCommand.java
@@ -9,7 +9,7 @@
 @Command(
         name = "standin",
         description = "Runs a stand-in for a backend server, on loopback only.",
-        subcommands = {StandinEngineCommand.class, StandinServiceCommand.class})
+        subcommands = {StandinEngineCommand.class, StandinServiceCommand.class, StandinFaultCommand.class})
 final class StandinCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/elmline-cli/src/main/java/org/elmline/cli/role/StandinEngineCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/StandinEngineCommand.java
@@ -1,6 +1,7 @@
 package org.elmline.cli.role;
 
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.elmline.core.common.Address;
 import org.elmline.daemon.settings.StandinEngineSettings;
@@ -12,6 +13,7 @@
 @Command(name = "engine", description = "Runs a model engine's stand-in, which answers in made-up words.")
 final class StandinEngineCommand extends RoleCommand<StandinEngineSettings> {
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    private static final Duration RESTART_DELAY = Duration.ofSeconds(3);
     private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(30);
 
     StandinEngineCommand() {
@@ -20,6 +22,23 @@
 
     @Override
     RunningRole start(StandinEngineSettings settings) {
+        AtomicReference<EngineServer> running = new AtomicReference<>();
+        running.set(startEngine(settings, running));
+        return new RunningRole() {
+            @Override
+            public String readyLine() {
+                return "ready engine=http://" + running.get().address();
+            }
+
+            @Override
+            public void stop() throws InterruptedException {
+                running.get().leave(DRAIN_TIMEOUT);
+            }
+        };
+    }
+
+    /** Starts an engine that starts again, as a new incarnation, some seconds after a prompt has ended it. */
+    private static EngineServer startEngine(StandinEngineSettings settings, AtomicReference<EngineServer> running) {
         EngineServer.Builder builder = EngineServer.builder()
                 .id(settings.id().value())
                 .incarnation(System.currentTimeMillis())
@@ -38,17 +57,18 @@
         for (Address entry : settings.entries()) {
             builder.announceTo(entry);
         }
-        EngineServer server = builder.start();
-        return new RunningRole() {
-            @Override
-            public String readyLine() {
-                return "ready engine=http://" + server.address();
-            }
+        return builder.onCrash(() -> {
+                    sleepUntilRestart();
+                    running.set(startEngine(settings, running));
+                })
+                .start();
+    }
 
-            @Override
-            public void stop() throws InterruptedException {
-                server.leave(DRAIN_TIMEOUT);
-            }
-        };
+    private static void sleepUntilRestart() {
+        try {
+            Thread.sleep(RESTART_DELAY.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/elmline-core/src/main/java/org/elmline/core/common/RefusalReason.java
+++ b/elmline-core/src/main/java/org/elmline/core/common/RefusalReason.java
@@ -20,6 +20,7 @@
     NO_LEASE(503, "no_lease"),
     NO_LEADER(503, "no_leader"),
     LEAVING(503, "leaving"),
+    QUARANTINED(503, "quarantined"),
     DEADLINE(504, "deadline_exceeded"),
     BACKEND_FAILED(502, "backend_failed");
 
--- a/elmline-core/src/main/java/org/elmline/core/engine/PromptBlocks.java
+++ b/elmline-core/src/main/java/org/elmline/core/engine/PromptBlocks.java
@@ -24,6 +24,11 @@
         return Math.max(1, (prompt.length() + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN);
     }
 
+    /** Whether no text follows a prompt's last whole block. */
+    public static boolean endsWithWholeBlock(String prompt) {
+        return !prompt.isEmpty() && prompt.length() % BLOCK_CHARACTERS == 0;
+    }
+
     /** Chained hash of each whole leading block, first block first. */
     public static List<Long> blockHashes(String model, String adapter, String prompt) {
         long hash = chain(chain(0xcbf29ce484222325L, model, 0, model.length()), adapter, 0, adapter.length());
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
@@ -29,7 +29,7 @@
     private final HostId self;
     private final Map<Key, HeldRecord> records = new LinkedHashMap<>();
     private final Map<ServiceName, Set<PromptPart>> suspects = new HashMap<>();
-    private final Map<Key, Integer> trialsUsed = new HashMap<>();
+    private final Map<Key, Long> usedTrialRevisions = new HashMap<>();
 
     private record HeldRecord(QuarantineRecord quarantine, long receivedAtNanos) {}
 
@@ -65,7 +65,7 @@
         if (records.size() > MAX_RECORDS) {
             records.values().removeIf(each -> !each.quarantine().stage().restricts());
         }
-        trialsUsed.keySet().retainAll(records.keySet());
+        usedTrialRevisions.keySet().retainAll(records.keySet());
     }
 
     /** The records in force here that a control host lacks, or holds in an older revision. */
@@ -119,8 +119,10 @@
 
     private Decision decide(HeldRecord held, boolean mayTry, long now) {
         QuarantineRecord known = held.quarantine();
-        if (mayTry && self.equals(known.trialEntry()) && trialsUsed.getOrDefault(known.key(), 0) != known.trials()) {
-            trialsUsed.put(known.key(), known.trials());
+        if (mayTry
+                && self.equals(known.trialEntry())
+                && usedTrialRevisions.getOrDefault(known.key(), 0L) != known.revision()) {
+            usedTrialRevisions.put(known.key(), known.revision());
             return new Decision.Trial(known);
         }
         if (known.stage() == QuarantineStage.SUSPECTED) {
--- a/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantineRegistryTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantineRegistryTest.java
@@ -361,6 +361,24 @@
         assertTrue(view.decide(DESK, QuarantineFixture.parts("a"), true, 0) instanceof QuarantineView.Decision.Allowed);
     }
 
+    /** A group that was suspected before gets a trial of the same number again. */
+    @Test
+    void laterSuspicionGetsATrialOfItsOwn() {
+        QuarantineView view = new QuarantineView(QuarantineFixture.ENTRY);
+        for (int i = 0; i < 2; i++) {
+            crashes(3, "bad");
+            fixture.advanceMillis(300);
+            fixture.demand("bad");
+            view.apply(fixture.registry.news(fixture.now()), fixture.now());
+            assertTrue(
+                    view.decide(DESK, QuarantineFixture.parts("bad"), true, 0)
+                            instanceof QuarantineView.Decision.Trial);
+            fixture.pass("bad");
+            fixture.advanceMillis(30_000);
+            crashes(2, "bad");
+        }
+    }
+
     @Test
     void entriesGiveRecordsBackToAControlHostThatLostThem() {
         quarantine("bad");
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/AnswerForwarder.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/AnswerForwarder.java
@@ -27,16 +27,19 @@
     private final CompletionGateway gateway;
     private final AdmittedCompletion completion;
     private final AnswerSink sink;
+    private final PrefixQuarantine quarantine;
     private final AnswerAssembler assembler = new AnswerAssembler(NO_ATTEMPT);
     private long attemptStartedNanos;
     private boolean awaitingFirstPiece;
     private boolean anyAttemptRan;
     private int resumeCount;
 
-    AnswerForwarder(CompletionGateway gateway, AdmittedCompletion completion, AnswerSink sink) {
+    AnswerForwarder(
+            CompletionGateway gateway, AdmittedCompletion completion, AnswerSink sink, PrefixQuarantine quarantine) {
         this.gateway = gateway;
         this.completion = completion;
         this.sink = sink;
+        this.quarantine = quarantine;
     }
 
     /** Pieces that were delivered to the caller. */
@@ -61,6 +64,7 @@
     StreamOutcome start(EngineClient engine, EngineRequest request) throws IOException, InterruptedException {
         assembler.continueWith(request.attempt());
         attemptStartedNanos = gateway.clock().nanos();
+        quarantine.onAttempt();
         awaitingFirstPiece = true;
         resumeCount = 0;
         StreamEventQueue events = new StreamEventQueue();
@@ -101,6 +105,7 @@
             } else if (assembled instanceof AssemblyResult.Complete complete) {
                 deliver(complete.pieces());
                 sink.end(assembler.resumeOffset(), complete.reason());
+                quarantine.onComplete();
                 return new StreamOutcome.Complete();
             } else if (assembled instanceof AssemblyResult.Broken broken) {
                 return toOutcome(broken, resumed);
@@ -142,6 +147,7 @@
         for (String piece : pieces) {
             sink.piece(piece);
         }
+        quarantine.onPieces(pieces.size());
     }
 
     private void reportFirstToken(boolean firstOfAnswer) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionExecution.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionExecution.java
@@ -41,6 +41,7 @@
     private final AnswerForwarder forwarder;
     private final Set<BackendServerId> failedServers = new HashSet<>();
     private final List<Long> prefixHashes;
+    private final PrefixQuarantine quarantine;
     private Grant grant;
     private int attemptCount;
     private int placementCount;
@@ -49,9 +50,10 @@
         this.gateway = gateway;
         this.completion = completion;
         this.sink = sink;
-        this.forwarder = new AnswerForwarder(gateway, completion, sink);
         CompletionRequest request = completion.request();
         this.prefixHashes = PromptBlocks.blockHashes(request.model().value(), request.adapter(), request.prompt());
+        this.quarantine = new PrefixQuarantine(gateway.quarantine(), gateway.clock(), completion, prefixHashes);
+        this.forwarder = new AnswerForwarder(gateway, completion, sink, quarantine);
     }
 
     void run() throws IOException, InterruptedException {
@@ -91,6 +93,10 @@
             }
             StreamOutcome.Broken broken = (StreamOutcome.Broken) outcome;
             RetryDecision decision = decide(broken);
+            if (resume && decision != RetryDecision.RESUME) {
+                // The attempt could not be resumed either.
+                quarantine.onEngineLost(grant);
+            }
             gateway.counter("broken." + decision.name().toLowerCase(Locale.ROOT))
                     .inc();
             if (decision == RetryDecision.GIVE_UP) {
@@ -106,6 +112,12 @@
 
     /** False when the request has its final answer already: no placement was found, or a group of engines served it. */
     private boolean place() throws IOException, InterruptedException {
+        Optional<Refusal> quarantined = quarantine.admit(sink);
+        if (quarantined.isPresent()) {
+            gateway.counter("refused").inc();
+            refuse(withRan(quarantined.get()));
+            return false;
+        }
         attemptCount++;
         PlacementResult placement = gateway.placer().place(completion.call(), ++placementCount, demand());
         long retryUntilMillis = gateway.clock().millis() + CONTINUATION_TIMEOUT_MILLIS;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionGateway.java
@@ -28,6 +28,7 @@
     private final GrantTracker grants;
     private final EngineClients engines;
     private final EngineCancellations cancellations;
+    private final PromptQuarantine quarantine;
     private final RetryBudget retryBudget = new RetryBudget(RETRY_RATIO, RETRY_BURST);
     private final EventRing events;
     private final MetricRegistry metrics;
@@ -40,6 +41,7 @@
             GrantTracker grants,
             EngineClients engines,
             EngineCancellations cancellations,
+            PromptQuarantine quarantine,
             EventRing events,
             MetricRegistry metrics) {
         this.self = self;
@@ -48,6 +50,7 @@
         this.grants = grants;
         this.engines = engines;
         this.cancellations = cancellations;
+        this.quarantine = quarantine;
         this.events = events;
         this.metrics = metrics;
         this.disconnectedCallers = metrics.counter("gateway.callers.left");
@@ -101,6 +104,10 @@
         return cancellations;
     }
 
+    PromptQuarantine quarantine() {
+        return quarantine;
+    }
+
     void record(RequestEvent event) {
         events.record(event);
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -30,6 +30,7 @@
 import org.elmline.daemon.node.NodeSettings;
 import org.elmline.daemon.node.PeerEndpoint;
 import org.elmline.daemon.node.RegistryPoller;
+import org.elmline.daemon.operator.QuarantineHandler;
 import org.elmline.daemon.raft.RaftDriver;
 import org.elmline.daemon.raft.RaftStatus;
 import org.elmline.daemon.settings.TimelineSettings;
@@ -159,8 +160,8 @@
         RoutingStore store = new RoutingStore(driver, machine);
         routingProvider.attachStore(store);
         // The applying thread holds the state machine's lock here, so the polls are answered on the timer thread.
-        machine.onApplied((command, result) -> peers.timer().execute(registry::onDecision));
-        peers.timer().execute(registry::onDecision);
+        machine.onApplied((command, result) -> peers.timer().execute(registry::onRoutingChanged));
+        peers.timer().execute(registry::onRoutingChanged);
         serve(store);
     }
 
@@ -198,8 +199,7 @@
         peers.timer().scheduleWithFixedDelay(this::checkStatus, 0, STATUS_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         HttpPorts ports = closer.register(new HttpPorts());
         ports.addPort(
-                settings.operators(),
-                new QuarantineHandler(quarantine, registry::onDecision, protocol.operatorHandler(routing, registry)));
+                settings.operators(), new QuarantineHandler(quarantine, protocol.operatorHandler(routing, registry)));
         if (settings.metricsPort() > 0) {
             ports.addPort(new Address(settings.ip(), settings.metricsPort()), process.metricsHandler());
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/QuarantineService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/QuarantineService.java
@@ -18,12 +18,13 @@
 import org.elmline.core.quarantine.QuarantineStage;
 import org.elmline.core.quarantine.ServerCrash;
 import org.elmline.daemon.log.DecisionLog;
+import org.elmline.daemon.operator.QuarantineControl;
 
 /**
  * The quarantine on a control host: takes reports, logs and counts decisions, and persists the records. Thread-safe: one
  * lock, under which nothing else is called that locks.
  */
-public final class QuarantineService {
+final class QuarantineService implements QuarantineControl {
     /** Shortest interval between two writes of the records. */
     private static final long MIN_WRITE_INTERVAL_NANOS = Duration.ofMillis(250).toNanos();
 
@@ -148,18 +149,18 @@
         return registry.changeNumber() == number ? null : registry.news(clock.nanos());
     }
 
-    /** All records, released ones too. */
+    @Override
     public synchronized List<QuarantineRecord> records() {
         return registry.records(clock.nanos());
     }
 
-    /** Quarantines a group until an operator releases it. */
+    @Override
     public synchronized void quarantine(ServiceName service, PartGroup group) {
         registry.quarantineByOperator(service, group, clock.nanos());
         logChanges();
     }
 
-    /** Releases a group. Returns false when it is not restricted. */
+    @Override
     public synchronized boolean release(ServiceName service, PartGroup group) {
         boolean released = registry.releaseByOperator(service, group, clock.nanos());
         logChanges();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -243,8 +243,8 @@
         return news;
     }
 
-    /** To be called when the routing table or the quarantine has changed. */
-    void onDecision() {
+    /** To be called when the routing table has changed. */
+    void onRoutingChanged() {
         answerPolls();
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -44,6 +44,7 @@
 import org.elmline.daemon.caller.ModelsHandler;
 import org.elmline.daemon.caller.OrganisationLimitService;
 import org.elmline.daemon.caller.Placer;
+import org.elmline.daemon.caller.PromptQuarantine;
 import org.elmline.daemon.component.DaggerProcessComponent;
 import org.elmline.daemon.component.ProcessComponent;
 import org.elmline.daemon.http.HttpLimits;
@@ -52,6 +53,7 @@
 import org.elmline.daemon.http.WorkerBodyReader;
 import org.elmline.daemon.openai.ApiKind;
 import org.elmline.daemon.operator.OperatorKeyHandler;
+import org.elmline.daemon.operator.QuarantineHandler;
 import org.elmline.daemon.operator.StatusHandler;
 import org.elmline.daemon.operator.TicketsHandler;
 import org.elmline.daemon.runtime.ProcessExecutors;
@@ -93,6 +95,7 @@
     private AdmissionController admission;
     private LeaseRenewer renewer;
     private Owner owner;
+    private PromptQuarantine quarantine;
     private ControlCalls control;
 
     private EntryDaemon(EntrySettings settings) {
@@ -207,8 +210,10 @@
         EngineCancellations cancellations = new EngineCancellations(engines, table, grants, clock, metrics);
         cancellations.start(executors.timer());
         Placer placer = new Placer(self, view, clock, network, service, table, grants, metrics);
+        quarantine = new PromptQuarantine(self, view, network, clock, metrics);
+        quarantine.register(handlers);
         CompletionGateway gateway =
-                new CompletionGateway(self, clock, placer, grants, engines, cancellations, events, metrics);
+                new CompletionGateway(self, clock, placer, grants, engines, cancellations, quarantine, events, metrics);
         ServiceGateway services = closer.register(new ServiceGateway(clock, table, control, metrics));
         OrganisationLimitService limits = new OrganisationLimitService(self, view, network, clock, metrics);
         limits.register(handlers);
@@ -245,12 +250,18 @@
 
     private void openOperators(LeasedView view, WorkerBodyReader bodies) {
         TicketsHandler tickets = new TicketsHandler(control, bodies);
+        QuarantineHandler quarantineHandler = new QuarantineHandler(quarantine, exchange -> {
+            throw new IllegalStateException("routed to another path");
+        });
         operatorRoutes
                 .put("/v1/tickets/{number}", tickets::put)
                 .get("/v1/tickets/{number}", tickets::show)
                 .get("/v1/tickets", tickets::list)
                 .get("/v1/status", new StatusHandler(self, view, admission))
                 .get("/v1/events", process.eventsHandler())
+                .get("/quarantine", quarantineHandler)
+                .put("/quarantine/{service}/{group}", quarantineHandler)
+                .delete("/quarantine/{service}/{group}", quarantineHandler)
                 .get("/metrics", process.metricsHandler());
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -231,6 +231,10 @@
                     onRelayRefused(headers.getFirst(RelayRequest.REFUSAL));
                     return;
                 }
+                if (isRelayed() && headers.contains(RelayRequest.NO_ANSWER)) {
+                    onNoAnswer();
+                    return;
+                }
                 head = access.protocol().read(status, headers);
                 access.gate().onAnswer(target.server(), serverBornMillis, head);
                 needsContent = endsOnlyWithConnection(headers) && AnswerHead.isSuccess(status) && mayHaveBody(status);
@@ -264,6 +268,14 @@
         searchLink();
     }
 
+    /** The entry that forwards the request states that the server gave no answer. */
+    private void onNoAnswer() {
+        if (tryEnd()) {
+            BackendConnectionPool.closeNow(link.connection());
+            listener.onBroken("the server gave the forwarding entry no answer");
+        }
+    }
+
     /** Suspends reading while the caller reads more slowly than the server sends. */
     void pause() {
         paused = true;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallQuarantine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallQuarantine.java
@@ -46,6 +46,11 @@
      * @param remainingMillis time for which the call is of use to its caller
      */
     void admit(Runnable onAdmitted, ObjLongConsumer<String> onRefused, LongSupplier remainingMillis) {
+        if (isTrial && !history.mayHaveRun()) {
+            // No server was reached: the trial is still to be made.
+            onAdmitted.run();
+            return;
+        }
         QuarantineView.Decision decision = quarantine.decide(service, parts, !history.mayHaveRun());
         if (decision instanceof QuarantineView.Decision.Refused refused) {
             onRefused.accept("a part of the prompt is quarantined", refused.retryAfterMillis());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayRequest.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayRequest.java
@@ -20,6 +20,9 @@
     /** Set in the answer to a request that was not forwarded; the value is a {@link RelayRefusal}. */
     static final HttpString REFUSAL = new HttpString("Elmline-Relay-Refusal");
 
+    /** Set in the answer to a request that was forwarded and whose server gave no answer: it may have run. */
+    static final HttpString NO_ANSWER = new HttpString("Elmline-Relay-No-Answer");
+
     private static final HttpString TARGET = new HttpString("Elmline-Relay-Target");
     private static final HttpString PROOF = new HttpString("Elmline-Relay-Proof");
     private static final String PROOF_PURPOSE = "relay";
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -8,6 +8,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.daemon.http.CallerDisconnectDetector;
 import org.xnio.IoUtils;
@@ -93,8 +94,9 @@
         exchange.setStatusCode(status);
         HeaderMap responseHeaders = exchange.getResponseHeaders();
         access.protocol().copyAnswerHeaders(headers, responseHeaders);
-        // From a server it would deny that the request has run.
+        // From a server they would be false statements about the request.
         responseHeaders.remove(RelayRequest.REFUSAL);
+        responseHeaders.remove(RelayRequest.NO_ANSWER);
         if (!responseHeaders.contains(Headers.CONTENT_LENGTH)) {
             // Set explicitly: an answer that ends with its connection would look complete when it is broken off.
             responseHeaders.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
@@ -120,16 +122,23 @@
         answer.complete();
     }
 
-    /** The request may have run: closes the connection, which states nothing. */
+    /** The request may have run. Without any byte of an answer that is stated, as this entry is not the cause. */
     @Override
     public void onBroken(String why) {
-        if (answer == null || success) {
-            observer.onBroken(() -> {});
-        }
         if (answer != null) {
+            if (success) {
+                observer.onBroken(() -> {});
+            }
             answer.abort();
-        } else if (tryEnd()) {
-            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        observer.onBroken(this::stateNoAnswer);
+    }
+
+    private void stateNoAnswer() {
+        if (tryEnd()) {
+            exchange.getResponseHeaders().put(RelayRequest.NO_ANSWER, Boolean.TRUE.toString());
+            exchange.setStatusCode(StatusCodes.BAD_GATEWAY).endExchange();
         }
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/QuarantineHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/QuarantineHandler.java
@@ -1,4 +1,4 @@
-package org.elmline.daemon.coordinator;
+package org.elmline.daemon.operator;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -18,8 +18,8 @@
  * Operators' access to the quarantine: {@code GET /quarantine} lists the records, {@code PUT} and {@code DELETE} of
  * {@code /quarantine/SERVICE/PART+PART} quarantine and release a group. All other requests go to the next handler.
  */
-final class QuarantineHandler implements HttpHandler {
-    static final String PATH = "/quarantine";
+public final class QuarantineHandler implements HttpHandler {
+    private static final String PATH = "/quarantine";
 
     private static final int OK = 200;
     private static final int INVALID = 400;
@@ -27,22 +27,19 @@
     private static final int NOT_ALLOWED = 405;
     private static final String PART_SEPARATOR = "\\+";
 
-    private final QuarantineService quarantine;
-    private final Runnable onDecision;
+    private final QuarantineControl quarantine;
     private final HttpHandler next;
 
-    /** @param onDecision called after each decision, which is to be sent to all entries */
-    QuarantineHandler(QuarantineService quarantine, Runnable onDecision, HttpHandler next) {
+    public QuarantineHandler(QuarantineControl quarantine, HttpHandler next) {
         this.quarantine = quarantine;
-        this.onDecision = onDecision;
         this.next = next;
     }
 
     /** Body of the list. */
-    record Listing(List<QuarantineRecord> records) {}
+    private record Listing(List<QuarantineRecord> records) {}
 
     /** Body of the answer to a decision. */
-    record Outcome(String outcome) {}
+    private record Outcome(String outcome) {}
 
     private record Target(ServiceName service, PartGroup group) {}
 
@@ -70,11 +67,9 @@
         }
         if (exchange.getRequestMethod().equals(Methods.PUT)) {
             quarantine.quarantine(target.service(), target.group());
-            onDecision.run();
             answer(exchange, OK, "quarantined");
         } else if (exchange.getRequestMethod().equals(Methods.DELETE)) {
             boolean released = quarantine.release(target.service(), target.group());
-            onDecision.run();
             answer(exchange, released ? OK : NOT_FOUND, released ? "released" : "not quarantined");
         } else {
             answer(exchange, NOT_ALLOWED, "only GET, PUT and DELETE");
--- a/elmline-standin/src/main/java/org/elmline/standin/engine/EngineFaults.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineFaults.java
@@ -6,6 +6,7 @@
     private volatile double slowdown = 1;
     private volatile boolean reportsNoLoad;
     private volatile boolean frozen;
+    private volatile String crashingText = "";
     private volatile int readerDropCount;
 
     public PieceFault pieces() {
@@ -45,6 +46,15 @@
         frozen = value;
     }
 
+    /** Ends the engine when it begins the answer to a prompt that contains this text; an empty text ends it never. */
+    public void crashOnPromptsWith(String text) {
+        crashingText = text;
+    }
+
+    boolean crashesOn(String prompt) {
+        return !crashingText.isEmpty() && prompt.contains(crashingText);
+    }
+
     int readerDropCount() {
         return readerDropCount;
     }
@@ -55,7 +65,13 @@
     }
 
     /** Fault settings as a stand-in process accepts them over HTTP; null leaves a setting unchanged. */
-    public record Settings(PieceFault pieces, Double slowdown, Boolean reportsNoLoad, Boolean silent, Boolean drop) {}
+    public record Settings(
+            PieceFault pieces,
+            Double slowdown,
+            Boolean reportsNoLoad,
+            Boolean silent,
+            Boolean drop,
+            String crashOnPromptsWith) {}
 
     public void apply(Settings settings) {
         if (settings.pieces() != null) {
@@ -70,6 +86,9 @@
         if (settings.silent() != null) {
             frozen = settings.silent();
         }
+        if (settings.crashOnPromptsWith() != null) {
+            crashingText = settings.crashOnPromptsWith();
+        }
         if (Boolean.TRUE.equals(settings.drop())) {
             dropReaders();
         }
--- a/elmline-standin/src/main/java/org/elmline/standin/engine/EngineRoutes.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineRoutes.java
@@ -32,11 +32,14 @@
     private final Engine engine;
     private final EngineFaults faults;
     private final OkHttpClient importClient;
+    private final Runnable crash;
 
-    EngineRoutes(Engine engine, EngineFaults faults, OkHttpClient importClient) {
+    /** @param crash ends the engine at once */
+    EngineRoutes(Engine engine, EngineFaults faults, OkHttpClient importClient, Runnable crash) {
         this.engine = engine;
         this.faults = faults;
         this.importClient = importClient;
+        this.crash = crash;
     }
 
     HttpHandler handler() {
@@ -91,7 +94,29 @@
             return;
         }
         EngineStream stream = started.stream();
-        exchange.dispatch((HttpHandler) dispatched -> writeStream(dispatched, stream, stream.firstIndex()));
+        boolean crashes = faults.crashesOn(request.prompt());
+        exchange.dispatch((HttpHandler) dispatched -> {
+            if (crashes) {
+                crashAtFirstPiece(dispatched, stream);
+            } else {
+                writeStream(dispatched, stream, stream.firstIndex());
+            }
+        });
+    }
+
+    private void crashAtFirstPiece(HttpServerExchange exchange, EngineStream stream) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, NDJSON);
+        exchange.startBlocking();
+        try {
+            exchange.getOutputStream().flush();
+            stream.awaitMore(stream.firstIndex(), Integer.MAX_VALUE);
+        } catch (IOException e) {
+            // The reader has left; the engine ends all the same.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        crash.run();
+        IoUtils.safeClose(exchange.getConnection());
     }
 
     /** Whether all required fields are set. A segment to export generates nothing, so it needs no output size. */
--- a/elmline-standin/src/main/java/org/elmline/standin/engine/EngineServer.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineServer.java
@@ -46,7 +46,8 @@
         engine = new Engine(settings, faults, () -> (long) ((System.nanoTime() - start) * settings.timeScale()));
         importClient =
                 new OkHttpClient.Builder().callTimeout(Duration.ofSeconds(5)).build();
-        http = new StandinHttpServer(settings.port(), new EngineRoutes(engine, faults, importClient).handler());
+        http = new StandinHttpServer(
+                settings.port(), new EngineRoutes(engine, faults, importClient, this::crash).handler());
         announcer = new Announcer(settings.announceTo(), settings.backendKey(), this::announcement);
         announcer.start();
         LOG.infof("engine %s serves on %s", settings.id(), http.address());
@@ -64,6 +65,11 @@
         return settings.id();
     }
 
+    /** Whether the engine has ended. */
+    public boolean isClosed() {
+        return closed.get();
+    }
+
     public EngineFaults faults() {
         return faults;
     }
@@ -78,6 +84,19 @@
         return engine.usedKvTokens();
     }
 
+    /** Ends on a thread of its own, as closing waits for the threads that handle requests. */
+    private void crash() {
+        LOG.infof("engine %s ends because of a prompt", settings.id());
+        Thread thread = new Thread(
+                () -> {
+                    close();
+                    settings.onCrash().run();
+                },
+                "crash");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     /** The announcement for the current state. */
     public Announcement announcement() {
         EngineState state = engine.state();
@@ -157,9 +176,16 @@
         private int port;
         private final List<Address> announceTo = new ArrayList<>();
         private String backendKey = "";
+        private Runnable onCrash = () -> {};
 
         private Builder() {}
 
+        /** What is done after the engine has ended because of a prompt; nothing by default. */
+        public Builder onCrash(Runnable value) {
+            onCrash = value;
+            return this;
+        }
+
         public Builder id(String value) {
             id = BackendServerId.of(value);
             return this;
@@ -295,7 +321,8 @@
                     seed,
                     port,
                     List.copyOf(announceTo),
-                    backendKey));
+                    backendKey,
+                    onCrash));
         }
     }
 }
--- a/elmline-standin/src/main/java/org/elmline/standin/engine/EngineSettings.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/engine/EngineSettings.java
@@ -18,6 +18,7 @@
  * @param cacheEventLossRate share of cache events that are never published, 0 to 1
  * @param importedShare memory that an imported segment takes, as a share of its tokens; the rest is read from the
  *     exporter, so that a prompt larger than one engine's memory can be answered
+ * @param onCrash run after the engine has ended because of a prompt
  */
 record EngineSettings(
         BackendServerId id,
@@ -37,4 +38,5 @@
         long seed,
         int port,
         List<Address> announceTo,
-        String backendKey) {}
+        String backendKey,
+        Runnable onCrash) {}
