--- a/elmline-core/src/test/java/org/elmline/core/path/ServerPathsTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/path/ServerPathsTest.java
@@ -84,4 +84,14 @@
         assertTrue(trials >= 19 && trials <= 20, trials + " in ten seconds");
         assertFalse(paths.tryTrial(BOOKING, 0), "no path is cut there");
     }
+
+    /** Many servers that end within a second refuse connections one after the other, while the path is sound. */
+    @Test
+    void refusedConnectionsDoNotCutTheService() {
+        for (int i = 0; i < 20; i++) {
+            paths.recordRefused(DESK, server(i));
+        }
+        assertFalse(paths.isCut(DESK));
+        assertTrue(paths.isCut(DESK, server(3)), "another entry may reach it");
+    }
 }
