Let a forwarding entry state that a server ended right after the head of its answer

A forwarding entry passed the head on at once, but its bytes leave with the first ones of the body. When the server ended between the two, it closed the connection without a byte, and the asking entry took it for unfit for two seconds: with one such entry, calls in that time got 503, and a trial of a suspected part was lost.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -27,6 +27,7 @@
     private final CallerDisconnectDetector disconnectDetector;
     private final BackendCall backendCall;
     private CallerChannel answer;
+    private boolean hasHead;
     private boolean success;
     private boolean ended;
 
@@ -91,6 +92,7 @@
     @Override
     public void onHead(int status, HeaderMap headers, AnswerHead answerHead) {
         success = AnswerHead.isSuccess(status);
+        hasHead = true;
         exchange.setStatusCode(status);
         HeaderMap responseHeaders = exchange.getResponseHeaders();
         access.protocol().copyAnswerHeaders(headers, responseHeaders);
@@ -101,7 +103,14 @@
             // Set explicitly: an answer that ends with its connection would look complete when it is broken off.
             responseHeaders.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
         }
-        answer = new CallerChannel(exchange, backendCall::resume, this::onChannelClosed);
+    }
+
+    /** Opened with the first byte of the body: until then it can still be stated that the server gave no answer. */
+    private CallerChannel answer() {
+        if (answer == null) {
+            answer = new CallerChannel(exchange, backendCall::resume, this::onChannelClosed);
+        }
+        return answer;
     }
 
     @Override
@@ -111,7 +120,7 @@
         if (success) {
             observer.onContent();
         }
-        if (!answer.write(copy)) {
+        if (!answer().write(copy)) {
             backendCall.pause();
         }
     }
@@ -119,24 +128,23 @@
     @Override
     public void onComplete() {
         observer.onComplete();
-        answer.complete();
+        answer().complete();
     }
 
-    /** The request may have run. Without any byte of an answer that is stated, as this entry is not the cause. */
+    /** The request may have run. Without any byte of a body that is stated, as this entry is not the cause. */
     @Override
     public void onBroken(String why) {
-        if (answer != null) {
-            if (success) {
-                observer.onBroken(() -> {});
-            }
-            answer.abort();
-            return;
+        Runnable end = answer == null ? this::stateNoAnswer : answer::abort;
+        if (hasHead && !success) {
+            end.run();
+        } else {
+            observer.onBroken(end);
         }
-        observer.onBroken(this::stateNoAnswer);
     }
 
     private void stateNoAnswer() {
         if (tryEnd()) {
+            exchange.getResponseHeaders().clear();
             exchange.getResponseHeaders().put(RelayRequest.NO_ANSWER, Boolean.TRUE.toString());
             exchange.setStatusCode(StatusCodes.BAD_GATEWAY).endExchange();
         }
