Count calls beside a crashing one as part of it, and prefer the group that restricts fewest calls

Cause: one call with the crashing prefix had ended three engines, a sound one ended beside it on the last, so that the common prefix had two requests and the guilty one had one. A request now counts only if no other one ended the same servers, a suspicion that a later report explains ends at once, and of equal parts the one with most parts in common goes first. QuarantineRegistryTest.callBesideARetriedOneDoesNotAccuseWhatTheyShare failed before (common suspected).

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -50,7 +52,7 @@
      * How much speaks against a group.
      *
      * @param servers servers that ended under prompts with the group
-     * @param requests different requests among those prompts
+     * @param requests different requests among those prompts, each under which other servers ended
      */
     record Support(int servers, int requests) {}
 
@@ -96,17 +98,37 @@
 
     /** What speaks against all parts of a group together. */
     Support support(ServiceName service, PartGroup group) {
-        int servers = 0;
-        Set<String> requests = new HashSet<>();
-        for (CrashedServer each : crashedServers.values()) {
-            if (!each.service().equals(service) || group.parts().stream().anyMatch(part -> !isOpen(each, part))) {
-                continue;
+        List<CrashedServer> servers = crashedServers.values().stream()
+                .filter(each -> each.service().equals(service))
+                .filter(each -> group.parts().stream().allMatch(part -> isOpen(each, part)))
+                .toList();
+        return support(servers, group);
+    }
+
+    private static Support support(List<CrashedServer> servers, PartGroup group) {
+        Map<String, Set<CrashedServer>> serversByRequest = new HashMap<>();
+        int matching = 0;
+        for (CrashedServer each : servers) {
+            List<String> requests = matchingRequests(each, group);
+            requests.forEach(request -> serversByRequest
+                    .computeIfAbsent(request, key -> Collections.newSetFromMap(new IdentityHashMap<>()))
+                    .add(each));
+            matching += requests.isEmpty() ? 0 : 1;
+        }
+        return new Support(matching, independentRequests(serversByRequest.values()));
+    }
+
+    /** Requests of which no other one ended the same servers: those that merely ran beside it show nothing more. */
+    private static int independentRequests(Collection<Set<CrashedServer>> serversOfRequests) {
+        List<Set<CrashedServer>> largestFirst = new ArrayList<>(serversOfRequests);
+        largestFirst.sort(Comparator.comparing((Set<CrashedServer> each) -> -each.size()));
+        List<Set<CrashedServer>> independent = new ArrayList<>();
+        for (Set<CrashedServer> each : largestFirst) {
+            if (independent.stream().noneMatch(larger -> larger.containsAll(each))) {
+                independent.add(each);
             }
-            List<String> matching = matchingRequests(each, group);
-            servers += matching.isEmpty() ? 0 : 1;
-            requests.addAll(matching);
         }
-        return new Support(servers, requests.size());
+        return independent.size();
     }
 
     private static List<String> matchingRequests(CrashedServer server, PartGroup group) {
@@ -130,8 +152,8 @@
 
     /**
      * The group that a crash makes suspect: of the parts of its prompt, the one under which most servers ended, with
-     * all parts that were in each of those prompts too. Parts that no answer has ever gone on with come first. Servers
-     * that ended under prompts with a known group are explained by that group and speak against no other one.
+     * all parts that were in each of those prompts too. Parts that no answer has ever gone on with come first, and of
+     * equal ones that with most other parts, which restricts fewest calls. Servers that ended under prompts with a known group are explained by that group and speak against no other one.
      *
      * @param known groups of the same service that are restricted already
      */
@@ -141,6 +163,9 @@
                 .filter(each -> isSuspect(crash.service(), each, serversByPart.get(each), known))
                 .max(Comparator.comparing((PromptPart each) -> !hasPassedBefore(crash.service(), each))
                         .thenComparing(each -> serversByPart.get(each).size())
+                        .thenComparing(each -> commonParts(each, serversByPart.get(each))
+                                .parts()
+                                .size())
                         .thenComparing(Comparator.naturalOrder()))
                 .map(each -> commonParts(each, serversByPart.get(each)));
     }
@@ -168,17 +193,11 @@
 
     private boolean isSuspect(
             ServiceName service, PromptPart part, List<CrashedServer> servers, Collection<PartGroup> known) {
-        Set<String> requests = new HashSet<>();
-        servers.forEach(each -> each.prompts().forEach((request, prompt) -> {
-            if (prompt.contains(part)) {
-                requests.add(request);
-            }
-        }));
         // The other parts of the known group were missing this time.
         boolean ofKnownGroup = known.stream().anyMatch(each -> each.parts().contains(part));
         Threshold threshold =
                 ofKnownGroup ? Threshold.SUSPECT_AGAIN : Threshold.toSuspect(hasPassedBefore(service, part));
-        return threshold.isReachedBy(new Support(servers.size(), requests.size()));
+        return threshold.isReachedBy(support(servers, PartGroup.of(List.of(part))));
     }
 
     private PartGroup commonParts(PromptPart part, List<CrashedServer> servers) {
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineReason.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineReason.java
@@ -10,6 +10,8 @@
     ANSWERED(true),
     /** One part turned out to be sound; a smaller group replaces this one. */
     NARROWED(false),
+    /** A later report showed that another call had ended the same servers. */
+    EXPLAINED(false),
     /** No further server ended under it, and too few had for certainty. */
     NO_FURTHER_CRASH(false),
     /** No call with it came for a long time. */
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
@@ -165,12 +165,25 @@
                 endTrial(each, now);
             }
         }
+        releaseExplained(crash.service(), now);
         evidence.suspect(crash, restrictedGroups(crash.service()))
                 .ifPresent(group ->
                         restrict(crash.service(), group, QuarantineStage.SUSPECTED, QuarantineReason.CRASHES, now));
         quarantineProven(now);
     }
 
+    /** Of several calls that one server ended, that of the cause may be reported last. */
+    private void releaseExplained(ServiceName service, long now) {
+        for (Case each : List.copyOf(cases.values())) {
+            QuarantineRecord known = each.quarantine;
+            if (each.isIn(QuarantineStage.SUSPECTED)
+                    && known.service().equals(service)
+                    && !Threshold.SUSPECT_AGAIN.isReachedBy(evidence.support(service, known.group()))) {
+                release(each, QuarantineReason.EXPLAINED, now);
+            }
+        }
+    }
+
     private Collection<PartGroup> restrictedGroups(ServiceName service) {
         return cases.values().stream()
                 .filter(each -> each.restricts() && each.quarantine.service().equals(service))
--- a/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantineRegistryTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantineRegistryTest.java
@@ -109,6 +109,18 @@
         assertEquals(List.of(), fixture.groups(SUSPECTED));
     }
 
+    /** One request ends three servers, and a sound one beside it on the last of them; no answer has gone on before. */
+    @Test
+    void callBesideARetriedOneDoesNotAccuseWhatTheyShare() {
+        fixture.crash("s1", "bad1", "common bad");
+        fixture.crash("s2", "bad1", "common bad");
+        fixture.crash("s3", "sound", "common");
+        fixture.crash("s3", "bad1", "common bad");
+        assertEquals(List.of(), fixture.groups(SUSPECTED));
+        fixture.crash("s4", "bad2", "common bad");
+        assertEquals(List.of("bad+common"), fixture.groups(SUSPECTED));
+    }
+
     @Test
     void anAnswerThatGoesOnVoidsAllEarlierCrashes() {
         crashes(3, "a");
