Name the content of a request whose answer broke off, and whether its server ended

What callers saw: nothing new; a log line alone. Two tries of one caller had nothing in common in the log, and an answer that broke off past its beginning had no line that tells whether its server ended.

No decision depends on it.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/PromptPart.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/PromptPart.java
@@ -3,11 +3,14 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
 
-/** Id of a part of a prompt. Prompts with the same part have the same text there. */
+/** Id of a part of a prompt, or of a whole request. Prompts with the same part have the same text there. */
 public record PromptPart(@JsonValue String value) implements Comparable<PromptPart> {
     /** Longest id in characters; a digest of 256 bits in hexadecimal. */
     public static final int MAX_LENGTH = 64;
 
+    /** Begins the id of a whole request; ids of parts that prompts share have no colon. */
+    private static final String REQUEST_PREFIX = "request:";
+
     public PromptPart {
         if (value == null || value.isEmpty() || value.length() > MAX_LENGTH) {
             throw new IllegalArgumentException("prompt part must be 1 to " + MAX_LENGTH + " characters");
@@ -19,6 +22,16 @@
         return new PromptPart(value);
     }
 
+    /** A whole request, by a digest of its content, as a part that only its repeats share. */
+    public static PromptPart ofRequest(String digest) {
+        return new PromptPart(REQUEST_PREFIX + digest);
+    }
+
+    /** Whether this is a whole request rather than a part that different requests share. */
+    public boolean isRequest() {
+        return value.startsWith(REQUEST_PREFIX);
+    }
+
     /** Whether a text has the length of an id. */
     public static boolean isValid(String text) {
         return !text.isEmpty() && text.length() <= MAX_LENGTH;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
@@ -1,12 +1,8 @@
 package org.elmline.daemon.gateway;
 
-import java.util.List;
-
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.ServiceName;
 import org.elmline.core.quarantine.AnswerProgress;
-import org.elmline.core.quarantine.PromptPart;
-import org.elmline.core.quarantine.ServerCrash;
 
 /**
  * Observes one answer of a server to a prompt, and reports to the quarantine whether it went on or broke off at its
@@ -19,12 +15,12 @@
     private final long bornMillis;
     private final ServiceName service;
     private final String request;
-    private final List<PromptPart> parts;
+    private final CallParts parts;
     private final AnswerProgress progress = new AnswerProgress();
 
     /**
      * @param bornMillis start of the server, in milliseconds since 1970
-     * @param parts parts of the prompt that other prompts may share
+     * @param service null for a server that is not registered here, of which nothing is reported
      */
     AnswerObserver(
             QuarantineClient quarantine,
@@ -33,7 +29,7 @@
             long bornMillis,
             ServiceName service,
             String request,
-            List<PromptPart> parts) {
+            CallParts parts) {
         this.quarantine = quarantine;
         this.clock = clock;
         this.target = target;
@@ -45,27 +41,26 @@
 
     /** Records a piece of the content of a success, such as an event. */
     void onContent() {
-        if (!parts.isEmpty() && progress.onContent(clock.nanos())) {
-            quarantine.recordPass(service, parts);
+        if (service != null && progress.onContent(clock.nanos())) {
+            quarantine.recordPass(service, parts.shared());
         }
     }
 
     /** Records the end of a complete success. */
     void onComplete() {
-        if (!parts.isEmpty() && progress.onComplete()) {
-            quarantine.recordPass(service, parts);
+        if (service != null && progress.onComplete()) {
+            quarantine.recordPass(service, parts.shared());
         }
     }
 
     /** Records that the answer broke off; runs {@code onDone} when that is reported where it matters. */
     void onBroken(Runnable onDone) {
-        if (parts.isEmpty() || !progress.isAtBeginning()) {
+        if (service == null) {
             onDone.run();
             return;
         }
-        quarantine.reportBrokenBeginning(
-                target,
-                ageMillis -> new ServerCrash(request, service, target.server(), bornMillis, parts, ageMillis),
-                onDone);
+        BrokenAnswer answer = new BrokenAnswer(
+                request, parts.request(), parts.shared(), service, target, bornMillis, progress.isAtBeginning());
+        quarantine.reportBroken(answer, onDone);
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -44,6 +44,7 @@
     private static final long MIN_ANSWER_TIMEOUT_MILLIS = 40;
 
     private final Call call;
+    private final CallParts parts;
     private final DispatchCall placementRequest;
     private final DispatchAnswer.Granted granted;
     private final HelperReservations reservations;
@@ -60,8 +61,9 @@
     private boolean sent;
     private boolean ended;
 
-    Attempt(Call call, DispatchCall placementRequest, DispatchAnswer.Granted granted) {
+    Attempt(Call call, CallParts parts, DispatchCall placementRequest, DispatchAnswer.Granted granted) {
         this.call = call;
+        this.parts = parts;
         this.placementRequest = placementRequest;
         this.granted = granted;
         this.bufferedBody = call.memory().newAnswer();
@@ -109,7 +111,7 @@
                 context.backends().gate().bornMillis(granted.server()),
                 placementRequest.service(),
                 call.head().requestId(),
-                call.head().sharedParts());
+                parts);
         backendCall = new BackendCall(
                 context.backends(),
                 target,
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
@@ -0,0 +1,30 @@
+package org.elmline.daemon.gateway;
+
+import java.util.List;
+
+import org.elmline.core.common.ServiceName;
+import org.elmline.core.quarantine.PromptPart;
+import org.elmline.core.quarantine.ServerCrash;
+
+/**
+ * An answer that broke off, or never began.
+ *
+ * @param requestId the caller's id of this attempt
+ * @param request the whole request
+ * @param sharedParts parts of the prompt that other prompts may share
+ * @param bornMillis start of the server, in milliseconds since 1970
+ * @param atBeginning whether the answer had not gone past its beginning
+ */
+record BrokenAnswer(
+        String requestId,
+        PromptPart request,
+        List<PromptPart> sharedParts,
+        ServiceName service,
+        BackendTarget target,
+        long bornMillis,
+        boolean atBeginning) {
+    /** The report that the server ended under these parts, {@code ageMillis} ago. */
+    ServerCrash crash(List<PromptPart> parts, long ageMillis) {
+        return new ServerCrash(requestId, service, target.server(), bornMillis, parts, ageMillis);
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -92,7 +92,7 @@
                 : Math.min(head.deadlineMillis(), route.timeoutMillis());
         this.deadlineAtNanos = receivedAtNanos + timeoutMillis * NANOS_PER_MILLI;
         this.history = new AttemptHistory(route.maxAttempts());
-        this.quarantine = new CallQuarantine(context, service, head.sharedParts(), history);
+        this.quarantine = new CallQuarantine(context, service, new CallParts(exchange, head, memory.body()), history);
         this.disconnectDetector = new CallerDisconnectDetector(exchange);
         this.requestLog = new SampledRequestLog(head.requestId());
         this.deadlineTimer =
@@ -276,7 +276,7 @@
                 .with("leftMs", remainingMillis()));
         context.callMetrics().recordPlacement(service, elapsedMillis());
         history.recordSend(granted.server());
-        attempt = new Attempt(this, request, granted);
+        attempt = new Attempt(this, quarantine.parts(), request, granted);
         attempt.start();
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHead.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHead.java
@@ -14,6 +14,7 @@
  * @param maxAnswerTokens most tokens of the answer, 0 for a call that generates nothing
  * @param expectedAnswerTokens the caller's estimate; 0 without one
  * @param lastEventId id of the last event that the caller has received, negative without one
+ * @param partList the parts of the prompt as the caller lists them; null for a call without a prompt
  * @param sharedParts parts of the prompt that other prompts may share; empty for a call without a prompt
  */
 public record CallHead(
@@ -24,6 +25,7 @@
         long maxAnswerTokens,
         long expectedAnswerTokens,
         long lastEventId,
+        String partList,
         List<PromptPart> sharedParts) {
     public CallHead {
         sharedParts = List.copyOf(sharedParts);
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallParts.java
@@ -0,0 +1,70 @@
+package org.elmline.daemon.gateway;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+
+import io.undertow.server.HttpServerExchange;
+import org.elmline.core.quarantine.PromptPart;
+import org.elmline.daemon.http.ByteChunks;
+
+/**
+ * What speaks against a call when servers end under it: the parts of its prompt that other prompts may share, and the
+ * whole request, known by a digest of its content, as each time that a caller sends it has another id. Used on the I/O
+ * thread only.
+ */
+final class CallParts {
+    private static final String ALGORITHM = "SHA-256";
+    private static final int DIGEST_BYTES = 16;
+
+    private final HttpServerExchange exchange;
+    private final CallHead head;
+    private final ByteChunks body;
+    private PromptPart request;
+
+    CallParts(HttpServerExchange exchange, CallHead head, ByteChunks body) {
+        this.exchange = exchange;
+        this.head = head;
+        this.body = body;
+    }
+
+    /** The parts of the prompt that other prompts may share. */
+    List<PromptPart> shared() {
+        return head.sharedParts();
+    }
+
+    /** The whole request. Computed at the first use, as few calls need it; the body must still be there then. */
+    PromptPart request() {
+        if (request == null) {
+            request = PromptPart.ofRequest(HexFormat.of().formatHex(digest(), 0, DIGEST_BYTES));
+        }
+        return request;
+    }
+
+    /** The shared parts and the whole request. */
+    List<PromptPart> all() {
+        List<PromptPart> all = new ArrayList<>(shared());
+        all.add(request());
+        return all;
+    }
+
+    /** The deadline and the last event received are left out: they differ each time that a caller sends the request. */
+    private byte[] digest() {
+        String text =
+                exchange.getRequestMethod() + "\n" + BackendCall.pathAndQuery(exchange) + "\n" + head.partList() + "\n";
+        try {
+            MessageDigest digest = MessageDigest.getInstance(ALGORITHM);
+            digest.update(text.getBytes(StandardCharsets.UTF_8));
+            for (ByteBuffer each : body.buffers()) {
+                digest.update(each);
+            }
+            return digest.digest();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
+        }
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallQuarantine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallQuarantine.java
@@ -1,12 +1,10 @@
 package org.elmline.daemon.gateway;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.function.LongSupplier;
 import java.util.function.ObjLongConsumer;
 
 import org.elmline.core.common.ServiceName;
-import org.elmline.core.quarantine.PromptPart;
 import org.elmline.core.quarantine.QuarantineView;
 
 /** The quarantine before each attempt of one call: lets it pass, holds it or refuses it. Used on the I/O thread only. */
@@ -24,13 +22,13 @@
     private final HeldCalls heldCalls;
     private final LongSupplier clockNanos;
     private final ServiceName service;
-    private final List<PromptPart> parts;
+    private final CallParts parts;
     private final AttemptHistory history;
     private boolean isTrial;
     private boolean isHeld;
     private long heldSinceNanos;
 
-    CallQuarantine(GatewayContext context, ServiceName service, List<PromptPart> parts, AttemptHistory history) {
+    CallQuarantine(GatewayContext context, ServiceName service, CallParts parts, AttemptHistory history) {
         this.quarantine = context.quarantine();
         this.heldCalls = context.heldCalls();
         this.clockNanos = context.clock()::nanos;
@@ -39,6 +37,10 @@
         this.history = history;
     }
 
+    CallParts parts() {
+        return parts;
+    }
+
     /**
      * Decides on the next attempt, perhaps after a while.
      *
@@ -51,7 +53,7 @@
             onAdmitted.run();
             return;
         }
-        QuarantineView.Decision decision = quarantine.decide(service, parts, !history.mayHaveRun());
+        QuarantineView.Decision decision = quarantine.decide(service, parts.shared(), !history.mayHaveRun());
         if (decision instanceof QuarantineView.Decision.Refused refused) {
             onRefused.accept("a part of the prompt is quarantined", refused.retryAfterMillis());
         } else if (decision instanceof QuarantineView.Decision.Held) {
@@ -76,7 +78,7 @@
 
     /** Whether an attempt that no server has begun to answer must be given up. */
     boolean mustGiveUp() {
-        return !isTrial && quarantine.isRefused(service, parts);
+        return !isTrial && quarantine.isRefused(service, parts.shared());
     }
 
     /** To be called when the call has ended. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.LongFunction;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -34,6 +33,8 @@
     /** Shortest interval between two demands for the same group, or two reports of passes of the same part. */
     private static final long REPORT_INTERVAL_NANOS = Duration.ofMillis(200).toNanos();
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final QuarantineView view;
@@ -181,25 +182,35 @@
     /**
      * Reports that an answer broke off at its beginning, if its server has ended.
      *
-     * @param crashOfAge creates the report for an age in milliseconds
      * @param onDone run once the report was answered, or at once without a report
      */
-    void reportBrokenBeginning(BackendTarget target, LongFunction<ServerCrash> crashOfAge, Runnable onDone) {
+    void reportBroken(BrokenAnswer answer, Runnable onDone) {
         long brokenAtNanos = clock.nanos();
-        crashCheck.check(target, ended -> {
-            ServerCrash crash = crashOfAge.apply((clock.nanos() - brokenAtNanos) / 1_000_000L);
-            log.line("answer broke off at its beginning")
-                    .with("request", crash.request())
-                    .with("server", crash.server())
-                    .with("serverEnded", ended)
-                    .with("parts", crash.parts())
-                    .write();
+        boolean isEvidence = answer.atBeginning() && !answer.sharedParts().isEmpty();
+        if (!isEvidence) {
+            onDone.run();
+            crashCheck.check(answer.target(), ended -> logBroken(answer, ended));
+            return;
+        }
+        crashCheck.check(answer.target(), ended -> {
+            logBroken(answer, ended);
             if (!ended) {
                 onDone.run();
                 return;
             }
             crashes.inc();
+            ServerCrash crash = answer.crash(answer.sharedParts(), (clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI);
             reporter.reportCrash(crash, passLog.latest(crash.service(), crash.parts(), clock.nanos()), onDone);
         });
     }
+
+    private void logBroken(BrokenAnswer answer, boolean ended) {
+        log.line(answer.atBeginning() ? "answer broke off at its beginning" : "answer broke off")
+                .with("request", answer.requestId())
+                .with("server", answer.target().server())
+                .with("serverEnded", ended)
+                .with("parts", answer.sharedParts())
+                .with("content", answer.request())
+                .write();
+    }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
@@ -84,10 +84,11 @@
             refuse(exchange, refusal.get());
             return;
         }
+        CallParts parts = new CallParts(exchange, head, callMemory.body());
         forwarding++;
         forwarded.inc();
         RelayedCall call = new RelayedCall(
-                access, pathCheck, observers.create(request.target(), head), callMemory, request, ended -> {
+                access, pathCheck, observers.create(request.target(), head, parts), callMemory, request, ended -> {
                     forwarding--;
                     openCalls.remove(ended);
                 });
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedAnswerObservers.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedAnswerObservers.java
@@ -1,6 +1,5 @@
 package org.elmline.daemon.gateway;
 
-import java.util.List;
 import java.util.function.Function;
 
 import org.elmline.core.common.BackendServerId;
@@ -31,7 +30,7 @@
     }
 
     /** The observer of the answer to a forwarded request. */
-    AnswerObserver create(BackendTarget target, CallHead head) {
+    AnswerObserver create(BackendTarget target, CallHead head, CallParts parts) {
         Registration registration = registrations.apply(target.server());
         boolean known = registration != null && head.requestId() != null;
         return new AnswerObserver(
@@ -41,6 +40,6 @@
                 known ? registration.bornMillis() : 0,
                 known ? registration.service() : null,
                 head.requestId(),
-                known ? head.sharedParts() : List.of());
+                parts);
     }
 }
