Hold a request that ends servers, whatever id its caller's tries have

What callers saw: a request that ends its server by what is its own is sent again by its caller, each time under another id and at another entry.

Cause: nothing was counted by request. The quarantine counts the parts that prompts share, and takes each id for another request; AttemptHistory begins anew with each try; an end later than half a second into an answer, and any end under a call without a prompt, was not reported at all.

Change: a report of an ended server names the whole request too, by the digest of its content, as a part that only its repeats share, so that one piece of code keeps the evidence. Two servers ended: further tries wait up to 0.9 s and are sent one at a time over all entries; three: refused, without having run. A complete answer clears it. Requests whose servers all ended under another request that ended more, or under a known part, ran beside the cause and are not held. Tries count as one request for the parts that they have. The digest is computed only when an answer breaks off or a request of the service is restricted. Two sound requests with the same content count as one, so a complete answer to either clears both.

Weighed: two servers without a third try (a sound request that lost two would be refused for minutes; a trial costs its caller some 0.4 s); counting at the dispatcher (its end report comes before it is known whether the server ended, and it changes).

Case of the registry moves into a file of its own, as the registry had grown.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
@@ -45,7 +45,7 @@
 
     private record ServicePart(ServiceName service, PromptPart part) {}
 
-    /** One server that ended, and the parts of the prompts that it had begun to answer, by request. */
+    /** One server that ended, and the parts of the prompts that it was answering, by the requests' identities. */
     private record CrashedServer(ServiceName service, long atNanos, Map<String, Set<PromptPart>> prompts) {}
 
     /**
@@ -56,6 +56,8 @@
      */
     record Support(int servers, int requests) {}
 
+    private static final Support NO_SUPPORT = new Support(0, 0);
+
     /** Records a crash. Returns whether it was not known yet. */
     boolean addCrash(ServerCrash crash, long now) {
         removeExpired(now);
@@ -68,7 +70,7 @@
         if (server.prompts().size() >= MAX_REQUESTS_PER_SERVER) {
             return false;
         }
-        return server.prompts().putIfAbsent(crash.request(), Set.copyOf(crash.parts())) == null;
+        return server.prompts().putIfAbsent(crash.identity(), Set.copyOf(crash.parts())) == null;
     }
 
     private void removeExpired(long now) {
@@ -118,6 +120,38 @@
         return new Support(matching, independentRequests(serversByRequest.values()));
     }
 
+    /**
+     * What speaks against a whole request that may merely have run beside the cause: servers that ended under a prompt
+     * with a known group don't, and none does if they all ended under another request that ended more.
+     *
+     * @param known groups of parts of the same service that are restricted already
+     */
+    Support unexplainedSupport(ServiceName service, PartGroup request, Collection<PartGroup> known) {
+        List<CrashedServer> servers = crashedServers.values().stream()
+                .filter(each -> each.service().equals(service))
+                .filter(each -> isOpen(each, request.parts().get(0)) && !isExplained(each, known))
+                .filter(each -> !matchingRequests(each, request).isEmpty())
+                .toList();
+        return endedUnderAnother(servers, service) ? NO_SUPPORT : support(servers, request);
+    }
+
+    /** Whether all these servers ended under a request under which others ended too. */
+    private boolean endedUnderAnother(List<CrashedServer> servers, ServiceName service) {
+        if (servers.isEmpty()) {
+            return false;
+        }
+        return servers.get(0).prompts().keySet().stream()
+                .filter(other ->
+                        servers.stream().allMatch(each -> each.prompts().containsKey(other)))
+                .anyMatch(other -> serversUnder(other, service) > servers.size());
+    }
+
+    private long serversUnder(String identity, ServiceName service) {
+        return crashedServers.values().stream()
+                .filter(each -> each.service().equals(service) && each.prompts().containsKey(identity))
+                .count();
+    }
+
     /** Requests of which no other one ended the same servers: those that merely ran beside it show nothing more. */
     private static int independentRequests(Collection<Set<CrashedServer>> serversOfRequests) {
         List<Set<CrashedServer>> largestFirst = new ArrayList<>(serversOfRequests);
@@ -177,6 +211,9 @@
                 continue;
             }
             for (PromptPart part : crash.parts()) {
+                if (part.isRequest()) {
+                    continue;
+                }
                 boolean begun = each.prompts().values().stream().anyMatch(prompt -> prompt.contains(part));
                 if (begun && isOpen(each, part)) {
                     byPart.computeIfAbsent(part, key -> new ArrayList<>()).add(each);
@@ -208,7 +245,8 @@
                     continue;
                 }
                 Set<PromptPart> open = new HashSet<>(prompt);
-                open.removeIf(other -> !isOpen(each, other) || isLikelySound(each.service(), other, part));
+                open.removeIf(other ->
+                        other.isRequest() || !isOpen(each, other) || isLikelySound(each.service(), other, part));
                 if (common == null) {
                     common = open;
                 } else {
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/PartGroup.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/PartGroup.java
@@ -22,6 +22,11 @@
         return !parts.isEmpty() && prompt.containsAll(parts);
     }
 
+    /** Whether this is a whole request. */
+    public boolean isRequest() {
+        return parts.size() == 1 && parts.get(0).isRequest();
+    }
+
     PartGroup without(PromptPart part) {
         return new PartGroup(parts.stream().filter(each -> !each.equals(part)).toList());
     }
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
@@ -23,21 +23,6 @@
     /** Shortest suspicion: within it, answers that show a part to be sound are reported. */
     private static final long CONFIRMATION_NANOS = Duration.ofMillis(250).toNanos();
 
-    /** Time without a crash after which a suspicion ends. */
-    private static final long SUSPICION_NANOS = Duration.ofSeconds(5).toNanos();
-
-    /** Time after a crash in which other calls that were sent before it end. */
-    private static final long TRIAL_DELAY_NANOS = Duration.ofMillis(300).toNanos();
-
-    /** Time in which the result of a trial is expected: a long prompt's prefill and the beginning of its answer. */
-    private static final long TRIAL_NANOS = Duration.ofSeconds(3).toNanos();
-
-    /** Pause before the first trial of a quarantined group; it doubles with each trial. */
-    private static final long FIRST_PAUSE_NANOS = Duration.ofMinutes(10).toNanos();
-
-    /** Trials of a quarantined group; each may end a server. Afterwards only an operator releases it. */
-    private static final int MAX_TRIALS = 2;
-
     private static final long UNUSED_NANOS = Duration.ofDays(1).toNanos();
 
     /** Longer than control hosts stay away, so that one that returns does not quarantine a released group again. */
@@ -48,64 +33,10 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final CrashEvidence evidence = new CrashEvidence();
-    private final Map<Key, Case> cases = new LinkedHashMap<>();
+    private final Map<Key, QuarantineCase> cases = new LinkedHashMap<>();
     private final Map<ServiceName, Long> lastPassNanos = new HashMap<>();
     private long changes;
 
-    /** A record with what only this host knows of it. */
-    private static final class Case {
-        private QuarantineRecord quarantine;
-        private long sinceNanos;
-        private long lastCrashNanos;
-        private long lastDemandNanos;
-        private long trialSinceNanos;
-        private long nextTrialNanos;
-
-        Case(QuarantineRecord quarantine, long now) {
-            this.quarantine = quarantine;
-            sinceNanos = now;
-            lastCrashNanos = now;
-            lastDemandNanos = now;
-            trialSinceNanos = now;
-        }
-
-        boolean restricts() {
-            return quarantine.stage().restricts();
-        }
-
-        boolean isIn(QuarantineStage stage) {
-            return quarantine.stage() == stage;
-        }
-
-        boolean byOperator() {
-            return quarantine.reason() == QuarantineReason.OPERATOR;
-        }
-
-        /** Whether the next trial may be granted. */
-        boolean isTrialDue(long now) {
-            if (!restricts() || byOperator() || quarantine.trialEntry() != null) {
-                return false;
-            }
-            return isIn(QuarantineStage.SUSPECTED) && now - lastCrashNanos >= TRIAL_DELAY_NANOS
-                    || isIn(QuarantineStage.QUARANTINED)
-                            && quarantine.trials() < MAX_TRIALS
-                            && now - nextTrialNanos >= 0;
-        }
-
-        void scheduleTrial(long now) {
-            nextTrialNanos = now + (FIRST_PAUSE_NANOS << quarantine.trials());
-        }
-
-        /** Milliseconds until the next trial; negative without one. */
-        long untilTrialMillis(long now) {
-            if (isIn(QuarantineStage.SUSPECTED)) {
-                return 0;
-            }
-            boolean hasTrial = isIn(QuarantineStage.QUARANTINED) && !byOperator() && quarantine.trials() < MAX_TRIALS;
-            return hasTrial ? Math.max(0, (nextTrialNanos - now) / NANOS_PER_MILLI) : -1;
-        }
-    }
-
     /** Number of the latest change. */
     public long changeNumber() {
         return changes;
@@ -125,7 +56,7 @@
             return;
         }
         evidence.addPass(pass.service(), pass.part(), atNanos);
-        for (Case each : List.copyOf(cases.values())) {
+        for (QuarantineCase each : List.copyOf(cases.values())) {
             boolean concerned = each.restricts()
                     && !each.byOperator()
                     && each.quarantine.service().equals(pass.service())
@@ -137,7 +68,7 @@
         }
     }
 
-    private void narrow(Case known, PromptPart sound, long now) {
+    private void narrow(QuarantineCase known, PromptPart sound, long now) {
         QuarantineRecord wide = known.quarantine;
         PartGroup rest = wide.group().without(sound);
         if (rest.isEmpty()) {
@@ -145,7 +76,7 @@
             return;
         }
         release(known, QuarantineReason.NARROWED, now);
-        Case narrowed = restrict(wide.service(), rest, wide.stage(), QuarantineReason.CRASHES, now);
+        QuarantineCase narrowed = restrict(wide.service(), rest, wide.stage(), QuarantineReason.CRASHES, now);
         narrowed.sinceNanos = known.sinceNanos;
         narrowed.lastCrashNanos = known.lastCrashNanos;
         narrowed.nextTrialNanos = known.nextTrialNanos;
@@ -156,7 +87,7 @@
             return;
         }
         changes++;
-        for (Case each : cases.values()) {
+        for (QuarantineCase each : cases.values()) {
             QuarantineRecord known = each.quarantine;
             if (each.restricts()
                     && known.service().equals(crash.service())
@@ -166,32 +97,57 @@
             }
         }
         releaseExplained(crash.service(), now);
-        evidence.suspect(crash, restrictedGroups(crash.service()))
+        evidence.suspect(crash, restrictedGroupsOfParts(crash.service()))
                 .ifPresent(group ->
                         restrict(crash.service(), group, QuarantineStage.SUSPECTED, QuarantineReason.CRASHES, now));
+        crash.wholeRequest().ifPresent(each -> judgeRequest(crash.service(), PartGroup.of(List.of(each)), now));
         quarantineProven(now);
     }
 
+    /** A request that has ended a server is refused sooner than a part: it concerns its own caller alone. */
+    private void judgeRequest(ServiceName service, PartGroup request, long now) {
+        if (current(service, request).stage() == QuarantineStage.QUARANTINED) {
+            return;
+        }
+        if (Threshold.QUARANTINE_REQUEST.isReachedBy(evidence.support(service, request))) {
+            restrict(service, request, QuarantineStage.QUARANTINED, QuarantineReason.CRASHES, now);
+        } else if (isSuspectRequest(service, request)) {
+            restrict(service, request, QuarantineStage.SUSPECTED, QuarantineReason.CRASHES, now);
+        }
+    }
+
+    private boolean isSuspectRequest(ServiceName service, PartGroup request) {
+        return Threshold.SUSPECT_REQUEST.isReachedBy(
+                evidence.unexplainedSupport(service, request, restrictedGroupsOfParts(service)));
+    }
+
     /** Of several calls that one server ended, that of the cause may be reported last. */
     private void releaseExplained(ServiceName service, long now) {
-        for (Case each : List.copyOf(cases.values())) {
+        for (QuarantineCase each : List.copyOf(cases.values())) {
             QuarantineRecord known = each.quarantine;
-            if (each.isIn(QuarantineStage.SUSPECTED)
-                    && known.service().equals(service)
-                    && !Threshold.SUSPECT_AGAIN.isReachedBy(evidence.support(service, known.group()))) {
+            if (each.isIn(QuarantineStage.SUSPECTED) && known.service().equals(service) && !isStillSuspect(each)) {
                 release(each, QuarantineReason.EXPLAINED, now);
             }
         }
     }
 
-    private Collection<PartGroup> restrictedGroups(ServiceName service) {
+    private boolean isStillSuspect(QuarantineCase suspected) {
+        ServiceName service = suspected.quarantine.service();
+        PartGroup group = suspected.quarantine.group();
+        return suspected.isRequest()
+                ? isSuspectRequest(service, group)
+                : Threshold.SUSPECT_AGAIN.isReachedBy(evidence.support(service, group));
+    }
+
+    private Collection<PartGroup> restrictedGroupsOfParts(ServiceName service) {
         return cases.values().stream()
-                .filter(each -> each.restricts() && each.quarantine.service().equals(service))
+                .filter(each -> each.restricts() && !each.isRequest())
+                .filter(each -> each.quarantine.service().equals(service))
                 .map(each -> each.quarantine.group())
                 .toList();
     }
 
-    private void endTrial(Case known, long now) {
+    private void endTrial(QuarantineCase known, long now) {
         QuarantineRecord held = known.quarantine;
         if (held.trialEntry() == null) {
             return;
@@ -203,7 +159,7 @@
     }
 
     private void applyDemand(GroupDemand demand, HostId entry, boolean leads, long now) {
-        Case known = cases.get(new Key(demand.service(), demand.group()));
+        QuarantineCase known = cases.get(new Key(demand.service(), demand.group()));
         if (known == null) {
             return;
         }
@@ -216,25 +172,25 @@
     }
 
     /** Puts a group into a stage that restricts calls, unless it is in that stage. */
-    private Case restrict(
+    private QuarantineCase restrict(
             ServiceName service, PartGroup group, QuarantineStage stage, QuarantineReason reason, long now) {
-        Case known = cases.get(new Key(service, group));
+        QuarantineCase known = cases.get(new Key(service, group));
         if (known != null && known.quarantine.stage() == stage) {
             return known;
         }
         int servers = evidence.support(service, group).servers();
-        Case next = new Case(current(service, group).next(stage, reason, servers), now);
+        QuarantineCase next = new QuarantineCase(current(service, group).next(stage, reason, servers), now);
         next.scheduleTrial(now);
         put(next, now);
         return next;
     }
 
     private QuarantineRecord current(ServiceName service, PartGroup group) {
-        Case known = cases.get(new Key(service, group));
+        QuarantineCase known = cases.get(new Key(service, group));
         return known == null ? QuarantineRecord.unrestricted(service, group) : known.quarantine;
     }
 
-    private void put(Case next, long now) {
+    private void put(QuarantineCase next, long now) {
         cases.remove(next.quarantine.key());
         cases.put(next.quarantine.key(), next);
         changes++;
@@ -242,7 +198,8 @@
     }
 
     private void evict(long now) {
-        List<Case> restricted = cases.values().stream().filter(Case::restricts).toList();
+        List<QuarantineCase> restricted =
+                cases.values().stream().filter(QuarantineCase::restricts).toList();
         if (restricted.size() > MAX_RESTRICTED) {
             leastNeeded(restricted, now).ifPresent(each -> release(each, QuarantineReason.EVICTED, now));
         }
@@ -254,14 +211,14 @@
         }
     }
 
-    private static Optional<Case> leastNeeded(List<Case> restricted, long now) {
+    private static Optional<QuarantineCase> leastNeeded(List<QuarantineCase> restricted, long now) {
         return restricted.stream()
                 .filter(each -> !each.byOperator())
                 .max((a, b) -> Long.compare(now - a.lastDemandNanos, now - b.lastDemandNanos));
     }
 
-    private void release(Case known, QuarantineReason reason, long now) {
-        Case released = new Case(known.quarantine.next(QuarantineStage.RELEASED, reason, 0), now);
+    private void release(QuarantineCase known, QuarantineReason reason, long now) {
+        QuarantineCase released = new QuarantineCase(known.quarantine.next(QuarantineStage.RELEASED, reason, 0), now);
         if (reason.clearsEvidence()) {
             evidence.clear(known.quarantine.service(), known.quarantine.group(), now);
         }
@@ -271,16 +228,14 @@
     /** To be called often: ends suspicions one way or the other, and trials without a result. */
     public void tick(long now) {
         quarantineProven(now);
-        for (Case each : List.copyOf(cases.values())) {
-            if (each.isIn(QuarantineStage.SUSPECTED) && now - each.lastCrashNanos >= SUSPICION_NANOS) {
+        for (QuarantineCase each : List.copyOf(cases.values())) {
+            if (each.isSuspicionOver(now)) {
                 release(each, QuarantineReason.NO_FURTHER_CRASH, now);
             } else if (each.isIn(QuarantineStage.QUARANTINED)
                     && !each.byOperator()
                     && now - each.lastDemandNanos >= UNUSED_NANOS) {
                 release(each, QuarantineReason.UNUSED, now);
-            } else if (each.restricts()
-                    && each.quarantine.trialEntry() != null
-                    && now - each.trialSinceNanos >= TRIAL_NANOS) {
+            } else if (each.isTrialOver(now)) {
                 endTrial(each, now);
             } else if (!each.restricts() && now - each.sinceNanos >= RELEASED_RETENTION_NANOS) {
                 cases.remove(each.quarantine.key());
@@ -289,7 +244,7 @@
     }
 
     private void quarantineProven(long now) {
-        for (Case each : List.copyOf(cases.values())) {
+        for (QuarantineCase each : List.copyOf(cases.values())) {
             if (each.isIn(QuarantineStage.SUSPECTED) && now - each.sinceNanos >= CONFIRMATION_NANOS && isProven(each)) {
                 restrict(
                         each.quarantine.service(),
@@ -305,7 +260,7 @@
      * One server more is needed when none has ended since calls are held: the trial's, or that of a call sent before.
      * While no answer of a service goes on, its servers may crash whatever the prompt.
      */
-    private boolean isProven(Case suspected) {
+    private boolean isProven(QuarantineCase suspected) {
         QuarantineRecord known = suspected.quarantine;
         Long passed = lastPassNanos.get(known.service());
         boolean othersPass = passed != null && passed - (suspected.sinceNanos - CrashEvidence.PASS_VALIDITY_NANOS) > 0;
@@ -318,7 +273,7 @@
     /** Merges the records of another control host, or restored ones. */
     public void merge(List<QuarantineRecord> records, long now) {
         for (QuarantineRecord each : records) {
-            Case known = cases.get(each.key());
+            QuarantineCase known = cases.get(each.key());
             if (known == null || each.supersedes(known.quarantine)) {
                 adopt(each, now);
             }
@@ -326,8 +281,8 @@
     }
 
     private void adopt(QuarantineRecord other, long now) {
-        Case adopted = new Case(other, now);
-        Case known = cases.get(other.key());
+        QuarantineCase adopted = new QuarantineCase(other, now);
+        QuarantineCase known = cases.get(other.key());
         if (known != null && known.quarantine.stage() == other.stage()) {
             adopted.sinceNanos = known.sinceNanos;
             adopted.lastCrashNanos = known.lastCrashNanos;
@@ -344,12 +299,12 @@
     public void quarantineByOperator(ServiceName service, PartGroup group, long now) {
         QuarantineRecord decided =
                 current(service, group).next(QuarantineStage.QUARANTINED, QuarantineReason.OPERATOR, 0);
-        put(new Case(decided.overriding(), now), now);
+        put(new QuarantineCase(decided.overriding(), now), now);
     }
 
     /** Releases a group. Returns false when it is not restricted. */
     public boolean releaseByOperator(ServiceName service, PartGroup group, long now) {
-        Case known = cases.get(new Key(service, group));
+        QuarantineCase known = cases.get(new Key(service, group));
         if (known == null || !known.restricts()) {
             return false;
         }
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
@@ -82,6 +82,21 @@
         return records.isEmpty() && suspects.isEmpty();
     }
 
+    /** Whether any whole request of a service is restricted, so that calls must be compared with it. */
+    public boolean restrictsRequests(ServiceName service) {
+        return records.values().stream()
+                .map(HeldRecord::quarantine)
+                .anyMatch(each -> each.group().isRequest()
+                        && each.stage().restricts()
+                        && each.service().equals(service));
+    }
+
+    /** Whether anything speaks against any whole request of a service. */
+    public boolean watchesRequests(ServiceName service) {
+        return restrictsRequests(service)
+                || suspects.getOrDefault(service, Set.of()).stream().anyMatch(PromptPart::isRequest);
+    }
+
     /** Whether anything speaks against a part, so that control hosts need to know of answers that go on with it. */
     public boolean isWatched(ServiceName service, PromptPart part) {
         if (suspects.getOrDefault(service, Set.of()).contains(part)) {
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/ServerCrash.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/ServerCrash.java
@@ -1,6 +1,7 @@
 package org.elmline.core.quarantine;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.ServiceName;
@@ -10,7 +11,8 @@
  *
  * @param request the caller's id of the request
  * @param bornMillis start of the server, in milliseconds since 1970
- * @param parts parts of the prompt that other prompts may share
+ * @param parts parts of the prompt that other prompts may share, unless the answer had gone past its beginning, and the
+ *     whole request
  * @param ageMillis time since the answer ended, in milliseconds
  */
 public record ServerCrash(
@@ -23,4 +25,14 @@
     public ServerCrash {
         parts = parts == null ? List.of() : List.copyOf(parts);
     }
+
+    /** The whole request; empty in reports of entries of earlier releases. */
+    Optional<PromptPart> wholeRequest() {
+        return parts.stream().filter(PromptPart::isRequest).findFirst();
+    }
+
+    /** What repeats of the request have in common, as each of them has an id of its own. */
+    String identity() {
+        return wholeRequest().map(PromptPart::value).orElse(request);
+    }
 }
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/Threshold.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/Threshold.java
@@ -14,7 +14,10 @@
     SUSPECT_AGAIN(2, 2),
     QUARANTINE(4, 3),
     /** While no answer of the service goes on at all, and for parts that answers went on with before. */
-    QUARANTINE_LIKELY_SOUND(7, 5);
+    QUARANTINE_LIKELY_SOUND(7, 5),
+    /** For a whole request: one that lost two servers to other causes is rare, and has a trial at once. */
+    SUSPECT_REQUEST(2, 1),
+    QUARANTINE_REQUEST(3, 1);
 
     private final int servers;
     private final int requests;
--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
@@ -0,0 +1,122 @@
+package org.elmline.core.quarantine;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.elmline.core.quarantine.QuarantineStage.QUARANTINED;
+import static org.elmline.core.quarantine.QuarantineStage.SUSPECTED;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+class QuarantinedRequestTest {
+    private static final String REQUEST = "request:bad";
+
+    private final QuarantineFixture fixture = new QuarantineFixture();
+
+    /** A server ends under a try of the request, which has an id of its own. */
+    private void crash(String server) {
+        fixture.crash(server, "try on " + server, "a " + REQUEST);
+        fixture.advanceMillis(20);
+    }
+
+    @Test
+    void suspectsAfterTwoServersAndRefusesAfterThree() {
+        crash("s1");
+        assertEquals(List.of(), fixture.groups(SUSPECTED));
+        crash("s2");
+        assertEquals(List.of(REQUEST), fixture.groups(SUSPECTED));
+        crash("s3");
+        assertEquals(List.of(REQUEST), fixture.groups(QUARANTINED));
+    }
+
+    /** Each try would otherwise count as a request of its own against what sound requests share with it. */
+    @Test
+    void triesOfOneRequestDoNotAccuseItsParts() {
+        for (int i = 0; i < 8; i++) {
+            crash("s" + i);
+        }
+        fixture.passOfOthers();
+        fixture.advanceMillis(300);
+        assertEquals(List.of(REQUEST), fixture.groups(QUARANTINED));
+        assertEquals(List.of(), fixture.groups(SUSPECTED));
+    }
+
+    /** Requests that each end two servers leave the evidence against a part that they share as it is. */
+    @Test
+    void suspectRequestsHideNoCrashingPart() {
+        for (int i = 0; i < 3; i++) {
+            fixture.crash("s" + i, "q" + i, "bad request:" + i);
+            fixture.crash("t" + i, "r" + i, "bad request:" + i);
+            fixture.advanceMillis(100);
+        }
+        fixture.passOfOthers();
+        fixture.advanceMillis(300);
+        assertEquals(List.of("bad"), fixture.groups(QUARANTINED));
+    }
+
+    @Test
+    void completeAnswerReleasesTheRequest() {
+        crash("s1");
+        crash("s2");
+        fixture.pass(REQUEST);
+        assertEquals(List.of(), fixture.groups(SUSPECTED));
+        fixture.advanceMillis(3_000);
+        crash("s3");
+        assertEquals(List.of(), fixture.groups(SUSPECTED));
+    }
+
+    /** Calls that wait are tried one at a time, however long their answers take to show anything. */
+    @Test
+    void grantsOneTrialAtATime() {
+        crash("s1");
+        crash("s2");
+        fixture.advanceMillis(300);
+        fixture.demand(REQUEST);
+        assertNotNull(fixture.record(REQUEST).trialEntry());
+        fixture.advanceMillis(9_000);
+        assertNotNull(fixture.record(REQUEST).trialEntry());
+        fixture.advanceMillis(1_000);
+        assertNull(fixture.record(REQUEST).trialEntry());
+    }
+
+    /** A sound request beside the cause on two servers, of which the cause ends a third one. */
+    @Test
+    void requestBesideTheCauseIsReleased() {
+        for (String server : List.of("s1", "s2")) {
+            fixture.crash(server, "sound", "a request:sound");
+            fixture.crash(server, "bad on " + server, "a " + REQUEST);
+        }
+        assertEquals(2, fixture.groups(SUSPECTED).size());
+        crash("s3");
+        assertEquals(List.of(REQUEST), fixture.groups(QUARANTINED));
+        assertEquals(List.of(), fixture.groups(SUSPECTED));
+    }
+
+    /** Servers that ended under prompts with a known part say nothing against the requests beside it. */
+    @Test
+    void requestBesideAKnownPartIsNotSuspect() {
+        for (int i = 0; i < 4; i++) {
+            fixture.crash("s" + i, "q" + i, "bad request:" + i);
+            fixture.advanceMillis(50);
+        }
+        fixture.passOfOthers();
+        fixture.advanceMillis(300);
+        assertEquals(List.of("bad"), fixture.groups(QUARANTINED));
+        for (String server : List.of("t1", "t2")) {
+            fixture.crash(server, "bad on " + server, "bad request:" + server);
+            fixture.crash(server, "sound", "a request:sound");
+        }
+        assertEquals(List.of(), fixture.groups(SUSPECTED));
+    }
+
+    /** What an operator has decided is not eased by evidence that would be too little. */
+    @Test
+    void suspicionDoesNotReplaceAnOperatorsQuarantine() {
+        fixture.registry.quarantineByOperator(QuarantineFixture.DESK, QuarantineFixture.group(REQUEST), fixture.now());
+        crash("s1");
+        crash("s2");
+        assertEquals(List.of(REQUEST), fixture.groups(QUARANTINED));
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
@@ -46,11 +46,15 @@
         }
     }
 
-    /** Records the end of a complete success. */
+    /** Records the end of a complete answer. */
     void onComplete() {
-        if (service != null && progress.onComplete()) {
+        if (service == null) {
+            return;
+        }
+        if (progress.onComplete()) {
             quarantine.recordPass(service, parts.shared());
         }
+        quarantine.recordAnswered(service, parts);
     }
 
     /** Records that the answer broke off; runs {@code onDone} when that is reported where it matters. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -320,15 +320,16 @@
             fail(AttemptEnd.NOT_EXECUTED, "turned down with " + status);
         } else if (status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry() && call.mayRetry()) {
             tryEnd();
+            observe(AnswerObserver::onComplete);
             call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.SERVER_ERROR, notice());
             call.onServerError(status, headers, bufferedBody);
         } else {
             tryEnd();
             if (isSuccess() && bufferedBody.length() > 0) {
-                observe(each -> {
-                    each.onContent();
-                    each.onComplete();
-                });
+                observe(AnswerObserver::onContent);
+            }
+            if (!head.notExecuted()) {
+                observe(AnswerObserver::onComplete);
             }
             AttemptEnd end = status >= MIN_SERVER_ERROR_STATUS ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE;
             call.context().dispatchClient().reportEnd(placementRequest, end, notice());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
@@ -1,5 +1,6 @@
 package org.elmline.daemon.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.elmline.core.common.ServiceName;
@@ -23,8 +24,10 @@
         BackendTarget target,
         long bornMillis,
         boolean atBeginning) {
-    /** The report that the server ended under these parts, {@code ageMillis} ago. */
-    ServerCrash crash(List<PromptPart> parts, long ageMillis) {
+    /** The report that the server ended {@code ageMillis} ago. A shared part ends it only at the beginning of an answer. */
+    ServerCrash crash(long ageMillis) {
+        List<PromptPart> parts = new ArrayList<>(atBeginning ? sharedParts : List.of());
+        parts.add(request);
         return new ServerCrash(requestId, service, target.server(), bornMillis, parts, ageMillis);
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallQuarantine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallQuarantine.java
@@ -5,6 +5,7 @@
 import java.util.function.ObjLongConsumer;
 
 import org.elmline.core.common.ServiceName;
+import org.elmline.core.quarantine.QuarantineRecord;
 import org.elmline.core.quarantine.QuarantineView;
 
 /** The quarantine before each attempt of one call: lets it pass, holds it or refuses it. Used on the I/O thread only. */
@@ -53,11 +54,11 @@
             onAdmitted.run();
             return;
         }
-        QuarantineView.Decision decision = quarantine.decide(service, parts.shared(), !history.mayHaveRun());
+        QuarantineView.Decision decision = quarantine.decide(service, parts, !history.mayHaveRun());
         if (decision instanceof QuarantineView.Decision.Refused refused) {
-            onRefused.accept("a part of the prompt is quarantined", refused.retryAfterMillis());
-        } else if (decision instanceof QuarantineView.Decision.Held) {
-            hold(onAdmitted, onRefused, remainingMillis);
+            onRefused.accept(subject(refused.quarantine()) + " is quarantined", refused.retryAfterMillis());
+        } else if (decision instanceof QuarantineView.Decision.Held held) {
+            hold(held.quarantine(), onAdmitted, onRefused, remainingMillis);
         } else {
             isHeld = false;
             isTrial = decision instanceof QuarantineView.Decision.Trial;
@@ -65,12 +66,20 @@
         }
     }
 
-    private void hold(Runnable onAdmitted, ObjLongConsumer<String> onRefused, LongSupplier remainingMillis) {
+    private static String subject(QuarantineRecord quarantine) {
+        return quarantine.group().isRequest() ? "the request" : "a part of the prompt";
+    }
+
+    private void hold(
+            QuarantineRecord suspected,
+            Runnable onAdmitted,
+            ObjLongConsumer<String> onRefused,
+            LongSupplier remainingMillis) {
         long now = clockNanos.getAsLong();
         heldSinceNanos = isHeld ? heldSinceNanos : now;
         isHeld = true;
         if (now - heldSinceNanos >= MAX_HOLD_NANOS || remainingMillis.getAsLong() < MIN_REMAINING_MILLIS) {
-            onRefused.accept("a part of the prompt is suspected to crash servers", SUSPECTED_RETRY_AFTER_MILLIS);
+            onRefused.accept(subject(suspected) + " is suspected to crash servers", SUSPECTED_RETRY_AFTER_MILLIS);
         } else {
             heldCalls.add(this, () -> admit(onAdmitted, onRefused, remainingMillis));
         }
@@ -78,7 +87,7 @@
 
     /** Whether an attempt that no server has begun to answer must be given up. */
     boolean mustGiveUp() {
-        return !isTrial && quarantine.isRefused(service, parts.shared());
+        return !isTrial && quarantine.isRefused(service, parts);
     }
 
     /** To be called when the call has ended. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -125,11 +125,11 @@
      *
      * @param mayTry whether the call may be a trial
      */
-    QuarantineView.Decision decide(ServiceName service, List<PromptPart> parts, boolean mayTry) {
+    QuarantineView.Decision decide(ServiceName service, CallParts parts, boolean mayTry) {
         if (view.isEmpty()) {
             return QuarantineView.Decision.ALLOWED;
         }
-        QuarantineView.Decision decision = view.decide(service, parts, mayTry, clock.nanos());
+        QuarantineView.Decision decision = view.decide(service, compared(service, parts), mayTry, clock.nanos());
         if (decision instanceof QuarantineView.Decision.Trial trial) {
             trials.inc();
             logDecision("trial of a quarantined group", trial.quarantine());
@@ -159,9 +159,21 @@
                 .write();
     }
 
+    /** The parts of a call that a restricted group may have: the digest of a long body takes a while. */
+    private List<PromptPart> compared(ServiceName service, CallParts parts) {
+        return view.restrictsRequests(service) ? parts.all() : parts.shared();
+    }
+
     /** Whether calls with these parts are refused now. Grants no trial and counts nothing. */
-    boolean isRefused(ServiceName service, List<PromptPart> parts) {
-        return !view.isEmpty() && view.isRefused(service, parts);
+    boolean isRefused(ServiceName service, CallParts parts) {
+        return !view.isEmpty() && view.isRefused(service, compared(service, parts));
+    }
+
+    /** Records a complete answer: the request does not end the server that runs it. */
+    void recordAnswered(ServiceName service, CallParts parts) {
+        if (view.watchesRequests(service) && view.isWatched(service, parts.request())) {
+            reportPasses(List.of(new PartPass(service, parts.request(), 0)), clock.nanos());
+        }
     }
 
     /** Records an answer that has gone on past its beginning, or is complete. */
@@ -180,18 +192,12 @@
     }
 
     /**
-     * Reports that an answer broke off at its beginning, if its server has ended.
+     * Reports that an answer broke off, if its server has ended.
      *
      * @param onDone run once the report was answered, or at once without a report
      */
     void reportBroken(BrokenAnswer answer, Runnable onDone) {
         long brokenAtNanos = clock.nanos();
-        boolean isEvidence = answer.atBeginning() && !answer.sharedParts().isEmpty();
-        if (!isEvidence) {
-            onDone.run();
-            crashCheck.check(answer.target(), ended -> logBroken(answer, ended));
-            return;
-        }
         crashCheck.check(answer.target(), ended -> {
             logBroken(answer, ended);
             if (!ended) {
@@ -199,7 +205,7 @@
                 return;
             }
             crashes.inc();
-            ServerCrash crash = answer.crash(answer.sharedParts(), (clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI);
+            ServerCrash crash = answer.crash((clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI);
             reporter.reportCrash(crash, passLog.latest(crash.service(), crash.parts(), clock.nanos()), onDone);
         });
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
@@ -78,13 +78,13 @@
     private void forward(CallMemory callMemory, RelayRequest request) {
         HttpServerExchange exchange = callMemory.exchange();
         CallHead head = access.protocol().read(exchange.getRequestHeaders());
-        Optional<RelayRefusal> refusal = refusal(request, head);
+        CallParts parts = new CallParts(exchange, head, callMemory.body());
+        Optional<RelayRefusal> refusal = refusal(request, parts);
         if (refusal.isPresent()) {
             callMemory.close();
             refuse(exchange, refusal.get());
             return;
         }
-        CallParts parts = new CallParts(exchange, head, callMemory.body());
         forwarding++;
         forwarded.inc();
         RelayedCall call = new RelayedCall(
@@ -96,8 +96,8 @@
         call.start();
     }
 
-    private Optional<RelayRefusal> refusal(RelayRequest request, CallHead head) {
-        if (observers.isRefused(request.target().server(), head)) {
+    private Optional<RelayRefusal> refusal(RelayRequest request, CallParts parts) {
+        if (observers.isRefused(request.target().server(), parts)) {
             return Optional.of(RelayRefusal.WITHHELD);
         }
         if (forwarding >= MAX_FORWARDED) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedAnswerObservers.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedAnswerObservers.java
@@ -24,9 +24,9 @@
     }
 
     /** Whether the request's prompt is quarantined. */
-    boolean isRefused(BackendServerId server, CallHead head) {
+    boolean isRefused(BackendServerId server, CallParts parts) {
         Registration registration = registrations.apply(server);
-        return registration != null && quarantine.isRefused(registration.service(), head.sharedParts());
+        return registration != null && quarantine.isRefused(registration.service(), parts);
     }
 
     /** The observer of the answer to a forwarded request. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -29,6 +29,7 @@
     private final BackendCall backendCall;
     private CallerChannel answer;
     private boolean hasHead;
+    private boolean ran;
     private boolean success;
     private boolean ended;
 
@@ -94,6 +95,7 @@
     @Override
     public void onHead(int status, HeaderMap headers, AnswerHead answerHead) {
         success = AnswerHead.isSuccess(status);
+        ran = !answerHead.notExecuted() && !answerHead.wrongServer();
         hasHead = true;
         exchange.setStatusCode(status);
         HeaderMap responseHeaders = exchange.getResponseHeaders();
@@ -134,7 +136,9 @@
 
     @Override
     public void onComplete() {
-        observer.onComplete();
+        if (ran) {
+            observer.onComplete();
+        }
         answer().complete();
     }
 
