Report restricted calls to entries at once

Cause: PendingPoll batches changes of the quarantine for 100 ms, as it does those that heartbeats bring, and a first end, which changes the evidence only, starts such a batch anew.

Change: a change of a record is urgent, as a new routing table is; a change of evidence is batched as before. A follower gets an answer more for each change of a record from each control host; records change only where servers end.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
@@ -36,12 +36,22 @@
     private final Map<Key, QuarantineCase> cases = new LinkedHashMap<>();
     private final Map<ServiceName, Long> lastPassNanos = new HashMap<>();
     private long changes;
+    private long lastRecordChange;
 
     /** Number of the latest change. */
     public long changeNumber() {
         return changes;
     }
 
+    /** Number of the latest change of a record, which entries must know at once; other changes concern evidence only. */
+    public long lastRecordChange() {
+        return lastRecordChange;
+    }
+
+    private void countRecordChange() {
+        lastRecordChange = ++changes;
+    }
+
     /** Applies what an entry reports. Passes come first: they may void what a crash seems to show. */
     public void apply(EvidenceReport report, boolean leads, long now) {
         report.passes().forEach(each -> applyPass(each, now));
@@ -155,7 +165,7 @@
         known.quarantine =
                 held.withoutTrial(evidence.support(held.service(), held.group()).servers());
         known.scheduleTrial(now);
-        changes++;
+        countRecordChange();
     }
 
     private void applyDemand(GroupDemand demand, HostId entry, boolean leads, long now) {
@@ -167,7 +177,7 @@
         if (leads && known.isTrialDue(now)) {
             known.quarantine = known.quarantine.withTrial(entry);
             known.trialSinceNanos = now;
-            changes++;
+            countRecordChange();
         }
     }
 
@@ -193,7 +203,7 @@
     private void put(QuarantineCase next, long now) {
         cases.remove(next.quarantine.key());
         cases.put(next.quarantine.key(), next);
-        changes++;
+        countRecordChange();
         evict(now);
     }
 
--- a/elmline-core/src/main/java/org/elmline/core/registry/PendingPoll.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/PendingPoll.java
@@ -70,14 +70,15 @@
 
     /**
      * Whether a change must not wait: the follower has no state of this start of the control host, a new routing table
-     * or changed evacuations must take effect soon, or a leaving server waits until followers have acknowledged that it
-     * leaves.
+     * or changed evacuations must take effect soon, a leaving server waits until followers have acknowledged that it
+     * leaves, or a call is to be refused whose caller sends it again at another entry within some milliseconds.
      */
     private boolean isUrgent(RegistryVersions versions) {
         boolean first = request.epoch() != versions.epoch();
         boolean table = request.entry() != null && versions.routingVersion() > request.routingVersion();
         boolean evacuation = request.lacksEvacuation(versions.evacuationVersion());
-        return first || table || evacuation || versions.leavingVersion() > request.serversSeen();
+        boolean restriction = request.entry() != null && versions.restrictionVersion() > request.quarantineSeen();
+        return first || table || evacuation || restriction || versions.leavingVersion() > request.serversSeen();
     }
 
     private boolean hasUpdates(RegistryVersions versions) {
--- a/elmline-core/src/main/java/org/elmline/core/registry/RegistryVersions.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/RegistryVersions.java
@@ -12,6 +12,7 @@
  * @param routingVersion version of the latest routing table, -1 without one
  * @param quarantineVersion number of the latest change of the quarantine
  * @param evacuationVersion number of the latest change of the evacuations, 0 without one
+ * @param restrictionVersion number of the latest change of the quarantine by which calls are restricted or served again
  */
 public record RegistryVersions(
         long epoch,
@@ -21,8 +22,9 @@
         long expiryVersion,
         long routingVersion,
         long quarantineVersion,
-        long evacuationVersion) {
-    /** The versions where no failure domain was ever evacuated. */
+        long evacuationVersion,
+        long restrictionVersion) {
+    /** The versions where nothing was ever evacuated or restricted. */
     public RegistryVersions(
             long epoch,
             long serverVersion,
@@ -33,4 +35,26 @@
             long quarantineVersion) {
         this(epoch, serverVersion, leavingVersion, entryVersion, expiryVersion, routingVersion, quarantineVersion, 0);
     }
+
+    /** The versions where nothing was ever restricted. */
+    public RegistryVersions(
+            long epoch,
+            long serverVersion,
+            long leavingVersion,
+            long entryVersion,
+            long expiryVersion,
+            long routingVersion,
+            long quarantineVersion,
+            long evacuationVersion) {
+        this(
+                epoch,
+                serverVersion,
+                leavingVersion,
+                entryVersion,
+                expiryVersion,
+                routingVersion,
+                quarantineVersion,
+                evacuationVersion,
+                0);
+    }
 }
--- a/elmline-core/src/test/java/org/elmline/core/registry/PendingPollTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/PendingPollTest.java
@@ -73,6 +73,16 @@
                 "a leaving server is reported without delay");
     }
 
+    /** Guards against a caller whose next try reaches another entry before a quarantine that its last one has caused. */
+    @Test
+    void reportsRestrictedCallsWithoutDelay() {
+        RegistryVersions evidence = new RegistryVersions(EPOCH, 5, 3, 4, 0, 9, 1, 0, 0);
+        RegistryVersions restriction = new RegistryVersions(EPOCH, 5, 3, 4, 0, 9, 2, 0, 2);
+        assertFalse(poll(5, 4, 9).isDue(evidence, 99 * MILLI));
+        assertTrue(poll(5, 4, 9).isDue(evidence, 100 * MILLI));
+        assertTrue(poll(5, 4, 9).isDue(restriction, 0));
+    }
+
     /** Guards against a control host that spends its processor time on reporting what others have reported already. */
     @Test
     void holdsChangesOfEntriesForFollowerThatHearsThemFromOthers() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/QuarantineService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/QuarantineService.java
@@ -140,6 +140,10 @@
         loggedStages.putAll(stages);
     }
 
+    synchronized long lastRecordChange() {
+        return registry.lastRecordChange();
+    }
+
     synchronized long changeNumber() {
         return registry.changeNumber();
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -312,7 +312,8 @@
                     lastEntryExpiry,
                     routing.currentVersion(),
                     quarantine.changeNumber(),
-                    evacuations.currentVersion());
+                    evacuations.currentVersion(),
+                    quarantine.lastRecordChange());
             Iterator<Poll> each = openPolls.iterator();
             while (each.hasNext()) {
                 Poll poll = each.next();
