Let a call that has run be the trial of its own request

What callers saw: a request that had lost two servers to other causes waited 0.9 s and was refused, at each entry, for ten seconds: its trial was granted to the entry that had asked for it, whose only call with it could not use it.

Cause: a call that has run on a server that ended is no trial of parts, as it would show nothing new of them; for a whole request it is as good as any other, but the same rule held, while the demand went out all the same.

Evidence: log of a run of repeatedRequestEndsThreeServersAtMost (the grant unused, two calls refused after 0.9 s); callThatHasRunIsATrialOfItsRequest fails without the change.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
@@ -112,7 +112,8 @@
     /**
      * Decides on a call whose prompt has these shared parts. A trial that it grants counts as used.
      *
-     * @param mayTry whether the call may be a trial; one that has run on a server that ended would show nothing new
+     * @param mayTry whether the call may be a trial of parts; one that has run on a server that ended would show nothing
+     *     new of them
      */
     public Decision decide(ServiceName service, Collection<PromptPart> parts, boolean mayTry, long now) {
         Decision decision = Decision.ALLOWED;
@@ -134,7 +135,7 @@
 
     private Decision decide(HeldRecord held, boolean mayTry, long now) {
         QuarantineRecord known = held.quarantine();
-        if (mayTry
+        if ((mayTry || known.group().isRequest())
                 && self.equals(known.trialEntry())
                 && usedTrialRevisions.getOrDefault(known.key(), 0L) != known.revision()) {
             usedTrialRevisions.put(known.key(), known.revision());
--- a/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
@@ -7,6 +7,7 @@
 import static org.elmline.core.quarantine.QuarantineStage.QUARANTINED;
 import static org.elmline.core.quarantine.QuarantineStage.SUSPECTED;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
@@ -81,6 +82,20 @@
         assertNull(fixture.record(REQUEST).trialEntry());
     }
 
+    /** A grant that only a call which has run could use would keep all others waiting. */
+    @Test
+    void callThatHasRunIsATrialOfItsRequest() {
+        crash("s1");
+        crash("s2");
+        fixture.advanceMillis(300);
+        fixture.demand(REQUEST);
+        QuarantineView view = new QuarantineView(QuarantineFixture.ENTRY);
+        view.apply(fixture.registry.news(fixture.now()), fixture.now());
+        List<PromptPart> parts = QuarantineFixture.parts("a " + REQUEST);
+        assertInstanceOf(QuarantineView.Decision.Trial.class, view.decide(QuarantineFixture.DESK, parts, false, 0));
+        assertInstanceOf(QuarantineView.Decision.Held.class, view.decide(QuarantineFixture.DESK, parts, true, 0));
+    }
+
     /** A sound request beside the cause on two servers, of which the cause ends a third one. */
     @Test
     void requestBesideTheCauseIsReleased() {
