Count the end of a service's last server against the request that ended the others

Cause: a server that refuses connections counts as ended only if another one accepts one, as else the entry's own path may be cut. Where all have ended none does, so the third end was never reported.

Change: an end like that counts against a request which is known to have ended a server, and against nothing else: a path that is cut at the moment at which such a request breaks off would at worst have it refused.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
@@ -28,6 +28,15 @@
     ServerCrash crash(long ageMillis) {
         List<PromptPart> parts = new ArrayList<>(atBeginning ? sharedParts : List.of());
         parts.add(request);
+        return crash(parts, ageMillis);
+    }
+
+    /** The same where it is certain enough to speak against the request, but not against its parts. */
+    ServerCrash crashOfRequest(long ageMillis) {
+        return crash(List.of(request), ageMillis);
+    }
+
+    private ServerCrash crash(List<PromptPart> parts, long ageMillis) {
         return new ServerCrash(requestId, service, target.server(), bornMillis, parts, ageMillis);
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CrashCheck.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CrashCheck.java
@@ -30,7 +30,9 @@
     enum Finding {
         ACCEPTS_CONNECTIONS,
         ENDED,
-        UNREACHABLE
+        /** It refuses connections, as the others do: all of them have ended, or this entry's path is cut. */
+        REFUSES_LIKE_OTHERS,
+        NO_ANSWER
     }
 
     /** The second check of a server that accepted a connection in the first one. */
@@ -48,12 +50,13 @@
 
             @Override
             public void onRefused(String why) {
-                pathCheck.check(target.server(), cut -> result.accept(cut ? Finding.UNREACHABLE : Finding.ENDED));
+                pathCheck.check(
+                        target.server(), cut -> result.accept(cut ? Finding.REFUSES_LIKE_OTHERS : Finding.ENDED));
             }
 
             @Override
             public void onFailed(String why) {
-                result.accept(Finding.UNREACHABLE);
+                result.accept(Finding.NO_ANSWER);
             }
         });
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -215,15 +215,22 @@
 
     private void conclude(BrokenAnswer answer, CrashCheck.Finding finding, long brokenAtNanos, Runnable onDone) {
         logBroken(answer, finding);
-        if (finding != CrashCheck.Finding.ENDED) {
+        boolean ended = finding == CrashCheck.Finding.ENDED;
+        if (!ended && !hasEndedLikeOthers(answer, finding)) {
             onDone.run();
             return;
         }
         crashes.inc();
-        ServerCrash crash = answer.crash((clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI);
+        long ageMillis = (clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI;
+        ServerCrash crash = ended ? answer.crash(ageMillis) : answer.crashOfRequest(ageMillis);
         reporter.reportCrash(crash, passLog.latest(crash.service(), crash.parts(), clock.nanos()), onDone);
     }
 
+    /** A request that is known to end servers may have ended all that a small service has. */
+    private boolean hasEndedLikeOthers(BrokenAnswer answer, CrashCheck.Finding finding) {
+        return finding == CrashCheck.Finding.REFUSES_LIKE_OTHERS && view.isWatched(answer.service(), answer.request());
+    }
+
     private void logBroken(BrokenAnswer answer, CrashCheck.Finding finding) {
         log.line(answer.atBeginning() ? "answer broke off at its beginning" : "answer broke off")
                 .with("request", answer.requestId())
