Hold a request that ends engines on the product's own API too

Cause: as on the platform's path: only prefixes of whole blocks were counted, and an engine that ended past the beginning of an answer not at all.

Change: CompletionParts gives the whole request, by adapter and prompt, beside the prefixes; it and CallParts are the two kinds of RequestParts. A complete answer clears it.

--- a/elmline-cli/src/test/java/org/elmline/cli/local/CrashingPrefixTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/local/CrashingPrefixTest.java
@@ -17,6 +17,9 @@
 /** A prefix that several prompts share ends every engine that begins an answer to it. */
 class CrashingPrefixTest {
     private static final int ENGINES = 12;
+    /** Servers that may end under one request, by the users' rule. */
+    private static final int MAX_ENDED_BY_ONE_PROMPT = 3;
+
     private static final int ANSWER_TOKENS = 200;
     private static final int BLOCK_CHARACTERS = PromptBlocks.BLOCK_TOKENS * PromptBlocks.CHARACTERS_PER_TOKEN;
     private static final String COMMON = "common ".repeat(400).substring(0, BLOCK_CHARACTERS);
@@ -74,6 +77,19 @@
         assertEquals(200, send(0, COMMON + "sound"));
     }
 
+    /** A prompt too short to share a prefix, sent again by its caller, each time as another call. */
+    @Test
+    void repeatedPromptEndsThreeEnginesAtMost() throws Exception {
+        for (int i = 0; i < 6; i++) {
+            send(i % 2, "crashing alone");
+        }
+        assertTrue(ended() <= MAX_ENDED_BY_ONE_PROMPT, "ended: " + ended());
+        assertEquals(503, send(0, "crashing alone"));
+        assertEquals(503, send(1, "crashing alone"));
+        assertTrue(ended() <= MAX_ENDED_BY_ONE_PROMPT, "ended: " + ended());
+        assertEquals(200, send(0, "sound"));
+    }
+
     private int status(int entry, String prompt) {
         try {
             return send(entry, prompt);
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
@@ -82,8 +82,12 @@
         return records.isEmpty() && suspects.isEmpty();
     }
 
-    /** Whether any whole request of a service is restricted, so that calls must be compared with it. */
-    public boolean restrictsRequests(ServiceName service) {
+    /** The parts of a request to decide on: its digest is needed only where another request is restricted. */
+    public List<PromptPart> compared(ServiceName service, RequestParts parts) {
+        return restrictsRequests(service) ? parts.all() : parts.shared();
+    }
+
+    private boolean restrictsRequests(ServiceName service) {
         return records.values().stream()
                 .map(HeldRecord::quarantine)
                 .anyMatch(each -> each.group().isRequest()
@@ -91,8 +95,12 @@
                         && each.service().equals(service));
     }
 
-    /** Whether anything speaks against any whole request of a service. */
-    public boolean watchesRequests(ServiceName service) {
+    /** Whether anything speaks against this request. */
+    public boolean watchesRequest(ServiceName service, RequestParts parts) {
+        return watchesRequests(service) && isWatched(service, parts.request());
+    }
+
+    private boolean watchesRequests(ServiceName service) {
         return restrictsRequests(service)
                 || suspects.getOrDefault(service, Set.of()).stream().anyMatch(PromptPart::isRequest);
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/PromptQuarantine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/PromptQuarantine.java
@@ -94,7 +94,7 @@
         appliedChanges = registry.changeNumber();
         for (QuarantineRecord each : view.apply(registry.news(now), now)) {
             LOG.infof(
-                    "prompt prefix %s of model %s is %s: %s, %d engines",
+                    "%s of model %s is %s: %s, %d engines",
                     each.group(),
                     each.service(),
                     each.stage().name().toLowerCase(Locale.ROOT),
@@ -108,10 +108,10 @@
      *
      * @param mayTry whether the call may be a trial
      */
-    synchronized QuarantineView.Decision decide(ServiceName model, List<PromptPart> prefixes, boolean mayTry) {
+    synchronized QuarantineView.Decision decide(ServiceName model, CompletionParts parts, boolean mayTry) {
         long now = clock.nanos();
         applyDecisions(now);
-        QuarantineView.Decision decision = view.decide(model, prefixes, mayTry, now);
+        QuarantineView.Decision decision = view.decide(model, view.compared(model, parts), mayTry, now);
         QuarantineRecord restricting = null;
         if (decision instanceof QuarantineView.Decision.Held held) {
             restricting = held.quarantine();
@@ -156,10 +156,22 @@
         }
     }
 
-    /** Records an engine that has ended before the answer went on past its beginning. */
+    /** Records a complete answer: the request does not end the engine that runs it. */
+    void recordAnswered(ServiceName model, CompletionParts parts) {
+        boolean watched;
+        synchronized (this) {
+            watched = view.watchesRequest(model, parts);
+        }
+        if (watched) {
+            PartPass pass = new PartPass(model, parts.request(), 0);
+            report(new EvidenceReport(self.host(), List.of(), List.of(pass), List.of(), List.of()));
+        }
+    }
+
+    /** Records an engine that has ended before an answer was complete. */
     void recordCrash(ServerCrash crash) {
         crashes.inc();
-        LOG.infof("engine %s ended at the beginning of an answer to request %s", crash.server(), crash.request());
+        LOG.infof("engine %s ended before its answer to request %s was complete", crash.server(), crash.request());
         List<PartPass> passes;
         synchronized (this) {
             passes = passLog.latest(crash.service(), crash.parts(), clock.nanos());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallParts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallParts.java
@@ -4,12 +4,12 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 
 import io.undertow.server.HttpServerExchange;
 import org.elmline.core.quarantine.PromptPart;
+import org.elmline.core.quarantine.RequestParts;
 import org.elmline.daemon.http.ByteChunks;
 
 /**
@@ -17,7 +17,7 @@
  * whole request, known by a digest of its content, as each time that a caller sends it has another id. Used on the I/O
  * thread only.
  */
-final class CallParts {
+final class CallParts implements RequestParts {
     private static final String ALGORITHM = "SHA-256";
     private static final int DIGEST_BYTES = 16;
 
@@ -32,26 +32,20 @@
         this.body = body;
     }
 
-    /** The parts of the prompt that other prompts may share. */
-    List<PromptPart> shared() {
+    @Override
+    public List<PromptPart> shared() {
         return head.sharedParts();
     }
 
-    /** The whole request. Computed at the first use, as few calls need it; the body must still be there then. */
-    PromptPart request() {
+    /** Computed at the first use, as few calls need it; the body must still be there then. */
+    @Override
+    public PromptPart request() {
         if (request == null) {
             request = PromptPart.ofRequest(HexFormat.of().formatHex(digest(), 0, DIGEST_BYTES));
         }
         return request;
     }
 
-    /** The shared parts and the whole request. */
-    List<PromptPart> all() {
-        List<PromptPart> all = new ArrayList<>(shared());
-        all.add(request());
-        return all;
-    }
-
     /** The deadline and the last event received are left out: they differ each time that a caller sends the request. */
     private byte[] digest() {
         String text =
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -129,7 +129,7 @@
         if (view.isEmpty()) {
             return QuarantineView.Decision.ALLOWED;
         }
-        QuarantineView.Decision decision = view.decide(service, compared(service, parts), mayTry, clock.nanos());
+        QuarantineView.Decision decision = view.decide(service, view.compared(service, parts), mayTry, clock.nanos());
         if (decision instanceof QuarantineView.Decision.Trial trial) {
             trials.inc();
             logDecision("trial of a quarantined group", trial.quarantine());
@@ -159,19 +159,14 @@
                 .write();
     }
 
-    /** The parts of a call that a restricted group may have: the digest of a long body takes a while. */
-    private List<PromptPart> compared(ServiceName service, CallParts parts) {
-        return view.restrictsRequests(service) ? parts.all() : parts.shared();
-    }
-
     /** Whether calls with these parts are refused now. Grants no trial and counts nothing. */
     boolean isRefused(ServiceName service, CallParts parts) {
-        return !view.isEmpty() && view.isRefused(service, compared(service, parts));
+        return !view.isEmpty() && view.isRefused(service, view.compared(service, parts));
     }
 
     /** Records a complete answer: the request does not end the server that runs it. */
     void recordAnswered(ServiceName service, CallParts parts) {
-        if (view.watchesRequests(service) && view.isWatched(service, parts.request())) {
+        if (view.watchesRequest(service, parts)) {
             reportPasses(List.of(new PartPass(service, parts.request(), 0)), clock.nanos());
         }
     }
