Let suspect requests displace no quarantined part

What callers would see: a part that crashes servers comes free of its quarantine when many requests have lost two servers each, and ends servers anew.

Cause: at most 64 groups are restricted at a time, and the one asked for longest ago goes first, whatever it is.

Change: requests go before parts.

Evidence: suspectRequestsDisplaceNoPart fails without the change.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -221,10 +222,11 @@
         }
     }
 
+    /** Requests go first: each concerns one caller, and a loss of many servers makes many of them suspect. */
     private static Optional<QuarantineCase> leastNeeded(List<QuarantineCase> restricted, long now) {
         return restricted.stream()
                 .filter(each -> !each.byOperator())
-                .max((a, b) -> Long.compare(now - a.lastDemandNanos, now - b.lastDemandNanos));
+                .max(Comparator.comparing(QuarantineCase::isRequest).thenComparing(each -> now - each.lastDemandNanos));
     }
 
     private void release(QuarantineCase known, QuarantineReason reason, long now) {
--- a/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
@@ -126,6 +126,23 @@
         assertEquals(List.of(), fixture.groups(SUSPECTED));
     }
 
+    /** A loss of many servers makes many requests suspect. */
+    @Test
+    void suspectRequestsDisplaceNoPart() {
+        for (int i = 0; i < 4; i++) {
+            fixture.crash("s" + i, "q" + i, "bad request:" + i);
+            fixture.advanceMillis(50);
+        }
+        fixture.passOfOthers();
+        fixture.advanceMillis(300);
+        for (int i = 0; i < 100; i++) {
+            fixture.crash("t" + i, "first " + i, "request:lost" + i);
+            fixture.crash("u" + i, "second " + i, "request:lost" + i);
+        }
+        assertEquals(List.of("bad"), fixture.groups(QUARANTINED));
+        assertEquals(63, fixture.groups(SUSPECTED).size());
+    }
+
     /** What an operator has decided is not eased by evidence that would be too little. */
     @Test
     void suspicionDoesNotReplaceAnOperatorsQuarantine() {
