Name no request that lost one server in the news to entries

What callers would see: after the loss of a failure domain of 350 servers, control hosts that are busy with news. Counted, not run: up to 256 servers with 16 requests each are 4,096 ids of 40 bytes, 160 KB in each answer to each entry, ten times a second.

Cause: what anything speaks against is sent to all entries, so that they report answers that show it sound. That was a handful of parts; with the whole request it is every call that ran on a server that ended.

Change: requests are left out. The call under which a server ended knows so itself, and its complete answer is reported; other entries report answers to requests that are restricted.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
@@ -262,13 +262,16 @@
         return hasPassedBefore(service, part) && !hasPassedBefore(service, worst);
     }
 
-    /** The parts that anything speaks against, by service. */
+    /**
+     * The parts that anything speaks against, by service. Requests are left out: their own entries report answers to
+     * them, and a loss of many servers would name thousands.
+     */
     List<SuspectParts> suspects() {
         Map<ServiceName, Set<PromptPart>> byService = new TreeMap<>();
         for (CrashedServer each : crashedServers.values()) {
             Set<PromptPart> suspects = byService.computeIfAbsent(each.service(), name -> new HashSet<>());
             each.prompts().values().forEach(prompt -> prompt.stream()
-                    .filter(part -> isOpen(each, part))
+                    .filter(part -> !part.isRequest() && isOpen(each, part))
                     .forEach(suspects::add));
         }
         List<SuspectParts> all = new ArrayList<>();
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineCase.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineCase.java
@@ -58,6 +58,11 @@
         return isIn(QuarantineStage.SUSPECTED) && now - lastCrashNanos >= kind().suspicionNanos();
     }
 
+    /** Whether a released group need not be kept any longer. */
+    boolean isReleaseOver(long now) {
+        return !restricts() && now - sinceNanos >= kind().releasedNanos();
+    }
+
     /** Whether a trial is under way that should have had its result. */
     boolean isTrialOver(long now) {
         return restricts() && quarantine.trialEntry() != null && now - trialSinceNanos >= kind().trialNanos();
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
@@ -26,9 +26,6 @@
 
     private static final long UNUSED_NANOS = Duration.ofDays(1).toNanos();
 
-    /** Longer than control hosts stay away, so that one that returns does not quarantine a released group again. */
-    private static final long RELEASED_RETENTION_NANOS = Duration.ofDays(2).toNanos();
-
     private static final int MAX_RESTRICTED = 64;
     private static final int MAX_RECORDS = 256;
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -249,7 +246,7 @@
                 release(each, QuarantineReason.UNUSED, now);
             } else if (each.isTrialOver(now)) {
                 endTrial(each, now);
-            } else if (!each.restricts() && now - each.sinceNanos >= RELEASED_RETENTION_NANOS) {
+            } else if (each.isReleaseOver(now)) {
                 cases.remove(each.quarantine.key());
             }
         }
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineView.java
@@ -95,14 +95,9 @@
                         && each.service().equals(service));
     }
 
-    /** Whether anything speaks against this request. */
-    public boolean watchesRequest(ServiceName service, RequestParts parts) {
-        return watchesRequests(service) && isWatched(service, parts.request());
-    }
-
-    private boolean watchesRequests(ServiceName service) {
-        return restrictsRequests(service)
-                || suspects.getOrDefault(service, Set.of()).stream().anyMatch(PromptPart::isRequest);
+    /** Whether this request is restricted. */
+    public boolean restricts(ServiceName service, RequestParts parts) {
+        return restrictsRequests(service) && isWatched(service, parts.request());
     }
 
     /** Whether anything speaks against a part, so that control hosts need to know of answers that go on with it. */
--- a/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
@@ -126,6 +126,16 @@
         assertEquals(List.of(), fixture.groups(SUSPECTED));
     }
 
+    /** Entries are sent what anything speaks against; a loss of many servers would name thousands of requests. */
+    @Test
+    void newsNamesNoRequestThatLostOneServer() {
+        for (int i = 0; i < 100; i++) {
+            fixture.crash("s" + i / 10, "q" + i, "a request:lost" + i);
+        }
+        List<SuspectParts> suspects = fixture.registry.news(fixture.now()).suspects();
+        assertEquals(QuarantineFixture.parts("a"), suspects.get(0).parts());
+    }
+
     /** A loss of many servers makes many requests suspect. */
     @Test
     void suspectRequestsDisplaceNoPart() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/PrefixQuarantine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/PrefixQuarantine.java
@@ -31,6 +31,7 @@
     private AnswerProgress progress = new AnswerProgress();
     private boolean isTrial;
     private boolean sent;
+    private boolean hasEndedEngine;
 
     /** @param prefixHashes the hash of each prefix of whole blocks */
     PrefixQuarantine(
@@ -95,11 +96,12 @@
         if (progress.onComplete()) {
             quarantine.recordPass(model, parts.shared());
         }
-        quarantine.recordAnswered(model, parts);
+        quarantine.recordAnswered(model, parts, hasEndedEngine);
     }
 
     /** Records that the engine of an attempt can't be reached any more. */
     void onEngineLost(Grant grant) {
+        hasEndedEngine = true;
         List<PromptPart> reported = progress.isAtBeginning() ? parts.all() : List.of(parts.request());
         quarantine.recordCrash(new ServerCrash(
                 request, model, grant.server(), grant.serverIncarnation().value(), reported, 0));
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/PromptQuarantine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/PromptQuarantine.java
@@ -156,13 +156,17 @@
         }
     }
 
-    /** Records a complete answer: the request does not end the engine that runs it. */
-    void recordAnswered(ServiceName model, CompletionParts parts) {
-        boolean watched;
+    /**
+     * Records a complete answer: the request does not end the engine that runs it.
+     *
+     * @param hasEndedEngine whether the request is known to have ended an engine
+     */
+    void recordAnswered(ServiceName model, CompletionParts parts, boolean hasEndedEngine) {
+        boolean concerned;
         synchronized (this) {
-            watched = view.watchesRequest(model, parts);
+            concerned = hasEndedEngine || view.restricts(model, parts);
         }
-        if (watched) {
+        if (concerned) {
             PartPass pass = new PartPass(model, parts.request(), 0);
             report(new EvidenceReport(self.host(), List.of(), List.of(pass), List.of(), List.of()));
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
@@ -64,7 +64,7 @@
             return;
         }
         BrokenAnswer answer = new BrokenAnswer(
-                request, parts.request(), parts.shared(), service, target, bornMillis, progress.isAtBeginning());
+                request, parts.request(), parts, service, target, bornMillis, progress.isAtBeginning());
         quarantine.reportBroken(answer, onDone);
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
@@ -11,24 +11,23 @@
  * An answer that broke off, or never began.
  *
  * @param requestId the caller's id of this attempt
- * @param request the whole request
- * @param sharedParts parts of the prompt that other prompts may share
+ * @param request the whole request, as the body of the call may be gone when the answer is reported
  * @param bornMillis start of the server, in milliseconds since 1970
  * @param atBeginning whether the answer had not gone past its beginning
  */
 record BrokenAnswer(
         String requestId,
         PromptPart request,
-        List<PromptPart> sharedParts,
+        CallParts parts,
         ServiceName service,
         BackendTarget target,
         long bornMillis,
         boolean atBeginning) {
     /** The report that the server ended {@code ageMillis} ago. A shared part ends it only at the beginning of an answer. */
     ServerCrash crash(long ageMillis) {
-        List<PromptPart> parts = new ArrayList<>(atBeginning ? sharedParts : List.of());
-        parts.add(request);
-        return crash(parts, ageMillis);
+        List<PromptPart> reported = new ArrayList<>(atBeginning ? parts.shared() : List.of());
+        reported.add(request);
+        return crash(reported, ageMillis);
     }
 
     /** The same where it is certain enough to speak against the request, but not against its parts. */
@@ -36,7 +35,7 @@
         return crash(List.of(request), ageMillis);
     }
 
-    private ServerCrash crash(List<PromptPart> parts, long ageMillis) {
-        return new ServerCrash(requestId, service, target.server(), bornMillis, parts, ageMillis);
+    private ServerCrash crash(List<PromptPart> reported, long ageMillis) {
+        return new ServerCrash(requestId, service, target.server(), bornMillis, reported, ageMillis);
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallParts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallParts.java
@@ -25,6 +25,7 @@
     private final CallHead head;
     private final ByteChunks body;
     private PromptPart request;
+    private boolean hasEndedServer;
 
     CallParts(HttpServerExchange exchange, CallHead head, ByteChunks body) {
         this.exchange = exchange;
@@ -46,6 +47,15 @@
         return request;
     }
 
+    /** Whether a server has ended under this call. */
+    boolean hasEndedServer() {
+        return hasEndedServer;
+    }
+
+    void setEndedServer() {
+        hasEndedServer = true;
+    }
+
     /** The deadline and the last event received are left out: they differ each time that a caller sends the request. */
     private byte[] digest() {
         String text =
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -166,7 +166,7 @@
 
     /** Records a complete answer: the request does not end the server that runs it. */
     void recordAnswered(ServiceName service, CallParts parts) {
-        if (view.watchesRequest(service, parts)) {
+        if (parts.hasEndedServer() || view.restricts(service, parts)) {
             reportPasses(List.of(new PartPass(service, parts.request(), 0)), clock.nanos());
         }
     }
@@ -199,7 +199,7 @@
                 return;
             }
             // A sound call does not wait for the second check; one that is known to end servers does.
-            boolean waits = view.isWatched(answer.service(), answer.request());
+            boolean waits = isKnownToEndServers(answer);
             if (!waits) {
                 onDone.run();
             }
@@ -215,6 +215,7 @@
             onDone.run();
             return;
         }
+        answer.parts().setEndedServer();
         crashes.inc();
         long ageMillis = (clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI;
         ServerCrash crash = ended ? answer.crash(ageMillis) : answer.crashOfRequest(ageMillis);
@@ -223,7 +224,11 @@
 
     /** A request that is known to end servers may have ended all that a small service has. */
     private boolean hasEndedLikeOthers(BrokenAnswer answer, CrashCheck.Finding finding) {
-        return finding == CrashCheck.Finding.REFUSES_LIKE_OTHERS && view.isWatched(answer.service(), answer.request());
+        return finding == CrashCheck.Finding.REFUSES_LIKE_OTHERS && isKnownToEndServers(answer);
+    }
+
+    private boolean isKnownToEndServers(BrokenAnswer answer) {
+        return answer.parts().hasEndedServer() || view.isWatched(answer.service(), answer.request());
     }
 
     private void logBroken(BrokenAnswer answer, CrashCheck.Finding finding) {
@@ -232,7 +237,7 @@
                 .with("server", answer.target().server())
                 .with("serverEnded", finding == CrashCheck.Finding.ENDED)
                 .with("finding", finding)
-                .with("parts", answer.sharedParts())
+                .with("parts", answer.parts().shared())
                 .with("content", answer.request())
                 .write();
     }
