Count up to 64 calls of a server that ended

What callers would see: a request that ends servers under load is not known as their end, if sixteen other calls of each server are reported first; its tries go on.

Cause: a control host keeps sixteen requests for each server that ended, while an engine of the users' deployments runs up to 16 and queues more.

A control host keeps at most 256 servers, so 16,384 requests of some 200 bytes, 3 MB by count.

Evidence: causeIsCountedAmongManyCallsOfAServer fails with sixteen.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
@@ -33,7 +33,7 @@
     static final long PASS_VALIDITY_NANOS = Duration.ofSeconds(2).toNanos();
 
     private static final int MAX_SERVERS = 256;
-    private static final int MAX_REQUESTS_PER_SERVER = 16;
+    private static final int MAX_REQUESTS_PER_SERVER = 64;
     private static final int MAX_PASSES = 4_096;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
--- a/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
@@ -109,6 +109,18 @@
         assertEquals(List.of(), fixture.groups(SUSPECTED));
     }
 
+    /** A server under load ends with all calls that it runs or that wait there. */
+    @Test
+    void causeIsCountedAmongManyCallsOfAServer() {
+        for (String server : List.of("s1", "s2", "s3")) {
+            for (int i = 0; i < 40; i++) {
+                fixture.crash(server, "sound", "request:" + server + i);
+            }
+            fixture.crash(server, "bad", REQUEST);
+        }
+        assertEquals(List.of(REQUEST), fixture.groups(QUARANTINED));
+    }
+
     /** Servers that ended under prompts with a known part say nothing against the requests beside it. */
     @Test
     void requestBesideAKnownPartIsNotSuspect() {
