--- a/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
@@ -127,10 +127,10 @@
      * @param known groups of parts of the same service that are restricted already
      */
     Support unexplainedSupport(ServiceName service, PartGroup request, Collection<PartGroup> known) {
+        PromptPart part = request.parts().get(0);
         List<CrashedServer> servers = crashedServers.values().stream()
-                .filter(each -> each.service().equals(service))
-                .filter(each -> isOpen(each, request.parts().get(0)) && !isExplained(each, known))
-                .filter(each -> !matchingRequests(each, request).isEmpty())
+                .filter(each -> each.service().equals(service) && each.prompts().containsKey(part.value()))
+                .filter(each -> isOpen(each, part) && !isExplained(each, known))
                 .toList();
         return endedUnderAnother(servers, service) ? NO_SUPPORT : support(servers, request);
     }
