Let a call go on at once where the check of its server can keep it from nothing

What callers would see: since the check runs for each broken answer, a plain call or a stream that breaks off late waits for it, up to the connection time-out of 250 ms where the server's address does not answer, before it is sent to another server. Read in review, not measured, and without a test of its own.

Change: a call waits only where its prompt has a shared part and the answer was at its beginning, as before the incident, or where its request is known to have ended a server.

Evidence: CrashingPartTest, CrashingRequestTest, AnswerEndTest and LostServerPathTest green.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
@@ -23,6 +23,11 @@
         BackendTarget target,
         long bornMillis,
         boolean atBeginning) {
+    /** Whether a part that other prompts share may have ended the server, so that the next send could end another one. */
+    boolean mayBeOfSharedPart() {
+        return atBeginning && !parts.shared().isEmpty();
+    }
+
     /** The report that the server ended {@code ageMillis} ago. A shared part ends it only at the beginning of an answer. */
     ServerCrash crash(long ageMillis) {
         List<PromptPart> reported = new ArrayList<>(atBeginning ? parts.shared() : List.of());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -189,25 +189,27 @@
     /**
      * Reports that an answer broke off, if its server has ended.
      *
-     * @param onDone run once the report was answered, or at once without a report
+     * @param onDone run once the report was answered where that may keep the call from another server, else at once
      */
     void reportBroken(BrokenAnswer answer, Runnable onDone) {
         long brokenAtNanos = clock.nanos();
+        Runnable onFirstCheck = answer.mayBeOfSharedPart() || isKnownToEndServers(answer) ? onDone : goOn(onDone);
         crashCheck.check(answer.target(), finding -> {
             if (finding != CrashCheck.Finding.ACCEPTS_CONNECTIONS) {
-                conclude(answer, finding, brokenAtNanos, onDone);
+                conclude(answer, finding, brokenAtNanos, onFirstCheck);
                 return;
             }
-            // A sound call does not wait for the second check; one that is known to end servers does.
-            boolean waits = isKnownToEndServers(answer);
-            if (!waits) {
-                onDone.run();
-            }
-            Runnable onConcluded = waits ? onDone : () -> {};
-            crashCheck.checkAgain(answer.target(), second -> conclude(answer, second, brokenAtNanos, onConcluded));
+            Runnable onSecondCheck = isKnownToEndServers(answer) ? onFirstCheck : goOn(onFirstCheck);
+            crashCheck.checkAgain(answer.target(), second -> conclude(answer, second, brokenAtNanos, onSecondCheck));
         });
     }
 
+    /** Lets a call go on now. Returns what is left to do for it later: nothing. */
+    private static Runnable goOn(Runnable call) {
+        call.run();
+        return () -> {};
+    }
+
     private void conclude(BrokenAnswer answer, CrashCheck.Finding finding, long brokenAtNanos, Runnable onDone) {
         logBroken(answer, finding);
         boolean ended = finding == CrashCheck.Finding.ENDED;
