Cut the digest of a request in one place, and correct a stale class comment

The length of the digest stood twice, in bytes and in characters; PromptPart.ofRequest cuts it now. The ids are the same.

--- a/elmline-cli/src/test/java/org/elmline/cli/local/CrashingPrefixTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/local/CrashingPrefixTest.java
@@ -18,6 +18,7 @@
 /** A prefix that several prompts share ends every engine that begins an answer to it. */
 class CrashingPrefixTest {
     private static final int ENGINES = 12;
+
     /** Servers that may end under one request, by the users' rule. */
     private static final int MAX_ENDED_BY_ONE_PROMPT = 3;
 
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/PromptPart.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/PromptPart.java
@@ -11,6 +11,9 @@
     /** Begins the id of a whole request; ids of parts that prompts share have no colon. */
     private static final String REQUEST_PREFIX = "request:";
 
+    /** Part of a digest that is kept: 128 bits in hexadecimal. */
+    private static final int DIGEST_CHARACTERS = 32;
+
     public PromptPart {
         if (value == null || value.isEmpty() || value.length() > MAX_LENGTH) {
             throw new IllegalArgumentException("prompt part must be 1 to " + MAX_LENGTH + " characters");
@@ -22,9 +25,9 @@
         return new PromptPart(value);
     }
 
-    /** A whole request, by a digest of its content, as a part that only its repeats share. */
-    public static PromptPart ofRequest(String digest) {
-        return new PromptPart(REQUEST_PREFIX + digest);
+    /** A whole request, by the SHA-256 of its content in hexadecimal, as a part that only its repeats share. */
+    public static PromptPart ofRequest(String sha256) {
+        return new PromptPart(REQUEST_PREFIX + sha256.substring(0, DIGEST_CHARACTERS));
     }
 
     /** Whether this is a whole request rather than a part that different requests share. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionParts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/caller/CompletionParts.java
@@ -12,8 +12,6 @@
 
 /** The prefixes of whole blocks of a prompt, and the whole request by its adapter and prompt. Not thread-safe. */
 final class CompletionParts implements RequestParts {
-    private static final int DIGEST_CHARACTERS = 32;
-
     private final CompletionRequest completion;
     private final List<PromptPart> prefixes = new ArrayList<>();
     private PromptPart request;
@@ -36,8 +34,7 @@
     public PromptPart request() {
         if (request == null) {
             String content = completion.adapter() + "\n" + completion.prompt();
-            String digest = Sha256.hex(content.getBytes(StandardCharsets.UTF_8));
-            request = PromptPart.ofRequest(digest.substring(0, DIGEST_CHARACTERS));
+            request = PromptPart.ofRequest(Sha256.hex(content.getBytes(StandardCharsets.UTF_8)));
         }
         return request;
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
@@ -5,8 +5,7 @@
 import org.elmline.core.quarantine.AnswerProgress;
 
 /**
- * Observes one answer of a server to a prompt, and reports to the quarantine whether it went on or broke off at its
- * beginning. Used on the I/O thread only.
+ * Observes one answer of a server, and reports to the quarantine whether it went on, was complete or broke off. Used on the I/O thread only.
  */
 final class AnswerObserver {
     private final QuarantineClient quarantine;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallParts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallParts.java
@@ -19,7 +19,6 @@
  */
 final class CallParts implements RequestParts {
     private static final String ALGORITHM = "SHA-256";
-    private static final int DIGEST_BYTES = 16;
 
     private final HttpServerExchange exchange;
     private final CallHead head;
@@ -42,7 +41,7 @@
     @Override
     public PromptPart request() {
         if (request == null) {
-            request = PromptPart.ofRequest(HexFormat.of().formatHex(digest(), 0, DIGEST_BYTES));
+            request = PromptPart.ofRequest(HexFormat.of().formatHex(digest()));
         }
         return request;
     }
