Log who ended an answer that had begun, and what this entry knew then

`attempt failed`, `stream broken off` and `refused` now have attemptEnd, sinceServerByteMs, sinceEventMs, unreadBytes, heldBytes, version and versionAgeMs. A field attemptEnd=CANCELLED names an answer that the entry itself ended while it was under way. No decision changes.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -58,8 +58,9 @@
     private HeaderMap headers;
     private int status;
     private long headAtNanos;
+    private long lastByteAtNanos;
+    private AttemptEnd end;
     private boolean sent;
-    private boolean ended;
 
     Attempt(Call call, CallParts parts, DispatchCall placementRequest, DispatchAnswer.Granted granted) {
         this.call = call;
@@ -75,7 +76,7 @@
     /** Reserves the memory that the call needs on helpers, then sends it. */
     void start() {
         reservations.reserve(reserved -> {
-            if (ended) {
+            if (end != null) {
                 return;
             }
             if (reserved) {
@@ -139,24 +140,38 @@
         return head == null ? -1 : (call.context().clock().nanos() - headAtNanos) / NANOS_PER_MILLI;
     }
 
+    /** Milliseconds since the last byte of the answer arrived; negative before the head. */
+    long millisSinceLastByte() {
+        return head == null ? -1 : (call.context().clock().nanos() - lastByteAtNanos) / NANOS_PER_MILLI;
+    }
+
+    BackendServerId server() {
+        return granted.server();
+    }
+
+    /** How the attempt ended; null while it is under way. */
+    AttemptEnd end() {
+        return end;
+    }
+
     /** The entry that forwards the call to the server; null without one. */
     HostId relay() {
         return backendCall == null ? null : backendCall.relay();
     }
 
     /** Cancels the attempt at once and reports its end to the dispatcher. */
-    void cancel(AttemptEnd end) {
-        if (tryEnd()) {
+    void cancel(AttemptEnd how) {
+        if (tryEnd(how)) {
             if (backendCall != null) {
                 backendCall.cancel();
             }
-            call.context().dispatchClient().reportEnd(placementRequest, end, notice());
+            call.context().dispatchClient().reportEnd(placementRequest, how, notice());
         }
     }
 
     private void startFirstEventTimer() {
         CallRoute route = call.route();
-        if (ended || !route.mayRetry()) {
+        if (end != null || !route.mayRetry()) {
             return;
         }
         long firstMillis = route.isStreaming()
@@ -176,7 +191,7 @@
     }
 
     private void onInactive() {
-        if (ended || !call.mayRetry()) {
+        if (end != null || !call.mayRetry()) {
             return;
         }
         if (backendCall.isHeld()) {
@@ -213,6 +228,7 @@
     public void onHead(int answerStatus, HeaderMap answerHeaders, AnswerHead answerHead) {
         status = answerStatus;
         headAtNanos = call.context().clock().nanos();
+        lastByteAtNanos = headAtNanos;
         headers = answerHeaders;
         head = answerHead;
         boolean wrongRequest =
@@ -254,9 +270,10 @@
 
     @Override
     public void onData(ByteBuffer bytes) {
-        if (ended) {
+        if (end != null) {
             return;
         }
+        lastByteAtNanos = call.context().clock().nanos();
         if (stream == null) {
             buffer(bytes);
             return;
@@ -309,7 +326,7 @@
 
     @Override
     public void onComplete() {
-        if (ended) {
+        if (end != null) {
             return;
         }
         if (stream != null) {
@@ -319,19 +336,18 @@
         } else if (head.notExecuted() && status != 400) {
             fail(AttemptEnd.NOT_EXECUTED, "turned down with " + status);
         } else if (status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry() && call.mayRetry()) {
-            tryEnd();
+            tryEnd(AttemptEnd.SERVER_ERROR);
             observe(AnswerObserver::onComplete);
             call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.SERVER_ERROR, notice());
             call.onServerError(status, headers, bufferedBody);
         } else {
-            tryEnd();
+            tryEnd(status >= MIN_SERVER_ERROR_STATUS ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE);
             if (isSuccess() && bufferedBody.length() > 0) {
                 observe(AnswerObserver::onContent);
             }
             if (!head.notExecuted()) {
                 observe(AnswerObserver::onComplete);
             }
-            AttemptEnd end = status >= MIN_SERVER_ERROR_STATUS ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE;
             call.context().dispatchClient().reportEnd(placementRequest, end, notice());
             call.answer(status, headers, bufferedBody);
         }
@@ -342,7 +358,7 @@
             breakOff("the stream ends amid an event");
             return;
         }
-        tryEnd();
+        tryEnd(AttemptEnd.DONE);
         observe(AnswerObserver::onComplete);
         call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.DONE, notice());
         stream.complete();
@@ -358,7 +374,7 @@
      * on once that is reported, so that a second server is not sent a prompt that is known to crash it.
      */
     private void breakOff(String why) {
-        if (!tryEnd()) {
+        if (!tryEnd(AttemptEnd.BROKEN)) {
             return;
         }
         call.context().dispatchClient().reportFailure(placementRequest, AttemptEnd.BROKEN, notice(), null);
@@ -376,11 +392,11 @@
         fail(AttemptEnd.BROKEN, why);
     }
 
-    private void fail(AttemptEnd end, String why) {
-        if (tryEnd()) {
+    private void fail(AttemptEnd how, String why) {
+        if (tryEnd(how)) {
             BackendServerId helper = faultyHelper();
-            call.context().dispatchClient().reportFailure(placementRequest, end, notice(), helper);
-            call.onAttemptFailed(end, why, helper);
+            call.context().dispatchClient().reportFailure(placementRequest, how, notice(), helper);
+            call.onAttemptFailed(how, why, helper);
         }
     }
 
@@ -392,11 +408,11 @@
         return isHelper ? faulty : null;
     }
 
-    private boolean tryEnd() {
-        if (ended) {
+    private boolean tryEnd(AttemptEnd how) {
+        if (end != null) {
             return false;
         }
-        ended = true;
+        end = how;
         inactivityTimer.cancel();
         reservations.release();
         return true;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -66,6 +66,7 @@
     private final XnioExecutor.Key deadlineTimer;
     private DispatchCall pendingPlacement;
     private Attempt attempt;
+    private Attempt latestAttempt;
     private StreamForwarder stream;
     private ServerFailure serverFailure;
     private boolean ended;
@@ -277,6 +278,7 @@
         context.callMetrics().recordPlacement(service, elapsedMillis());
         history.recordSend(granted.server());
         attempt = new Attempt(this, quarantine.parts(), request, granted);
+        latestAttempt = attempt;
         attempt.start();
     }
 
@@ -286,17 +288,12 @@
      * @param faultyHelper the helper because of which the server refused the call, null without one
      */
     void onAttemptFailed(AttemptEnd end, String why, BackendServerId faultyHelper) {
-        HostId relay = relay();
-        long millisSinceHead = attempt == null ? -1 : attempt.millisSinceHead();
         attempt = null;
         memory.dropAnswer();
         context.callMetrics().recordAttemptFailure(service, end.name());
-        requestLog.logFailure(line("attempt failed")
+        logEnd(line("attempt failed")
                 .with("end", end)
                 .with("why", why)
-                .with("server", history.lastTriedServer())
-                .with("relay", relay)
-                .with("sinceHeadMs", millisSinceHead)
                 .with("lastEvent", stream == null ? -1 : stream.lastEventId())
                 .with("parts", head.sharedParts())
                 .with("faultyHelper", faultyHelper));
@@ -346,9 +343,8 @@
             return;
         }
         if (stream != null) {
-            requestLog.logFailure(line("stream broken off").with("why", why).with("lastEvent", stream.lastEventId()));
-            // Ended before the abort: the end of the caller's channel would otherwise be handled as that of a complete
-            // stream.
+            logEnd(line("stream broken off").with("why", why).with("lastEvent", stream.lastEventId()));
+            // First, as the end of the caller's channel would otherwise be handled as that of a complete stream.
             finish("broken_off");
             stream.abort();
             return;
@@ -361,7 +357,7 @@
         boolean pastDeadline = remainingMillis() < MIN_SEND_MILLIS;
         boolean mayHaveRun = history.mayHaveRun();
         int status = mayHaveRun ? (pastDeadline ? 504 : 502) : 503;
-        requestLog.logFailure(line("refused")
+        logEnd(line("refused")
                 .with("status", status)
                 .with("why", why)
                 .with("mayHaveRun", mayHaveRun)
@@ -374,6 +370,10 @@
         finish("refused_" + status);
     }
 
+    private void logEnd(LogLine line) {
+        requestLog.logFailure(AnswerEndLog.addTo(line, context, latestAttempt, stream));
+    }
+
     /** Sends a server's complete answer to the caller. */
     void answer(int status, HeaderMap headers, ByteChunks bytes) {
         if (ended) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -96,6 +96,7 @@
     private final Map<BackendServerId, Registration> usableById = new HashMap<>();
     private List<Registration> groupedServers;
     private RoutingTable table;
+    private long tableAppliedAtNanos;
     private final RoutingLag lag = new RoutingLag();
     private volatile long holdMillis = PendingPoll.HOLD_MILLIS;
     private boolean fetching;
@@ -308,6 +309,7 @@
         RoutingTable.BuildResult buildResult = routingFormat.read(text.text().getBytes(StandardCharsets.UTF_8));
         if (buildResult instanceof RoutingTable.BuildResult.Valid valid) {
             table = valid.table();
+            tableAppliedAtNanos = clock.nanos();
             lag.onHeld(table.version(), clock.nanos());
             log.line("routing in force")
                     .with("version", table.version())
@@ -333,6 +335,11 @@
         return Optional.ofNullable(table);
     }
 
+    /** Milliseconds since the table in force was applied; negative without one. */
+    long tableAgeMillis() {
+        return table == null ? -1 : (clock.nanos() - tableAppliedAtNanos) / NANOS_PER_MILLI;
+    }
+
     /** Whether the table in force is the newest one by a control host that a leader confirms. */
     boolean isCurrent() {
         return view.isConfirmed(clock.nanos()) && !lag.isLagging();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
@@ -102,6 +102,16 @@
         return longestPauseMillis;
     }
 
+    /** Milliseconds since an event was forwarded; negative before the first one. */
+    long millisSinceLastEvent() {
+        return lastEventAtMillis == 0 ? -1 : call.context().clock().millis() - lastEventAtMillis;
+    }
+
+    /** Bytes that the caller's socket has not accepted. */
+    int unreadBytes() {
+        return callerChannel.pendingBytes();
+    }
+
     void complete() {
         completing = true;
         callerChannel.complete();
