Let a silent server go on with a call until another one has begun to answer

All streams of one engine get their events in the same pass, so their timers expired together. Class: what runs is given up before there is something better.

Change: the attempt goes on while another place is searched. The first event that is new to the caller, or the head of a final plain answer, decides: it cancels all other attempts and the search. No place, a refusal or a reset elsewhere leaves the first attempt as it is; a place is requested again after the dispatcher's Retry-After, 250 ms at least. Events are parsed for each attempt, so nothing of two runs is joined. What silence says of a server is reported apart (AttemptReport.silent) and counts once, as before; its grant stays, as it runs. Sends are counted as before, so attempts and the retry budget hold.

CallPlacement (the search) and OpenAttempts come out of Call. Three loops of Dispatcher that cancel grants are one method now.

--- a/elmline-cli/src/main/java/org/elmline/cli/explain/LossTable.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/explain/LossTable.java
@@ -54,6 +54,7 @@
                 Math.min(outcome.arrivedAtMillis, line.path("at").asLong() - age);
         switch (line.path("event").asText()) {
             case "placed" -> outcome.placementWaitMillis = Math.max(outcome.placementWaitMillis, age);
+            case "server silent" -> outcome.attemptFailure = "silent";
             case "attempt failed" -> outcome.attemptFailure = line.path("why").asText();
             case "streamed" -> {
                 outcome.lossReason = "";
--- a/elmline-cli/src/test/java/org/elmline/cli/explain/LossesCommandTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/explain/LossesCommandTest.java
@@ -32,7 +32,7 @@
                 folder.resolve("entry.log"),
                 line(10_100, "placed", "a", ",\"ageMs\":60")
                         + line(12_500, "streamed", "a", ",\"ageMs\":2460,\"longestPauseMs\":210")
-                        + line(10_300, "attempt failed", "b", ",\"ageMs\":100,\"why\":\"silent\"")
+                        + line(10_300, "server silent", "b", ",\"ageMs\":100")
                         + line(10_400, "answered", "b", ",\"ageMs\":200,\"status\":200")
                         + line(13_000, "refused", "c", ",\"ageMs\":0,\"why\":\"no place in time\"")
                         + line(13_100, "turned away", "d", ",\"why\":\"no routing table yet\"")
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -358,7 +358,7 @@
     }
 
     /**
-     * Records the first token or end of an attempt. A report of an attempt that still waits removes it from the queue;
+     * Records the first token, a silence or the end of an attempt. A report of an attempt that still waits removes it from the queue;
      * one of an attempt that is unknown or has ended changes nothing.
      */
     public void report(AttemptReport report, long now) {
@@ -373,6 +373,10 @@
         if (report.leaving()) {
             granted.members().get(0).markLeaving();
         }
+        if (report.silent()) {
+            granted.members().get(0).health().record(AttemptEnd.SILENT, now);
+            return;
+        }
         if (report.end() == null) {
             granted.members().forEach(each -> each.startDecoding(report.attempt(), now));
             return;
@@ -400,15 +404,16 @@
     public void reconcileGrants(HostId host, long incarnation, List<OpenGrant> open, long now) {
         Set<String> running = new HashSet<>();
         open.forEach(each -> running.add(each.call().attempt()));
-        List<String> ended = new ArrayList<>();
-        for (ActiveGrant each : grants.values()) {
-            DispatchCall call = each.call();
-            boolean ofEntry = call.host().equals(host) && call.incarnation() <= incarnation;
-            if (ofEntry && !running.contains(call.attempt())) {
-                ended.add(call.attempt());
-            }
-        }
-        ended.forEach(each -> report(new AttemptReport(each, AttemptEnd.CANCELLED), now));
+        cancelGrants(
+                each -> each.call().host().equals(host)
+                        && each.call().incarnation() <= incarnation
+                        && !running.contains(each.call().attempt()),
+                now);
+    }
+
+    private void cancelGrants(Predicate<ActiveGrant> condition, long now) {
+        List<ActiveGrant> cancelled = grants.values().stream().filter(condition).toList();
+        cancelled.forEach(each -> report(new AttemptReport(each.call().attempt(), AttemptEnd.CANCELLED), now));
     }
 
     /** Counts a request of an entry that another dispatcher of this service has just granted. */
@@ -448,13 +453,7 @@
 
     /** Ends the grants, and removes the waiting calls, of an incarnation of an entry that is gone. */
     public void removeEntry(HostId host, long incarnation, long now) {
-        List<String> ofEntry = new ArrayList<>();
-        for (ActiveGrant each : grants.values()) {
-            if (each.call().host().equals(host) && each.call().incarnation() == incarnation) {
-                ofEntry.add(each.call().attempt());
-            }
-        }
-        ofEntry.forEach(each -> report(new AttemptReport(each, AttemptEnd.CANCELLED), now));
+        cancelGrants(each -> each.call().host().equals(host) && each.call().incarnation() == incarnation, now);
         removeWaiting(each -> each.host().equals(host) && each.incarnation() == incarnation, now);
     }
 
@@ -470,13 +469,7 @@
     }
 
     private void expireGrants(long now) {
-        List<String> expired = new ArrayList<>();
-        for (ActiveGrant each : grants.values()) {
-            if (now - each.expiresAtNanos() >= 0) {
-                expired.add(each.call().attempt());
-            }
-        }
-        expired.forEach(each -> report(new AttemptReport(each, AttemptEnd.CANCELLED), now));
+        cancelGrants(each -> now - each.expiresAtNanos() >= 0, now);
     }
 
     /** Entries, with their incarnations, that hold grants or have waiting calls. */
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRateLimitTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherRateLimitTest.java
@@ -205,11 +205,13 @@
         DispatchCall first = call(0, 100, 1_000);
         dispatcher.place(first, 0);
         dispatcher.report(
-                new AttemptReport(first.attempt(), AttemptEnd.DONE, ServerRateLimit.ofPerSecond(1), null, false), 0);
+                new AttemptReport(first.attempt(), AttemptEnd.DONE, ServerRateLimit.ofPerSecond(1), null, false, false),
+                0);
         assertInstanceOf(DispatchAnswer.Queued.class, dispatcher.place(call(0, 100, 3_000), 10 * MILLI));
         DispatchAnswer second = dispatcher.tick(1_100 * MILLI).get(0);
         dispatcher.report(
-                new AttemptReport(second.attempt(), AttemptEnd.DONE, ServerRateLimit.NONE, null, false), 1_100 * MILLI);
+                new AttemptReport(second.attempt(), AttemptEnd.DONE, ServerRateLimit.NONE, null, false, false),
+                1_100 * MILLI);
         assertInstanceOf(DispatchAnswer.Granted.class, dispatcher.place(call(0, 100, 1_000), 1_110 * MILLI));
         assertInstanceOf(DispatchAnswer.Granted.class, dispatcher.place(call(0, 100, 1_000), 1_120 * MILLI));
     }
--- a/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/dispatch/DispatcherTest.java
@@ -102,6 +102,23 @@
         assertTrue(longGrant.firstMillis() < 1_000, "first token in " + longGrant.firstMillis());
     }
 
+    /** Guards against a silent server that is taken for free while its calls go on, or that gets further calls. */
+    @Test
+    void silenceCountsAgainstServerAndKeepsItsGrant() {
+        Dispatcher dispatcher = dispatcher(PLAIN, 3, 4);
+        List<DispatchAnswer.Granted> grants = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            grants.add(granted(dispatcher.place(plainCall(10_000), 0)));
+        }
+        BackendServerId silent = grants.get(0).server();
+        grants.stream()
+                .filter(each -> each.server().equals(silent))
+                .forEach(each -> dispatcher.report(AttemptReport.silence(each.attempt()), 0));
+        assertEquals(9, dispatcher.running());
+        assertNotEquals(silent, granted(dispatcher.place(plainCall(10_000), 0)).server());
+        assertNotEquals(silent, granted(dispatcher.place(plainCall(10_000), 0)).server());
+    }
+
     /**
      * A prompt larger than one engine's memory is kept on several, and one larger than all of them is refused at once.
      */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -1,6 +1,7 @@
 package org.elmline.daemon.gateway;
 
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.function.Consumer;
 
 import io.undertow.server.HttpServerExchange;
@@ -19,6 +20,7 @@
 final class Attempt implements BackendCallListener {
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
+    private static final int BAD_REQUEST = 400;
 
     /** Longest answer that is buffered until it is complete, so that a call with a broken answer can be retried. */
     private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
@@ -29,7 +31,7 @@
     /** Time after which an engine reports that a helper has failed, plus a round trip. */
     private static final long HELPER_TIMEOUT_MILLIS = 1_600;
 
-    /** Time-out between events of a stream, in allowed gaps of the route; its server then counts as failed. */
+    /** Time between events of a stream, in allowed gaps of the route, after which its server counts as silent. */
     private static final int STREAM_TIMEOUT_GAPS = 3;
 
     /**
@@ -49,7 +51,8 @@
     private final DispatchAnswer.Granted granted;
     private final HelperReservations reservations;
     private final InactivityTimer inactivityTimer;
-    private final ByteChunks bufferedBody;
+    private final ServerSentEventParser events = new ServerSentEventParser();
+    private ByteChunks bufferedBody;
     private long timeoutMillis;
     private BackendCall backendCall;
     private AnswerObserver observer;
@@ -61,13 +64,14 @@
     private long lastByteAtNanos;
     private AttemptEnd end;
     private boolean sent;
+    private boolean silent;
+    private boolean silenceReported;
 
     Attempt(Call call, CallParts parts, DispatchCall placementRequest, DispatchAnswer.Granted granted) {
         this.call = call;
         this.parts = parts;
         this.placementRequest = placementRequest;
         this.granted = granted;
-        this.bufferedBody = call.memory().newAnswer();
         this.reservations = new HelperReservations(call.context(), granted);
         this.inactivityTimer =
                 new InactivityTimer(call.context().thread(), call.context().clock(), this::onInactive);
@@ -191,7 +195,7 @@
     }
 
     private void onInactive() {
-        if (end != null || !call.mayRetry()) {
+        if (end != null) {
             return;
         }
         if (backendCall.isHeld()) {
@@ -199,17 +203,38 @@
             startFirstEventTimer();
             return;
         }
-        if (backendCall.isPaused()) {
-            // The server is not read for the sake of a slow caller. Counted as silent, it would be reported as failed,
-            // and another one would run the call too.
-            restartTimer(timeoutMillis);
+        restartTimer(timeoutMillis);
+        // A server that is not read for the sake of a slow caller is not silent. It would be reported as failed, and
+        // another one would run the call too.
+        if (!backendCall.isPaused() && call.mayRetry()) {
+            silent = true;
+            reportSilence();
+            call.onAttemptSilent(this);
+        }
+    }
+
+    private void reportSilence() {
+        if (silenceReported) {
             return;
         }
+        silenceReported = true;
+        backendCall.recordSilence();
         // Of a request that another entry forwards it is not known whether the server or that entry is silent.
-        AttemptEnd reported = backendCall.isRelayed() ? AttemptEnd.CANCELLED : AttemptEnd.SILENT;
-        backendCall.cancelUnanswered();
-        cancel(reported);
-        call.onAttemptFailed(AttemptEnd.SILENT, "silent", null);
+        if (!backendCall.isRelayed()) {
+            call.context().dispatchClient().reportSilence(placementRequest);
+        }
+    }
+
+    /** Whether nothing has arrived for so long that another server should run the call. */
+    boolean isSilent() {
+        return silent;
+    }
+
+    /** Reports once more that the server is silent, unless it answers within this time. */
+    void checkAgainAfter(long millis) {
+        if (end == null && silent) {
+            inactivityTimer.restart(millis);
+        }
     }
 
     @Override
@@ -243,10 +268,24 @@
         }
         if (call.route().isStreaming() && isSuccess()) {
             stream = call.stream(status, headers);
-            stream.switchTo(this);
-        } else {
-            call.memory().expectAnswer(declaredLength(headers));
+        } else if (isFinal() || call.hasOnly(this)) {
+            startBuffering();
+        }
+    }
+
+    /** Starts to buffer the answer. Another attempt is given up for a final one only. */
+    private void startBuffering() {
+        if (isFinal()) {
+            call.onAnswering(this);
         }
+        bufferedBody = call.memory().newAnswer();
+        call.memory().expectAnswer(declaredLength(headers));
+    }
+
+    /** Whether the answer is for the caller, whatever another server would answer. */
+    private boolean isFinal() {
+        boolean rejected = head.wrongServer() || (head.notExecuted() && status != BAD_REQUEST);
+        return !rejected && !(status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry());
     }
 
     /** The length that an answer declares; negative without a readable one. */
@@ -278,14 +317,39 @@
             buffer(bytes);
             return;
         }
-        String fault = stream.forward(bytes);
+        String fault = forward(bytes);
         if (fault != null) {
             rejectAnswer(fault);
         }
     }
 
+    /** Forwards the events that the bytes complete. Returns what is wrong with them, null when they are valid. */
+    private String forward(ByteBuffer bytes) {
+        List<ServerSentEventParser.Event> complete;
+        try {
+            complete = events.parse(bytes);
+        } catch (IllegalStateException e) {
+            return e.getMessage();
+        }
+        call.onPartialEvent();
+        return stream.forward(this, complete);
+    }
+
+    /** Bytes of an event that is incomplete. */
+    int partialEventBytes() {
+        return events.heldBytes();
+    }
+
     private void buffer(ByteBuffer bytes) {
-        call.memory().addToAnswer(bytes);
+        if (bufferedBody == null) {
+            bytes.position(bytes.limit());
+            return;
+        }
+        silent = false;
+        if (call.route().mayRetry()) {
+            restartTimer(timeoutMillis);
+        }
+        call.memory().addToAnswer(bufferedBody, bytes);
         if (bufferedBody.length() > MAX_BUFFERED_BYTES) {
             rejectAnswer("an answer of over " + MAX_BUFFERED_BYTES + " bytes");
         }
@@ -293,6 +357,7 @@
 
     /** Handles an event that was forwarded to the caller. */
     void onEventForwarded() {
+        silent = false;
         call.context().dispatchClient().reportFirstToken(placementRequest, notice());
         observe(AnswerObserver::onContent);
         if (call.route().mayRetry()) {
@@ -312,8 +377,8 @@
     @Override
     public boolean admitsRead() {
         return stream == null
-                ? call.memory().admitsAnswerRead(this::resume)
-                : call.memory().admitsStreamRead(this::resume);
+                ? call.memory().admitsAnswerRead(call::resumeReads)
+                : call.memory().admitsStreamRead(call::resumeReads);
     }
 
     void pause() {
@@ -321,7 +386,14 @@
     }
 
     void resume() {
-        backendCall.resume();
+        if (backendCall != null) {
+            backendCall.resume();
+        }
+    }
+
+    /** The answer that is buffered; null without one. */
+    ByteChunks bufferedBody() {
+        return bufferedBody;
     }
 
     @Override
@@ -333,13 +405,16 @@
             completeStream();
         } else if (head.wrongServer()) {
             fail(AttemptEnd.WRONG_SERVER, "another server has the address");
-        } else if (head.notExecuted() && status != 400) {
+        } else if (head.notExecuted() && status != BAD_REQUEST) {
             fail(AttemptEnd.NOT_EXECUTED, "turned down with " + status);
-        } else if (status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry() && call.mayRetry()) {
+        } else if (bufferedBody == null) {
+            // The answer is not for the caller while another server runs the call.
+            fail(AttemptEnd.SERVER_ERROR, "answered " + status);
+        } else if (status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry() && call.hasAlternative(this)) {
             tryEnd(AttemptEnd.SERVER_ERROR);
             observe(AnswerObserver::onComplete);
             call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.SERVER_ERROR, notice());
-            call.onServerError(status, headers, bufferedBody);
+            call.onServerError(this, status, headers, bufferedBody);
         } else {
             tryEnd(status >= MIN_SERVER_ERROR_STATUS ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE);
             if (isSuccess() && bufferedBody.length() > 0) {
@@ -349,16 +424,17 @@
                 observe(AnswerObserver::onComplete);
             }
             call.context().dispatchClient().reportEnd(placementRequest, end, notice());
-            call.answer(status, headers, bufferedBody);
+            call.onAnswer(this, status, headers, bufferedBody);
         }
     }
 
     private void completeStream() {
-        if (stream.hasPartialEvent()) {
+        if (events.hasPartialEvent()) {
             breakOff("the stream ends amid an event");
             return;
         }
         tryEnd(AttemptEnd.DONE);
+        call.onAnswering(this);
         observe(AnswerObserver::onComplete);
         call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.DONE, notice());
         stream.complete();
@@ -378,7 +454,7 @@
             return;
         }
         call.context().dispatchClient().reportFailure(placementRequest, AttemptEnd.BROKEN, notice(), null);
-        Runnable proceed = () -> call.onAttemptFailed(AttemptEnd.BROKEN, why, null);
+        Runnable proceed = () -> call.onAttemptFailed(this, why, null);
         if (backendCall.isRelayed() || (head != null && !isSuccess())) {
             proceed.run();
         } else {
@@ -396,7 +472,7 @@
         if (tryEnd(how)) {
             BackendServerId helper = faultyHelper();
             call.context().dispatchClient().reportFailure(placementRequest, how, notice(), helper);
-            call.onAttemptFailed(how, why, helper);
+            call.onAttemptFailed(this, why, helper);
         }
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AttemptHistory.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AttemptHistory.java
@@ -40,7 +40,7 @@
      *
      * @param faultyHelper the helper because of which the server refused the call, null without one
      */
-    void recordFailure(AttemptEnd end, BackendServerId faultyHelper) {
+    void recordFailure(BackendServerId server, AttemptEnd end, BackendServerId faultyHelper) {
         mayHaveRun |= end.mayHaveRun();
         reachedServer |= end.mayHaveReachedServer();
         if (!end.mayHaveRun()) {
@@ -48,13 +48,14 @@
             unexecuted++;
         }
         if (faultyHelper != null) {
-            triedServers.set(triedServers.size() - 1, faultyHelper);
+            triedServers.set(triedServers.lastIndexOf(server), faultyHelper);
         }
     }
 
-    /** Records an attempt that is given up while it is under way. */
-    void recordAbandoned(Attempt attempt) {
+    /** Records an attempt that was cancelled while it was under way. */
+    void recordCancelled(Attempt attempt) {
         mayHaveRun |= attempt.mayHaveRun();
+        reachedServer |= attempt.mayHaveRun();
     }
 
     /** Whether any server may have started to run the call. */
@@ -79,9 +80,4 @@
     List<BackendServerId> triedServers() {
         return triedServers;
     }
-
-    /** The server of the latest attempt; null without one. */
-    BackendServerId lastTriedServer() {
-        return triedServers.isEmpty() ? null : triedServers.get(triedServers.size() - 1);
-    }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -147,12 +147,11 @@
         }
     }
 
-    /** Ends the call as {@link #cancel()} does, because no answer came in time. */
-    void cancelUnanswered() {
+    /** Records that no answer has come in time, for which the entry that forwards the call may be the cause. */
+    void recordSilence() {
         if (isRelayed() && head == null) {
             search.onRelayFailed(link);
         }
-        cancel();
     }
 
     /** Whether the call waits because this entry has just resumed; no byte of it has been sent then. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -6,7 +6,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import org.elmline.core.common.BackendServerId;
-import org.elmline.core.common.HostId;
 import org.elmline.core.common.OrganisationId;
 import org.elmline.core.common.ServiceName;
 import org.elmline.core.dispatch.AttemptEnd;
@@ -27,22 +26,14 @@
  * One call of a caller, from the last byte of its request to the last byte of its answer: requests a place, sends the
  * call, sends it again where that is allowed, and answers. Used on the I/O thread only.
  */
-final class Call implements OpenCall {
+final class Call implements OpenCall, CallPlacement.Listener {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Remaining time below which no request is sent: less than any server needs to answer. */
     private static final long MIN_SEND_MILLIS = 5;
 
-    /**
-     * Time before the caller's time-out at which a call without a place is refused: the transit time of the answer and
-     * some tens of that.
-     */
-    private static final long REFUSAL_MARGIN_MILLIS = 250;
-
-    /**
-     * Retry-After when no place was found for seconds: about the time in which half the load of a full deployment ends.
-     */
-    private static final long NO_PLACE_RETRY_AFTER_MILLIS = 1_000;
+    /** Shortest time after which a place is requested again while a silent server goes on with the call. */
+    private static final long MIN_SEARCH_INTERVAL_MILLIS = 250;
 
     /** Retry-After after a failure that ended the last allowed attempt of a call without running it. */
     private static final long RETRY_AFTER_MILLIS = 120;
@@ -63,9 +54,9 @@
     private final SampledRequestLog requestLog;
     private final AttemptHistory history;
     private final CallQuarantine quarantine;
+    private final CallPlacement placement;
+    private final OpenAttempts attempts = new OpenAttempts();
     private final XnioExecutor.Key deadlineTimer;
-    private DispatchCall pendingPlacement;
-    private Attempt attempt;
     private Attempt latestAttempt;
     private StreamForwarder stream;
     private ServerFailure serverFailure;
@@ -93,9 +84,11 @@
                 : Math.min(head.deadlineMillis(), route.timeoutMillis());
         this.deadlineAtNanos = receivedAtNanos + timeoutMillis * NANOS_PER_MILLI;
         this.history = new AttemptHistory(route.maxAttempts());
-        this.quarantine = new CallQuarantine(context, service, new CallParts(exchange, head, memory.body()), history);
+        this.quarantine =
+                new CallQuarantine(context, service, new CallParts(exchange, head, memory.body()), this::mayHaveRun);
         this.disconnectDetector = new CallerDisconnectDetector(exchange);
         this.requestLog = new SampledRequestLog(head.requestId());
+        this.placement = new CallPlacement(context, quarantine, requestLog, this);
         this.deadlineTimer =
                 context.thread().executeAfter(this::onDeadline, Math.max(1, remainingMillis()), TimeUnit.MILLISECONDS);
         memory.beginCall(() -> endBy("the caller reads nothing and its memory is needed"));
@@ -103,7 +96,7 @@
     }
 
     void start() {
-        place();
+        placement.search();
     }
 
     GatewayContext context() {
@@ -151,7 +144,8 @@
         return stream;
     }
 
-    LogLine line(String event) {
+    @Override
+    public LogLine line(String event) {
         return context.log()
                 .line(event)
                 .with("request", head.requestId())
@@ -159,17 +153,10 @@
                 .with("ageMs", elapsedMillis());
     }
 
-    private void place() {
-        quarantine.admit(this::requestPlace, this::fail, this::firstEventRemainingMillis);
-    }
-
-    private void requestPlace() {
-        if (ended) {
-            return;
-        }
-        long firstEventMillis = firstEventRemainingMillis();
+    @Override
+    public DispatchCall newRequest() {
         long answerTokens = head.expectedAnswerTokens() > 0 ? head.expectedAnswerTokens() : head.maxAnswerTokens();
-        pendingPlacement = new DispatchCall(
+        return new DispatchCall(
                 context.attemptIds().nextId(),
                 context.settings().host(),
                 context.incarnation(),
@@ -182,75 +169,41 @@
                 head.maxAnswerTokens(),
                 route.aimMillis() - elapsedMillis(),
                 route.gapMillis(),
-                firstEventMillis,
+                firstEventRemainingMillis(),
                 remainingMillis(),
-                history.reachedServer(),
+                history.reachedServer() || attempts.mayHaveRun(),
                 history.triedServers());
-        DispatchCall request = pendingPlacement;
-        if (route.isStreaming()) {
-            context.thread()
-                    .executeAfter(
-                            () -> expirePlacement(request),
-                            Math.max(1, firstEventMillis - REFUSAL_MARGIN_MILLIS),
-                            TimeUnit.MILLISECONDS);
-        }
-        context.dispatchClient().place(request, answer -> onPlacementDecided(request, answer));
+    }
+
+    @Override
+    public boolean expires() {
+        return route.isStreaming();
     }
 
     boolean isEnded() {
         return ended;
     }
 
-    /** Time until the caller closes a stream without events; for other calls, time until the deadline. */
-    private long firstEventRemainingMillis() {
+    @Override
+    public long firstEventRemainingMillis() {
         long sinceReceivedMillis = stream == null ? elapsedMillis() : 0;
         return route.isStreaming()
                 ? Math.min(remainingMillis(), route.eventTimeoutMillis() - sinceReceivedMillis)
                 : remainingMillis();
     }
 
-    /**
-     * Refuses a call that has no place shortly before its caller's time-out, so that the caller gets a Retry-After
-     * rather than a time-out.
-     */
-    private void expirePlacement(DispatchCall request) {
-        if (ended || pendingPlacement != request) {
-            return;
-        }
-        cancelInFlight();
-        fail("no place in time", NO_PLACE_RETRY_AFTER_MILLIS);
-    }
-
-    private void onPlacementDecided(DispatchCall request, DispatchAnswer answer) {
-        if (ended || request != pendingPlacement) {
-            // Sent now, it would run after its caller was told that it did not.
-            context.dispatchClient().reportEnd(request, AttemptEnd.CANCELLED);
-            return;
-        }
-        pendingPlacement = null;
-        if (answer instanceof DispatchAnswer.Granted granted) {
-            send(request, granted);
-            return;
+    /** Ends the call unless a server that is silent may still answer it. */
+    @Override
+    public void onNoPlace(String why, long retryAfterMillis) {
+        if (attempts.isEmpty()) {
+            fail(why, retryAfterMillis);
+        } else {
+            attempts.forEach(each -> each.checkAgainAfter(Math.max(retryAfterMillis, MIN_SEARCH_INTERVAL_MILLIS)));
         }
-        DispatchAnswer.Refused refused = (DispatchAnswer.Refused) answer;
-        requestLog.logFailure(line("not placed")
-                .with("attempt", request.attempt())
-                .with("why", refused.why())
-                .with("service", service)
-                .with("leftMs", remainingMillis())
-                .with("retryAfterMs", refused.retryAfterMillis()));
-        fail(refused.why().name(), retryAfterMillis(refused));
-    }
-
-    /** A backoff that the servers requested from this entry does not hold for the others. */
-    private long retryAfterMillis(DispatchAnswer.Refused refused) {
-        return refused.why() != DispatchAnswer.RefusalCause.NO_SERVER
-                        || context.deployment().hasOtherServingEntry()
-                ? refused.retryAfterMillis()
-                : Math.max(refused.retryAfterMillis(), context.backends().gate().shortestBackoffMillis(service));
     }
 
-    private void send(DispatchCall request, DispatchAnswer.Granted granted) {
+    @Override
+    public void onGranted(DispatchCall request, DispatchAnswer.Granted granted) {
         Registration server = context.deployment().server(granted.server());
         boolean serverLeft = server != null && !server.state().acceptsWork();
         if (!context.backends().gate().acceptsGrant(granted, service)) {
@@ -277,9 +230,51 @@
                 .with("leftMs", remainingMillis()));
         context.callMetrics().recordPlacement(service, elapsedMillis());
         history.recordSend(granted.server());
-        attempt = new Attempt(this, quarantine.parts(), request, granted);
-        latestAttempt = attempt;
-        attempt.start();
+        latestAttempt = new Attempt(this, quarantine.parts(), request, granted);
+        attempts.add(latestAttempt);
+        latestAttempt.start();
+    }
+
+    /** Searches another place for a call whose servers are all silent; they go on until another one answers. */
+    void onAttemptSilent(Attempt silent) {
+        if (ended || placement.isSearching() || !attempts.areAllSilent()) {
+            return;
+        }
+        context.callMetrics().recordAttemptFailure(service, AttemptEnd.SILENT.name());
+        requestLog.logFailure(AnswerEndLog.addTo(line("server silent"), context, silent, stream));
+        placement.search();
+    }
+
+    /** Ends all other attempts, and the search for another place: this one has something for the caller. */
+    void onAnswering(Attempt answering) {
+        if (attempts.hasOnly(answering) && !placement.isSearching()) {
+            return;
+        }
+        placement.withdraw();
+        for (Attempt each : attempts.cancelOthers(answering)) {
+            history.recordCancelled(each);
+            requestLog.logSuccess(line("attempt replaced")
+                    .with("server", each.server())
+                    .with("by", answering.server())
+                    .with("sinceHeadMs", each.millisSinceHead()));
+        }
+    }
+
+    boolean hasOnly(Attempt attempt) {
+        return attempts.hasOnly(attempt);
+    }
+
+    /** Whether another server runs the call, or may be sent it. */
+    boolean hasAlternative(Attempt attempt) {
+        return mayRetry() || !attempts.hasOnly(attempt);
+    }
+
+    void resumeReads() {
+        attempts.forEach(Attempt::resume);
+    }
+
+    void onPartialEvent() {
+        memory.setPartialEvent(attempts.partialEventBytes());
     }
 
     /**
@@ -287,30 +282,27 @@
      *
      * @param faultyHelper the helper because of which the server refused the call, null without one
      */
-    void onAttemptFailed(AttemptEnd end, String why, BackendServerId faultyHelper) {
-        attempt = null;
-        memory.dropAnswer();
-        context.callMetrics().recordAttemptFailure(service, end.name());
-        logEnd(line("attempt failed")
-                .with("end", end)
+    void onAttemptFailed(Attempt failed, String why, BackendServerId faultyHelper) {
+        attempts.remove(failed);
+        memory.dropAnswer(failed.bufferedBody());
+        onPartialEvent();
+        context.callMetrics().recordAttemptFailure(service, failed.end().name());
+        LogLine line = line("attempt failed")
+                .with("end", failed.end())
                 .with("why", why)
                 .with("lastEvent", stream == null ? -1 : stream.lastEventId())
                 .with("parts", head.sharedParts())
-                .with("faultyHelper", faultyHelper));
-        history.recordFailure(end, faultyHelper);
-        retryOrFail(why, !end.mayHaveRun());
+                .with("faultyHelper", faultyHelper);
+        requestLog.logFailure(AnswerEndLog.addTo(line, context, failed, stream));
+        history.recordFailure(failed.server(), failed.end(), faultyHelper);
+        retryOrFail(why, !failed.end().mayHaveRun());
     }
 
-    /** Handles an error answered by a server when the call may run once more. */
-    void onServerError(int status, HeaderMap headers, ByteChunks bytes) {
+    /** Handles an error answered by a server when another one runs the call, or may be sent it. */
+    void onServerError(Attempt failed, int status, HeaderMap headers, ByteChunks bytes) {
         memory.keepServerError();
         serverFailure = new ServerFailure(status, headers, bytes);
-        onAttemptFailed(AttemptEnd.SERVER_ERROR, "answered " + status, null);
-    }
-
-    /** The entry that forwards the attempt under way; null without one. */
-    private HostId relay() {
-        return attempt == null ? null : attempt.relay();
+        onAttemptFailed(failed, "answered " + status, null);
     }
 
     /** Whether the route allows another send of a call that may have run. */
@@ -322,14 +314,18 @@
         return history.hasSendsLeft() && remainingMillis() >= MIN_SEND_MILLIS;
     }
 
+    private boolean mayHaveRun() {
+        return history.mayHaveRun() || attempts.mayHaveRun();
+    }
+
     private void retryOrFail(String why, boolean notRun) {
-        if (ended) {
+        if (ended || placement.isSearching() || !attempts.areAllSilent()) {
             return;
         }
-        boolean allowed = (notRun && !history.mayHaveRun()) || route.mayRetry();
+        boolean allowed = (notRun && !mayHaveRun()) || route.mayRetry();
         if (allowed && hasSendsLeft()) {
-            place();
-        } else {
+            placement.search();
+        } else if (attempts.isEmpty()) {
             fail(why, RETRY_AFTER_MILLIS);
         }
     }
@@ -351,7 +347,7 @@
         }
         if (serverFailure != null) {
             // A server's error is more useful to the caller than the fact that no other server was available.
-            answer(serverFailure.status(), serverFailure.headers(), serverFailure.body());
+            answer(latestAttempt, serverFailure.status(), serverFailure.headers(), serverFailure.body());
             return;
         }
         boolean pastDeadline = remainingMillis() < MIN_SEND_MILLIS;
@@ -374,22 +370,26 @@
         requestLog.logFailure(AnswerEndLog.addTo(line, context, latestAttempt, stream));
     }
 
-    /** Sends a server's complete answer to the caller. */
-    void answer(int status, HeaderMap headers, ByteChunks bytes) {
+    /** Handles a server's complete answer. */
+    void onAnswer(Attempt answering, int status, HeaderMap headers, ByteChunks bytes) {
         if (ended) {
             return;
         }
+        attempts.remove(answering);
         if (stream != null) {
             // No other answer can follow the head of a stream; the caller would wait until its deadline.
-            attempt = null;
             retryOrFail("answered " + status + " in place of the rest of a stream", false);
             return;
         }
+        answer(answering, status, headers, bytes);
+    }
+
+    private void answer(Attempt answering, int status, HeaderMap headers, ByteChunks bytes) {
         LogLine line = line("answered")
                 .with("status", status)
                 .with("bytes", bytes.length())
-                .with("server", history.lastTriedServer())
-                .with("relay", relay())
+                .with("server", answering.server())
+                .with("relay", answering.relay())
                 .with("sends", history.sends());
         if (status >= MIN_SERVER_ERROR_STATUS) {
             requestLog.logFailure(line);
@@ -411,8 +411,8 @@
                 .with("lastEvent", stream.lastEventId())
                 .with("firstMs", stream.firstEventAtMillis() - receivedAtNanos / NANOS_PER_MILLI)
                 .with("longestPauseMs", stream.longestPauseMillis())
-                .with("server", history.lastTriedServer())
-                .with("relay", relay())
+                .with("server", latestAnswering().server())
+                .with("relay", latestAnswering().relay())
                 .with("sends", history.sends()));
         context.callMetrics()
                 .recordFirstEvent(service, stream.firstEventAtMillis() - receivedAtNanos / NANOS_PER_MILLI);
@@ -425,30 +425,23 @@
             return;
         }
         requestLog.logFailure(
-                line("caller left").with("sends", history.sends()).with("placing", pendingPlacement != null));
-        cancelInFlight();
+                line("caller left").with("sends", history.sends()).with("placing", placement.isSearching()));
+        abandonInFlight();
         IoUtils.safeClose(exchange.getConnection());
         finish("caller_left");
     }
 
-    /** Cancels what is in flight of a call that is then answered by this entry. */
-    private void abandonInFlight() {
-        if (attempt != null) {
-            history.recordAbandoned(attempt);
-        }
-        cancelInFlight();
+    /** The attempt that sent the last event; the latest one where an empty stream is complete. */
+    private Attempt latestAnswering() {
+        return stream.source() == null ? latestAttempt : stream.source();
     }
 
-    private void cancelInFlight() {
-        if (pendingPlacement != null) {
-            context.dispatchClient().withdraw(pendingPlacement);
-            pendingPlacement = null;
-        }
-        if (attempt != null) {
-            attempt.cancel(AttemptEnd.CANCELLED);
-            attempt = null;
-            memory.dropAnswer();
-        }
+    private void abandonInFlight() {
+        placement.withdraw();
+        attempts.cancelOthers(null).forEach(each -> {
+            history.recordCancelled(each);
+            memory.dropAnswer(each.bufferedBody());
+        });
     }
 
     @Override
@@ -465,12 +458,16 @@
 
     @Override
     public void checkQuarantine() {
-        boolean waits = pendingPlacement != null || (attempt != null && attempt.hasNoHead());
+        boolean hasHead = !attempts.haveNoHead();
+        boolean waits = placement.isSearching() || (!attempts.isEmpty() && !hasHead);
         if (ended || !waits || !quarantine.mustGiveUp()) {
             return;
         }
-        abandonInFlight();
-        place();
+        placement.withdraw();
+        if (!hasHead) {
+            abandonInFlight();
+            placement.search();
+        }
     }
 
     private void onDeadline() {
@@ -492,7 +489,7 @@
     private void finish(String outcome) {
         context.callMetrics().recordEnd(service, outcome, elapsedMillis());
         ended = true;
-        quarantine.end();
+        abandonInFlight();
         deadlineTimer.remove();
         context.openCalls().remove(this);
         memory.endCall();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallMemory.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallMemory.java
@@ -123,9 +123,9 @@
         return declaredAnswerBytes < 0 ? answer.length() == 0 : declaredAnswerBytes <= SHORT_ANSWER_BYTES;
     }
 
-    /** Takes bytes of a buffered answer. */
-    void addToAnswer(ByteBuffer bytes) {
-        answer.append(bytes);
+    /** Takes bytes of a buffered answer that {@link #newAnswer} gave. */
+    void addToAnswer(ByteChunks target, ByteBuffer bytes) {
+        target.append(bytes);
         share.update();
     }
 
@@ -137,8 +137,14 @@
         share.update();
     }
 
-    /** Releases the buffered answer of an attempt that has failed. */
-    void dropAnswer() {
+    /** Releases the buffered answer of an attempt that has failed, unless another attempt buffers its own. */
+    void dropAnswer(ByteChunks dropped) {
+        if (dropped == answer) {
+            dropAnswer();
+        }
+    }
+
+    private void dropAnswer() {
         guard.removeLargeAnswer(this);
         answer = new ByteChunks();
         share.update();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallQuarantine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallQuarantine.java
@@ -1,6 +1,7 @@
 package org.elmline.daemon.gateway;
 
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.ObjLongConsumer;
 
@@ -24,18 +25,19 @@
     private final LongSupplier clockNanos;
     private final ServiceName service;
     private final CallParts parts;
-    private final AttemptHistory history;
+    private final BooleanSupplier mayHaveRun;
     private boolean isTrial;
     private boolean isHeld;
     private long heldSinceNanos;
 
-    CallQuarantine(GatewayContext context, ServiceName service, CallParts parts, AttemptHistory history) {
+    /** @param mayHaveRun whether any server may have started to run the call */
+    CallQuarantine(GatewayContext context, ServiceName service, CallParts parts, BooleanSupplier mayHaveRun) {
         this.quarantine = context.quarantine();
         this.heldCalls = context.heldCalls();
         this.clockNanos = context.clock()::nanos;
         this.service = service;
         this.parts = parts;
-        this.history = history;
+        this.mayHaveRun = mayHaveRun;
     }
 
     CallParts parts() {
@@ -49,12 +51,12 @@
      * @param remainingMillis time for which the call is of use to its caller
      */
     void admit(Runnable onAdmitted, ObjLongConsumer<String> onRefused, LongSupplier remainingMillis) {
-        if (isTrial && !history.mayHaveRun()) {
+        if (isTrial && !mayHaveRun.getAsBoolean()) {
             // No server was reached: the trial is still to be made.
             onAdmitted.run();
             return;
         }
-        QuarantineView.Decision decision = quarantine.decide(service, parts, !history.mayHaveRun());
+        QuarantineView.Decision decision = quarantine.decide(service, parts, !mayHaveRun.getAsBoolean());
         if (decision instanceof QuarantineView.Decision.Refused refused) {
             onRefused.accept(subject(refused.quarantine()) + " is quarantined", refused.retryAfterMillis());
         } else if (decision instanceof QuarantineView.Decision.Held held) {
@@ -90,8 +92,9 @@
         return !isTrial && quarantine.isRefused(service, parts);
     }
 
-    /** To be called when the call has ended. */
-    void end() {
+    /** Ends a hold; nothing is reported any more. */
+    void withdraw() {
+        isHeld = false;
         heldCalls.remove(this);
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DispatchClient.java
@@ -157,6 +157,11 @@
         grants.reportEnd(call, AttemptReport.of(call.attempt(), end, notice));
     }
 
+    /** Reports that the server of a granted call has been silent for too long; the call goes on there. */
+    void reportSilence(DispatchCall call) {
+        grants.reportProgress(call, AttemptReport.silence(call.attempt()));
+    }
+
     /** Reports a failed attempt; {@code faultyHelper} is the helper because of which it was refused, or null. */
     void reportFailure(DispatchCall call, AttemptEnd end, ServerNotice notice, BackendServerId faultyHelper) {
         grants.reportEnd(call, AttemptReport.of(call.attempt(), end, notice).withFaultyHelper(faultyHelper));
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GrantReporter.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GrantReporter.java
@@ -72,11 +72,15 @@
         OpenGrant grant = openGrants.get(call.attempt());
         if (grant != null && !grant.writing() && call.promptTokens() > 0) {
             openGrants.put(call.attempt(), new OpenGrant(grant.call(), grant.granted(), true));
-            AttemptReport report = AttemptReport.of(call.attempt(), null, notice);
-            grantHolders.holdersOf(call.attempt()).forEach(each -> reportQueue.add(call.service(), each, report));
+            reportProgress(call, AttemptReport.of(call.attempt(), null, notice));
         }
     }
 
+    /** Sends a report on a call that goes on to all dispatchers that count it. */
+    void reportProgress(DispatchCall call, AttemptReport report) {
+        grantHolders.holdersOf(call.attempt()).forEach(each -> reportQueue.add(call.service(), each, report));
+    }
+
     /** Reports the end of a call to all dispatchers that may hold a place or a queue entry for it. */
     void reportEnd(DispatchCall call, AttemptReport endReport) {
         openGrants.remove(call.attempt());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
@@ -1,6 +1,5 @@
 package org.elmline.daemon.gateway;
 
-import java.nio.ByteBuffer;
 import java.util.List;
 
 import io.undertow.util.HeaderMap;
@@ -13,8 +12,7 @@
 final class StreamForwarder {
     private final Call call;
     private final CallerChannel callerChannel;
-    private final ServerSentEventParser parser = new ServerSentEventParser();
-    private Attempt attempt;
+    private Attempt source;
     private long lastEventId = ServerSentEventParser.NO_ID;
     private boolean completing;
     private long firstEventAtMillis;
@@ -34,32 +32,21 @@
         this.callerChannel = new CallerChannel(call.exchange(), call.memory(), this::onWritable, this::onChannelClosed);
     }
 
-    /** Forwards the events of this attempt from now on. */
-    void switchTo(Attempt next) {
-        attempt = next;
-        parser.reset();
-        call.memory().setPartialEvent(0);
-    }
-
     /** Id of the last event that was forwarded; negative without one. */
     long lastEventId() {
         return lastEventId;
     }
 
-    boolean hasPartialEvent() {
-        return parser.hasPartialEvent();
+    /** The attempt that sent the last event; null before the first one. */
+    Attempt source() {
+        return source;
     }
 
-    /** Forwards the events that the bytes complete. Returns what is wrong with them, null when they are valid. */
-    String forward(ByteBuffer bytes) {
-        Attempt source = attempt;
-        List<ServerSentEventParser.Event> events;
-        try {
-            events = parser.parse(bytes);
-        } catch (IllegalStateException e) {
-            return e.getMessage();
-        }
-        call.memory().setPartialEvent(parser.heldBytes());
+    /**
+     * Forwards events of an attempt, all others of which end with the first one that is new to the caller. Returns what
+     * is wrong with the events, null when they are valid.
+     */
+    String forward(Attempt sender, List<ServerSentEventParser.Event> events) {
         for (ServerSentEventParser.Event each : events) {
             boolean hasId = each.id() != ServerSentEventParser.NO_ID;
             if (hasId && lastEventId >= 0 && each.id() <= lastEventId) {
@@ -69,14 +56,16 @@
                 return "event " + each.id() + " follows event " + lastEventId;
             }
             lastEventId = hasId ? each.id() : lastEventId;
+            source = sender;
+            call.onAnswering(sender);
             recordEventTime();
             boolean hasRoom = callerChannel.write(each.bytes());
-            if (attempt != source) {
+            if (sender.end() != null) {
                 return null;
             }
-            source.onEventForwarded();
+            sender.onEventForwarded();
             if (!hasRoom) {
-                source.pause();
+                sender.pause();
             }
         }
         return null;
@@ -123,8 +112,8 @@
     }
 
     private void onWritable() {
-        if (attempt != null) {
-            attempt.resume();
+        if (source != null) {
+            source.resume();
         }
     }
 
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
@@ -292,7 +292,8 @@
                         SERVICE,
                         List.of(
                                 new AttemptReport("a", null),
-                                new AttemptReport("b", AttemptEnd.DONE, ServerRateLimit.NONE, granted.server(), true))),
+                                new AttemptReport(
+                                        "b", AttemptEnd.DONE, ServerRateLimit.NONE, granted.server(), true, false))),
                 new Adoption(
                         SERVICE,
                         new Shard(1, 2),
