Refuse no request for servers whose end a restricted group explains

The request is quarantined at once, as that threshold counted all ends, also those that a suspected or quarantined group explains, and a quarantined request is not judged again.

Change: ends explained by a restricted group of parts don't count for the refusal of a request, as for its suspicion; its calls are held by that group meanwhile. When the group is released, requests under which three servers ended are judged again, so that none that is at fault gets by.

--- a/elmline-cli/src/test/java/org/elmline/cli/local/CrashingPrefixTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/local/CrashingPrefixTest.java
@@ -9,7 +9,6 @@
 import org.elmline.standin.engine.EngineServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -60,7 +59,6 @@
 
     /** Guards against prompts with one prefix ending all engines, and against refusing those that share its beginning. */
     @Test
-    @Tag("known-red")
     void prefixThatEndsEnginesReachesNoMoreOfThem() throws Exception {
         List<CompletableFuture<Integer>> sound = new ArrayList<>();
         for (int i = 0; i < 10; i++) {
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
@@ -56,8 +56,6 @@
      */
     record Support(int servers, int requests) {}
 
-    private static final Support NO_SUPPORT = new Support(0, 0);
-
     /** Records a crash. Returns whether it was not known yet. */
     boolean addCrash(ServerCrash crash, long now) {
         removeExpired(now);
@@ -161,21 +159,17 @@
 
     /**
      * What speaks against a whole request that may merely have run beside the cause: servers that ended under a prompt
-     * with a known group don't, and none does if they all ended under another request that ended more.
+     * with a known group don't.
      *
      * @param known groups of parts of the same service that are restricted already
      */
     Support unexplainedSupport(ServiceName service, PartGroup request, Collection<PartGroup> known) {
-        PromptPart part = request.parts().get(0);
-        List<CrashedServer> servers = crashedServers.values().stream()
-                .filter(each -> each.service().equals(service) && each.prompts().containsKey(part.value()))
-                .filter(each -> isOpen(each, part) && !isExplained(each, known))
-                .toList();
-        return endedUnderAnother(servers, service) ? NO_SUPPORT : support(servers, request);
+        return support(unexplainedServers(service, request, known), request);
     }
 
-    /** Whether all these servers ended under a request under which others ended too. */
-    private boolean endedUnderAnother(List<CrashedServer> servers, ServiceName service) {
+    /** Whether all servers that a request is not cleared of ended under another request, under which others ended too. */
+    boolean endedUnderAnother(ServiceName service, PartGroup request, Collection<PartGroup> known) {
+        List<CrashedServer> servers = unexplainedServers(service, request, known);
         if (servers.isEmpty()) {
             return false;
         }
@@ -185,6 +179,29 @@
                 .anyMatch(other -> serversUnder(other, service) > servers.size());
     }
 
+    private List<CrashedServer> unexplainedServers(
+            ServiceName service, PartGroup request, Collection<PartGroup> known) {
+        PromptPart part = request.parts().get(0);
+        return crashedServers.values().stream()
+                .filter(each -> each.service().equals(service) && each.prompts().containsKey(part.value()))
+                .filter(each -> isOpen(each, part) && !isExplained(each, known))
+                .toList();
+    }
+
+    /** The whole requests of a service under which at least so many servers ended. */
+    List<PartGroup> requestsUnderWhichEnded(ServiceName service, int minServers) {
+        Map<PromptPart, Integer> counts = new HashMap<>();
+        crashedServers.values().stream()
+                .filter(each -> each.service().equals(service))
+                .flatMap(each -> each.prompts().values().stream().flatMap(Set::stream))
+                .filter(PromptPart::isRequest)
+                .forEach(each -> counts.merge(each, 1, Integer::sum));
+        return counts.entrySet().stream()
+                .filter(each -> each.getValue() >= minServers)
+                .map(each -> PartGroup.of(List.of(each.getKey())))
+                .toList();
+    }
+
     private long serversUnder(String identity, ServiceName service) {
         return crashedServers.values().stream()
                 .filter(each -> each.service().equals(service) && each.prompts().containsKey(identity))
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
@@ -81,6 +81,7 @@
         PartGroup rest = wide.group().without(sound);
         if (rest.isEmpty()) {
             release(known, QuarantineReason.ANSWERED, now);
+            judgeRequests(wide.service(), now);
             return;
         }
         release(known, QuarantineReason.NARROWED, now);
@@ -88,6 +89,7 @@
         narrowed.sinceNanos = known.sinceNanos;
         narrowed.lastCrashNanos = known.lastCrashNanos;
         narrowed.nextTrialNanos = known.nextTrialNanos;
+        judgeRequests(wide.service(), now);
     }
 
     private void applyCrash(ServerCrash crash, long now) {
@@ -104,20 +106,33 @@
                 endTrial(each, now);
             }
         }
-        releaseExplained(crash.service(), now);
+        boolean released = releaseExplained(crash.service(), now);
         evidence.suspect(crash, restrictedGroupsOfParts(crash.service()))
                 .ifPresent(group ->
                         restrict(crash.service(), group, QuarantineStage.SUSPECTED, QuarantineReason.CRASHES, now));
         crash.wholeRequest().ifPresent(each -> judgeRequest(crash.service(), PartGroup.of(List.of(each)), now));
+        if (released) {
+            judgeRequests(crash.service(), now);
+        }
         quarantineProven(now);
     }
 
-    /** A request that has ended a server is refused sooner than a part: it concerns its own caller alone. */
+    /** Judges requests again, as the group that explained the ends of their servers may restrict them no more. */
+    private void judgeRequests(ServiceName service, long now) {
+        evidence.requestsUnderWhichEnded(service, Threshold.QUARANTINE_REQUEST.servers())
+                .forEach(each -> judgeRequest(service, each, now));
+    }
+
+    /**
+     * A request that has ended a server is refused sooner than a part: it concerns its own caller alone. Servers that a
+     * restricted group explains don't count: a sound request would be refused that lost them beside its prompts.
+     */
     private void judgeRequest(ServiceName service, PartGroup request, long now) {
         if (current(service, request).stage() == QuarantineStage.QUARANTINED) {
             return;
         }
-        if (Threshold.QUARANTINE_REQUEST.isReachedBy(evidence.support(service, request))) {
+        Collection<PartGroup> known = restrictedGroupsOfParts(service);
+        if (Threshold.QUARANTINE_REQUEST.isReachedBy(evidence.unexplainedSupport(service, request, known))) {
             restrict(service, request, QuarantineStage.QUARANTINED, QuarantineReason.CRASHES, now);
         } else if (isSuspectRequest(service, request)) {
             restrict(service, request, QuarantineStage.SUSPECTED, QuarantineReason.CRASHES, now);
@@ -125,18 +140,25 @@
     }
 
     private boolean isSuspectRequest(ServiceName service, PartGroup request) {
-        return Threshold.SUSPECT_REQUEST.isReachedBy(
-                evidence.unexplainedSupport(service, request, restrictedGroupsOfParts(service)));
+        Collection<PartGroup> known = restrictedGroupsOfParts(service);
+        return Threshold.SUSPECT_REQUEST.isReachedBy(evidence.unexplainedSupport(service, request, known))
+                && !evidence.endedUnderAnother(service, request, known);
     }
 
-    /** Of several calls that one server ended, that of the cause may be reported last. */
-    private void releaseExplained(ServiceName service, long now) {
+    /**
+     * Releases what is not suspect any more: of several calls that one server ended, that of the cause may be reported
+     * last. Returns whether a group of parts was released.
+     */
+    private boolean releaseExplained(ServiceName service, long now) {
+        boolean released = false;
         for (QuarantineCase each : List.copyOf(cases.values())) {
             QuarantineRecord known = each.quarantine;
             if (each.isIn(QuarantineStage.SUSPECTED) && known.service().equals(service) && !isStillSuspect(each)) {
                 release(each, QuarantineReason.EXPLAINED, now);
+                released |= !each.isRequest();
             }
         }
+        return released;
     }
 
     private boolean isStillSuspect(QuarantineCase suspected) {
@@ -241,6 +263,7 @@
         for (QuarantineCase each : List.copyOf(cases.values())) {
             if (each.isSuspicionOver(now)) {
                 release(each, QuarantineReason.NO_FURTHER_CRASH, now);
+                judgeRequests(each.quarantine.service(), now);
             } else if (each.isIn(QuarantineStage.QUARANTINED)
                     && !each.byOperator()
                     && now - each.lastDemandNanos >= UNUSED_NANOS) {
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/Threshold.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/Threshold.java
@@ -35,6 +35,10 @@
         return likelySound ? QUARANTINE_LIKELY_SOUND : QUARANTINE;
     }
 
+    int servers() {
+        return servers;
+    }
+
     boolean isReachedBy(Support support) {
         return isReachedBy(support, 0);
     }
--- a/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/QuarantinedRequestTest.java
@@ -134,6 +134,39 @@
         assertFalse(fixture.groups(SUSPECTED).contains("common"), "suspected: " + fixture.groups(SUSPECTED));
     }
 
+    /** A sound call loses three servers to two causes, and is refused for it before the cause of the third is reported. */
+    @Test
+    void callThatLostThreeServersBesideTwoCausesIsNotRefused() {
+        for (String server : List.of("s3", "s11", "s12")) {
+            fixture.crash(server, "bad1", "common bad request:bad1");
+        }
+        fixture.crash("s11", "sound", "common request:sound");
+        fixture.crash("s12", "sound", "common request:sound");
+        fixture.crash("s12", "bad2", "common bad request:bad2");
+        fixture.crash("s2", "other", "common request:other");
+        fixture.crash("s2", "sound", "common request:sound");
+        fixture.crash("s2", "bad2", "common bad request:bad2");
+        assertFalse(
+                fixture.groups(QUARANTINED).contains("request:sound"),
+                fixture.groups(QUARANTINED).toString());
+        assertFalse(
+                fixture.groups(SUSPECTED).contains("request:sound"),
+                fixture.groups(SUSPECTED).toString());
+    }
+
+    /** A request that ends its servers is refused once nothing else explains them, however that comes about. */
+    @Test
+    void requestIsRefusedOnceTheGroupThatExplainedItIsReleased() {
+        fixture.crash("s1", "x", "a request:x");
+        fixture.crash("s2", "y", "a request:y");
+        for (String server : List.of("s3", "s4", "s5")) {
+            fixture.crash(server, "bad on " + server, "a " + REQUEST);
+        }
+        fixture.pass("a");
+        fixture.advanceMillis(300);
+        assertEquals(List.of(REQUEST), fixture.groups(QUARANTINED));
+    }
+
     /** Servers that ended under prompts with a known part say nothing against the requests beside it. */
     @Test
     void requestBesideAKnownPartIsNotSuspect() {
