--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerEndLog.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerEndLog.java
@@ -24,7 +24,7 @@
             line.with("sinceEventMs", stream.millisSinceLastEvent()).with("unreadBytes", stream.unreadBytes());
         }
         if (attempt != null) {
-            // Without an end the attempt was under way: this entry ended the answer.
+            // CANCELLED: this entry ended the answer while its server was at work; no end: the answer goes on.
             line.with("server", attempt.server())
                     .with("relay", attempt.relay())
                     .with("attemptEnd", attempt.end())
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -123,7 +123,8 @@
         return organisation;
     }
 
-    long remainingMillis() {
+    @Override
+    public long remainingMillis() {
         return (deadlineAtNanos - context.clock().nanos()) / NANOS_PER_MILLI;
     }
 
@@ -269,6 +270,7 @@
         return mayRetry() || !attempts.hasOnly(attempt);
     }
 
+    /** Resumes reads that were paused for want of memory. */
     void resumeReads() {
         attempts.forEach(Attempt::resume);
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallPlacement.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallPlacement.java
@@ -42,6 +42,9 @@
         /** Whether a place is refused shortly before the caller's time-out. */
         boolean expires();
 
+        /** Time until the caller's deadline. */
+        long remainingMillis();
+
         /** Time until the caller closes a stream without events; for other calls, time until the deadline. */
         long firstEventRemainingMillis();
 
@@ -111,7 +114,7 @@
                 .with("attempt", request.attempt())
                 .with("why", refused.why())
                 .with("service", request.service())
-                .with("leftMs", request.deadlineLeftMillis())
+                .with("leftMs", listener.remainingMillis())
                 .with("retryAfterMs", refused.retryAfterMillis()));
         listener.onNoPlace(refused.why().name(), retryAfterMillis(request, refused));
     }
