Move a stream without events as soon as another server has a place for it

Until the other server had its first event (0.1 s at the median, for long reads up to 5.7 s), a silent attempt kept the memory and slots of up to a dozen engines, also where nothing had come of it for its caller.

Change: a stream of which nothing has come moves at the grant, as before; without a grant its server goes on, and a stream with events, or a plain call, goes on until another server has something for the caller. Decided by argument: a prompt that is late is worth less than a granted place; an answer that the caller has begun to read is worth more.

PausingServerTest 11 of 11, SilentServerTest, MemoryGuardTest green at a load of 22.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -268,7 +268,7 @@
         }
         if (call.route().isStreaming() && isSuccess()) {
             stream = call.stream(status, headers);
-        } else if (isFinal() || call.hasOnly(this)) {
+        } else if (isFinal() || call.attempts().hasOnly(this)) {
             startBuffering();
         }
     }
@@ -377,8 +377,8 @@
     @Override
     public boolean admitsRead() {
         return stream == null
-                ? call.memory().admitsAnswerRead(call::resumeReads)
-                : call.memory().admitsStreamRead(call::resumeReads);
+                ? call.memory().admitsAnswerRead(call.attempts()::resumeReads)
+                : call.memory().admitsStreamRead(call.attempts()::resumeReads);
     }
 
     void pause() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -119,6 +119,10 @@
         return memory;
     }
 
+    OpenAttempts attempts() {
+        return attempts;
+    }
+
     OrganisationId organisation() {
         return organisation;
     }
@@ -233,10 +237,14 @@
         history.recordSend(granted.server());
         latestAttempt = new Attempt(this, quarantine.parts(), request, granted);
         attempts.add(latestAttempt);
+        if (route.isStreaming() && (stream == null || stream.source() == null)) {
+            // Its engines' memory and slots are worth more than a prompt that is late and of which nothing has come.
+            cancelOthers(latestAttempt);
+        }
         latestAttempt.start();
     }
 
-    /** Searches another place for a call whose servers are all silent; they go on until another one answers. */
+    /** Searches another place for a call whose servers are all silent; they go on meanwhile. */
     void onAttemptSilent(Attempt silent) {
         if (ended || placement.isSearching() || !attempts.areAllSilent()) {
             return;
@@ -252,17 +260,18 @@
             return;
         }
         placement.withdraw();
-        for (Attempt each : attempts.cancelOthers(answering)) {
-            history.recordCancelled(each);
-            requestLog.logSuccess(line("attempt replaced")
-                    .with("server", each.server())
-                    .with("by", answering.server())
-                    .with("sinceHeadMs", each.millisSinceHead()));
-        }
+        cancelOthers(answering);
     }
 
-    boolean hasOnly(Attempt attempt) {
-        return attempts.hasOnly(attempt);
+    private void cancelOthers(Attempt kept) {
+        for (Attempt each : attempts.cancelOthers(kept)) {
+            history.recordCancelled(each);
+            memory.dropAnswer(each.bufferedBody());
+            if (kept != null) {
+                requestLog.logSuccess(
+                        line("attempt replaced").with("server", each.server()).with("by", kept.server()));
+            }
+        }
     }
 
     /** Whether another server runs the call, or may be sent it. */
@@ -270,11 +279,6 @@
         return mayRetry() || !attempts.hasOnly(attempt);
     }
 
-    /** Resumes reads that were paused for want of memory. */
-    void resumeReads() {
-        attempts.forEach(Attempt::resume);
-    }
-
     void onPartialEvent() {
         memory.setPartialEvent(attempts.partialEventBytes());
     }
@@ -440,10 +444,7 @@
 
     private void abandonInFlight() {
         placement.withdraw();
-        attempts.cancelOthers(null).forEach(each -> {
-            history.recordCancelled(each);
-            memory.dropAnswer(each.bufferedBody());
-        });
+        cancelOthers(null);
     }
 
     @Override
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenAttempts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenAttempts.java
@@ -8,7 +8,8 @@
 
 /**
  * The attempts of one call that are under way: usually one, and two while a server is silent and another one is to take
- * its place. A silent attempt goes on until an answer has arrived elsewhere. Used on the I/O thread only.
+ * its place. A silent attempt goes on until another server has a place for the call or, where the caller has part of the
+ * answer, has more of it. Used on the I/O thread only.
  */
 final class OpenAttempts {
     private final List<Attempt> attempts = new ArrayList<>(2);
@@ -49,6 +50,11 @@
         return attempts.stream().mapToInt(Attempt::partialEventBytes).sum();
     }
 
+    /** Resumes reads that were paused for want of memory. */
+    void resumeReads() {
+        forEach(Attempt::resume);
+    }
+
     void forEach(Consumer<Attempt> action) {
         List.copyOf(attempts).forEach(action);
     }
