Keep a stream at its silent server when another one answers it with a failure

Callers would see a stream cut although its server was about to go on: the head of another server's 404 counted as a final answer and ended the silent attempt, and then could not follow the events that the caller had.

Such an answer now ends its own attempt only.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -285,7 +285,9 @@
     /** Whether the answer is for the caller, whatever another server would answer. */
     private boolean isFinal() {
         boolean rejected = head.wrongServer() || (head.notExecuted() && status != BAD_REQUEST);
-        return !rejected && !(status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry());
+        return !rejected
+                && !call.hasStream()
+                && !(status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry());
     }
 
     /** The length that an answer declares; negative without a readable one. */
@@ -331,7 +333,7 @@
         } catch (IllegalStateException e) {
             return e.getMessage();
         }
-        call.onPartialEvent();
+        call.memory().setPartialEvent(call.attempts().partialEventBytes());
         return stream.forward(this, complete);
     }
 
@@ -409,7 +411,7 @@
             fail(AttemptEnd.NOT_EXECUTED, "turned down with " + status);
         } else if (bufferedBody == null) {
             // The answer is not for the caller while another server runs the call.
-            fail(AttemptEnd.SERVER_ERROR, "answered " + status);
+            fail(status >= MIN_SERVER_ERROR_STATUS ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE, "answered " + status);
         } else if (status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry() && call.hasAlternative(this)) {
             tryEnd(AttemptEnd.SERVER_ERROR);
             observe(AnswerObserver::onComplete);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -274,15 +274,15 @@
         }
     }
 
+    boolean hasStream() {
+        return stream != null;
+    }
+
     /** Whether another server runs the call, or may be sent it. */
     boolean hasAlternative(Attempt attempt) {
         return mayRetry() || !attempts.hasOnly(attempt);
     }
 
-    void onPartialEvent() {
-        memory.setPartialEvent(attempts.partialEventBytes());
-    }
-
     /**
      * Handles the end of an attempt that gave no answer for the caller.
      *
@@ -291,7 +291,7 @@
     void onAttemptFailed(Attempt failed, String why, BackendServerId faultyHelper) {
         attempts.remove(failed);
         memory.dropAnswer(failed.bufferedBody());
-        onPartialEvent();
+        memory.setPartialEvent(attempts.partialEventBytes());
         context.callMetrics().recordAttemptFailure(service, failed.end().name());
         LogLine line = line("attempt failed")
                 .with("end", failed.end())
