--- a/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/Dispatcher.java
@@ -358,8 +358,8 @@
     }
 
     /**
-     * Records the first token, a silence or the end of an attempt. A report of an attempt that still waits removes it from the queue;
-     * one of an attempt that is unknown or has ended changes nothing.
+     * Records the first token, a silence or the end of an attempt. A report of an attempt that still waits removes it
+     * from the queue; one of an attempt that is unknown or has ended changes nothing.
      */
     public void report(AttemptReport report, long now) {
         ActiveGrant granted = grants.get(report.attempt());
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
@@ -98,11 +98,15 @@
 
     /** What speaks against all parts of a group together. */
     Support support(ServiceName service, PartGroup group) {
-        List<CrashedServer> servers = crashedServers.values().stream()
+        return support(openServers(service, group), group);
+    }
+
+    /** Servers that no answer with a part of the group speaks for. */
+    private List<CrashedServer> openServers(ServiceName service, PartGroup group) {
+        return crashedServers.values().stream()
                 .filter(each -> each.service().equals(service))
                 .filter(each -> group.parts().stream().allMatch(part -> isOpen(each, part)))
                 .toList();
-        return support(servers, group);
     }
 
     /**
@@ -111,8 +115,8 @@
      */
     boolean hasLargerCause(ServiceName service, PartGroup group) {
         Set<PromptPart> further = null;
-        for (CrashedServer each : crashedServers.values()) {
-            if (!each.service().equals(service) || !isEndedUnder(each, group)) {
+        for (CrashedServer each : openServers(service, group)) {
+            if (matchingRequests(each, group).isEmpty()) {
                 continue;
             }
             Set<PromptPart> beside = partsBeside(each, group);
@@ -128,11 +132,6 @@
         return further != null;
     }
 
-    private boolean isEndedUnder(CrashedServer server, PartGroup group) {
-        return group.parts().stream().allMatch(part -> isOpen(server, part))
-                && server.prompts().values().stream().anyMatch(group::isContainedIn);
-    }
-
     private Set<PromptPart> partsBeside(CrashedServer server, PartGroup group) {
         PromptPart ofGroup = group.parts().get(0);
         Set<PromptPart> beside = new HashSet<>();
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRegistry.java
@@ -132,17 +132,22 @@
             return;
         }
         Collection<PartGroup> known = restrictedGroupsOfParts(service);
-        if (Threshold.QUARANTINE_REQUEST.isReachedBy(evidence.unexplainedSupport(service, request, known))) {
+        CrashEvidence.Support support = evidence.unexplainedSupport(service, request, known);
+        if (Threshold.QUARANTINE_REQUEST.isReachedBy(support)) {
             restrict(service, request, QuarantineStage.QUARANTINED, QuarantineReason.CRASHES, now);
-        } else if (isSuspectRequest(service, request)) {
+        } else if (isSuspectRequest(service, request, known, support)) {
             restrict(service, request, QuarantineStage.SUSPECTED, QuarantineReason.CRASHES, now);
         }
     }
 
     private boolean isSuspectRequest(ServiceName service, PartGroup request) {
         Collection<PartGroup> known = restrictedGroupsOfParts(service);
-        return Threshold.SUSPECT_REQUEST.isReachedBy(evidence.unexplainedSupport(service, request, known))
-                && !evidence.endedUnderAnother(service, request, known);
+        return isSuspectRequest(service, request, known, evidence.unexplainedSupport(service, request, known));
+    }
+
+    private boolean isSuspectRequest(
+            ServiceName service, PartGroup request, Collection<PartGroup> known, CrashEvidence.Support support) {
+        return Threshold.SUSPECT_REQUEST.isReachedBy(support) && !evidence.endedUnderAnother(service, request, known);
     }
 
     /**
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -268,26 +268,31 @@
         }
         if (call.route().isStreaming() && isSuccess()) {
             stream = call.stream(status, headers);
-        } else if (isFinal() || call.attempts().hasOnly(this)) {
+        } else if (isFinal()) {
+            call.onAnswering(this);
+            startBuffering();
+        } else if (call.attempts().hasOnly(this)) {
             startBuffering();
         }
     }
 
-    /** Starts to buffer the answer. Another attempt is given up for a final one only. */
     private void startBuffering() {
-        if (isFinal()) {
-            call.onAnswering(this);
-        }
         bufferedBody = call.memory().newAnswer();
         call.memory().expectAnswer(declaredLength(headers));
     }
 
     /** Whether the answer is for the caller, whatever another server would answer. */
     private boolean isFinal() {
-        boolean rejected = head.wrongServer() || (head.notExecuted() && status != BAD_REQUEST);
-        return !rejected
-                && !call.hasStream()
-                && !(status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry());
+        return !head.wrongServer() && !isNotExecuted() && !isRetryableError() && !call.hasStream();
+    }
+
+    /** A bad request is one for any server. */
+    private boolean isNotExecuted() {
+        return head.notExecuted() && status != BAD_REQUEST;
+    }
+
+    private boolean isRetryableError() {
+        return status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry();
     }
 
     /** The length that an answer declares; negative without a readable one. */
@@ -337,14 +342,12 @@
         return stream.forward(this, complete);
     }
 
-    /** Bytes of an event that is incomplete. */
     int partialEventBytes() {
         return events.heldBytes();
     }
 
     private void buffer(ByteBuffer bytes) {
         if (bufferedBody == null) {
-            bytes.position(bytes.limit());
             return;
         }
         silent = false;
@@ -393,7 +396,6 @@
         }
     }
 
-    /** The answer that is buffered; null without one. */
     ByteChunks bufferedBody() {
         return bufferedBody;
     }
@@ -407,12 +409,12 @@
             completeStream();
         } else if (head.wrongServer()) {
             fail(AttemptEnd.WRONG_SERVER, "another server has the address");
-        } else if (head.notExecuted() && status != BAD_REQUEST) {
+        } else if (isNotExecuted()) {
             fail(AttemptEnd.NOT_EXECUTED, "turned down with " + status);
         } else if (bufferedBody == null) {
             // The answer is not for the caller while another server runs the call.
             fail(status >= MIN_SERVER_ERROR_STATUS ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE, "answered " + status);
-        } else if (status >= MIN_SERVER_ERROR_STATUS && call.route().mayRetry() && call.hasAlternative(this)) {
+        } else if (isRetryableError() && call.hasAlternative(this)) {
             tryEnd(AttemptEnd.SERVER_ERROR);
             observe(AnswerObserver::onComplete);
             call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.SERVER_ERROR, notice());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -310,7 +310,7 @@
         if (buildResult instanceof RoutingTable.BuildResult.Valid valid) {
             table = valid.table();
             tableAppliedAtNanos = clock.nanos();
-            lag.onHeld(table.version(), clock.nanos());
+            lag.onHeld(table.version(), tableAppliedAtNanos);
             log.line("routing in force")
                     .with("version", table.version())
                     .with("by", source)
