Log which requests a server ended under, what showed the end and how late

Callers see nothing of this. Of a server that ended no line said which requests had been sent to it and got no whole answer, so that hypotheses one to three of docs/incidents/requests-whose-servers-end-unseen.md could not be told from sound servers.

'server ended under a request' has request, content, server and its start, the finding that showed the end, the time since the answer ended, and how the attempt ended (SILENT, CANCELLED, BROKEN). Nothing is reported to control hosts by it.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/CrashEvidence.java
@@ -16,7 +16,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.ServiceName;
 
 /**
@@ -41,8 +40,6 @@
     private final Map<ServerStart, CrashedServer> crashedServers = new LinkedHashMap<>();
     private final Map<ServicePart, Long> passedAtNanos = new LinkedHashMap<>();
 
-    private record ServerStart(BackendServerId server, long bornMillis) {}
-
     private record ServicePart(ServiceName service, PromptPart part) {}
 
     /** One server that ended, and the parts of the prompts that it was answering, by the requests' identities. */
--- a/elmline-core/src/main/java/org/elmline/core/registry/RegistryView.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/RegistryView.java
@@ -216,6 +216,23 @@
         return restored && !expired;
     }
 
+    /** Whether a server has registered at an address, or under an id, that started later than one there before. */
+    public boolean hasLaterStart(BackendServerId id, long bornMillis, Address address) {
+        return servers.values().stream()
+                .anyMatch(each -> each.bornMillis() > bornMillis
+                        && (each.id().equals(id) || each.address().equals(address)));
+    }
+
+    /** Whether a server that has not announced its end has expired at control hosts, and lives at none. */
+    public boolean isExpired(BackendServerId id, long now) {
+        Registration known = servers.get(id);
+        List<ControlHostView> current = currentViews(now);
+        return known != null
+                && known.state().acceptsWork()
+                && !isAlive(id, current, now)
+                && current.stream().anyMatch(each -> each.expired.contains(id));
+    }
+
     /** A server's latest registration, null when it is not known. */
     public Registration server(BackendServerId id) {
         return servers.get(id);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
@@ -2,16 +2,19 @@
 
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.common.ServiceName;
+import org.elmline.core.dispatch.AttemptEnd;
 import org.elmline.core.quarantine.AnswerProgress;
+import org.elmline.core.quarantine.ServerStart;
 
 /**
- * Observes one answer of a server, and reports to the quarantine whether it went on, was complete or broke off. Used on the I/O thread only.
+ * Observes one answer of a server, and reports to the quarantine whether it went on, was complete, broke off or was
+ * given up. Used on the I/O thread only.
  */
 final class AnswerObserver {
     private final QuarantineClient quarantine;
     private final MonotonicClock clock;
     private final BackendTarget target;
-    private final long bornMillis;
+    private final ServerStart serverStart;
     private final ServiceName service;
     private final String request;
     private final CallParts parts;
@@ -32,7 +35,7 @@
         this.quarantine = quarantine;
         this.clock = clock;
         this.target = target;
-        this.bornMillis = bornMillis;
+        this.serverStart = new ServerStart(target.server(), bornMillis);
         this.service = service;
         this.request = request;
         this.parts = parts;
@@ -40,7 +43,11 @@
 
     /** Records a piece of the content of a success, such as an event. */
     void onContent() {
-        if (service != null && progress.onContent(clock.nanos())) {
+        if (service == null) {
+            return;
+        }
+        quarantine.recordLife(serverStart);
+        if (progress.onContent(clock.nanos())) {
             quarantine.recordPass(service, parts.shared());
         }
     }
@@ -62,8 +69,32 @@
             onDone.run();
             return;
         }
-        BrokenAnswer answer = new BrokenAnswer(
-                request, parts.request(), parts, service, target, bornMillis, progress.isAtBeginning());
-        quarantine.reportBroken(answer, onDone);
+        quarantine.reportBroken(endedAnswer(AttemptEnd.BROKEN), onDone);
+    }
+
+    /** Records that nothing has arrived for so long that the server may have ended. */
+    void onSilent() {
+        if (service != null) {
+            quarantine.checkSilent(endedAnswer(AttemptEnd.SILENT));
+        }
+    }
+
+    /** Records that this entry gave up the answer: its server may end because of the request all the same. */
+    void onGivenUp(AttemptEnd how) {
+        if (service != null) {
+            quarantine.watch(endedAnswer(how));
+        }
+    }
+
+    private BrokenAnswer endedAnswer(AttemptEnd how) {
+        return new BrokenAnswer(
+                request,
+                parts.request(),
+                parts,
+                service,
+                target,
+                serverStart.bornMillis(),
+                progress.isAtBeginning(),
+                how);
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -13,7 +13,6 @@
 import org.elmline.core.dispatch.DispatchAnswer;
 import org.elmline.core.dispatch.DispatchCall;
 import org.elmline.core.dispatch.ServerNotice;
-import org.elmline.core.routing.CallRoute;
 import org.elmline.daemon.http.ByteChunks;
 
 /** One attempt of a call on one backend server. Used on the I/O thread only. */
@@ -25,26 +24,6 @@
     /** Longest answer that is buffered until it is complete, so that a call with a broken answer can be retried. */
     private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
-    /** Time allowed for a stream's first event beyond twice the predicted time; the worst case on a busy engine. */
-    private static final long FIRST_EVENT_SLACK_MILLIS = 500;
-
-    /** Time after which an engine reports that a helper has failed, plus a round trip. */
-    private static final long HELPER_TIMEOUT_MILLIS = 1_600;
-
-    /** Time between events of a stream, in allowed gaps of the route, after which its server counts as silent. */
-    private static final int STREAM_TIMEOUT_GAPS = 3;
-
-    /**
-     * Shortest such time-out: a sound server may be silent for a second. Callers leave a stream after two seconds
-     * without an event, and another server needs some hundred milliseconds to go on.
-     */
-    private static final long MIN_STREAM_TIMEOUT_MILLIS = 1_200;
-
-    /** Part of the time left to the call's aim after which a call that may be retried is sent to another server. */
-    private static final double ANSWER_TIMEOUT_SHARE = 0.65;
-
-    private static final long MIN_ANSWER_TIMEOUT_MILLIS = 40;
-
     private final Call call;
     private final CallParts parts;
     private final DispatchCall placementRequest;
@@ -66,6 +45,7 @@
     private boolean sent;
     private boolean silent;
     private boolean silenceReported;
+    private boolean serverChecked;
 
     Attempt(Call call, CallParts parts, DispatchCall placementRequest, DispatchAnswer.Granted granted) {
         this.call = call;
@@ -168,20 +148,22 @@
         if (tryEnd(how)) {
             if (backendCall != null) {
                 backendCall.cancel();
+                observeGivenUp(how);
             }
             call.context().dispatchClient().reportEnd(placementRequest, how, notice());
         }
     }
 
+    private void observeGivenUp(AttemptEnd how) {
+        if (backendCall.isSentDirectly()) {
+            observer.onGivenUp(how);
+        }
+    }
+
     private void startFirstEventTimer() {
-        CallRoute route = call.route();
-        if (end != null || !route.mayRetry()) {
-            return;
+        if (end == null && call.route().mayRetry()) {
+            restartTimer(SilenceTimeouts.firstMillis(call.route(), granted, placementRequest.aimLeftMillis()));
         }
-        long firstMillis = route.isStreaming()
-                ? 2 * granted.firstMillis() + FIRST_EVENT_SLACK_MILLIS + helperSlackMillis()
-                : Math.max(MIN_ANSWER_TIMEOUT_MILLIS, (long) (ANSWER_TIMEOUT_SHARE * placementRequest.aimLeftMillis()));
-        restartTimer(firstMillis);
     }
 
     private void restartTimer(long millis) {
@@ -189,11 +171,6 @@
         inactivityTimer.restart(millis);
     }
 
-    /** Additional time for an engine to report a failed helper; with less, a slow group would count as failed. */
-    private long helperSlackMillis() {
-        return granted.helpers().isEmpty() ? 0 : HELPER_TIMEOUT_MILLIS;
-    }
-
     private void onInactive() {
         if (end != null) {
             return;
@@ -206,13 +183,24 @@
         restartTimer(timeoutMillis);
         // A server that is not read for the sake of a slow caller is not silent. It would be reported as failed, and
         // another one would run the call too.
-        if (!backendCall.isPaused() && call.mayRetry()) {
+        if (backendCall.isPaused()) {
+            return;
+        }
+        checkServer();
+        if (call.mayRetry()) {
             silent = true;
             reportSilence();
             call.onAttemptSilent(this);
         }
     }
 
+    private void checkServer() {
+        if (!serverChecked && backendCall.isSentDirectly()) {
+            serverChecked = true;
+            observer.onSilent();
+        }
+    }
+
     private void reportSilence() {
         if (silenceReported) {
             return;
@@ -366,9 +354,7 @@
         call.context().dispatchClient().reportFirstToken(placementRequest, notice());
         observe(AnswerObserver::onContent);
         if (call.route().mayRetry()) {
-            restartTimer(Math.max(
-                    MIN_STREAM_TIMEOUT_MILLIS,
-                    (long) STREAM_TIMEOUT_GAPS * call.route().gapMillis()));
+            restartTimer(SilenceTimeouts.nextEventMillis(call.route()));
         }
     }
 
@@ -459,7 +445,10 @@
         }
         call.context().dispatchClient().reportFailure(placementRequest, AttemptEnd.BROKEN, notice(), null);
         Runnable proceed = () -> call.onAttemptFailed(this, why, null);
-        if (backendCall.isRelayed() || (head != null && !isSuccess())) {
+        if (backendCall.isRelayed()) {
+            proceed.run();
+        } else if (head != null && !isSuccess()) {
+            observer.onGivenUp(AttemptEnd.BROKEN);
             proceed.run();
         } else {
             observer.onBroken(proceed);
@@ -469,6 +458,7 @@
     /** Rejects an unusable answer and stops the server's work on it. */
     private void rejectAnswer(String why) {
         backendCall.cancel();
+        observeGivenUp(AttemptEnd.BROKEN);
         fail(AttemptEnd.BROKEN, why);
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -164,6 +164,11 @@
         return link != null && link.isRelayed();
     }
 
+    /** Whether this entry has begun to send the call to the server itself. */
+    boolean isSentDirectly() {
+        return link != null && !link.isRelayed();
+    }
+
     /** The entry that forwards the call; null when it is sent to the server itself, or not yet. */
     HostId relay() {
         return link == null ? null : link.relay();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
@@ -4,8 +4,10 @@
 import java.util.List;
 
 import org.elmline.core.common.ServiceName;
+import org.elmline.core.dispatch.AttemptEnd;
 import org.elmline.core.quarantine.PromptPart;
 import org.elmline.core.quarantine.ServerCrash;
+import org.elmline.core.quarantine.ServerStart;
 
 /**
  * An answer that broke off, or never began.
@@ -14,6 +16,7 @@
  * @param request the whole request, as the body of the call may be gone when the answer is reported
  * @param bornMillis start of the server, in milliseconds since 1970
  * @param atBeginning whether the answer had not gone past its beginning
+ * @param end how the attempt ended: by its server or link, or because this entry cancelled it
  */
 record BrokenAnswer(
         String requestId,
@@ -22,7 +25,13 @@
         ServiceName service,
         BackendTarget target,
         long bornMillis,
-        boolean atBeginning) {
+        boolean atBeginning,
+        AttemptEnd end) {
+    /** The start of the server that was sent the request. */
+    ServerStart serverStart() {
+        return new ServerStart(target.server(), bornMillis);
+    }
+
     /** Whether a part that other prompts share may have ended the server, so that the next send could end another one. */
     boolean mayBeOfSharedPart() {
         return atBeginning && !parts.shared().isEmpty();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CrashCheck.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CrashCheck.java
@@ -7,11 +7,10 @@
 import org.xnio.XnioExecutor;
 
 /**
- * Finds out, after an answer has broken off, whether its server has ended: the server refuses a connection, and another
- * one of the service does not. A server that resets single connections still accepts new ones, one without power does
- * not answer at all, and an entry that has lost its links reaches no other server either. One that is ending may still
- * accept a connection after its answers have broken off, so that a second check is needed then. Used on the I/O thread
- * only.
+ * Finds out, after an answer has ended too early, whether its server has ended: the server refuses a connection or does
+ * not answer at all, and another one of the service accepts one. A server that resets single connections still accepts
+ * new ones, and an entry that has lost its links reaches no other server either. One that is ending may still accept a
+ * connection after its answers have broken off, so that further checks are needed then. Used on the I/O thread only.
  */
 final class CrashCheck {
     private static final long SECOND_CHECK_DELAY_MILLIS = 50;
@@ -28,11 +27,35 @@
 
     /** What a check shows of a server. */
     enum Finding {
-        ACCEPTS_CONNECTIONS,
-        ENDED,
+        ACCEPTS_CONNECTIONS(false),
+        /** It refuses connections, and another server accepts one. */
+        ENDED(true),
+        /** It answers no connection, and another server accepts one: it has no power, or is cut off. */
+        UNREACHABLE(true),
+        /** A later start of a server at its address is registered. */
+        STARTED_AGAIN(true),
+        /** Its heartbeats have ceased without notice, and it accepts no connection. */
+        EXPIRED(true),
         /** It refuses connections, as the others do: all of them have ended, or this entry's path is cut. */
-        REFUSES_LIKE_OTHERS,
-        NO_ANSWER
+        REFUSES_LIKE_OTHERS(false),
+        /** It answers no connection, nor does any other server that was tried. */
+        NO_ANSWER(false);
+
+        private final boolean showsEnd;
+
+        Finding(boolean showsEnd) {
+            this.showsEnd = showsEnd;
+        }
+
+        /** Whether the server has ended, as far as an entry can tell. */
+        boolean showsEnd() {
+            return showsEnd;
+        }
+
+        /** Whether it has ended for sure; a server that is cut off may still be at work. */
+        boolean provesEnd() {
+            return this == ENDED || this == STARTED_AGAIN;
+        }
     }
 
     /** The second check of a server that accepted a connection in the first one. */
@@ -56,7 +79,7 @@
 
             @Override
             public void onFailed(String why) {
-                result.accept(Finding.NO_ANSWER);
+                pathCheck.check(target.server(), cut -> result.accept(cut ? Finding.NO_ANSWER : Finding.UNREACHABLE));
             }
         });
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -21,6 +21,7 @@
 import org.elmline.core.common.ServiceName;
 import org.elmline.core.evacuation.Evacuations;
 import org.elmline.core.quarantine.QuarantineNews;
+import org.elmline.core.quarantine.ServerStart;
 import org.elmline.core.registry.ColdEnds;
 import org.elmline.core.registry.EntryRecord;
 import org.elmline.core.registry.FollowAnswer;
@@ -44,7 +45,7 @@
  * An entry's view of the deployment: follows every control host and puts the newest routing table in force. While no
  * control host answers, the last state received stays in use. Used on the I/O thread only.
  */
-final class DeploymentFollower {
+final class DeploymentFollower implements EndWatch.ServerRegistrations {
     /**
      * A control host that has not answered for this long after a poll's hold time no longer counts in deciding which
      * servers are silent.
@@ -441,6 +442,16 @@
         return view.server(id);
     }
 
+    @Override
+    public boolean hasLaterStart(ServerStart start, Address address) {
+        return view.hasLaterStart(start.server(), start.bornMillis(), address);
+    }
+
+    @Override
+    public boolean isExpired(ServerStart start) {
+        return view.isExpired(start.server(), clock.nanos());
+    }
+
     void close() {
         pollers.values().forEach(RegistryPoller::close);
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -22,6 +22,7 @@
 import org.elmline.core.quarantine.QuarantineRecord;
 import org.elmline.core.quarantine.QuarantineView;
 import org.elmline.core.quarantine.ServerCrash;
+import org.elmline.core.quarantine.ServerStart;
 import org.elmline.daemon.log.DecisionLog;
 import org.xnio.XnioExecutor;
 
@@ -41,6 +42,7 @@
     private final PassLog passLog = new PassLog();
     private final EvidenceReporter reporter;
     private final CrashCheck crashCheck;
+    private final EndWatch endWatch;
     private final Runnable onChange;
     private final Map<GroupDemand, Long> demandedAtNanos = new HashMap<>();
     private final Map<PromptPart, Long> reportedAtNanos = new HashMap<>();
@@ -64,6 +66,7 @@
         this.log = log;
         this.crashCheck = crashCheck;
         this.onChange = onChange;
+        this.endWatch = new EndWatch(crashCheck, deployment, this::onServerEnded, thread, clock);
         this.view = new QuarantineView(self);
         this.reporter = new EvidenceReporter(self, network, deployment::controlHosts, thread, this::applyNews);
         this.refused = metrics.counter("quarantine.calls.refused");
@@ -214,16 +217,60 @@
         logBroken(answer, finding);
         boolean ended = finding == CrashCheck.Finding.ENDED;
         if (!ended && !hasEndedLikeOthers(answer, finding)) {
+            watch(answer);
             onDone.run();
             return;
         }
+        long ageMillis = (clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI;
+        logEnded(answer, finding, ageMillis);
+        reportCrash(answer, ended ? answer.crash(ageMillis) : answer.crashOfRequest(ageMillis), onDone);
+        endWatch.resolve(answer.serverStart(), finding);
+    }
+
+    private void reportCrash(BrokenAnswer answer, ServerCrash crash, Runnable onDone) {
         answer.parts().setEndedServer();
         crashes.inc();
-        long ageMillis = (clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI;
-        ServerCrash crash = ended ? answer.crash(ageMillis) : answer.crashOfRequest(ageMillis);
         reporter.reportCrash(crash, passLog.latest(crash.service(), crash.parts(), clock.nanos()), onDone);
     }
 
+    /** Records that a server has sent part of an answer. */
+    void recordLife(ServerStart server) {
+        endWatch.recordLife(server);
+    }
+
+    /** Watches the server of an answer that ended early, for an end that shows later. */
+    void watch(BrokenAnswer answer) {
+        endWatch.add(answer);
+    }
+
+    /** Checks a server that has been silent for long; the call goes on meanwhile. */
+    void checkSilent(BrokenAnswer answer) {
+        long silentAtNanos = clock.nanos();
+        crashCheck.check(answer.target(), finding -> {
+            if (finding.showsEnd()) {
+                onServerEnded(answer, finding, (clock.nanos() - silentAtNanos) / NANOS_PER_MILLI);
+                endWatch.resolve(answer.serverStart(), finding);
+            }
+        });
+    }
+
+    private void onServerEnded(BrokenAnswer answer, CrashCheck.Finding finding, long ageMillis) {
+        logEnded(answer, finding, ageMillis);
+    }
+
+    private void logEnded(BrokenAnswer answer, CrashCheck.Finding finding, long ageMillis) {
+        log.line("server ended under a request")
+                .with("request", answer.requestId())
+                .with("server", answer.target().server())
+                .with("born", answer.serverStart().bornMillis())
+                .with("finding", finding)
+                .with("sinceAnswerMs", ageMillis)
+                .with("attemptEnd", answer.end())
+                .with("parts", answer.parts().shared())
+                .with("content", answer.request())
+                .write();
+    }
+
     /** A request that is known to end servers may have ended all that a small service has. */
     private boolean hasEndedLikeOthers(BrokenAnswer answer, CrashCheck.Finding finding) {
         return finding == CrashCheck.Finding.REFUSES_LIKE_OTHERS && isKnownToEndServers(answer);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -10,6 +10,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import org.elmline.core.common.BackendServerId;
+import org.elmline.core.dispatch.AttemptEnd;
 import org.elmline.daemon.http.CallerDisconnectDetector;
 import org.xnio.IoUtils;
 
@@ -31,6 +32,7 @@
     private boolean hasHead;
     private boolean ran;
     private boolean success;
+    private boolean answerEnded;
     private boolean ended;
 
     /** @param onEnd called once, when the answer is passed back or will not be */
@@ -136,6 +138,7 @@
 
     @Override
     public void onComplete() {
+        answerEnded = true;
         if (ran) {
             observer.onComplete();
         }
@@ -145,8 +148,10 @@
     /** The request may have run. Without any byte of a body that is stated, as this entry is not the cause. */
     @Override
     public void onBroken(String why) {
+        answerEnded = true;
         Runnable end = answer == null ? this::stateNoAnswer : answer::abort;
         if (hasHead && !success) {
+            observer.onGivenUp(AttemptEnd.BROKEN);
             end.run();
         } else {
             observer.onBroken(end);
@@ -162,9 +167,19 @@
     }
 
     private void onChannelClosed() {
-        if (tryEnd()) {
-            backendCall.cancel();
+        tryGiveUp();
+    }
+
+    /** Ends the call, unless that was done before; the body is needed for what is recorded of it. */
+    private boolean tryGiveUp() {
+        if (ended) {
+            return false;
+        }
+        backendCall.cancel();
+        if (backendCall.isSentDirectly() && !answerEnded) {
+            observer.onGivenUp(AttemptEnd.CANCELLED);
         }
+        return tryEnd();
     }
 
     @Override
@@ -187,8 +202,7 @@
 
     @Override
     public void abort() {
-        if (tryEnd()) {
-            backendCall.cancel();
+        if (tryGiveUp()) {
             IoUtils.safeClose(exchange.getConnection());
         }
     }
