Check a server's path anew when an answer ended early, and past one silent server

Callers: a request went on ending servers whose ends were found but not believed. After two unreachable servers in a row an entry takes its own path to the whole service for cut, and one silent server among those that it connects to for comparison had the same effect; either made the end of a server that refuses or answers no connection look like a lost path.

The check of a server's end now connects to others of the service whatever earlier connections have shown, and after a time-out to all that are left at once. Calls keep the old rule before they are sent.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CrashCheck.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CrashCheck.java
@@ -51,11 +51,6 @@
         boolean showsEnd() {
             return showsEnd;
         }
-
-        /** Whether it has ended for sure; a server that is cut off may still be at work. */
-        boolean provesEnd() {
-            return this == ENDED || this == STARTED_AGAIN;
-        }
     }
 
     /** The second check of a server that accepted a connection in the first one. */
@@ -73,13 +68,16 @@
 
             @Override
             public void onRefused(String why) {
-                pathCheck.check(
-                        target.server(), cut -> result.accept(cut ? Finding.REFUSES_LIKE_OTHERS : Finding.ENDED));
+                pathCheck.connectToOthers(
+                        target.server(),
+                        false,
+                        cut -> result.accept(cut ? Finding.REFUSES_LIKE_OTHERS : Finding.ENDED));
             }
 
             @Override
             public void onFailed(String why) {
-                pathCheck.check(target.server(), cut -> result.accept(cut ? Finding.NO_ANSWER : Finding.UNREACHABLE));
+                pathCheck.connectToOthers(
+                        target.server(), true, cut -> result.accept(cut ? Finding.NO_ANSWER : Finding.UNREACHABLE));
             }
         });
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PathCheck.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PathCheck.java
@@ -51,14 +51,29 @@
      */
     void check(BackendServerId failed, Consumer<Boolean> result) {
         Registration registration = registrations.apply(failed);
-        if (registration == null || links.isServiceCut(failed)) {
-            result.accept(registration != null);
+        if (registration != null && links.isServiceCut(failed)) {
+            result.accept(true);
+        } else {
+            connectToOthers(failed, false, result);
+        }
+    }
+
+    /**
+     * The same without regard to what earlier connections have shown: servers that end one after the other may have
+     * made the path look cut.
+     *
+     * @param cutIfAlone the result when there is no other server to connect to
+     */
+    void connectToOthers(BackendServerId failed, boolean cutIfAlone, Consumer<Boolean> result) {
+        Registration registration = registrations.apply(failed);
+        if (registration == null) {
+            result.accept(cutIfAlone);
             return;
         }
         ServiceName service = registration.service();
         Deque<Registration> others = otherServers(service, failed);
         if (others.isEmpty()) {
-            result.accept(false);
+            result.accept(cutIfAlone);
             return;
         }
         List<Consumer<Boolean>> results = waiting.computeIfAbsent(service, each -> new ArrayList<>());
@@ -71,7 +86,10 @@
     /** Some other servers in random order: when many have ended, the first ones may be among them each time. */
     private Deque<Registration> otherServers(ServiceName service, BackendServerId failed) {
         List<BackendServerId> candidates = new ArrayList<>(servers.apply(service));
-        candidates.removeIf(each -> each.equals(failed) || links.isCut(each));
+        candidates.remove(failed);
+        if (!candidates.stream().allMatch(links::isCut)) {
+            candidates.removeIf(links::isCut);
+        }
         Collections.shuffle(candidates);
         Deque<Registration> others = new ArrayDeque<>();
         candidates.stream()
@@ -88,31 +106,88 @@
             complete(service, true);
             return;
         }
-        Address address = other.address();
+        connect(other, new Result() {
+            @Override
+            public void onAccepted() {
+                complete(service, false);
+            }
+
+            @Override
+            public void onTimedOut() {
+                connectToRest(service, others);
+            }
+
+            @Override
+            public void onRefused() {
+                connectNext(service, others);
+            }
+        });
+    }
+
+    /** Connects to all others at once after a time-out: a caller waits, and a second time-out must be the last one. */
+    private void connectToRest(ServiceName service, Deque<Registration> others) {
+        int[] pending = {others.size()};
+        if (others.isEmpty()) {
+            complete(service, true);
+        }
+        for (Registration each : others) {
+            connect(each, new Result() {
+                @Override
+                public void onAccepted() {
+                    complete(service, false);
+                }
+
+                @Override
+                public void onTimedOut() {
+                    pending[0]--;
+                    if (pending[0] == 0) {
+                        complete(service, true);
+                    }
+                }
+            });
+        }
+    }
+
+    /** The result of connecting to one server. */
+    private interface Result {
+        void onAccepted();
+
+        void onTimedOut();
+
+        default void onRefused() {
+            onTimedOut();
+        }
+    }
+
+    private void connect(Registration server, Result result) {
+        Address address = server.address();
         connections.open(address, new BackendConnectionPool.AcquireCallback() {
             @Override
             public void onAcquired(ClientConnection connection, boolean opened) {
-                links.recordConnected(other.id());
+                links.recordConnected(server.id());
                 connections.release(address, connection, -1);
-                complete(service, false);
+                result.onAccepted();
             }
 
             @Override
             public void onFailed(String why) {
-                // One time-out is long enough for the caller that waits.
-                links.recordUnreachable(other.id());
-                complete(service, true);
+                links.recordUnreachable(server.id());
+                result.onTimedOut();
             }
 
             @Override
             public void onRefused(String why) {
-                links.recordRefused(other.id());
-                connectNext(service, others);
+                links.recordRefused(server.id());
+                result.onRefused();
             }
         });
     }
 
+    /** Reports the result to all that wait for it; nothing once one is reported. */
     private void complete(ServiceName service, boolean cut) {
-        waiting.remove(service).forEach(each -> each.accept(cut));
+        List<Consumer<Boolean>> results = waiting.remove(service);
+        if (results != null) {
+            results.forEach(each -> each.accept(cut));
+        }
     }
 }
