Count the end of a server whose answer was given up, silent or broken before it

Callers saw one request end server after server: up to 16 of 24 in eight tries, where a fourth may not be sent it. Cause: an end was counted only if the answer of an attempt that is still in use broke off and the server then refused a connection within 50 ms. Ends of attempts that were replaced for silence, cancelled (caller left, deadline, stop), rejected, or answered with the head of an error had no witness; servers without power, slow to close or back at once were found and not believed. Class: evidence that depends on the form of a failure, and on whether its result is still wanted.

Shared parts are not accused by answers that this entry gave up. A server that works three seconds after an answer did not end because of it.

--- /dev/null
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/UnresolvedAnswersTest.java
@@ -0,0 +1,92 @@
+package org.elmline.core.quarantine;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.elmline.core.common.BackendServerId;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class UnresolvedAnswersTest {
+    private static final ServerStart SERVER = new ServerStart(BackendServerId.of("a"), 5);
+
+    private final UnresolvedAnswers<String> unresolved = new UnresolvedAnswers<>();
+
+    private static long millis(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+
+    private List<String> resolve() {
+        return unresolved.resolve(SERVER).stream()
+                .map(UnresolvedAnswers.Unresolved::answer)
+                .toList();
+    }
+
+    /** Guards against an end that is attributed to a request that its server survived. */
+    @Test
+    void serverThatWorksOnLongAfterAnAnswerDidNotEndBecauseOfIt() {
+        unresolved.add(SERVER, "early", 0);
+        unresolved.add(SERVER, "late", millis(2_000));
+        unresolved.recordLife(SERVER, millis(3_500));
+        assertEquals(List.of("late"), resolve());
+        assertTrue(unresolved.isEmpty());
+    }
+
+    /** Guards against an end that is missed as another answer of the server arrived just before it. */
+    @Test
+    void serverThatWorksShortlyAfterAnAnswerMayStillEndBecauseOfIt() {
+        unresolved.add(SERVER, "given up", 0);
+        unresolved.recordLife(SERVER, millis(900));
+        assertEquals(List.of("given up"), resolve());
+    }
+
+    @Test
+    void endOfAnotherStartResolvesNothing() {
+        unresolved.add(SERVER, "given up", 0);
+        assertEquals(List.of(), unresolved.resolve(new ServerStart(SERVER.server(), 6)));
+        assertEquals(List.of("given up"), resolve());
+    }
+
+    /** Guards against a connection for each answer that a busy server's callers give up. */
+    @Test
+    void busyServerIsNotChecked() {
+        unresolved.add(SERVER, "given up", 0);
+        int checks = 0;
+        for (long now = 0; now <= 3_000; now += 50) {
+            unresolved.recordLife(SERVER, millis(now));
+            checks += unresolved.startChecks(millis(now)).size();
+        }
+        assertEquals(0, checks);
+    }
+
+    @Test
+    void quietServerIsCheckedSixTimesAndOneCheckAtATime() {
+        unresolved.add(SERVER, "given up", 0);
+        assertEquals(List.of(SERVER), unresolved.startChecks(millis(100)));
+        assertEquals(List.of(), unresolved.startChecks(millis(400)));
+        unresolved.endCheck(SERVER, true);
+        assertTrue(unresolved.acceptedConnection(SERVER));
+        int checks = 1;
+        for (long now = 400; now <= 9_000; now += 50) {
+            checks += unresolved.startChecks(millis(now)).size();
+            unresolved.endCheck(SERVER, false);
+        }
+        assertEquals(6, checks);
+        assertFalse(unresolved.acceptedConnection(SERVER));
+    }
+
+    @Test
+    void answersExpireAndAreBounded() {
+        for (int i = 0; i < 1_000; i++) {
+            unresolved.add(new ServerStart(BackendServerId.of("s" + i), 5), "given up", millis(i));
+            unresolved.add(SERVER, "given up " + i, millis(i));
+        }
+        assertTrue(unresolved.starts().size() <= 256);
+        assertTrue(resolve().size() <= 64);
+        unresolved.removeExpired(millis(11_000));
+        assertTrue(unresolved.isEmpty());
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
@@ -37,9 +37,13 @@
         return atBeginning && !parts.shared().isEmpty();
     }
 
-    /** The report that the server ended {@code ageMillis} ago. A shared part ends it only at the beginning of an answer. */
+    /**
+     * The report that the server ended {@code ageMillis} ago. A shared part ends it only at the beginning of an answer;
+     * answers that were given up are as many as a server has callers, and say too little of a part.
+     */
     ServerCrash crash(long ageMillis) {
-        List<PromptPart> reported = new ArrayList<>(atBeginning ? parts.shared() : List.of());
+        boolean mayBeOfPart = atBeginning && end != AttemptEnd.CANCELLED;
+        List<PromptPart> reported = new ArrayList<>(mayBeOfPart ? parts.shared() : List.of());
         reported.add(request);
         return crash(reported, ageMillis);
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -215,20 +215,19 @@
 
     private void conclude(BrokenAnswer answer, CrashCheck.Finding finding, long brokenAtNanos, Runnable onDone) {
         logBroken(answer, finding);
-        boolean ended = finding == CrashCheck.Finding.ENDED;
-        if (!ended && !hasEndedLikeOthers(answer, finding)) {
+        if (!finding.showsEnd() && !hasEndedLikeOthers(answer, finding)) {
             watch(answer);
             onDone.run();
             return;
         }
-        long ageMillis = (clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI;
-        logEnded(answer, finding, ageMillis);
-        reportCrash(answer, ended ? answer.crash(ageMillis) : answer.crashOfRequest(ageMillis), onDone);
+        reportCrash(answer, finding, (clock.nanos() - brokenAtNanos) / NANOS_PER_MILLI, onDone);
         endWatch.resolve(answer.serverStart(), finding);
     }
 
-    private void reportCrash(BrokenAnswer answer, ServerCrash crash, Runnable onDone) {
+    private void reportCrash(BrokenAnswer answer, CrashCheck.Finding finding, long ageMillis, Runnable onDone) {
+        logEnded(answer, finding, ageMillis);
         answer.parts().setEndedServer();
+        ServerCrash crash = finding.showsEnd() ? answer.crash(ageMillis) : answer.crashOfRequest(ageMillis);
         crashes.inc();
         reporter.reportCrash(crash, passLog.latest(crash.service(), crash.parts(), clock.nanos()), onDone);
     }
@@ -255,7 +254,7 @@
     }
 
     private void onServerEnded(BrokenAnswer answer, CrashCheck.Finding finding, long ageMillis) {
-        logEnded(answer, finding, ageMillis);
+        reportCrash(answer, finding, ageMillis, () -> {});
     }
 
     private void logEnded(BrokenAnswer answer, CrashCheck.Finding finding, long ageMillis) {
