Report the ends of servers again to control hosts that lack them

Callers saw one request end twelve of 24 servers in six tries while the only control host restarts after each. Cause: an entry restores records that restrict, but a first end, or two of three, lived in the memory of the control hosts alone; a trial after a restart then counts as the first end again. Class: evidence below a decision is not kept. The same holds for a control host that was cut off from the entry while it reported.

An answer of another start of a control host, or one after a report was lost, has the missing ones sent once more with their age. A request that was answered is dropped from them.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/ServerCrash.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/ServerCrash.java
@@ -31,6 +31,16 @@
         return parts.stream().filter(PromptPart::isRequest).findFirst();
     }
 
+    /** The same crash, reported later. */
+    public ServerCrash agedBy(long millis) {
+        return new ServerCrash(request, service, server, bornMillis, parts, ageMillis + millis);
+    }
+
+    /** Whether another report is of the same crash, whenever each was made. */
+    public boolean isSame(ServerCrash other) {
+        return server.equals(other.server) && bornMillis == other.bornMillis && request.equals(other.request);
+    }
+
     /** What repeats of the request have in common, as each of them has an id of its own. */
     String identity() {
         return wholeRequest().map(PromptPart::value).orElse(request);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 import org.elmline.core.common.Address;
@@ -85,7 +84,7 @@
     private final Supplier<EntryRecord> selfRecord;
     private final Runnable onRoutingTable;
     private final Runnable onChange;
-    private final BiConsumer<Address, QuarantineNews> quarantineListener;
+    private final QuarantineListener quarantineListener;
     private final EvacuationView evacuations;
     private final RegistryView view = new RegistryView(
             controlTimeoutNanos(PendingPoll.HOLD_MILLIS), SERVER_DISCOVERY_NANOS, ENTRY_DISCOVERY_NANOS);
@@ -106,6 +105,17 @@
     private boolean everConfirmed;
     private final long startedAtNanos;
 
+    /** Receives what control hosts hold on quarantined requests and parts of prompts. */
+    interface QuarantineListener {
+        /**
+         * Called for each answer of a control host.
+         *
+         * @param start identifies the start of the control host
+         * @param news null without a change since its last answer
+         */
+        void onAnswer(Address controlHost, long start, QuarantineNews news);
+    }
+
     /**
      * @param selfRecord this entry's own record, sent with each poll
      * @param onRoutingTable called once a new routing table or new evacuations are held, before any other part can use
@@ -124,7 +134,7 @@
             Supplier<EntryRecord> selfRecord,
             Runnable onRoutingTable,
             Runnable onChange,
-            BiConsumer<Address, QuarantineNews> quarantineListener,
+            QuarantineListener quarantineListener,
             EvacuationView evacuations) {
         this.settings = settings;
         this.peers = peers;
@@ -227,9 +237,7 @@
         if (heldVersion() < answer.routingVersion()) {
             fetch(control);
         }
-        if (answer.quarantine() != null) {
-            quarantineListener.accept(control, answer.quarantine());
-        }
+        quarantineListener.onAnswer(control, answer.epoch(), answer.quarantine());
         changed |= wasOutdated && !isTableOutdated();
         if (changed || hasAllEntries() != hadAllEntries) {
             hadAllEntries = hasAllEntries();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -175,7 +175,7 @@
                 this::entryRecord,
                 this::updateDeployment,
                 this::scheduleDeploymentUpdate,
-                (control, news) -> quarantine.onNews(control, news),
+                (control, start, news) -> quarantine.onAnswer(control, start, news),
                 evacuations);
         dispatchers = newDispatchService();
         BackendGate gate = newBackendGate(evacuations);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EvidenceReporter.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EvidenceReporter.java
@@ -8,15 +8,18 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import org.elmline.core.common.Address;
 import org.elmline.core.common.CallResult;
 import org.elmline.core.common.HostId;
+import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.peer.PeerNetwork;
 import org.elmline.core.quarantine.EvidenceReport;
 import org.elmline.core.quarantine.GroupDemand;
 import org.elmline.core.quarantine.PartPass;
+import org.elmline.core.quarantine.PromptPart;
 import org.elmline.core.quarantine.QuarantineChannels;
 import org.elmline.core.quarantine.QuarantineNews;
 import org.elmline.core.quarantine.QuarantineRecord;
@@ -43,9 +46,11 @@
     private final PeerNetwork network;
     private final Supplier<Collection<Address>> controlHosts;
     private final XnioExecutor thread;
+    private final MonotonicClock clock;
     private final BiConsumer<Address, QuarantineNews> newsListener;
     private final List<PartPass> passes = new ArrayList<>();
     private final Set<GroupDemand> demands = new LinkedHashSet<>();
+    private final SentCrashes sentCrashes = new SentCrashes();
     private boolean flushScheduled;
 
     /** @param newsListener receives what a control host holds after a report */
@@ -54,11 +59,13 @@
             PeerNetwork network,
             Supplier<Collection<Address>> controlHosts,
             XnioExecutor thread,
+            MonotonicClock clock,
             BiConsumer<Address, QuarantineNews> newsListener) {
         this.self = self;
         this.network = network;
         this.controlHosts = controlHosts;
         this.thread = thread;
+        this.clock = clock;
         this.newsListener = newsListener;
     }
 
@@ -101,7 +108,32 @@
         EvidenceReport report = new EvidenceReport(self, List.of(crash), latestPasses, List.of(), List.of());
         FirstRun first = new FirstRun(onAnswered);
         thread.executeAfter(first, MAX_ANSWER_WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        controlHosts.get().forEach(each -> send(each, report, 1, first));
+        Collection<Address> receivers = controlHosts.get();
+        sentCrashes.add(crash, receivers, clock.nanos());
+        receivers.forEach(each -> send(each, report, 1, first));
+    }
+
+    /** Forgets the crashes of a request that was answered. */
+    void withdrawCrashes(PromptPart request) {
+        sentCrashes.removeRequest(request);
+    }
+
+    /**
+     * Reports the crashes that a control host lacks.
+     *
+     * @param start identifies the start of the control host
+     * @param latestPasses answers of this entry that went on before, with parts of the prompt of a crash
+     */
+    void resendCrashes(Address controlHost, long start, Function<ServerCrash, List<PartPass>> latestPasses) {
+        sentCrashes.onAnswer(controlHost, start);
+        List<ServerCrash> missing = sentCrashes.startSending(controlHost, clock.nanos());
+        if (missing.isEmpty()) {
+            return;
+        }
+        List<PartPass> passes = missing.stream()
+                .flatMap(each -> latestPasses.apply(each).stream())
+                .toList();
+        send(controlHost, new EvidenceReport(self, missing, passes, List.of(), List.of()), MAX_SENDS, () -> {});
     }
 
     /** Gives a control host records that it has lost. */
@@ -120,6 +152,8 @@
                                 () -> send(controlHost, report, number + 1, onAnswered),
                                 RESEND_DELAY_MILLIS,
                                 TimeUnit.MILLISECONDS);
+                    } else {
+                        report.crashes().forEach(each -> sentCrashes.onLost(controlHost, each));
                     }
                 });
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -30,7 +30,7 @@
  * The quarantine on an entry: decides on calls by what control hosts hold, and reports servers that ended and answers
  * that went on. Used on the I/O thread only.
  */
-final class QuarantineClient {
+final class QuarantineClient implements DeploymentFollower.QuarantineListener {
     /** Shortest interval between two demands for the same group, or two reports of passes of the same part. */
     private static final long REPORT_INTERVAL_NANOS = Duration.ofMillis(200).toNanos();
 
@@ -68,7 +68,7 @@
         this.onChange = onChange;
         this.endWatch = new EndWatch(crashCheck, deployment, this::onServerEnded, thread, clock);
         this.view = new QuarantineView(self);
-        this.reporter = new EvidenceReporter(self, network, deployment::controlHosts, thread, this::applyNews);
+        this.reporter = new EvidenceReporter(self, network, deployment::controlHosts, thread, clock, this::applyNews);
         this.refused = metrics.counter("quarantine.calls.refused");
         this.held = metrics.counter("quarantine.calls.held");
         this.trials = metrics.counter("quarantine.trials");
@@ -76,8 +76,16 @@
         metrics.gauge("quarantine.groups", () -> () -> view.restricted().size());
     }
 
-    /** Applies what a control host holds. */
-    void onNews(Address controlHost, QuarantineNews news) {
+    @Override
+    public void onAnswer(Address controlHost, long start, QuarantineNews news) {
+        if (news != null) {
+            onNews(controlHost, news);
+        }
+        reporter.resendCrashes(
+                controlHost, start, crash -> passLog.latest(crash.service(), crash.parts(), clock.nanos()));
+    }
+
+    private void onNews(Address controlHost, QuarantineNews news) {
         applyNews(controlHost, news);
         List<QuarantineRecord> missing = view.missingIn(news);
         if (!missing.isEmpty()) {
@@ -170,6 +178,7 @@
     /** Records a complete answer: the request does not end the server that runs it. */
     void recordAnswered(ServiceName service, CallParts parts) {
         if (parts.hasEndedServer() || view.restricts(service, parts)) {
+            reporter.withdrawCrashes(parts.request());
             reportPasses(List.of(new PartPass(service, parts.request(), 0)), clock.nanos());
         }
     }
