Clear no request by a failure that a server answered

Callers saw one request end 13 of 24 servers in ten tries where every third server answers it with status 500. Cause: any complete answer but a stated refusal counted as the proof that a request is sound, and voided the ends before it. A failure may come from a server that never ran the request, or at its deadline. Class: a result that says nothing is taken for one that clears.

Change: only answers below 500 clear a request, on the path of entries and of forwarding entries.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
@@ -52,7 +52,7 @@
         }
     }
 
-    /** Records the end of a complete answer. */
+    /** Records the end of a complete answer; not of a failure, which a server may send without having run the request. */
     void onComplete() {
         if (service == null) {
             return;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -402,7 +402,6 @@
             fail(status >= MIN_SERVER_ERROR_STATUS ? AttemptEnd.SERVER_ERROR : AttemptEnd.DONE, "answered " + status);
         } else if (isRetryableError() && call.hasAlternative(this)) {
             tryEnd(AttemptEnd.SERVER_ERROR);
-            observe(AnswerObserver::onComplete);
             call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.SERVER_ERROR, notice());
             call.onServerError(this, status, headers, bufferedBody);
         } else {
@@ -410,7 +409,7 @@
             if (isSuccess() && bufferedBody.length() > 0) {
                 observe(AnswerObserver::onContent);
             }
-            if (!head.notExecuted()) {
+            if (!head.notExecuted() && status < MIN_SERVER_ERROR_STATUS) {
                 observe(AnswerObserver::onComplete);
             }
             call.context().dispatchClient().reportEnd(placementRequest, end, notice());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -30,7 +30,7 @@
     private final BackendCall backendCall;
     private CallerChannel answer;
     private boolean hasHead;
-    private boolean ran;
+    private boolean answersRequest;
     private boolean success;
     private boolean answerEnded;
     private boolean ended;
@@ -97,7 +97,8 @@
     @Override
     public void onHead(int status, HeaderMap headers, AnswerHead answerHead) {
         success = AnswerHead.isSuccess(status);
-        ran = !answerHead.notExecuted() && !answerHead.wrongServer();
+        answersRequest =
+                status < StatusCodes.INTERNAL_SERVER_ERROR && !answerHead.notExecuted() && !answerHead.wrongServer();
         hasHead = true;
         exchange.setStatusCode(status);
         HeaderMap responseHeaders = exchange.getResponseHeaders();
@@ -139,7 +140,7 @@
     @Override
     public void onComplete() {
         answerEnded = true;
-        if (ran) {
+        if (answersRequest) {
             observer.onComplete();
         }
         answer().complete();
