Bound what is read of a server that sends no answer without end

Callers saw no answer, or waited 8 s for none, while a server sent bytes without end: one header line, bytes that are no HTTP or the size of a chunk were taken at full speed (134 MB of one connection in the test, until the server gave up; an entry has 96 MB), and a stream of comments or events without data counted as at work until the deadline. Cause: the HTTP client bounds neither a head nor the line of a chunk nor trailers; and what showed a server at work was bytes, not what they carry. Class: unbounded input, and activity taken for progress.

Change: each connection of an entry to a server, or to an entry that forwards, fails once 64 KB were read without a head or content of a body (counted below the client, reset by the layer that gets head and content). A stream's event has an id or data; all else is passed on with the next event, counts towards the bound of an event (1 MB, was 4) and is no sign of life. Of a plain answer each KB is one, as it may trickle without end; its server goes on until another one has begun to answer. The attempt counts as broken: the call goes on elsewhere where it may, and no request is accused.

Evidence: EndlessBytesTest, 24 cases of bytes (fast and slow; heads, chunks, events, trailers, 100-continue; streams and plain calls): ten red before, all green now. A body of 8 MB behind a header of 8 KB passes whole, comments stay in place. That of a trickling plain answer was not run on the old code.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -24,6 +24,9 @@
     /** Longest answer that is buffered until it is complete, so that a call with a broken answer can be retried. */
     private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
+    /** Bytes of a plain answer with which its server counts as at work; less could come without end. */
+    private static final int MIN_PROGRESS_BYTES = 1_024;
+
     private final Call call;
     private final CallParts parts;
     private final DispatchCall placementRequest;
@@ -338,11 +341,14 @@
         if (bufferedBody == null) {
             return;
         }
-        silent = false;
-        if (call.route().mayRetry()) {
-            restartTimer(timeoutMillis);
-        }
+        int length = bytes.remaining();
         call.memory().addToAnswer(bufferedBody, bytes);
+        if (bufferedBody.length() / MIN_PROGRESS_BYTES > (bufferedBody.length() - length) / MIN_PROGRESS_BYTES) {
+            silent = false;
+            if (call.route().mayRetry()) {
+                restartTimer(timeoutMillis);
+            }
+        }
         if (bufferedBody.length() > MAX_BUFFERED_BYTES) {
             rejectAnswer("an answer of over " + MAX_BUFFERED_BYTES + " bytes");
         }
@@ -426,6 +432,7 @@
         call.onAnswering(this);
         observe(AnswerObserver::onComplete);
         call.context().dispatchClient().reportEnd(placementRequest, AttemptEnd.DONE, notice());
+        stream.forwardRest(events.rest());
         stream.complete();
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -181,6 +181,7 @@
         countUnanswered(body.length());
         bodySent = false;
         ServerLink used = link;
+        UnproductiveBytes.reset(used.connection());
         used.connection().sendRequest(requestOn(used), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
@@ -271,6 +272,7 @@
                 if (ended || used != link) {
                     return;
                 }
+                UnproductiveBytes.reset(used.connection());
                 int status = exchange.getResponse().getResponseCode();
                 HeaderMap headers = exchange.getResponse().getResponseHeaders();
                 if (isRelayed() && headers.contains(RelayRequest.REFUSAL)) {
@@ -364,6 +366,7 @@
                     complete();
                     return;
                 }
+                UnproductiveBytes.reset(link.connection());
                 buffer.flip();
                 hasContent = true;
                 listener.onData(buffer);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
@@ -45,6 +45,7 @@
 
     private final BackendDialer dialer;
     private final XnioIoThread thread;
+    private final ConnectionOpener opener;
     private final ByteBufferPool buffers;
     private final MonotonicClock clock;
     private final Counter opened;
@@ -74,6 +75,7 @@
             MetricRegistry metrics) {
         this.dialer = dialer;
         this.thread = thread;
+        this.opener = new ConnectionOpener(thread);
         this.buffers = buffers;
         this.clock = clock;
         this.opened = metrics.counter("backend.connections.opened");
@@ -116,24 +118,27 @@
     /** Opens a connection. */
     void open(Address address, AcquireCallback callback) {
         opened.inc();
-        ConnectAttempt connectAttempt = new ConnectAttempt(callback);
+        ConnectAttempt connectAttempt = new ConnectAttempt(callback, opener);
         connectAttempt.timer =
                 thread.executeAfter(connectAttempt::expire, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        dialer.connect(address, thread, buffers, connectAttempt);
+        dialer.connect(address, opener, buffers, connectAttempt);
     }
 
     /** One attempt to connect; ends once. */
     private static final class ConnectAttempt implements ClientCallback<ClientConnection> {
         private final AcquireCallback callback;
+        private final ConnectionOpener opener;
         private XnioExecutor.Key timer;
         private boolean ended;
 
-        ConnectAttempt(AcquireCallback callback) {
+        ConnectAttempt(AcquireCallback callback, ConnectionOpener opener) {
             this.callback = callback;
+            this.opener = opener;
         }
 
         @Override
         public void completed(ClientConnection connection) {
+            opener.latestBound().attachTo(connection);
             if (tryEnd()) {
                 callback.onAcquired(connection, true);
             } else {
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionOpener.java
@@ -0,0 +1,57 @@
+package org.elmline.daemon.gateway;
+
+import java.net.SocketAddress;
+import java.util.concurrent.TimeUnit;
+
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * An I/O thread as the HTTP client sees it, which puts a bound below the client on each connection that it opens: the
+ * client offers no other way to its sockets. Never started; all work is done by the thread behind it, on which alone it
+ * is used.
+ */
+final class ConnectionOpener extends XnioIoThread {
+    private final XnioIoThread thread;
+    private UnproductiveBytes latestBound;
+
+    ConnectionOpener(XnioIoThread thread) {
+        super(thread.getWorker(), thread.getNumber());
+        this.thread = thread;
+    }
+
+    /** The bound of the connection that was opened last; the client reports each one before the next is opened. */
+    UnproductiveBytes latestBound() {
+        return latestBound;
+    }
+
+    @Override
+    public IoFuture<StreamConnection> openStreamConnection(
+            SocketAddress destination, ChannelListener<? super StreamConnection> openListener, OptionMap options) {
+        ChannelListener<StreamConnection> listener = connection -> {
+            latestBound = new UnproductiveBytes(connection.getSourceChannel().getConduit());
+            connection.getSourceChannel().setConduit(latestBound);
+            openListener.handleEvent(connection);
+        };
+        return thread.openStreamConnection(destination, listener, options);
+    }
+
+    @Override
+    public void execute(Runnable command) {
+        thread.execute(command);
+    }
+
+    @Override
+    public XnioExecutor.Key executeAfter(Runnable command, long time, TimeUnit unit) {
+        return thread.executeAfter(command, time, unit);
+    }
+
+    @Override
+    public XnioExecutor.Key executeAtInterval(Runnable command, long time, TimeUnit unit) {
+        return thread.executeAtInterval(command, time, unit);
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ServerSentEventParser.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ServerSentEventParser.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -11,18 +12,23 @@
  * been forwarded, it could not be withdrawn when another server resumes with that event from its start. Not safe for
  * use by several threads.
  *
- * <p>Lines end with LF or CRLF. An id that is not a whole number counts as none.
+ * <p>Lines end with LF or CRLF. An id that is not a whole number counts as none. What carries neither an id nor data,
+ * such as comments, is no event: it is returned with the event after it, so that a server which sends nothing else
+ * counts as silent.
  */
 final class ServerSentEventParser {
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte COMMENT = ':';
+    private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
-    /** Longest event that is buffered; a server that does not end its event by then is broken. */
-    private static final int MAX_EVENT_BYTES = 4 * 1024 * 1024;
+    /** Longest event that is buffered, with all before it; a server that does not end its event by then is broken. */
+    private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
     private final ByteArrayOutputStream event = new ByteArrayOutputStream();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private long id = NO_ID;
     private boolean hasContent;
+    private boolean amidEvent;
 
     static final long NO_ID = -1;
 
@@ -61,7 +67,12 @@
 
     /** Whether bytes of an incomplete event are buffered. */
     boolean hasPartialEvent() {
-        return event.size() > 0;
+        return amidEvent || line.size() > 0;
+    }
+
+    /** What followed the last event without being one, such as comments. */
+    byte[] rest() {
+        return event.toByteArray();
     }
 
     /** Bytes of an incomplete event that are held: the event, and its last line once more. */
@@ -75,6 +86,7 @@
         line.reset();
         id = NO_ID;
         hasContent = false;
+        amidEvent = false;
     }
 
     /** Returns whether the line ends an event. */
@@ -83,22 +95,26 @@
         line.reset();
         boolean empty = lineBytes.length == 0 || (lineBytes.length == 1 && lineBytes[0] == '\r');
         if (empty) {
+            amidEvent = false;
             return hasContent;
         }
-        hasContent = true;
-        if (startsWithId(lineBytes)) {
+        amidEvent |= lineBytes[0] != COMMENT;
+        if (startsWith(lineBytes, ID_FIELD)) {
             id = parseId(lineBytes);
+            hasContent |= id != NO_ID;
         }
+        hasContent |= startsWith(lineBytes, DATA_FIELD) && !isBlank(lineBytes, DATA_FIELD.length);
         return false;
     }
 
-    private static boolean startsWithId(byte[] text) {
-        for (int i = 0; i < ID_FIELD.length; i++) {
-            if (text.length <= i || text[i] != ID_FIELD[i]) {
-                return false;
-            }
-        }
-        return true;
+    private static boolean startsWith(byte[] text, byte[] field) {
+        return text.length >= field.length && Arrays.equals(text, 0, field.length, field, 0, field.length);
+    }
+
+    /** Whether a value is empty but for the space after the colon and the end of the line. */
+    private static boolean isBlank(byte[] text, int from) {
+        String value = new String(text, from, text.length - from, StandardCharsets.UTF_8);
+        return value.isEmpty() || value.equals(" ") || value.equals("\r") || value.equals(" \r");
     }
 
     private static long parseId(byte[] text) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
@@ -71,6 +71,13 @@
         return null;
     }
 
+    /** Forwards what a server has sent after its last event. */
+    void forwardRest(byte[] bytes) {
+        if (bytes.length > 0) {
+            callerChannel.write(bytes);
+        }
+    }
+
     private void recordEventTime() {
         long now = call.context().clock().millis();
         if (lastEventAtMillis == 0) {
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/UnproductiveBytes.java
@@ -0,0 +1,61 @@
+package org.elmline.daemon.gateway;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+import io.undertow.client.ClientConnection;
+import io.undertow.util.Attachable;
+import io.undertow.util.AttachmentKey;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Bounds the bytes that are read from a connection without yielding the head of an answer or content of its body. The
+ * HTTP client has no bound of its own on a header, the size of a chunk or the end of a body: a server that sends one of
+ * these without end would fill the memory of the process. Used on the I/O thread only.
+ */
+final class UnproductiveBytes extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /** Bytes of a head with room to spare, and of a read buffer that ends with the next head. */
+    private static final long MAX_BYTES = 64 * 1024;
+
+    private static final AttachmentKey<UnproductiveBytes> KEY = AttachmentKey.create(UnproductiveBytes.class);
+
+    private long bytes;
+
+    UnproductiveBytes(StreamSourceConduit next) {
+        super(next);
+    }
+
+    /** Attaches the bound of a connection to it. */
+    void attachTo(ClientConnection connection) {
+        if (connection instanceof Attachable attachable) {
+            attachable.putAttachment(KEY, this);
+        }
+    }
+
+    /** Records that a head or content of a body has arrived on a connection, or that a request is sent on it. */
+    static void reset(ClientConnection connection) {
+        UnproductiveBytes bound = connection instanceof Attachable attachable ? attachable.getAttachment(KEY) : null;
+        if (bound != null) {
+            bound.bytes = 0;
+        }
+    }
+
+    @Override
+    public int read(ByteBuffer target) throws IOException {
+        return (int) count(super.read(target));
+    }
+
+    @Override
+    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+        return count(super.read(targets, offset, length));
+    }
+
+    private long count(long read) throws IOException {
+        bytes += Math.max(0, read);
+        if (bytes > MAX_BYTES) {
+            throw new IOException("over " + MAX_BYTES + " bytes without a head or content of an answer");
+        }
+        return read;
+    }
+}
