Bound the bodies of answers that the product's own API reads

An engine's order or state, or a service's answer, was read to its end into memory, whatever its length: the same fault as on the platform's path, found by reading. OkHttp bounds heads by itself and streams of engines by line.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/engine/StandinEngineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/engine/StandinEngineClient.java
@@ -28,6 +28,7 @@
 import org.elmline.core.engine.OrderAnswer;
 import org.elmline.core.engine.StreamInfo;
 import org.elmline.core.engine.StreamListener;
+import org.elmline.daemon.http.BoundedBody;
 import org.elmline.wire.engine.EngineJson;
 import org.elmline.wire.engine.EnginePaths;
 import org.elmline.wire.engine.ImportRequest;
@@ -193,7 +194,7 @@
                 boolean refused = response.code() < 500 && response.code() != 410 || response.code() == 503;
                 return refused ? new CallResult.NotSent<>(why) : new CallResult.Unknown<>(why);
             }
-            return new CallResult.Answered<>(decoder.decode(response.body().bytes()));
+            return new CallResult.Answered<>(decoder.decode(BoundedBody.read(response.body())));
         } catch (IOException e) {
             return new CallResult.Unknown<>(String.valueOf(e.getMessage()));
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceClient.java
@@ -22,6 +22,7 @@
 import org.elmline.core.dispatch.ServerNotice;
 import org.elmline.core.dispatch.ServerRateLimit;
 import org.elmline.daemon.engine.SendTracker;
+import org.elmline.daemon.http.BoundedBody;
 import org.elmline.wire.engine.EnginePaths;
 import org.jboss.logging.Logger;
 
@@ -89,8 +90,8 @@
                 String why = "the service refused with status " + response.code();
                 return new ServiceResult(new CallResult.NotSent<>(why), notice);
             }
-            RecordedAnswer answer = RecordedAnswer.of(
-                    response.code(), headers(response), response.body().bytes());
+            RecordedAnswer answer =
+                    RecordedAnswer.of(response.code(), headers(response), BoundedBody.read(response.body()));
             return new ServiceResult(new CallResult.Answered<>(answer), notice);
         } catch (IOException e) {
             String why = String.valueOf(e.getMessage());
