Watch silent servers with the others, compare registrations twice a second

A silent attempt opened a connection to its server at once: on an overloaded service, where many are silent at a time, that is one each, to servers short of connections. They now join the watch, which checks a server once for all of its answers and not while it answers others. Answers that follow each other closely put off the first check for good. Registrations were compared 20 times a second: 256 servers times 6,000 registrations. What is kept of a request that was given up no longer holds its exchange and body.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/UnresolvedAnswers.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/UnresolvedAnswers.java
@@ -22,7 +22,7 @@
     /** A server that works this long after an answer ended did not end because of its request. */
     private static final long SURVIVAL_NANOS = Duration.ofSeconds(3).toNanos();
 
-    /** Times of the checks of a server after the latest of its answers ended. */
+    /** Times of the checks of a server after an answer of it ended. */
     private static final long[] CHECKS_AFTER_NANOS = Arrays.stream(new long[] {100, 200, 350, 600, 1_200, 2_100})
             .map(millis -> Duration.ofMillis(millis).toNanos())
             .toArray();
@@ -35,18 +35,20 @@
     /** The unresolved answers of one start of a server. */
     private static final class Server<T> {
         private final List<Unresolved<T>> answers = new ArrayList<>();
-        private long lastEndNanos;
+        private long checksSinceNanos;
         private long lastLifeNanos = Long.MIN_VALUE;
         private int checks;
         private boolean checking;
         private boolean acceptedConnection;
 
         private boolean isCheckDue(long now) {
-            return !checking && checks < CHECKS_AFTER_NANOS.length && now - lastEndNanos >= CHECKS_AFTER_NANOS[checks];
+            return !checking
+                    && checks < CHECKS_AFTER_NANOS.length
+                    && now - checksSinceNanos >= CHECKS_AFTER_NANOS[checks];
         }
 
         private boolean hasLivedSinceLastCheck() {
-            long sinceNanos = lastEndNanos + (checks == 0 ? 0 : CHECKS_AFTER_NANOS[checks - 1]);
+            long sinceNanos = checksSinceNanos + (checks == 0 ? 0 : CHECKS_AFTER_NANOS[checks - 1]);
             return lastLifeNanos != Long.MIN_VALUE && lastLifeNanos - sinceNanos > 0;
         }
     }
@@ -65,12 +67,15 @@
     /** Adds an answer that has just ended. */
     public void add(ServerStart start, T answer, long now) {
         Server<T> server = servers.computeIfAbsent(start, each -> new Server<>());
+        if (server.answers.isEmpty() || server.checks > 0) {
+            // Answers that follow closely would put off the first check for good.
+            server.checksSinceNanos = now;
+            server.checks = 0;
+        }
         if (server.answers.size() >= MAX_ANSWERS_PER_SERVER) {
             server.answers.remove(0);
         }
         server.answers.add(new Unresolved<>(answer, now));
-        server.lastEndNanos = now;
-        server.checks = 0;
         if (servers.size() > MAX_SERVERS) {
             servers.remove(servers.keySet().iterator().next());
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
@@ -72,15 +72,11 @@
         quarantine.reportBroken(endedAnswer(AttemptEnd.BROKEN), onDone);
     }
 
-    /** Records that nothing has arrived for so long that the server may have ended. */
-    void onSilent() {
-        if (service != null) {
-            quarantine.checkSilent(endedAnswer(AttemptEnd.SILENT));
-        }
-    }
-
-    /** Records that this entry gave up the answer: its server may end because of the request all the same. */
-    void onGivenUp(AttemptEnd how) {
+    /**
+     * Records that nothing has arrived for long, or that this entry gave up the answer: its server may have ended because
+     * of the request, or do so later.
+     */
+    void onUnresolved(AttemptEnd how) {
         if (service != null) {
             quarantine.watch(endedAnswer(how));
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -48,7 +48,7 @@
     private boolean sent;
     private boolean silent;
     private boolean silenceReported;
-    private boolean serverChecked;
+    private boolean serverWatched;
 
     Attempt(Call call, CallParts parts, DispatchCall placementRequest, DispatchAnswer.Granted granted) {
         this.call = call;
@@ -151,15 +151,15 @@
         if (tryEnd(how)) {
             if (backendCall != null) {
                 backendCall.cancel();
-                observeGivenUp(how);
+                observeUnresolved(how);
             }
             call.context().dispatchClient().reportEnd(placementRequest, how, notice());
         }
     }
 
-    private void observeGivenUp(AttemptEnd how) {
+    private void observeUnresolved(AttemptEnd how) {
         if (backendCall.isSentDirectly()) {
-            observer.onGivenUp(how);
+            observer.onUnresolved(how);
         }
     }
 
@@ -189,7 +189,7 @@
         if (backendCall.isPaused()) {
             return;
         }
-        checkServer();
+        watchServer();
         if (call.mayRetry()) {
             silent = true;
             reportSilence();
@@ -197,10 +197,10 @@
         }
     }
 
-    private void checkServer() {
-        if (!serverChecked && backendCall.isSentDirectly()) {
-            serverChecked = true;
-            observer.onSilent();
+    private void watchServer() {
+        if (!serverWatched) {
+            serverWatched = true;
+            observeUnresolved(AttemptEnd.SILENT);
         }
     }
 
@@ -454,7 +454,7 @@
         if (backendCall.isRelayed()) {
             proceed.run();
         } else if (head != null && !isSuccess()) {
-            observer.onGivenUp(AttemptEnd.BROKEN);
+            observer.onUnresolved(AttemptEnd.BROKEN);
             proceed.run();
         } else {
             observer.onBroken(proceed);
@@ -464,7 +464,7 @@
     /** Rejects an unusable answer and stops the server's work on it. */
     private void rejectAnswer(String why) {
         backendCall.cancel();
-        observeGivenUp(AttemptEnd.BROKEN);
+        observeUnresolved(AttemptEnd.BROKEN);
         fail(AttemptEnd.BROKEN, why);
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallParts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallParts.java
@@ -20,9 +20,9 @@
 final class CallParts implements RequestParts {
     private static final String ALGORITHM = "SHA-256";
 
-    private final HttpServerExchange exchange;
+    private HttpServerExchange exchange;
     private final CallHead head;
-    private final ByteChunks body;
+    private ByteChunks body;
     private PromptPart request;
     private boolean hasEndedServer;
 
@@ -42,6 +42,9 @@
     public PromptPart request() {
         if (request == null) {
             request = PromptPart.ofRequest(HexFormat.of().formatHex(digest()));
+            // These parts may be kept for longer than the call, until it is known what became of its server.
+            exchange = null;
+            body = null;
         }
         return request;
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EndWatch.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EndWatch.java
@@ -15,6 +15,9 @@
  */
 final class EndWatch {
     private static final long TICK_MILLIS = 50;
+    /** Each comparison looks through all registrations, whose heartbeats are a second apart. */
+    private static final long COMPARISON_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final CrashCheck crashCheck;
@@ -24,6 +27,7 @@
     private final MonotonicClock clock;
     private final UnresolvedAnswers<BrokenAnswer> unresolved = new UnresolvedAnswers<>();
     private boolean ticking;
+    private long comparedAtNanos;
 
     /** Receives the answers whose servers have ended. */
     interface Listener {
@@ -51,9 +55,10 @@
         this.listener = listener;
         this.thread = thread;
         this.clock = clock;
+        this.comparedAtNanos = clock.nanos();
     }
 
-    /** Adds an answer that has just ended before it was complete. */
+    /** Adds an answer that has just ended before it was complete, or has been silent for long. */
     void add(BrokenAnswer answer) {
         unresolved.add(answer.serverStart(), answer, clock.nanos());
         if (!ticking) {
@@ -84,7 +89,10 @@
     private void tick() {
         long now = clock.nanos();
         unresolved.removeExpired(now);
-        unresolved.starts().forEach(this::compareRegistrations);
+        if (now - comparedAtNanos >= COMPARISON_INTERVAL_NANOS) {
+            comparedAtNanos = now;
+            unresolved.starts().forEach(this::compareRegistrations);
+        }
         unresolved.startChecks(now).forEach(this::check);
         ticking = !unresolved.isEmpty();
         if (ticking) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -246,22 +246,11 @@
         endWatch.recordLife(server);
     }
 
-    /** Watches the server of an answer that ended early, for an end that shows later. */
+    /** Watches the server of an answer that ended early or is silent, for an end that shows later. */
     void watch(BrokenAnswer answer) {
         endWatch.add(answer);
     }
 
-    /** Checks a server that has been silent for long; the call goes on meanwhile. */
-    void checkSilent(BrokenAnswer answer) {
-        long silentAtNanos = clock.nanos();
-        crashCheck.check(answer.target(), finding -> {
-            if (finding.showsEnd()) {
-                onServerEnded(answer, finding, (clock.nanos() - silentAtNanos) / NANOS_PER_MILLI);
-                endWatch.resolve(answer.serverStart(), finding);
-            }
-        });
-    }
-
     private void onServerEnded(BrokenAnswer answer, CrashCheck.Finding finding, long ageMillis) {
         reportCrash(answer, finding, ageMillis, () -> {});
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -152,7 +152,7 @@
         answerEnded = true;
         Runnable end = answer == null ? this::stateNoAnswer : answer::abort;
         if (hasHead && !success) {
-            observer.onGivenUp(AttemptEnd.BROKEN);
+            observer.onUnresolved(AttemptEnd.BROKEN);
             end.run();
         } else {
             observer.onBroken(end);
@@ -178,7 +178,7 @@
         }
         backendCall.cancel();
         if (backendCall.isSentDirectly() && !answerEnded) {
-            observer.onGivenUp(AttemptEnd.CANCELLED);
+            observer.onUnresolved(AttemptEnd.CANCELLED);
         }
         return tryEnd();
     }
