Drop what is watched of a request that was answered, and of a server that leaves

A silent attempt joins the watch of its server; where it was answered after all and the server was lost within seconds to something else, the request counted as one under which a server had ended. So did one that was given up shortly before its server left as planned and another one started at the address. A complete answer now takes its request from the watch, and a server that has announced its end is no longer watched.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/UnresolvedAnswers.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/UnresolvedAnswers.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Answers that ended before they were complete, until it is known whether their servers ended too. A server may end
@@ -131,6 +132,14 @@
         return answers.get(answers.size() - 1).answer();
     }
 
+    /** Drops answers of a server that say nothing any more. */
+    public void removeIf(ServerStart start, Predicate<T> resolved) {
+        Server<T> server = servers.get(start);
+        if (server != null && server.answers.removeIf(each -> resolved.test(each.answer()))) {
+            servers.values().removeIf(each -> each.answers.isEmpty());
+        }
+    }
+
     /** The servers with unresolved answers. */
     public List<ServerStart> starts() {
         return List.copyOf(servers.keySet());
--- a/elmline-core/src/main/java/org/elmline/core/registry/RegistryView.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/RegistryView.java
@@ -223,6 +223,14 @@
                         && (each.id().equals(id) || each.address().equals(address)));
     }
 
+    /** Whether this start of a server has announced that it leaves. */
+    public boolean hasLeft(BackendServerId id, long bornMillis) {
+        Registration known = servers.get(id);
+        return known != null
+                && known.bornMillis() == bornMillis
+                && !known.state().acceptsWork();
+    }
+
     /** Whether a server that has not announced its end has expired at control hosts, and lives at none. */
     public boolean isExpired(BackendServerId id, long now) {
         Registration known = servers.get(id);
--- a/elmline-core/src/test/java/org/elmline/core/quarantine/UnresolvedAnswersTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/quarantine/UnresolvedAnswersTest.java
@@ -43,6 +43,18 @@
         assertEquals(List.of("given up"), resolve());
     }
 
+    /** Guards against a request that is accused although its server answered it, silent for a while before. */
+    @Test
+    void answeredRequestIsNoSuspect() {
+        unresolved.add(SERVER, "answered", 0);
+        unresolved.add(SERVER, "given up", 0);
+        unresolved.removeIf(SERVER, "answered"::equals);
+        assertEquals(List.of("given up"), resolve());
+        unresolved.add(SERVER, "answered", 0);
+        unresolved.removeIf(SERVER, "answered"::equals);
+        assertTrue(unresolved.isEmpty());
+    }
+
     @Test
     void endOfAnotherStartResolvesNothing() {
         unresolved.add(SERVER, "given up", 0);
--- a/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
@@ -182,4 +182,31 @@
         assertFalse(view.isUnconfirmedFor(2 * SECOND, 1, 2 * SECOND - 1));
         assertFalse(view.isUnconfirmedFor(2 * SECOND, 1, 9 * SECOND));
     }
+
+    @Test
+    void laterStartIsKnownByIdOrAddress() {
+        view.apply(A, answer(1, false, ServerState.READY), 0);
+        Address address = server(ServerState.READY, 1).address();
+        assertFalse(view.hasLaterStart(BackendServerId.of("s"), 100, address));
+        assertTrue(view.hasLaterStart(BackendServerId.of("s"), 99, A));
+        assertTrue(view.hasLaterStart(BackendServerId.of("other"), 99, address));
+        assertFalse(view.hasLaterStart(BackendServerId.of("other"), 99, A));
+    }
+
+    /** Guards against a planned end that is taken for one because of a request. */
+    @Test
+    void serverThatLeavesHasNotExpired() {
+        view.apply(A, answer(1, true, ServerState.DRAINING), 0);
+        assertTrue(view.hasLeft(BackendServerId.of("s"), 100));
+        assertFalse(view.hasLeft(BackendServerId.of("s"), 99));
+        assertFalse(view.isExpired(BackendServerId.of("s"), 0));
+    }
+
+    @Test
+    void serverHasExpiredWhenNoControlHostReceivesItsHeartbeats() {
+        view.apply(A, answer(1, true, ServerState.READY), 0);
+        assertTrue(view.isExpired(BackendServerId.of("s"), 0));
+        view.apply(B, answer(1, false, ServerState.READY), 0);
+        assertFalse(view.isExpired(BackendServerId.of("s"), 0));
+    }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
@@ -60,7 +60,7 @@
         if (progress.onComplete()) {
             quarantine.recordPass(service, parts.shared());
         }
-        quarantine.recordAnswered(service, parts);
+        quarantine.recordAnswered(service, serverStart, parts);
     }
 
     /** Records that the answer broke off; runs {@code onDone} when that is reported where it matters. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -455,6 +455,11 @@
         return view.hasLaterStart(start.server(), start.bornMillis(), address);
     }
 
+    @Override
+    public boolean hasLeft(ServerStart start) {
+        return view.hasLeft(start.server(), start.bornMillis());
+    }
+
     @Override
     public boolean isExpired(ServerStart start) {
         return view.isExpired(start.server(), clock.nanos());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EndWatch.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EndWatch.java
@@ -40,6 +40,9 @@
         /** Whether a server has started at this address after the start of one. */
         boolean hasLaterStart(ServerStart start, Address address);
 
+        /** Whether a server has announced that it leaves. */
+        boolean hasLeft(ServerStart start);
+
         /** Whether no control host receives heartbeats of a server that has not announced its end. */
         boolean isExpired(ServerStart start);
     }
@@ -74,6 +77,11 @@
         }
     }
 
+    /** Drops what is watched of a request that the server has answered after all. */
+    void recordAnswered(ServerStart start, CallParts parts) {
+        unresolved.removeIf(start, each -> each.parts() == parts);
+    }
+
     /** Resolves the answers of a server that this entry has found ended. */
     void resolve(ServerStart start, CrashCheck.Finding finding) {
         long now = clock.nanos();
@@ -104,6 +112,8 @@
         BrokenAnswer answer = unresolved.latest(start);
         if (registrations.hasLaterStart(start, answer.target().address())) {
             resolve(start, CrashCheck.Finding.STARTED_AGAIN);
+        } else if (registrations.hasLeft(start)) {
+            unresolved.resolve(start);
         } else if (registrations.isExpired(start) && !unresolved.acceptedConnection(start)) {
             resolve(start, CrashCheck.Finding.EXPIRED);
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/QuarantineClient.java
@@ -176,7 +176,8 @@
     }
 
     /** Records a complete answer: the request does not end the server that runs it. */
-    void recordAnswered(ServiceName service, CallParts parts) {
+    void recordAnswered(ServiceName service, ServerStart server, CallParts parts) {
+        endWatch.recordAnswered(server, parts);
         if (parts.hasEndedServer() || view.restricts(service, parts)) {
             reporter.withdrawCrashes(parts.request());
             reportPasses(List.of(new PartPass(service, parts.request(), 0)), clock.nanos());
