--- a/review/lib/Lab.java
+++ b/review/lib/Lab.java
@@ -26,31 +26,6 @@
     static final int CONTROL_PORT = 8229;
     static final String HOST = "ficu95.example";
 
-    /** The part of the settings in which the deployments differ, with the values of their sheets. */
-    enum Site {
-        SNOWPAW("th-north", "chiangmai-a", 2_000, 3_000, 234, ""),
-        KOVACS("hu-west", "gyor-a", 2_500, 4_000, 382, "\"evacuationMillis\":5000,\"failureDomains\":"
-                + "{\"gyor-a\":\"hu-west\",\"gyor-b\":\"hu-west\",\"sopron-c\":\"hu-west\"},");
-
-        final String region;
-        final String zone;
-        final int configMillis;
-        final int contactMillis;
-        final int retrySlack;
-        final String evacuations;
-
-        Site(String region, String zone, int configMillis, int contactMillis, int retrySlack, String evacuations) {
-            this.region = region;
-            this.zone = zone;
-            this.configMillis = configMillis;
-            this.contactMillis = contactMillis;
-            this.retrySlack = retrySlack;
-            this.evacuations = evacuations;
-        }
-    }
-
-    final Site site;
-
     final Path root;
     final Path temp;
     final String net;
@@ -82,13 +57,12 @@
                     ? "\"callers\":\"" + ip + ":" + CALLER_PORT + "\",\"ready\":\"" + ip + ":" + READY_PORT
                             + "\",\"directory\":\"" + ip + ":" + DIRECTORY_PORT + "\","
                     : "\"operators\":\"" + ip + ":" + CONTROL_PORT + "\",\"dataFolder\":\"" + temp.resolve(name) + "\",";
-            // As deploy/settings.json.tmpl lays them out.
+            // The values of kit/more/system/sites/snowpaw-elmline.toml, as deploy/settings.json.tmpl lays them out.
             String json = "{\"name\":\"" + name + "\",\"ip\":\"" + ip
-                    + "\",\"region\":\"" + site.region + "\",\"failureDomain\":\"" + site.zone + "\"," + own
-                    + "\"heartbeatMillis\":1200,\"drainSeconds\":8,\"routingUpdateMillis\":" + site.configMillis
-                    + ",\"unconfirmedRoutingMillis\":" + site.contactMillis + "," + site.evacuations
-                    + "\"directoryKeepSeconds\":5,\"directoryEntries\":12,\"admission\":\"forecast\","
-                    + "\"retries\":{\"ratio\":0.2,\"slack\":" + site.retrySlack + ",\"windowSeconds\":10},"
+                    + "\",\"region\":\"th-north\",\"failureDomain\":\"chiangmai-a\"," + own
+                    + "\"heartbeatMillis\":1200,\"drainSeconds\":8,\"routingUpdateMillis\":2000,"
+                    + "\"unconfirmedRoutingMillis\":3000,\"directoryKeepSeconds\":5,\"directoryEntries\":12,"
+                    + "\"admission\":\"forecast\",\"retries\":{\"ratio\":0.2,\"slack\":234,\"windowSeconds\":10},"
                     + "\"controlHosts\":[" + hosts + "],\"firstStart\":" + firstStart
                     + ",\"peerPort\":7340,\"relayPort\":7355,\"metricsPort\":9464,"
                     + "\"peerKey\":\"elmline-deployment-key\"}";
@@ -135,10 +109,6 @@
 
     /** Plays one case and ends this process with its result, which run.sh translates. */
     static void play(String folder, int controlCount, int entryCount, Case played) {
-        play(folder, Site.SNOWPAW, controlCount, entryCount, played);
-    }
-
-    static void play(String folder, Site site, int controlCount, int entryCount, Case played) {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Replica.daemon(() -> {
             sleep(LONGEST_RUN_SECONDS * 1_000L);
@@ -146,7 +116,7 @@
             System.exit(NOT_RUN);
         });
         int code = NOT_RUN;
-        try (Lab lab = new Lab(Path.of(folder), site, controlCount, entryCount)) {
+        try (Lab lab = new Lab(Path.of(folder), controlCount, entryCount)) {
             lab.note("case", trouble ? "with the disruption" : "without the disruption (TROUBLE=0)");
             lab.startAll();
             boolean held = played.run(lab, trouble);
@@ -158,8 +128,7 @@
         System.exit(code);
     }
 
-    Lab(Path folder, Site site, int controlCount, int entryCount) throws IOException {
-        this.site = site;
+    Lab(Path folder, int controlCount, int entryCount) throws IOException {
         root = Path.of("").toAbsolutePath();
         temp = Files.createTempDirectory("elmline-review-");
         record = Files.newBufferedWriter(folder.resolve("record.txt"));
@@ -287,16 +256,10 @@
 
     /** A replica of a service at an address of its own. */
     Replica replica(int number, String service, Replica.Behaviour behaviour) throws IOException {
-        Replica replica = newReplica(number, service, behaviour);
-        replica.start();
-        return replica;
-    }
-
-    /** The same, not started yet. */
-    Replica newReplica(int number, String service, Replica.Behaviour behaviour) throws IOException {
         Replica replica = new Replica(this, net + "." + (100 + number), 8080, "i-" + service + "-" + number, service,
                 behaviour);
         replicas.add(replica);
+        replica.start();
         return replica;
     }
 
--- a/review/lib/Replica.java
+++ b/review/lib/Replica.java
@@ -72,10 +72,6 @@
     final int slots = 11;
     /** Time over which a request's body is read; 0 to read it at once. */
     volatile int readMillis;
-    /** State that the heartbeats name. */
-    volatile String state = "ready";
-    /** When this replica stops being cold, by Lab.millis(). */
-    volatile long coldUntil;
     final long born = System.currentTimeMillis();
     /** Ids of the requests that this replica began to work on, in order. */
     final List<String> ran = Collections.synchronizedList(new ArrayList<>());
@@ -182,9 +178,8 @@
         while (!stopped) {
             sequence++;
             String json = "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" + port
-                    + "\",\"zone\":\"" + lab.site.zone + "\",\"version\":\"v1\",\"slots\":" + slots
-                    + ",\"state\":\"" + state + "\",\"coldLeftMs\":" + Math.max(0, coldUntil - lab.millis())
-                    + ",\"seq\":" + sequence + ",\"born\":" + born + "}";
+                    + "\",\"zone\":\"chiangmai-a\",\"version\":\"v1\",\"slots\":" + slots
+                    + ",\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":" + sequence + ",\"born\":" + born + "}";
             for (int i = 0; i < lab.controls.size() && !stopped; i++) {
                 try {
                     Http.Answer answer = Http.call(lab.controls.get(node % lab.controls.size()), Lab.CONTROL_PORT, "PUT",
@@ -198,18 +193,7 @@
                 }
                 node++;
             }
-            synchronized (this) {
-                try {
-                    wait(1_200);
-                } catch (InterruptedException e) {
-                    return;
-                }
-            }
+            Lab.sleep(1_200);
         }
     }
-
-    /** Sends a heartbeat now, in place of the next one. */
-    synchronized void sendHeartbeatNow() {
-        notifyAll();
-    }
 }
