Log and count the requests that a stopping entry has not answered

OpenRequests counts a request from its head until the socket has accepted the last byte of its answer. The stop, now in PlannedStop, logs the count at its start and end and one line for each request without an answer: whether it was read, whether its answer had begun, how many bytes had left. Gauges calls.open and requests.open show both at any time. No decision changes.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -53,8 +52,6 @@
     private static final int NOT_READY_STATUS = 503;
     private static final int EVENT_CAPACITY = 1_024;
 
-    private static final long STOP_CHECK_MILLIS = 50;
-
     /** Delay of an update of the deployment, in which further changes are collected. */
     private static final long CHANGE_DELAY_MILLIS = 15;
 
@@ -183,7 +180,7 @@
         dispatchClient = newDispatchClient(
                 new OverloadedServers(unanswered, deployment::servers, gate::restrictedServers)::avoidedBy);
         new DispatchTicker(thread, dispatchers);
-        openCalls = new OpenCalls(thread);
+        openCalls = newOpenCalls();
         memory = newMemoryGuard();
         BackendConnectionPool connections =
                 new BackendConnectionPool(dialer, thread, ports.buffers(), process.clock(), process.metrics());
@@ -222,6 +219,13 @@
         log.line("started").with("incarnation", incarnation).write();
     }
 
+    private OpenCalls newOpenCalls() {
+        OpenCalls calls = new OpenCalls(thread);
+        process.metrics().gauge("calls.open", () -> calls::size);
+        process.metrics().gauge("requests.open", () -> ports.openRequests()::size);
+        return calls;
+    }
+
     private BackendGate newBackendGate(EvacuationView evacuations) {
         return new BackendGate(
                 deployment::server,
@@ -464,31 +468,12 @@
 
     /** Leaves the directory, finishes the calls in flight within the drain time, then closes. */
     public void stop() throws InterruptedException {
-        shutdown.begin();
-        log.line("stopping")
-                .with("open", openCalls == null ? 0 : openCalls.size())
-                .write();
-        while (openCalls != null && !tryEnd()) {
-            Thread.sleep(STOP_CHECK_MILLIS);
+        if (openCalls != null) {
+            new PlannedStop(shutdown, openCalls, ports.openRequests(), protocol::read, thread, log).run();
         }
-        thread.execute(() -> openCalls.all().forEach(OpenCall::abort));
-        Thread.sleep(STOP_CHECK_MILLIS);
-        log.line("stopped")
-                .with("open", openCalls == null ? 0 : openCalls.size())
-                .write();
         close();
     }
 
-    /**
-     * Decides on the I/O thread, where calls are admitted, so that no call is admitted between the decision and the
-     * end.
-     */
-    private boolean tryEnd() {
-        CompletableFuture<Boolean> result = new CompletableFuture<>();
-        thread.execute(() -> result.complete(shutdown.tryEnd(openCalls.size())));
-        return result.join();
-    }
-
     @Override
     public void close() {
         if (deployment != null) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
@@ -47,7 +47,8 @@
         return isStopping;
     }
 
-    private long elapsedMillis() {
+    /** Milliseconds since the start of the stop. */
+    long elapsedMillis() {
         return (clock.nanos() - stopStartedNanos) / NANOS_PER_MILLI;
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
@@ -48,6 +48,7 @@
     private final Closer closer = new Closer();
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final List<HttpPort> ports = new CopyOnWriteArrayList<>();
+    private final OpenRequests openRequests = new OpenRequests();
     private final XnioWorker worker;
     private volatile CallerLimits callerLimits = CallerLimits.DEFAULT;
 
@@ -82,7 +83,7 @@
 
     private HttpPorts addPort(Address address, HttpHandler handler, int additionalHeaderBytes) {
         HttpOpenListener listener = new HttpOpenListener(buffers);
-        listener.setRootHandler(handler);
+        listener.setRootHandler(openRequests.track(handler));
         HttpPort port = new HttpPort(address, listener, additionalHeaderBytes);
         ports.add(port);
         port.apply(callerLimits);
@@ -114,6 +115,11 @@
         return worker;
     }
 
+    /** The requests that are not answered yet. */
+    public OpenRequests openRequests() {
+        return openRequests;
+    }
+
     /** Buffer pool of the ports, shared with components that run on the same thread. */
     public ByteBufferPool buffers() {
         return buffers;
