Refuse calls without a place as soon as a stopping entry would not admit them

Callers of long streams waited for a place at an entry that was told to stop for up to 7.3 s, to be told then that their call did not run, or to be cut off a moment after it was placed.

Cause: admission was decided once, by fixed times that fit questions; a call that waits was not looked at again, and a stream was admitted until 2.5 s after SIGTERM although its own first event may be due after 6 s.

Admission now regards the route: the larger of 4.7 s and its aim plus 2 s for its events must be left. A call that may have run, or whose stream its caller has begun to read, stays. A stopping entry without a table refuses at once.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -27,8 +27,6 @@
  * call, sends it again where that is allowed, and answers. Used on the I/O thread only.
  */
 final class Call implements OpenCall, CallPlacement.Listener {
-    private static final long NANOS_PER_MILLI = 1_000_000L;
-
     /** Remaining time below which no request is sent: less than any server needs to answer. */
     private static final long MIN_SEND_MILLIS = 5;
 
@@ -48,8 +46,7 @@
     private final int priority;
     private final ServiceName service;
     private final CallMemory memory;
-    private final long receivedAtNanos;
-    private final long deadlineAtNanos;
+    private final CallTimes times;
     private final CallerDisconnectDetector disconnectDetector;
     private final SampledRequestLog requestLog;
     private final AttemptHistory history;
@@ -78,11 +75,7 @@
         this.priority = match.priority();
         this.service = route.chooseService(randomFraction);
         this.memory = memory;
-        this.receivedAtNanos = receivedAtNanos;
-        long timeoutMillis = head.deadlineMillis() < 0
-                ? route.timeoutMillis()
-                : Math.min(head.deadlineMillis(), route.timeoutMillis());
-        this.deadlineAtNanos = receivedAtNanos + timeoutMillis * NANOS_PER_MILLI;
+        this.times = CallTimes.of(context.clock(), receivedAtNanos, head.deadlineMillis(), route.timeoutMillis());
         this.history = new AttemptHistory(route.maxAttempts());
         this.quarantine =
                 new CallQuarantine(context, service, new CallParts(exchange, head, memory.body()), this::mayHaveRun);
@@ -91,7 +84,7 @@
         this.placement = new CallPlacement(context, quarantine, requestLog, this);
         this.deadlineTimer =
                 context.thread().executeAfter(this::onDeadline, Math.max(1, remainingMillis()), TimeUnit.MILLISECONDS);
-        memory.beginCall(() -> endBy("the caller reads nothing and its memory is needed"));
+        memory.beginCall(() -> endBy("the caller reads nothing and its memory is needed", RETRY_AFTER_MILLIS));
         context.openCalls().add(this);
     }
 
@@ -129,11 +122,7 @@
 
     @Override
     public long remainingMillis() {
-        return (deadlineAtNanos - context.clock().nanos()) / NANOS_PER_MILLI;
-    }
-
-    private long elapsedMillis() {
-        return (context.clock().nanos() - receivedAtNanos) / NANOS_PER_MILLI;
+        return times.remainingMillis();
     }
 
     /** Id of the last event that the caller has received; negative without one. */
@@ -155,7 +144,7 @@
                 .line(event)
                 .with("request", head.requestId())
                 .with("route", route.name())
-                .with("ageMs", elapsedMillis());
+                .with("ageMs", times.elapsedMillis());
     }
 
     @Override
@@ -172,7 +161,7 @@
                 head.promptTokens(),
                 Math.min(answerTokens, Math.max(1, head.maxAnswerTokens())),
                 head.maxAnswerTokens(),
-                route.aimMillis() - elapsedMillis(),
+                route.aimMillis() - times.elapsedMillis(),
                 route.gapMillis(),
                 firstEventRemainingMillis(),
                 remainingMillis(),
@@ -191,7 +180,7 @@
 
     @Override
     public long firstEventRemainingMillis() {
-        long sinceReceivedMillis = stream == null ? elapsedMillis() : 0;
+        long sinceReceivedMillis = stream == null ? times.elapsedMillis() : 0;
         return route.isStreaming()
                 ? Math.min(remainingMillis(), route.eventTimeoutMillis() - sinceReceivedMillis)
                 : remainingMillis();
@@ -233,7 +222,7 @@
                 .with("running", granted.running())
                 .with("limited", context.observedLimits().isLimited(granted.server()))
                 .with("leftMs", remainingMillis()));
-        context.callMetrics().recordPlacement(service, elapsedMillis());
+        context.callMetrics().recordPlacement(service, times.elapsedMillis());
         history.recordSend(granted.server());
         latestAttempt = new Attempt(this, quarantine.parts(), request, granted);
         attempts.add(latestAttempt);
@@ -415,13 +404,12 @@
         }
         requestLog.logSuccess(line("streamed")
                 .with("lastEvent", stream.lastEventId())
-                .with("firstMs", stream.firstEventAtMillis() - receivedAtNanos / NANOS_PER_MILLI)
+                .with("firstMs", times.elapsedMillisAt(stream.firstEventAtMillis()))
                 .with("longestPauseMs", stream.longestPauseMillis())
                 .with("server", latestAnswering().server())
                 .with("relay", latestAnswering().relay())
                 .with("sends", history.sends()));
-        context.callMetrics()
-                .recordFirstEvent(service, stream.firstEventAtMillis() - receivedAtNanos / NANOS_PER_MILLI);
+        context.callMetrics().recordFirstEvent(service, times.elapsedMillisAt(stream.firstEventAtMillis()));
         finish("streamed");
     }
 
@@ -474,23 +462,35 @@
     }
 
     private void onDeadline() {
-        endBy("time is up");
+        endBy("time is up", RETRY_AFTER_MILLIS);
+    }
+
+    /**
+     * A call that is kept beyond its admission would be cut off, or be told at the end of the stop what is known now.
+     * One that may have run, or whose stream the caller has begun to read, is of use here only.
+     */
+    @Override
+    public void checkAdmission(GracefulShutdown shutdown) {
+        boolean waits = !ended && placement.isSearching() && attempts.isEmpty();
+        if (waits && stream == null && !mayHaveRun() && !shutdown.admits(route)) {
+            abort();
+        }
     }
 
     @Override
     public void abort() {
-        endBy("the entry stops");
+        endBy("the entry stops", context.retryElsewhereMillis());
     }
 
-    private void endBy(String why) {
+    private void endBy(String why, long retryAfterMillis) {
         if (!ended) {
             abandonInFlight();
-            fail(why, RETRY_AFTER_MILLIS);
+            fail(why, retryAfterMillis);
         }
     }
 
     private void finish(String outcome) {
-        context.callMetrics().recordEnd(service, outcome, elapsedMillis());
+        context.callMetrics().recordEnd(service, outcome, times.elapsedMillis());
         ended = true;
         abandonInFlight();
         deadlineTimer.remove();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -23,11 +23,7 @@
     /** Retry-After of an entry without a current routing table: the time for a control host's start and an election. */
     private static final long RETRY_AFTER_MILLIS = 1_500;
 
-    /**
-     * Retry-After when another entry serves: opening a new connection takes longer than this. With a longer time a
-     * stopping entry would make callers with short deadlines late although other entries serve.
-     */
-    private static final long OTHER_ENTRY_RETRY_AFTER_MILLIS = 10;
+    private static final String STOPS = "the entry stops";
 
     /** Retry-After when the memory for request bodies is full: about the time in which half of the calls end. */
     private static final long FULL_RETRY_AFTER_MILLIS = 500;
@@ -61,6 +57,10 @@
             return;
         }
         boolean noTable = context.deployment().table().isEmpty();
+        if (noTable && shutdown.isStopping()) {
+            refuseWithRetryAfter(exchange, head, STOPS, context.retryElsewhereMillis());
+            return;
+        }
         if (noTable || context.deployment().isTableOutdated()) {
             String why = noTable ? "no routing table yet" : "the routing table is outdated";
             tableWaitQueue.add(
@@ -93,15 +93,9 @@
         RouteMatch match =
                 table.match(exchange.getRequestHeaders().getFirst(Headers.HOST), exchange.getRequestURI(), head.key());
         if (match instanceof RouteMatch.Allowed allowed) {
-            if (!shutdown.admits(allowed.route().isStreaming())) {
+            if (!shutdown.admits(allowed.route())) {
                 memory.close();
-                refuseWithRetryAfter(
-                        exchange,
-                        head,
-                        "the entry stops",
-                        context.deployment().hasOtherServingEntry()
-                                ? OTHER_ENTRY_RETRY_AFTER_MILLIS
-                                : RETRY_AFTER_MILLIS);
+                refuseWithRetryAfter(exchange, head, STOPS, context.retryElsewhereMillis());
                 return;
             }
             new Call(context, exchange, head, allowed, memory, receivedAtNanos, random.nextDouble()).start();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayContext.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayContext.java
@@ -23,4 +23,18 @@
         AttemptIdGenerator attemptIds,
         OpenCalls openCalls,
         ColdSendLimit coldSends,
-        MemoryGuard memory) {}
+        MemoryGuard memory) {
+    /**
+     * Retry-After when another entry serves: opening a new connection takes longer than this. With a longer time a
+     * stopping entry would make callers with short deadlines late although other entries serve.
+     */
+    private static final long OTHER_ENTRY_MILLIS = 10;
+
+    /** The same while none serves: the time for a control host's start and an election. */
+    private static final long NO_ENTRY_MILLIS = 1_500;
+
+    /** Retry-After of an entry that stops. */
+    long retryElsewhereMillis() {
+        return deployment.hasOtherServingEntry() ? OTHER_ENTRY_MILLIS : NO_ENTRY_MILLIS;
+    }
+}
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
@@ -1,6 +1,7 @@
 package org.elmline.daemon.gateway;
 
 import org.elmline.core.common.MonotonicClock;
+import org.elmline.core.routing.CallRoute;
 
 /**
  * Decides which calls an entry admits while it stops. Callers cache its address for some seconds after it has left the
@@ -21,6 +22,9 @@
 
     private static final long STREAM_CALL_MILLIS = 4_700;
 
+    /** Usual duration of a stream after its first event. */
+    private static final long STREAM_EVENTS_MILLIS = 2_000;
+
     /**
      * Time after the start of the stop from which no stream is admitted, however much time is left: a long one waits
      * for engines, prefill and decode for longer than most stops last, and would be cut off.
@@ -59,14 +63,24 @@
         return drainMillis - END_RESERVE_MILLIS - elapsedMillis();
     }
 
-    /** Whether a new call is admitted. */
-    boolean admits(boolean streaming) {
-        if (!isStopping || ended) {
-            return !ended;
-        }
-        return streaming
-                ? elapsedMillis() < STREAM_ADMISSION_MILLIS && remainingMillis() > STREAM_CALL_MILLIS
-                : remainingMillis() > PLAIN_CALL_MILLIS;
+    /** Whether a call that has no place yet is admitted: one that is can usually be finished within the stop. */
+    boolean admits(CallRoute route) {
+        return route.isStreaming() ? admitsStream(route.aimMillis()) : admitsCallOf(PLAIN_CALL_MILLIS);
+    }
+
+    /** Whether a stream is admitted that is forwarded for another entry, which has admitted it. */
+    boolean admitsForwarded() {
+        return admitsStream(0);
+    }
+
+    /** @param aimMillis time in which the first event is due */
+    private boolean admitsStream(long aimMillis) {
+        return admitsCallOf(Math.max(STREAM_CALL_MILLIS, aimMillis + STREAM_EVENTS_MILLIS))
+                && (!isStopping || elapsedMillis() < STREAM_ADMISSION_MILLIS);
+    }
+
+    private boolean admitsCallOf(long durationMillis) {
+        return !ended && (!isStopping || remainingMillis() > durationMillis);
     }
 
     /** Whether the calls should end now; {@code open} is the number of calls and requests that are not answered. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCall.java
@@ -8,6 +8,9 @@
     /** Ends the call if its prompt has been quarantined and no server has begun to answer it. */
     void checkQuarantine();
 
+    /** Refuses the call if it has no place and is not admitted any more. */
+    void checkAdmission(GracefulShutdown shutdown);
+
     /** Ends the call because this process stops. */
     void abort();
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
@@ -74,6 +74,7 @@
 
     private boolean tryFinish() {
         if (!shutdown.tryEnd(openCalls.size() + openRequests.size())) {
+            openCalls.all().forEach(each -> each.checkAdmission(shutdown));
             return false;
         }
         if (!callsEnded) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -201,6 +201,12 @@
         // Nothing to do here.
     }
 
+    /** The entry that sends the request withdraws it where it has no server yet. */
+    @Override
+    public void checkAdmission(GracefulShutdown shutdown) {
+        // Nothing to do here.
+    }
+
     @Override
     public void abort() {
         if (tryGiveUp()) {
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/GracefulShutdownTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/GracefulShutdownTest.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 
 import org.elmline.core.common.ManualClock;
+import org.elmline.core.routing.CallKind;
+import org.elmline.core.routing.CallRoute;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,9 +13,21 @@
 /** Which calls an entry admits while it stops. */
 class GracefulShutdownTest {
 
+    private static final CallRoute STREAM = route(CallKind.STREAMING, 300);
+    private static final CallRoute PLAIN = route(CallKind.IDEMPOTENT, 200);
+
     private final ManualClock clock = new ManualClock();
     private final GracefulShutdown shutdown = new GracefulShutdown(clock, 8_000);
 
+    private static CallRoute route(CallKind kind, int aimMillis) {
+        return CallRoute.builder()
+                .name("r")
+                .hostAndPath("h", "/a/")
+                .kind(kind)
+                .aimMillis(aimMillis)
+                .build();
+    }
+
     private void advanceMillis(long millis) {
         clock.advance(Duration.ofMillis(millis));
     }
@@ -24,16 +38,30 @@
      */
     @Test
     void rejectsStreamsThatCouldOutlastTheStop() {
-        assertTrue(shutdown.admits(true));
+        assertTrue(shutdown.admits(STREAM));
         shutdown.begin();
-        assertTrue(shutdown.admits(true), "callers keep the address for a while");
+        assertTrue(shutdown.admits(STREAM), "callers keep the address for a while");
         advanceMillis(2_400);
-        assertTrue(shutdown.admits(true));
+        assertTrue(shutdown.admits(STREAM));
         advanceMillis(200);
-        assertFalse(shutdown.admits(true));
-        assertTrue(shutdown.admits(false), "a plain call takes a tenth of a second");
+        assertFalse(shutdown.admits(STREAM));
+        assertTrue(shutdown.admits(PLAIN), "a plain call takes a tenth of a second");
         advanceMillis(3_800);
-        assertFalse(shutdown.admits(false));
+        assertFalse(shutdown.admits(PLAIN));
+    }
+
+    /** Guards against streams that are admitted although their own aim lies beyond the end of the stop. */
+    @Test
+    void rejectsStreamsWhoseFirstEventMayComeTooLate() {
+        CallRoute slow = route(CallKind.STREAMING, 6_000);
+        CallRoute medium = route(CallKind.STREAMING, 4_000);
+        assertTrue(shutdown.admits(slow));
+        shutdown.begin();
+        assertFalse(shutdown.admits(slow));
+        assertTrue(shutdown.admits(medium));
+        advanceMillis(1_400);
+        assertFalse(shutdown.admits(medium));
+        assertTrue(shutdown.admits(STREAM));
     }
 
     @Test
@@ -56,8 +84,8 @@
     void admitsNothingOnceTheProcessEnds() {
         shutdown.begin();
         advanceMillis(4_100);
-        assertTrue(shutdown.admits(false));
+        assertTrue(shutdown.admits(PLAIN));
         assertTrue(shutdown.tryEnd(0));
-        assertFalse(shutdown.admits(false));
+        assertFalse(shutdown.admits(PLAIN));
     }
 }
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/PlannedStopTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/PlannedStopTest.java
@@ -87,6 +87,11 @@
             // Nothing is quarantined.
         }
 
+        @Override
+        public void checkAdmission(GracefulShutdown shutdown) {
+            // The call is kept to the end.
+        }
+
         @Override
         public void abort() {
             openCalls.remove(this);
