Judge a stopping entry's streams by their predicted first event, not by their aim

What can't be finished shows when a place is granted, whose first event the dispatcher predicts: with 2 s for the events it must fit into what is left of the stop; else the place is given back and the call refused with 503. A call that may have run, or whose caller reads its stream, is sent in any case.

CallLog takes the log lines out of Call.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -18,7 +18,6 @@
 import org.elmline.daemon.http.ByteChunks;
 import org.elmline.daemon.http.CallerDisconnectDetector;
 import org.elmline.daemon.log.LogLine;
-import org.elmline.daemon.log.SampledRequestLog;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
@@ -36,8 +35,6 @@
     /** Retry-After after a failure that ended the last allowed attempt of a call without running it. */
     private static final long RETRY_AFTER_MILLIS = 120;
 
-    private static final int MIN_SERVER_ERROR_STATUS = 500;
-
     private final GatewayContext context;
     private final HttpServerExchange exchange;
     private final CallHead head;
@@ -48,7 +45,7 @@
     private final CallMemory memory;
     private final CallTimes times;
     private final CallerDisconnectDetector disconnectDetector;
-    private final SampledRequestLog requestLog;
+    private final CallLog callLog;
     private final AttemptHistory history;
     private final CallQuarantine quarantine;
     private final CallPlacement placement;
@@ -80,8 +77,8 @@
         this.quarantine =
                 new CallQuarantine(context, service, new CallParts(exchange, head, memory.body()), this::mayHaveRun);
         this.disconnectDetector = new CallerDisconnectDetector(exchange);
-        this.requestLog = new SampledRequestLog(head.requestId());
-        this.placement = new CallPlacement(context, quarantine, requestLog, this);
+        this.callLog = new CallLog(context, head, route, times);
+        this.placement = new CallPlacement(context, quarantine, callLog.lines(), this);
         this.deadlineTimer =
                 context.thread().executeAfter(this::onDeadline, Math.max(1, remainingMillis()), TimeUnit.MILLISECONDS);
         memory.beginCall(() -> endBy("the caller reads nothing and its memory is needed", RETRY_AFTER_MILLIS));
@@ -140,11 +137,7 @@
 
     @Override
     public LogLine line(String event) {
-        return context.log()
-                .line(event)
-                .with("request", head.requestId())
-                .with("route", route.name())
-                .with("ageMs", times.elapsedMillis());
+        return callLog.line(event);
     }
 
     @Override
@@ -205,6 +198,11 @@
             retryOrFail("a server accepts no requests now", true);
             return;
         }
+        if (isNew() && !context.shutdown().canFinish(route, granted.firstMillis())) {
+            context.dispatchClient().reportEnd(request, AttemptEnd.NOT_SENT_HERE);
+            abort();
+            return;
+        }
         boolean tooLate = serverLeft || remainingMillis() < MIN_SEND_MILLIS;
         if (tooLate || !context.coldSends().tryPass(service, granted)) {
             context.dispatchClient().reportEnd(request, AttemptEnd.NOT_SENT_HERE);
@@ -212,16 +210,7 @@
             retryOrFail(serverLeft ? "server left" : "no time or share left", true);
             return;
         }
-        requestLog.logSuccess(line("placed")
-                .with("attempt", request.attempt())
-                .with("server", granted.server())
-                .with("helpers", granted.helpers().size())
-                .with("promptTokens", head.promptTokens())
-                .with("predictedFirstMs", granted.firstMillis())
-                .with("backlogMs", granted.backlogMillis())
-                .with("running", granted.running())
-                .with("limited", context.observedLimits().isLimited(granted.server()))
-                .with("leftMs", remainingMillis()));
+        callLog.placed(request, granted);
         context.callMetrics().recordPlacement(service, times.elapsedMillis());
         history.recordSend(granted.server());
         latestAttempt = new Attempt(this, quarantine.parts(), request, granted);
@@ -239,7 +228,7 @@
             return;
         }
         context.callMetrics().recordAttemptFailure(service, AttemptEnd.SILENT.name());
-        requestLog.logFailure(AnswerEndLog.addTo(line("server silent"), context, silent, stream));
+        callLog.lines().logFailure(AnswerEndLog.addTo(line("server silent"), context, silent, stream));
         placement.search();
     }
 
@@ -257,8 +246,10 @@
             history.recordCancelled(each);
             memory.dropAnswer(each.bufferedBody());
             if (kept != null) {
-                requestLog.logSuccess(
-                        line("attempt replaced").with("server", each.server()).with("by", kept.server()));
+                callLog.lines()
+                        .logSuccess(line("attempt replaced")
+                                .with("server", each.server())
+                                .with("by", kept.server()));
             }
         }
     }
@@ -288,7 +279,7 @@
                 .with("lastEvent", stream == null ? -1 : stream.lastEventId())
                 .with("parts", head.sharedParts())
                 .with("faultyHelper", faultyHelper);
-        requestLog.logFailure(AnswerEndLog.addTo(line, context, failed, stream));
+        callLog.lines().logFailure(AnswerEndLog.addTo(line, context, failed, stream));
         history.recordFailure(failed.server(), failed.end(), faultyHelper);
         retryOrFail(why, !failed.end().mayHaveRun());
     }
@@ -362,7 +353,7 @@
     }
 
     private void logEnd(LogLine line) {
-        requestLog.logFailure(AnswerEndLog.addTo(line, context, latestAttempt, stream));
+        callLog.lines().logFailure(AnswerEndLog.addTo(line, context, latestAttempt, stream));
     }
 
     /** Handles a server's complete answer. */
@@ -380,17 +371,7 @@
     }
 
     private void answer(Attempt answering, int status, HeaderMap headers, ByteChunks bytes) {
-        LogLine line = line("answered")
-                .with("status", status)
-                .with("bytes", bytes.length())
-                .with("server", answering.server())
-                .with("relay", answering.relay())
-                .with("sends", history.sends());
-        if (status >= MIN_SERVER_ERROR_STATUS) {
-            requestLog.logFailure(line);
-        } else {
-            requestLog.logSuccess(line);
-        }
+        callLog.answered(answering, status, bytes.length(), history.sends());
         exchange.setStatusCode(status);
         HeaderMap responseHeaders = exchange.getResponseHeaders();
         context.protocol().copyAnswerHeaders(headers, responseHeaders);
@@ -402,13 +383,7 @@
         if (ended) {
             return;
         }
-        requestLog.logSuccess(line("streamed")
-                .with("lastEvent", stream.lastEventId())
-                .with("firstMs", times.elapsedMillisAt(stream.firstEventAtMillis()))
-                .with("longestPauseMs", stream.longestPauseMillis())
-                .with("server", latestAnswering().server())
-                .with("relay", latestAnswering().relay())
-                .with("sends", history.sends()));
+        callLog.streamed(latestAnswering(), stream, history.sends());
         context.callMetrics().recordFirstEvent(service, times.elapsedMillisAt(stream.firstEventAtMillis()));
         finish("streamed");
     }
@@ -418,8 +393,9 @@
         if (ended) {
             return;
         }
-        requestLog.logFailure(
-                line("caller left").with("sends", history.sends()).with("placing", placement.isSearching()));
+        callLog.lines()
+                .logFailure(
+                        line("caller left").with("sends", history.sends()).with("placing", placement.isSearching()));
         abandonInFlight();
         IoUtils.safeClose(exchange.getConnection());
         finish("caller_left");
@@ -467,16 +443,20 @@
 
     /**
      * A call that is kept beyond its admission would be cut off, or be told at the end of the stop what is known now.
-     * One that may have run, or whose stream the caller has begun to read, is of use here only.
      */
     @Override
-    public void checkAdmission(GracefulShutdown shutdown) {
-        boolean waits = !ended && placement.isSearching() && attempts.isEmpty();
-        if (waits && stream == null && !mayHaveRun() && !shutdown.admits(route)) {
+    public void checkAdmission() {
+        boolean waits = !ended && placement.isSearching();
+        if (waits && isNew() && !context.shutdown().admits(route)) {
             abort();
         }
     }
 
+    /** Whether another entry could serve the call as well: no server has been sent it. */
+    private boolean isNew() {
+        return attempts.isEmpty() && stream == null && !history.mayHaveRun();
+    }
+
     @Override
     public void abort() {
         endBy("the entry stops", context.retryElsewhereMillis());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -29,13 +29,11 @@
     private static final long FULL_RETRY_AFTER_MILLIS = 500;
 
     private final GatewayContext context;
-    private final GracefulShutdown shutdown;
     private final RoutingTableWaitQueue tableWaitQueue;
     private final SplittableRandom random = new SplittableRandom();
 
-    CallHandler(GatewayContext context, GracefulShutdown shutdown) {
+    CallHandler(GatewayContext context) {
         this.context = context;
-        this.shutdown = shutdown;
         this.tableWaitQueue = new RoutingTableWaitQueue(context.thread());
     }
 
@@ -46,7 +44,7 @@
 
     private void handle(HttpServerExchange exchange) {
         long receivedAtNanos = context.clock().nanos();
-        if (shutdown.isStopping()) {
+        if (context.shutdown().isStopping()) {
             exchange.setPersistent(false);
         }
         CallHead head;
@@ -57,7 +55,7 @@
             return;
         }
         boolean noTable = context.deployment().table().isEmpty();
-        if (noTable && shutdown.isStopping()) {
+        if (noTable && context.shutdown().isStopping()) {
             refuseWithRetryAfter(exchange, head, STOPS, context.retryElsewhereMillis());
             return;
         }
@@ -93,7 +91,7 @@
         RouteMatch match =
                 table.match(exchange.getRequestHeaders().getFirst(Headers.HOST), exchange.getRequestURI(), head.key());
         if (match instanceof RouteMatch.Allowed allowed) {
-            if (!shutdown.admits(allowed.route())) {
+            if (!context.shutdown().admits(allowed.route())) {
                 memory.close();
                 refuseWithRetryAfter(exchange, head, STOPS, context.retryElsewhereMillis());
                 return;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -207,8 +207,9 @@
                 new AttemptIdGenerator(settings.host(), incarnation),
                 openCalls,
                 coldSends,
-                memory);
-        callHandler = new CallHandler(context, shutdown);
+                memory,
+                shutdown);
+        callHandler = new CallHandler(context);
         relayHandler = newRelayHandler(new BackendAccess(directLinks, protocol, gate, peerKey, unanswered), pathCheck);
         dispatchClient.register(peers.handlers());
         startCountingEvacuated(evacuations);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayContext.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GatewayContext.java
@@ -23,7 +23,8 @@
         AttemptIdGenerator attemptIds,
         OpenCalls openCalls,
         ColdSendLimit coldSends,
-        MemoryGuard memory) {
+        MemoryGuard memory,
+        GracefulShutdown shutdown) {
     /**
      * Retry-After when another entry serves: opening a new connection takes longer than this. With a longer time a
      * stopping entry would make callers with short deadlines late although other entries serve.
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
@@ -65,21 +65,24 @@
 
     /** Whether a call that has no place yet is admitted: one that is can usually be finished within the stop. */
     boolean admits(CallRoute route) {
-        return route.isStreaming() ? admitsStream(route.aimMillis()) : admitsCallOf(PLAIN_CALL_MILLIS);
+        return route.isStreaming() ? admitsStream() : hasTimeFor(PLAIN_CALL_MILLIS);
     }
 
-    /** Whether a stream is admitted that is forwarded for another entry, which has admitted it. */
-    boolean admitsForwarded() {
-        return admitsStream(0);
+    /** Whether a stream is admitted; one that another entry forwards counts as a stream. */
+    boolean admitsStream() {
+        return hasTimeFor(STREAM_CALL_MILLIS) && (!isStopping || elapsedMillis() < STREAM_ADMISSION_MILLIS);
     }
 
-    /** @param aimMillis time in which the first event is due */
-    private boolean admitsStream(long aimMillis) {
-        return admitsCallOf(Math.max(STREAM_CALL_MILLIS, aimMillis + STREAM_EVENTS_MILLIS))
-                && (!isStopping || elapsedMillis() < STREAM_ADMISSION_MILLIS);
+    /**
+     * Whether a call for which there is a place now can be finished.
+     *
+     * @param firstMillis predicted time to the answer or to the first event of a stream
+     */
+    boolean canFinish(CallRoute route, long firstMillis) {
+        return hasTimeFor(route.isStreaming() ? firstMillis + STREAM_EVENTS_MILLIS : firstMillis);
     }
 
-    private boolean admitsCallOf(long durationMillis) {
+    private boolean hasTimeFor(long durationMillis) {
         return !ended && (!isStopping || remainingMillis() > durationMillis);
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCall.java
@@ -9,7 +9,7 @@
     void checkQuarantine();
 
     /** Refuses the call if it has no place and is not admitted any more. */
-    void checkAdmission(GracefulShutdown shutdown);
+    void checkAdmission();
 
     /** Ends the call because this process stops. */
     void abort();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
@@ -74,7 +74,7 @@
 
     private boolean tryFinish() {
         if (!shutdown.tryEnd(openCalls.size() + openRequests.size())) {
-            openCalls.all().forEach(each -> each.checkAdmission(shutdown));
+            openCalls.all().forEach(OpenCall::checkAdmission);
             return false;
         }
         if (!callsEnded) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
@@ -104,7 +104,7 @@
             return Optional.of(RelayRefusal.BUSY);
         }
         boolean hasPath = !access.links().isCut(request.target().server());
-        return hasPath && shutdown.admitsForwarded() ? Optional.empty() : Optional.of(RelayRefusal.NO_PATH);
+        return hasPath && shutdown.admitsStream() ? Optional.empty() : Optional.of(RelayRefusal.NO_PATH);
     }
 
     /** Answers that the request was not forwarded; no byte of it has left this entry. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -203,7 +203,7 @@
 
     /** The entry that sends the request withdraws it where it has no server yet. */
     @Override
-    public void checkAdmission(GracefulShutdown shutdown) {
+    public void checkAdmission() {
         // Nothing to do here.
     }
 
