Complete calls between processes without an answer on the executor too

Seen in a trial of stops beside load (90 callers, 12 busy processes, KEEP=1): a dispatcher did not answer an entry's requests within their 120 ms; within half a second the entry answered its first call with 500, then each further one, left 47 calls open for good and cut them as it stopped. In its log 218 lines of the libraries, the first two: ConcurrentModificationException in a request, then NullPointerException on an element of the dispatcher's list of waiting calls.

Cause: TcpPeerNetwork completes answered calls on the executor that it is given, an entry's I/O thread, but calls that time out on the timer's thread and calls without a connection on whichever thread finds that out. What follows a call then changes the state of the I/O thread from another one: the lists of pending placements, of waiting calls, of grants. Class: state of one thread changed by another on the path of a failure.

All calls complete on the executor now. The two new cases of TcpPeerNetworkTest failed before (thread main, thread of the timer) and pass; its other 18: green.

--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
@@ -66,6 +66,7 @@
     private final Map<Address, PeerLink> links = new ConcurrentHashMap<>();
     private volatile boolean closed;
 
+    /** @param workers completes all calls, with or without an answer */
     public TcpPeerNetwork(
             PeerKey key,
             PeerLimits limits,
@@ -166,7 +167,7 @@
                 sentAtNanos = System.nanoTime();
             }
             if (connection == null) {
-                complete(new CallResult.NotSent<>("no connection"));
+                completeOnWorker(new CallResult.NotSent<>("no connection"));
                 return;
             }
             Connection.PendingCall pending = connection.call(channel, body);
@@ -196,10 +197,20 @@
             if (connectionToCheck != null) {
                 closeIfUnresponsive(connectionToCheck, sentNanos);
             }
-            complete(
+            completeOnWorker(
                     wasSent ? new CallResult.Unknown<>("timed out") : new CallResult.NotSent<>("timed out connecting"));
         }
 
+        /** Callers rely on one executor for all that follows a call, as their state may belong to its thread. */
+        private void completeOnWorker(CallResult<R> outcome) {
+            try {
+                workers.execute(() -> complete(outcome));
+            } catch (RejectedExecutionException e) {
+                // This process is stopping.
+                complete(outcome);
+            }
+        }
+
         private void complete(CallResult<R> outcome) {
             Runnable discardTask;
             ScheduledFuture<?> scheduled;
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -355,4 +355,42 @@
     private static <T> T await(CompletableFuture<T> future) throws Exception {
         return future.get(LONG_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
     }
+
+    /** Name of the thread that runs what follows a call, to an executor that begins to work once this is attached. */
+    private String threadAfterCall(Address to, Channel<Request, Reply> channel) throws Exception {
+        CountDownLatch attached = new CountDownLatch(1);
+        ExecutorService executor = Executors.newSingleThreadExecutor(task -> new Thread(task, "executor"));
+        closer.register(executor::shutdownNow);
+        executor.execute(() -> awaitUninterruptibly(attached));
+        TcpPeerNetwork network = closer.register(
+                new TcpPeerNetwork(new PeerKey(SECRET), PeerLimits.DEFAULT, group, timer, executor, CLOCK));
+        CompletableFuture<String> name = network.call(to, channel, new Request("a"), SHORT_TIMEOUT)
+                .thenApply(each -> Thread.currentThread().getName());
+        attached.countDown();
+        return name.get(LONG_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Guards against state of one thread that the result of a call without an answer changes on another one. */
+    @Test
+    void completesCallsThatTimeOutOnTheExecutor() throws Exception {
+        assertEquals("executor", threadAfterCall(address, UNANSWERED));
+    }
+
+    /** The same where no connection can be opened. */
+    @Test
+    void completesCallsThatAreNotSentOnTheExecutor() throws Exception {
+        int unused;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            unused = socket.getLocalPort();
+        }
+        assertEquals("executor", threadAfterCall(new Address("127.0.0.1", unused), ECHO));
+    }
 }
