Let a stopping entry read and answer what it has accepted before it ends

No request was open when it ended; the busy I/O thread had accepted connections whose first request it had not read.

The stop now checks from the I/O thread itself, once in 50 ms, so that between two checks the thread serves all connections that are ready, and ends only when no request has come since the last check. Ports are closed before that, so the callers that are left are those accepted already.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
@@ -100,8 +100,8 @@
         return ended;
     }
 
-    /** Whether the process ends now, although callers have not read all answers: it would be killed otherwise. */
-    boolean isTimeToExit() {
-        return elapsedMillis() >= drainMillis - EXIT_RESERVE_MILLIS;
+    /** Time until the process ends although callers have not read all answers; it would be killed otherwise. */
+    long millisToExit() {
+        return drainMillis - EXIT_RESERVE_MILLIS - elapsedMillis();
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
@@ -1,7 +1,7 @@
 package org.elmline.daemon.gateway;
 
-import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import io.undertow.server.HttpServerExchange;
@@ -22,7 +22,9 @@
     private final Function<HeaderMap, CallHead> heads;
     private final XnioIoThread thread;
     private final DecisionLog log;
+    private final CountDownLatch finished = new CountDownLatch(1);
     private boolean callsEnded;
+    private long receivedAtLastCheck = -1;
 
     /** @param heads reads the headers of a call; throws IllegalArgumentException on an invalid value */
     PlannedStop(
@@ -52,9 +54,9 @@
                 .with("open", openCalls.size())
                 .with("unanswered", openRequests.size())
                 .write();
-        while (!onIoThread(this::tryFinish)) {
-            Thread.sleep(CHECK_INTERVAL_MILLIS);
-        }
+        thread.execute(this::check);
+        // The process ends in time even if the I/O thread does not run any more.
+        finished.await(shutdown.millisToExit(), TimeUnit.MILLISECONDS);
         log.line("stopped")
                 .with("open", openCalls.size())
                 .with("unanswered", openRequests.size())
@@ -63,13 +65,15 @@
     }
 
     /**
-     * Decides on the I/O thread, where requests are read, so that none is read between the last decision and the end of
-     * the process.
+     * Runs on the I/O thread, where requests are read, so that none is read between the last check and the end of the
+     * process. Between two checks the thread serves all connections that are ready.
      */
-    private boolean onIoThread(BooleanSupplier decision) {
-        CompletableFuture<Boolean> result = new CompletableFuture<>();
-        thread.execute(() -> result.complete(decision.getAsBoolean()));
-        return result.join();
+    private void check() {
+        if (tryFinish()) {
+            finished.countDown();
+        } else {
+            thread.executeAfter(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private boolean tryFinish() {
@@ -81,7 +85,7 @@
             callsEnded = true;
             endCalls();
         }
-        if (!openRequests.isEmpty() && !shutdown.isTimeToExit()) {
+        if (!isQuiet() && shutdown.millisToExit() > 0) {
             return false;
         }
         openRequests.all().forEach(this::logUnanswered);
@@ -89,6 +93,16 @@
         return true;
     }
 
+    /**
+     * Whether all requests are answered and none has come since the last check: a busy thread has accepted connections
+     * whose first request it has not read.
+     */
+    private boolean isQuiet() {
+        long receivedBefore = receivedAtLastCheck;
+        receivedAtLastCheck = openRequests.received();
+        return openRequests.isEmpty() && receivedAtLastCheck == receivedBefore;
+    }
+
     private void endCalls() {
         log.line("calls ended by the stop").with("open", openCalls.size()).write();
         ports.stopAccepting();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/OpenRequests.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/OpenRequests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -18,6 +19,7 @@
     private static final AttachmentKey<Boolean> HAS_CLOSE_LISTENER = AttachmentKey.create(Boolean.class);
 
     private final Map<ServerConnection, HttpServerExchange> open = new ConcurrentHashMap<>();
+    private final AtomicLong received = new AtomicLong();
     private volatile boolean closesConnections;
 
     /** Returns a handler that counts the requests of another one as open until they are answered. */
@@ -36,6 +38,7 @@
     private void add(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         open.put(connection, exchange);
+        received.incrementAndGet();
         exchange.addResponseCommitListener(this::onAnswerBegins);
         exchange.addExchangeCompleteListener((ended, next) -> {
             open.remove(connection, ended);
@@ -60,6 +63,11 @@
         return open.size();
     }
 
+    /** Number of requests that were received so far. */
+    public long received() {
+        return received.get();
+    }
+
     /** The requests that are not answered. */
     public List<HttpServerExchange> all() {
         return List.copyOf(open.values());
