Answer a stream that has no event like any other call

Callers of a streaming route got a closed connection in place of a 502 or 504 when the server had sent the head of its answer and no event: at the route's timeout, at the end of a planned stop, and when the last allowed server closed. An answer of the next server with another status (a 400, a 500), and a server's error that was kept, were dropped too.

Cause: the StreamForwarder was opened with the server's head, and Call took its existence for a sign that the caller has part of the answer. Nothing had been written at that time; the response head leaves with the first event.

Class of fault: an answer counted as begun before its first byte is written.

Change: the forwarder sets the response head and opens the caller's channel with the first event, or with the end of an empty stream. Call and Attempt check whether the stream to the caller has begun where they decided by its existence: Call.fail, Call.onAnswer, Call.onGranted, Call.firstEventRemainingMillis, Attempt.isFinal. Of these the last but one changes for a call whose first server has failed after its head: callers measure the time to the first event from the request, so the time before the head counts too. Call.isNew keeps its condition: there it matters that a server has begun an answer. The head is still the one of the first server that sent one.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -274,7 +274,7 @@
 
     /** Whether the answer is for the caller, whatever another server would answer. */
     private boolean isFinal() {
-        return !head.wrongServer() && !isNotExecuted() && !isRetryableError() && !call.hasStream();
+        return !head.wrongServer() && !isNotExecuted() && !isRetryableError() && !call.hasBegunStream();
     }
 
     /** A bad request is one for any server. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -127,7 +127,7 @@
         return stream == null ? head.lastEventId() : Math.max(head.lastEventId(), stream.lastEventId());
     }
 
-    /** The stream to the caller, opened by the first server's answer. */
+    /** The stream to the caller, with the head of the first server's answer. */
     StreamForwarder stream(int status, HeaderMap headers) {
         if (stream == null) {
             stream = new StreamForwarder(this, status, headers);
@@ -173,7 +173,7 @@
 
     @Override
     public long firstEventRemainingMillis() {
-        long sinceReceivedMillis = stream == null ? times.elapsedMillis() : 0;
+        long sinceReceivedMillis = hasBegunStream() ? 0 : times.elapsedMillis();
         return route.isStreaming()
                 ? Math.min(remainingMillis(), route.eventTimeoutMillis() - sinceReceivedMillis)
                 : remainingMillis();
@@ -215,7 +215,7 @@
         history.recordSend(granted.server());
         latestAttempt = new Attempt(this, quarantine.parts(), request, granted);
         attempts.add(latestAttempt);
-        if (route.isStreaming() && (stream == null || stream.source() == null)) {
+        if (route.isStreaming() && !hasBegunStream()) {
             // Its engines' memory and slots are worth more than a prompt that is late and of which nothing has come.
             cancelOthers(latestAttempt);
         }
@@ -254,8 +254,9 @@
         }
     }
 
-    boolean hasStream() {
-        return stream != null;
+    /** Whether the caller may have part of a stream, so that nothing but its rest can be sent. */
+    boolean hasBegunStream() {
+        return stream != null && stream.hasBegun();
     }
 
     /** Whether another server runs the call, or may be sent it. */
@@ -324,7 +325,7 @@
         if (ended) {
             return;
         }
-        if (stream != null) {
+        if (hasBegunStream()) {
             logEnd(line("stream broken off").with("why", why).with("lastEvent", stream.lastEventId()));
             // First, as the end of the caller's channel would otherwise be handled as that of a complete stream.
             finish("broken_off");
@@ -362,7 +363,7 @@
             return;
         }
         attempts.remove(answering);
-        if (stream != null) {
+        if (hasBegunStream()) {
             // No other answer can follow the head of a stream; the caller would wait until its deadline.
             retryOrFail("answered " + status + " in place of the rest of a stream", false);
             return;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
@@ -7,11 +7,14 @@
 
 /**
  * A stream to one caller, from one server or from several in turn: forwards complete events only, each event id once
- * and in order. Used on the I/O thread only.
+ * and in order. Nothing is written before the first event, or before the end of a stream without events: until then the
+ * caller can be sent any other answer. Used on the I/O thread only.
  */
 final class StreamForwarder {
     private final Call call;
-    private final CallerChannel callerChannel;
+    private final int status;
+    private final HeaderMap headers;
+    private CallerChannel callerChannel;
     private Attempt source;
     private long lastEventId = ServerSentEventParser.NO_ID;
     private boolean completing;
@@ -19,8 +22,28 @@
     private long lastEventAtMillis;
     private long longestPauseMillis;
 
+    /** @param headers of the server's answer */
     StreamForwarder(Call call, int status, HeaderMap headers) {
         this.call = call;
+        this.status = status;
+        this.headers = headers;
+        this.lastEventId = call.head().lastEventId();
+    }
+
+    /** Whether the answer to the caller has begun, so that no other one can be sent. */
+    boolean hasBegun() {
+        return callerChannel != null;
+    }
+
+    private CallerChannel callerChannel() {
+        if (callerChannel == null) {
+            setHead();
+            callerChannel = new CallerChannel(call.exchange(), call.memory(), this::onWritable, this::onChannelClosed);
+        }
+        return callerChannel;
+    }
+
+    private void setHead() {
         call.exchange().setStatusCode(status);
         HeaderMap responseHeaders = call.exchange().getResponseHeaders();
         call.context().protocol().copyAnswerHeaders(headers, responseHeaders);
@@ -28,8 +51,6 @@
         // Set explicitly: on a connection that closes after the answer the HTTP server would leave out chunked
         // encoding, and a stream that is broken off would look complete.
         responseHeaders.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
-        this.lastEventId = call.head().lastEventId();
-        this.callerChannel = new CallerChannel(call.exchange(), call.memory(), this::onWritable, this::onChannelClosed);
     }
 
     /** Id of the last event that was forwarded; negative without one. */
@@ -59,7 +80,7 @@
             source = sender;
             call.onAnswering(sender);
             recordEventTime();
-            boolean hasRoom = callerChannel.write(each.bytes());
+            boolean hasRoom = callerChannel().write(each.bytes());
             if (sender.end() != null) {
                 return null;
             }
@@ -74,7 +95,7 @@
     /** Forwards what a server has sent after its last event. */
     void forwardRest(byte[] bytes) {
         if (bytes.length > 0) {
-            callerChannel.write(bytes);
+            callerChannel().write(bytes);
         }
     }
 
@@ -105,14 +126,15 @@
 
     /** Bytes that the caller's socket has not accepted. */
     int unreadBytes() {
-        return callerChannel.pendingBytes();
+        return hasBegun() ? callerChannel.pendingBytes() : 0;
     }
 
     void complete() {
         completing = true;
-        callerChannel.complete();
+        callerChannel().complete();
     }
 
+    /** Closes the connection to a caller that has part of the stream. */
     void abort() {
         completing = true;
         callerChannel.abort();
