Answer a control host's open requests before its planned stop closes them

Seen by operators and backend servers: a control host told to stop closed the connections of requests that it had read, such as a departure that waits until the entries have received it, or a configuration whose body was arriving. New requests in the same time were served until the connections were cut.

Cause: Coordinator.stop transferred leadership and closed the ports at once. Class of fault: a process that ends by a step that comes before its requests are answered.

Change: RequestDrain refuses new requests with 503 (Retry-After 0, as another control host can answer at once) on a connection that closes, and waits for those that were open, for at most 2,000 ms and at most a third of the drain time. The third leaves room for the transfer of leadership (at most 1,500 ms) within a drain time of 3 s or more. The log runs and peers are served meanwhile, so a configuration is still committed and acknowledged. Then leadership is transferred, and the connections are closed on the I/O thread once the last answers are written (at most 200 ms). Only requests that were open at the signal are waited for: refused ones with slow bodies do not prolong the stop. Without open requests both waits end at their first check.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
+import io.undertow.server.HttpHandler;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.Closer;
 import org.elmline.core.common.Incarnation;
@@ -76,6 +77,11 @@
     private static final int EVENT_CAPACITY = 1_024;
     private static final long LEADERSHIP_TRANSFER_TIMEOUT_MILLIS = 1_500;
 
+    /** Limit on the time to finish open requests at a stop, and the part of the drain time that it takes at most. */
+    private static final long FINISH_TIMEOUT_MILLIS = 2_000;
+
+    private static final int FINISH_DRAIN_DIVISOR = 3;
+
     private final Closer closer = new Closer();
     private final NodeSettings settings;
     private final CoordinatorProtocol protocol;
@@ -86,6 +92,7 @@
     private final Map<Address, RegistryPoller> pollers = new HashMap<>();
     private volatile RaftDriver driver;
     private PeerEndpoint peers;
+    private RequestDrain requests;
     private QuarantineService quarantine;
     private RegistryService registry;
     private EvacuationProvider evacuations;
@@ -223,9 +230,10 @@
         evacuationService.register(peers.handlers());
         peers.timer().scheduleWithFixedDelay(this::checkStatus, 0, STATUS_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         HttpPorts ports = closer.register(new HttpPorts());
-        ports.addPort(
-                settings.operators(),
-                new QuarantineHandler(quarantine, protocol.operatorHandler(routing, registry, evacuationService)));
+        requests = new RequestDrain(ports, process.clock(), log);
+        HttpHandler operators =
+                new QuarantineHandler(quarantine, protocol.operatorHandler(routing, registry, evacuationService));
+        ports.addPort(settings.operators(), requests.refusable(operators));
         if (settings.metricsPort() > 0) {
             ports.addPort(new Address(settings.ip(), settings.metricsPort()), process.metricsHandler());
         }
@@ -330,14 +338,19 @@
         configuredControlHosts = next.controlPeerAddresses();
     }
 
-    /** Transfers leadership, then closes. */
-    public void stop() {
+    /**
+     * Finishes the open requests and refuses new ones, transfers leadership, then closes. Peers are served until the
+     * leadership is transferred.
+     */
+    public void stop() throws InterruptedException {
         log.line("stopping").with("leads", driver.isLeader()).write();
+        requests.finishOpenRequests(Math.min(FINISH_TIMEOUT_MILLIS, settings.drainMillis() / FINISH_DRAIN_DIVISOR));
         if (driver.isLeader()) {
             driver.transferLeadership()
                     .completeOnTimeout(false, LEADERSHIP_TRANSFER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                     .join();
         }
+        requests.closeConnections();
         close();
     }
 
--- /dev/null
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
@@ -0,0 +1,118 @@
+package org.elmline.daemon.coordinator;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import org.elmline.core.common.MonotonicClock;
+import org.elmline.daemon.http.IoThreadBodyReader;
+import org.elmline.daemon.log.DecisionLog;
+import org.elmline.daemon.node.HttpPorts;
+import org.elmline.daemon.node.OpenRequests;
+import org.xnio.IoUtils;
+
+/**
+ * Ends the HTTP requests of a control host that stops: open ones are finished, and new ones are refused with 503 on a
+ * connection that closes, so that their senders use another control host.
+ */
+final class RequestDrain {
+    private static final long CHECK_INTERVAL_MILLIS = 10;
+
+    /** Limit on the time to write the last answers, in which nothing else is open. */
+    private static final long WRITE_TIMEOUT_MILLIS = 200;
+
+    private final HttpPorts ports;
+    private final OpenRequests openRequests;
+    private final MonotonicClock clock;
+    private final DecisionLog log;
+    private volatile boolean isRefusing;
+
+    RequestDrain(HttpPorts ports, MonotonicClock clock, DecisionLog log) {
+        this.ports = ports;
+        this.openRequests = ports.openRequests();
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** Returns a handler that passes requests on to another one until they are refused. */
+    HttpHandler refusable(HttpHandler next) {
+        return exchange -> {
+            if (isRefusing) {
+                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> refuse(exchange));
+            } else {
+                next.handleRequest(exchange);
+            }
+        };
+    }
+
+    /** Reads the body first: closing a connection with unread bytes would discard the answer. */
+    private static void refuse(HttpServerExchange exchange) {
+        IoThreadBodyReader.read(
+                exchange, body -> sendUnavailable(exchange), failure -> IoUtils.safeClose(exchange.getConnection()));
+    }
+
+    private static void sendUnavailable(HttpServerExchange exchange) {
+        exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
+        // Another control host can answer at once.
+        exchange.getResponseHeaders().put(Headers.RETRY_AFTER, "0");
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send("{}");
+    }
+
+    /** Refuses new requests and returns once the open ones are answered, or after the time limit. */
+    void finishOpenRequests(long timeoutMillis) throws InterruptedException {
+        Set<HttpServerExchange> unanswered = new HashSet<>();
+        onIoThread(() -> {
+            isRefusing = true;
+            ports.closeConnectionsAfterAnswers();
+            return unanswered.addAll(openRequests.all());
+        });
+        await(timeoutMillis, () -> {
+            unanswered.retainAll(openRequests.all());
+            return unanswered.isEmpty();
+        });
+    }
+
+    /** Accepts no connections any more and closes the open ones once all answers are written. */
+    void closeConnections() throws InterruptedException {
+        await(WRITE_TIMEOUT_MILLIS, () -> {
+            ports.stopAccepting();
+            return openRequests.isEmpty();
+        });
+        onIoThread(() -> {
+            openRequests.all().forEach(this::logUnanswered);
+            ports.closeConnections();
+            return true;
+        });
+    }
+
+    private void logUnanswered(HttpServerExchange exchange) {
+        log.line("request unanswered at the stop")
+                .with("method", exchange.getRequestMethod())
+                .with("path", exchange.getRequestURI())
+                .with("read", exchange.isRequestComplete())
+                .with("answerBegun", exchange.isResponseStarted())
+                .write();
+    }
+
+    private void await(long timeoutMillis, BooleanSupplier condition) throws InterruptedException {
+        long deadlineNanos = clock.nanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        while (!onIoThread(condition) && clock.nanos() - deadlineNanos < 0) {
+            Thread.sleep(CHECK_INTERVAL_MILLIS);
+        }
+    }
+
+    /** Decides on the I/O thread, where requests are read, so that none is read between a decision and its effect. */
+    private boolean onIoThread(BooleanSupplier decision) {
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        ports.worker().getIoThread().execute(() -> result.complete(decision.getAsBoolean()));
+        return result.join();
+    }
+}
