--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/NodeSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/NodeSettings.java
@@ -1,7 +1,5 @@
 package org.elmline.daemon.node;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -106,15 +104,6 @@
         record Invalid(List<String> problems) implements ParseResult {}
     }
 
-    /** Reads a settings file. */
-    public static ParseResult read(Path file) {
-        try {
-            return read(Files.readAllBytes(file));
-        } catch (IOException e) {
-            return new ParseResult.Invalid(List.of("cannot be read: " + e));
-        }
-    }
-
     /** Reads the bytes of a settings file. */
     public static ParseResult read(byte[] json) {
         Decoded<NodeSettings> decoded = Codecs.STRICT_JSON.decode(json, NodeSettings.class);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/SettingsFileWatcher.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/SettingsFileWatcher.java
@@ -26,14 +26,14 @@
     private byte[] lastContent;
 
     /**
+     * @param content the content that the process has read, with which the file is compared
      * @param onChange receives valid settings if the file's content has changed
-     * @throws IOException if the file cannot be read
      */
-    public SettingsFileWatcher(Path file, DecisionLog log, Consumer<NodeSettings> onChange) throws IOException {
+    public SettingsFileWatcher(Path file, byte[] content, DecisionLog log, Consumer<NodeSettings> onChange) {
         this.file = file;
         this.log = log;
         this.onChange = onChange;
-        this.lastContent = Files.readAllBytes(file);
+        this.lastContent = content.clone();
         this.timer = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "settings");
             thread.setDaemon(true);
--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/SettingsFileWatcherTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/SettingsFileWatcherTest.java
@@ -38,7 +38,8 @@
         List<NodeSettings> reloaded = new ArrayList<>();
         DecisionLog log = new DecisionLog("n", "entry", new SystemClock(), OutputStream.nullOutputStream());
         try (log;
-                SettingsFileWatcher watcher = new SettingsFileWatcher(file, log, reloaded::add)) {
+                SettingsFileWatcher watcher =
+                        new SettingsFileWatcher(file, Files.readAllBytes(file), log, reloaded::add)) {
             watcher.reloadIfChanged();
             assertEquals(0, reloaded.size(), "reloaded an unchanged file");
             Files.writeString(file, settings("10.0.0.3:90"));
