Reuse no connection on which bytes or its end have just arrived

Callers saw a call that may not be repeated answered 502, or taken as refused, because of bytes that its server had sent before the request was written. The HTTP client closes an idle connection on which bytes arrive, but only when the I/O thread comes to read it; a connection that the pool hands out earlier carried the next request nevertheless. Class of fault: input that was not yet read counts as absent.

The pool now reads from a connection as it takes it, and closes one that yields bytes, its end or an error.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
@@ -107,7 +107,9 @@
             long usableUntilNanos = nonRepeatable
                     ? newest.idleSinceNanos() + (newest.expiresAtNanos() - newest.idleSinceNanos()) / 2
                     : newest.expiresAtNanos();
-            if (newest.connection().isOpen() && now - usableUntilNanos < 0) {
+            if (newest.connection().isOpen()
+                    && now - usableUntilNanos < 0
+                    && ConnectionUse.isQuiet(newest.connection())) {
                 return newest;
             }
             closeNow(newest.connection());
@@ -138,7 +140,7 @@
 
         @Override
         public void completed(ClientConnection connection) {
-            opener.latestBound().attachTo(connection);
+            opener.attachLatestTo(connection);
             if (tryEnd()) {
                 callback.onAcquired(connection, true);
             } else {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionOpener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionOpener.java
@@ -3,6 +3,7 @@
 import java.net.SocketAddress;
 import java.util.concurrent.TimeUnit;
 
+import io.undertow.client.ClientConnection;
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
@@ -11,22 +12,27 @@
 import org.xnio.XnioIoThread;
 
 /**
- * An I/O thread as the HTTP client sees it, which puts a bound below the client on each connection that it opens: the
- * client offers no other way to its sockets. Never started; all work is done by the thread behind it, on which alone it
+ * An I/O thread as the HTTP client sees it, which reaches the sockets that it opens, as the client offers no other
+ * way to them: puts a bound below the client on each one, and records its use. Never started; all work is done by the thread behind it, on which alone it
  * is used.
  */
 final class ConnectionOpener extends XnioIoThread {
     private final XnioIoThread thread;
     private UnproductiveBytes latestBound;
+    private ConnectionUse latestUse;
 
     ConnectionOpener(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
         this.thread = thread;
     }
 
-    /** The bound of the connection that was opened last; the client reports each one before the next is opened. */
-    UnproductiveBytes latestBound() {
-        return latestBound;
+    /**
+     * Attaches what belongs to the socket that was opened last; the client reports each connection before the next is
+     * opened.
+     */
+    void attachLatestTo(ClientConnection connection) {
+        latestBound.attachTo(connection);
+        latestUse.attachTo(connection);
     }
 
     @Override
@@ -35,6 +41,7 @@
         ChannelListener<StreamConnection> listener = connection -> {
             latestBound = new UnproductiveBytes(connection.getSourceChannel().getConduit());
             connection.getSourceChannel().setConduit(latestBound);
+            latestUse = new ConnectionUse(connection);
             openListener.handleEvent(connection);
         };
         return thread.openStreamConnection(destination, listener, options);
