Believe no refusal without request id on a reused connection

Callers saw a call that must not be repeated run at two servers. A server sent a refusal (503 with X-Elmline-Not-Executed) without a request id after a complete answer, when the next request was on the connection. The entry compared the id of an answer only where there was one, took the refusal for the server's statement on that request, and sent it to a second server. The same bytes as 429, 408, 421 or plain 503 reached callers as a promise that the call had not run. Class of fault: an answer is attributed by its position on a connection alone.

A refusal (408, 421, 429, 503, or one that states "not executed") that has no id and arrives on a connection that carried another request before is now rejected like an answer to another request: the connection is reset, a call that may not be repeated is answered 502, any other one is retried. On the first request of a connection it is believed as before. A connection that was opened for a check and never carried a request counts as fresh. An entry that forwards a call does the same for its connection to the server, also for an answer with another id, and states that there was no answer; the entry that sends the call therefore answers 502 or retries. That entry does not judge by the reuse of its connection to the forwarding entry.

"attempt failed" states of a refusal whether it had an id (refusalHasId) and whether its connection was reused (connectionReused, false where another entry forwards), so that the cost for servers that refuse without an id can be counted.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -14,6 +14,7 @@
 import org.elmline.core.dispatch.DispatchCall;
 import org.elmline.core.dispatch.ServerNotice;
 import org.elmline.daemon.http.ByteChunks;
+import org.elmline.daemon.log.LogLine;
 
 /** One attempt of a call on one backend server. Used on the I/O thread only. */
 final class Attempt implements BackendCallListener {
@@ -146,6 +147,11 @@
         return backendCall == null ? null : backendCall.relay();
     }
 
+    /** Adds to a log line what shows whether a refusal is one of this call. */
+    LogLine addRefusalTo(LogLine line) {
+        return backendCall == null ? line : backendCall.addRefusalTo(line);
+    }
+
     /** Cancels the attempt at once and reports its end to the dispatcher. */
     void cancel(AttemptEnd how) {
         if (tryEnd(how)) {
@@ -247,14 +253,9 @@
         lastByteAtNanos = headAtNanos;
         headers = answerHeaders;
         head = answerHead;
-        boolean wrongRequest =
-                head.requestId() != null && !head.requestId().equals(call.head().requestId());
-        if (wrongRequest || head.encoded()) {
-            rejectAnswer(wrongRequest ? "the answer belongs to another request" : "the answer is encoded");
-            return;
-        }
-        if (isSuccess() && !head.signed()) {
-            rejectAnswer("an unsigned answer");
+        String fault = head.fault(status, call.head().requestId(), backendCall.isConnectionReused());
+        if (fault != null) {
+            rejectAnswer(fault);
             return;
         }
         if (call.route().isStreaming() && isSuccess()) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -17,6 +17,7 @@
 import io.undertow.util.StatusCodes;
 import org.elmline.core.common.HostId;
 import org.elmline.daemon.http.ByteChunks;
+import org.elmline.daemon.log.LogLine;
 import org.xnio.ChannelListener;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -44,6 +45,8 @@
     private int unsentIndex;
     private long unansweredBytes;
     private boolean bodySent;
+    private boolean connectionReused;
+    private boolean refusal;
     private boolean paused;
     private boolean held;
     private boolean ended;
@@ -169,6 +172,19 @@
         return link != null && !link.isRelayed();
     }
 
+    /** Whether this entry has sent the call to the server itself, on a connection that carried another request before. */
+    boolean isConnectionReused() {
+        return connectionReused;
+    }
+
+    /** Adds to a log line what shows whether a refusal is one of this call. */
+    LogLine addRefusalTo(LogLine line) {
+        if (!refusal) {
+            return line;
+        }
+        return line.with("refusalHasId", head.requestId() != null).with("connectionReused", connectionReused);
+    }
+
     /** The entry that forwards the call; null when it is sent to the server itself, or not yet. */
     HostId relay() {
         return link == null ? null : link.relay();
@@ -182,6 +198,9 @@
         bodySent = false;
         ServerLink used = link;
         UnproductiveBytes.reset(used.connection());
+        boolean usedBefore = ConnectionUse.recordRequest(used.connection());
+        // The entry that forwards a request checks the answers of its own connection to the server.
+        connectionReused = usedBefore && !used.isRelayed();
         used.connection().sendRequest(requestOn(used), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
@@ -284,6 +303,7 @@
                     return;
                 }
                 head = access.protocol().read(status, headers);
+                refusal = head.isRefusal(status);
                 countUnanswered(0);
                 access.gate().onAnswer(target.server(), serverBornMillis, head);
                 needsContent = endsOnlyWithConnection(headers) && AnswerHead.isSuccess(status) && mayHaveBody(status);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -279,7 +279,7 @@
                 .with("lastEvent", stream == null ? -1 : stream.lastEventId())
                 .with("parts", head.sharedParts())
                 .with("faultyHelper", faultyHelper);
-        callLog.lines().logFailure(AnswerEndLog.addTo(line, context, failed, stream));
+        callLog.lines().logFailure(AnswerEndLog.addTo(failed.addRefusalTo(line), context, failed, stream));
         history.recordFailure(failed.server(), failed.end(), faultyHelper);
         retryOrFail(why, !failed.end().mayHaveRun());
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
@@ -87,8 +87,9 @@
         }
         forwarding++;
         forwarded.inc();
-        RelayedCall call = new RelayedCall(
-                access, pathCheck, observers.create(request.target(), head, parts), callMemory, request, ended -> {
+        AnswerObserver observer = observers.create(request.target(), head, parts);
+        RelayedCall call =
+                new RelayedCall(access, pathCheck, observer, callMemory, request, head.requestId(), ended -> {
                     forwarding--;
                     openCalls.remove(ended);
                 });
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -23,6 +23,7 @@
     private final PathCheck pathCheck;
     private final AnswerObserver observer;
     private final BackendServerId server;
+    private final String requestId;
     private final HttpServerExchange exchange;
     private final CallMemory memory;
     private final Consumer<RelayedCall> onEnd;
@@ -35,18 +36,23 @@
     private boolean answerEnded;
     private boolean ended;
 
-    /** @param onEnd called once, when the answer is passed back or will not be */
+    /**
+     * @param requestId the caller's id of the request; null without one
+     * @param onEnd called once, when the answer is passed back or will not be
+     */
     RelayedCall(
             BackendAccess access,
             PathCheck pathCheck,
             AnswerObserver observer,
             CallMemory memory,
             RelayRequest relayRequest,
+            String requestId,
             Consumer<RelayedCall> onEnd) {
         this.access = access;
         this.pathCheck = pathCheck;
         this.observer = observer;
         this.server = relayRequest.target().server();
+        this.requestId = requestId;
         this.memory = memory;
         this.exchange = memory.exchange();
         memory.onEnded(this::abort);
@@ -96,6 +102,11 @@
 
     @Override
     public void onHead(int status, HeaderMap headers, AnswerHead answerHead) {
+        if (answerHead.mismatch(status, requestId, backendCall.isConnectionReused()) != null) {
+            // Only this entry can detect that the answer may be a late one on its connection to the server.
+            rejectAnswer();
+            return;
+        }
         success = AnswerHead.isSuccess(status);
         answersRequest =
                 status < StatusCodes.INTERNAL_SERVER_ERROR && !answerHead.notExecuted() && !answerHead.wrongServer();
@@ -159,6 +170,13 @@
         }
     }
 
+    private void rejectAnswer() {
+        answerEnded = true;
+        backendCall.cancel();
+        observer.onUnresolved(AttemptEnd.BROKEN);
+        stateNoAnswer();
+    }
+
     private void stateNoAnswer() {
         if (tryEnd()) {
             exchange.getResponseHeaders().clear();
