Keep one failing call or a late check from a stopping entry's other answers

By reading: a check that runs late may follow the one before without a look for requests between; calls that wait for a newer table are not reached by the stop; a SIGTERM before the entry is assembled closes its ports at once; the lines on unanswered requests can come after the process has ended its log.

Each call is checked and ended by itself, failures are logged (open call failed), also in the periodic check of callers and the retry of held calls; a refused call ends before its answer is sent. A check over 75 ms after the last does not count as quiet. Calls without a usable table are refused when the stop begins. stop() waits until the entry is assembled; the main thread waits 100 ms beyond the last check and logs what is unanswered then.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -346,11 +346,12 @@
                 .with("mayHaveRun", mayHaveRun)
                 .with("sends", history.sends())
                 .with("leftMs", remainingMillis()));
+        // First, as a call whose answer can't be sent must not stay open.
+        finish("refused_" + status);
         if (!mayHaveRun) {
             context.protocol().setRetryAfter(exchange.getResponseHeaders(), retryAfterMillis);
         }
         Refusals.send(exchange, status, why, mayHaveRun);
-        finish("refused_" + status);
     }
 
     private void logEnd(LogLine line) {
@@ -455,7 +456,7 @@
 
     /** Whether another entry could serve the call as well: no server has been sent it. */
     private boolean isNew() {
-        return attempts.isEmpty() && stream == null && !history.mayHaveRun();
+        return attempts.isEmpty() && !hasBegunStream() && !history.mayHaveRun();
     }
 
     @Override
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -55,11 +55,11 @@
             return;
         }
         boolean noTable = context.deployment().table().isEmpty();
-        if (noTable && context.shutdown().isStopping()) {
-            refuseWithRetryAfter(exchange, head, STOPS, context.retryElsewhereMillis());
-            return;
-        }
         if (noTable || context.deployment().isTableOutdated()) {
+            if (context.shutdown().isStopping()) {
+                refuseWithRetryAfter(exchange, head, STOPS, context.retryElsewhereMillis());
+                return;
+            }
             String why = noTable ? "no routing table yet" : "the routing table is outdated";
             tableWaitQueue.add(
                     head.deadlineMillis(),
@@ -77,6 +77,11 @@
         }
     }
 
+    /** To be called when the entry begins to stop. Calls without a table are served elsewhere. */
+    void onStopping() {
+        tableWaitQueue.timeOutAll();
+    }
+
     private void readBody(HttpServerExchange exchange, CallHead head, long receivedAtNanos) {
         CallMemory memory = context.memory().open(exchange, head.requestId());
         BodyIntake.read(
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -56,6 +57,7 @@
     private static final long CHANGE_DELAY_MILLIS = 15;
 
     private final Closer closer = new Closer();
+    private final CountDownLatch assembled = new CountDownLatch(1);
     private final NodeSettings settings;
     private final CallProtocol protocol;
     private final DirectoryProtocol directory;
@@ -141,7 +143,10 @@
         thread = ports.worker().getIoThread();
         peers = closer.register(new PeerEndpoint(settings, "gateway", thread, process.hybridClock()));
         // Following the control hosts starts before the ports open: their answers take longer than opening the ports.
-        thread.execute(this::assemble);
+        thread.execute(() -> {
+            assemble();
+            assembled.countDown();
+        });
         ports.addPort(settings.callers(), new HttpContinueReadHandler(this::handleCall))
                 .addPort(settings.ready(), this::handleReady);
         if (settings.relayPort() > 0) {
@@ -221,7 +226,7 @@
     }
 
     private OpenCalls newOpenCalls() {
-        OpenCalls calls = new OpenCalls(thread);
+        OpenCalls calls = new OpenCalls(thread, log);
         process.metrics().gauge("calls.open", () -> calls::size);
         process.metrics().gauge("requests.open", () -> ports.openRequests()::size);
         return calls;
@@ -469,8 +474,8 @@
 
     /** Leaves the directory, finishes the calls in flight within the drain time, then closes. */
     public void stop() throws InterruptedException {
-        if (openCalls != null) {
-            new PlannedStop(shutdown, openCalls, ports, protocol::read, thread, log).run();
+        if (assembled.await(settings.drainMillis(), TimeUnit.MILLISECONDS)) {
+            new PlannedStop(shutdown, openCalls, ports, protocol::read, callHandler::onStopping, thread, log).run();
         }
         close();
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/HeldCalls.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/HeldCalls.java
@@ -50,6 +50,9 @@
     void retryAll() {
         List<Runnable> due = new ArrayList<>(retries.values());
         retries.clear();
-        due.forEach(Runnable::run);
+        for (Runnable each : due) {
+            // Each one on its own: if it fails, the others are retried all the same.
+            thread.execute(each);
+        }
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCalls.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/OpenCalls.java
@@ -1,11 +1,12 @@
 package org.elmline.daemon.gateway;
 
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
+import org.elmline.daemon.log.DecisionLog;
 import org.xnio.XnioIoThread;
 
 /**
@@ -18,9 +19,11 @@
 
     private final Set<OpenCall> calls = new LinkedHashSet<>();
     private final XnioIoThread thread;
+    private final DecisionLog log;
 
-    OpenCalls(XnioIoThread thread) {
+    OpenCalls(XnioIoThread thread, DecisionLog log) {
         this.thread = thread;
+        this.log = log;
         checkCallers();
     }
 
@@ -41,9 +44,18 @@
     }
 
     private void checkCallers() {
-        for (OpenCall each : new ArrayList<>(calls)) {
-            each.checkCaller();
-        }
+        forEach(OpenCall::checkCaller);
         thread.executeAfter(this::checkCallers, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
+
+    /** Runs an action on all open calls. A call for which it fails does not keep it from the others. */
+    void forEach(Consumer<OpenCall> action) {
+        for (OpenCall each : all()) {
+            try {
+                action.accept(each);
+            } catch (RuntimeException e) {
+                log.line("open call failed").with("why", e).write();
+            }
+        }
+    }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
@@ -15,23 +15,35 @@
 final class PlannedStop {
     private static final long CHECK_INTERVAL_MILLIS = 50;
 
+    /** Longest time between two checks that still shows that the thread is not busy. */
+    private static final long MAX_CHECK_INTERVAL_MILLIS = 75;
+
+    /** Time beyond the last check after which the I/O thread is taken for ended. */
+    private static final long CHECK_TIMEOUT_MILLIS = 100;
+
     private final GracefulShutdown shutdown;
     private final OpenCalls openCalls;
     private final HttpPorts ports;
     private final OpenRequests openRequests;
     private final Function<HeaderMap, CallHead> heads;
+    private final Runnable onBegin;
     private final XnioIoThread thread;
     private final DecisionLog log;
     private final CountDownLatch finished = new CountDownLatch(1);
     private boolean callsEnded;
     private long receivedAtLastCheck = -1;
+    private long lastCheckMillis;
 
-    /** @param heads reads the headers of a call; throws IllegalArgumentException on an invalid value */
+    /**
+     * @param heads reads the headers of a call; throws IllegalArgumentException on an invalid value
+     * @param onBegin run on the I/O thread at the start of the stop
+     */
     PlannedStop(
             GracefulShutdown shutdown,
             OpenCalls openCalls,
             HttpPorts ports,
             Function<HeaderMap, CallHead> heads,
+            Runnable onBegin,
             XnioIoThread thread,
             DecisionLog log) {
         this.shutdown = shutdown;
@@ -39,6 +51,7 @@
         this.ports = ports;
         this.openRequests = ports.openRequests();
         this.heads = heads;
+        this.onBegin = onBegin;
         this.thread = thread;
         this.log = log;
     }
@@ -54,9 +67,12 @@
                 .with("open", openCalls.size())
                 .with("unanswered", openRequests.size())
                 .write();
+        thread.execute(onBegin);
         thread.execute(this::check);
-        // The process ends in time even if the I/O thread does not run any more.
-        finished.await(shutdown.millisToExit(), TimeUnit.MILLISECONDS);
+        boolean isFinished = finished.await(shutdown.millisToExit() + CHECK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        if (!isFinished) {
+            openRequests.all().forEach(this::logUnanswered);
+        }
         log.line("stopped")
                 .with("open", openCalls.size())
                 .with("unanswered", openRequests.size())
@@ -66,19 +82,24 @@
 
     /**
      * Runs on the I/O thread, where requests are read, so that none is read between the last check and the end of the
-     * process. Between two checks the thread serves all connections that are ready.
+     * process.
      */
     private void check() {
-        if (tryFinish()) {
-            finished.countDown();
-        } else {
-            thread.executeAfter(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        boolean done = false;
+        try {
+            done = tryFinish();
+        } finally {
+            if (done) {
+                finished.countDown();
+            } else {
+                thread.executeAfter(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            }
         }
     }
 
     private boolean tryFinish() {
         if (!shutdown.tryEnd(openCalls.size() + openRequests.size())) {
-            openCalls.all().forEach(OpenCall::checkAdmission);
+            openCalls.forEach(OpenCall::checkAdmission);
             return false;
         }
         if (!callsEnded) {
@@ -95,18 +116,21 @@
 
     /**
      * Whether all requests are answered and none has come since the last check: a busy thread has accepted connections
-     * whose first request it has not read.
+     * whose first request it has not read. After a check that is late, it may not have looked for requests since the last.
      */
     private boolean isQuiet() {
-        long receivedBefore = receivedAtLastCheck;
+        long elapsedMillis = shutdown.elapsedMillis();
+        boolean inTime = elapsedMillis - lastCheckMillis <= MAX_CHECK_INTERVAL_MILLIS;
+        boolean noneReceived = openRequests.received() == receivedAtLastCheck;
+        lastCheckMillis = elapsedMillis;
         receivedAtLastCheck = openRequests.received();
-        return openRequests.isEmpty() && receivedAtLastCheck == receivedBefore;
+        return inTime && noneReceived && openRequests.isEmpty();
     }
 
     private void endCalls() {
         log.line("calls ended by the stop").with("open", openCalls.size()).write();
         ports.stopAccepting();
-        openCalls.all().forEach(OpenCall::abort);
+        openCalls.forEach(OpenCall::abort);
     }
 
     private void logUnanswered(HttpServerExchange exchange) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RoutingTableWaitQueue.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RoutingTableWaitQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
@@ -27,10 +28,12 @@
 
     private static final class WaitingCall {
         private final Runnable onTable;
+        private final Runnable onTimeout;
         private XnioExecutor.Key timer;
 
-        WaitingCall(Runnable onTable) {
+        WaitingCall(Runnable onTable, Runnable onTimeout) {
             this.onTable = onTable;
+            this.onTimeout = onTimeout;
         }
     }
 
@@ -50,7 +53,7 @@
             onTimeout.run();
             return;
         }
-        WaitingCall call = new WaitingCall(onTable);
+        WaitingCall call = new WaitingCall(onTable, onTimeout);
         long waitMillis = Math.min(MAX_WAIT_MILLIS, Math.max(0, deadlineMillis) / DEADLINE_DIVISOR);
         call.timer = thread.executeAfter(
                 () -> {
@@ -65,10 +68,19 @@
 
     /** Runs all queued calls; to be called when the table has arrived. */
     void releaseAll() {
+        removeAll(call -> call.onTable);
+    }
+
+    /** Gives up the wait of all queued calls. */
+    void timeOutAll() {
+        removeAll(call -> call.onTimeout);
+    }
+
+    private void removeAll(Function<WaitingCall, Runnable> next) {
         while (!waitingCalls.isEmpty()) {
             WaitingCall call = waitingCalls.poll();
             call.timer.remove();
-            call.onTable.run();
+            next.apply(call).run();
         }
     }
 }
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/PlannedStopTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/PlannedStopTest.java
@@ -49,8 +49,8 @@
         }
         ports = new HttpPorts();
         thread = ports.worker().getIoThread();
-        openCalls = new OpenCalls(thread);
         log = new DecisionLog("entry", "test", new SystemClock(), logOutput);
+        openCalls = new OpenCalls(thread, log);
         ports.addPort(
                         new Address(HOST, port),
                         exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
@@ -100,6 +100,28 @@
         }
     }
 
+    private static final class FailingCall implements OpenCall {
+        @Override
+        public void checkCaller() {
+            throw new IllegalStateException("checked");
+        }
+
+        @Override
+        public void checkQuarantine() {
+            throw new IllegalStateException("quarantine checked");
+        }
+
+        @Override
+        public void checkAdmission() {
+            throw new IllegalStateException("admission checked");
+        }
+
+        @Override
+        public void abort() {
+            throw new IllegalStateException("aborted");
+        }
+    }
+
     private static void keepBusy() {
         try {
             Thread.sleep(BUSY_MILLIS);
@@ -120,22 +142,44 @@
         callers.add(caller);
     }
 
-    /** Guards against refusals of an entry that stops which its process ends before they are written. */
-    @Test
-    void callsThatWaitAreAnsweredBeforeTheProcessEnds() throws Exception {
-        for (int i = 0; i < WAITING_CALLS; i++) {
-            send();
-        }
-        received.await();
+    private void stop() throws InterruptedException {
         GracefulShutdown shutdown = new GracefulShutdown(new SystemClock(), DRAIN_MILLIS);
-        new PlannedStop(shutdown, openCalls, ports, PlannedStopTest::head, thread, log).run();
-        assertEquals(0, ports.openRequests().size());
-        ports.close();
+        new PlannedStop(shutdown, openCalls, ports, PlannedStopTest::head, () -> {}, thread, log).run();
+    }
+
+    private int answered() throws IOException {
         int answered = 0;
         for (Socket each : callers) {
             String answer = new String(each.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
             answered += answer.startsWith("HTTP/1.1 503") ? 1 : 0;
         }
-        assertEquals(WAITING_CALLS, answered);
+        return answered;
+    }
+
+    private void sendAll() throws Exception {
+        for (int i = 0; i < WAITING_CALLS; i++) {
+            send();
+        }
+        received.await();
+    }
+
+    /** Guards against refusals of an entry that stops which its process ends before they are written. */
+    @Test
+    void callsThatWaitAreAnsweredBeforeTheProcessEnds() throws Exception {
+        sendAll();
+        stop();
+        assertEquals(0, ports.openRequests().size());
+        ports.close();
+        assertEquals(WAITING_CALLS, answered());
+    }
+
+    /** Guards against a stop that a single call keeps from all that is left to do. */
+    @Test
+    void callThatFailsDoesNotKeepTheOthersFromTheirAnswers() throws Exception {
+        thread.execute(() -> openCalls.add(new FailingCall()));
+        sendAll();
+        stop();
+        ports.close();
+        assertEquals(WAITING_CALLS, answered());
     }
 }
