State that a forwarded call has no answer when its entry ends it

An entry that forwards a call for another one closed the connection between them when its stop or a want of memory ended the call, even if no byte of a body had been passed back. The sending entry took that for a failure of the forwarding entry, and could not tell it from a broken link.

Cause: RelayedCall.abort served both a sender that has left and a call that this entry ends.

Class of fault: a connection that is closed where an answer can still be sent.

Change: abort states NO_ANSWER (502, may have run) where nothing was passed back and the call was sent to its server, and refuses with NO_PATH (did not run) where no byte of it was sent. The connection is closed only for a sender that has left or that has part of a body. The NO_PATH case has no test of its own.

Evidence: LostServerPathTest.statesAtTheEndOfItsStopThatAForwardedCallHasNoAnswer failed before, as the sending entry did not log the statement (its caller got a 502 before, too).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -161,12 +161,16 @@
 
     private void stateNoAnswer() {
         if (tryEnd()) {
-            exchange.getResponseHeaders().clear();
-            exchange.getResponseHeaders().put(RelayRequest.NO_ANSWER, Boolean.TRUE.toString());
-            exchange.setStatusCode(StatusCodes.BAD_GATEWAY).endExchange();
+            sendNoAnswer();
         }
     }
 
+    private void sendNoAnswer() {
+        exchange.getResponseHeaders().clear();
+        exchange.getResponseHeaders().put(RelayRequest.NO_ANSWER, Boolean.TRUE.toString());
+        exchange.setStatusCode(StatusCodes.BAD_GATEWAY).endExchange();
+    }
+
     private void onChannelClosed() {
         tryGiveUp();
     }
@@ -191,7 +195,7 @@
         try {
             disconnectDetector.checkConnected();
         } catch (IOException e) {
-            abort();
+            closeConnection();
         }
     }
 
@@ -207,8 +211,21 @@
         // Nothing to do here.
     }
 
+    /** States whether the request may have run, unless part of the answer was passed back. */
     @Override
     public void abort() {
+        if (answer != null) {
+            closeConnection();
+        } else if (tryGiveUp()) {
+            if (backendCall.isSentDirectly()) {
+                sendNoAnswer();
+            } else {
+                RelayHandler.refuse(exchange, RelayRefusal.NO_PATH);
+            }
+        }
+    }
+
+    private void closeConnection() {
         if (tryGiveUp()) {
             IoUtils.safeClose(exchange.getConnection());
         }
