Treat an interim answer other than 100 as a broken one

A caller whose server sent 102 or 103 before its answer got that interim head alone, without any content, as the whole answer; what the server sent after it was lost.

Cause: the HTTP client reads over 100 Continue only and gives any other interim head as the final one.

Change: BackendCall fails the call, so that it is sent again where that is allowed or ends with 502. The final answer behind the interim head is not forwarded, which the HTTP client has no way for.

Evidence: AnswerEndTest.interimAnswerIsNotForwardedAsTheFinalOne got 102 and 103 before; AnswerEndTest 5 of 5 after, one run. In the same run passed StreamWithoutEventTest 8, StoppingEntryTest 3, MemoryGuardTest 3, PlannedStopTest 1, and SlowReadersTest 8 of 9: streamOfPausedCallerStaysAtItsServer, which is tagged known-red, failed with event 1244 missing.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -283,6 +283,11 @@
                     onNoAnswer();
                     return;
                 }
+                if (status < StatusCodes.OK) {
+                    // The HTTP client skips 100 only, and takes any other interim answer for the end of the exchange.
+                    fail(used, new IOException("interim answer " + status));
+                    return;
+                }
                 head = access.protocol().read(status, headers);
                 countUnanswered(0);
                 access.gate().onAnswer(target.server(), serverBornMillis, head);
