Answer the other requests of the product's entry before its stop closes its ports

Seen by operators: an entry told to stop waited for the admitted calls of its callers, and then closed the connection of a ticket that it had begun to read, or that waited for a control host and may be in force.

Cause: EntryDaemon.stop counts only the calls that AdmissionController has admitted. Tickets and other requests of operators, announcements of backend servers, the list of entries and refusals are not among them. Class of fault: a process that ends by a step that comes before its requests are answered.

Change: HttpListener counts its open requests, as HttpPorts does. After the admitted calls have ended, the stop waits until all requests of callers and backend servers, then all of operators, are answered, for at most 9 s each: a ticket takes at most 8 s. Answers that begin in this time end their connections. Requests are served on meanwhile, so one that is read after the last check may still be cut. Without open requests the stop takes no longer.

StoppingEntryTest of elmline-cli before: failed, the ticket's connection was closed without a byte of an answer.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/entry/EntryDaemon.java
@@ -76,6 +76,10 @@
     private static final int BODY_TIMEOUT_MILLIS = 30_000;
     private static final int IDLE_TIMEOUT_MILLIS = 60_000;
     private static final long STOP_CHECK_MILLIS = 20;
+
+    /** Limit on the time to answer what is no admitted call; a ticket takes 8 s at most. */
+    private static final long FINISH_TIMEOUT_MILLIS = 9_000;
+
     private static final long SUMMARY_INTERVAL_MILLIS = 2_000;
     private static final double SUMMARY_BYTES_PER_SECOND = 2_000;
 
@@ -313,7 +317,8 @@
     /**
      * Stops gracefully. First reports that this host leaves, so that callers are no longer directed to it and its
      * backend servers get other owners. Continues to serve for as long as callers cache an answer that lists it, then
-     * rejects new calls and waits until those in flight end, at most for the longest caller timeout.
+     * rejects new calls and waits until those in flight end, at most for the longest caller timeout, and until the other
+     * requests of callers, backend servers and operators are answered.
      */
     public void stop() throws InterruptedException {
         leaving.set(true);
@@ -326,6 +331,8 @@
         while (admission.inFlight() > 0 && clock.millis() < deadlineMillis) {
             Thread.sleep(STOP_CHECK_MILLIS);
         }
+        callers.finishRequests(FINISH_TIMEOUT_MILLIS);
+        operators.finishRequests(FINISH_TIMEOUT_MILLIS);
         owner.leave(clock.nanos());
         close();
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/OpenRequests.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/OpenRequests.java
@@ -21,7 +21,7 @@
     private volatile boolean closesConnections;
 
     /** Returns a handler that counts the requests of another one as open until they are answered. */
-    HttpHandler track(HttpHandler handler) {
+    public HttpHandler track(HttpHandler handler) {
         return exchange -> {
             add(exchange);
             handler.handleRequest(exchange);
@@ -29,7 +29,7 @@
     }
 
     /** Lets each answer that begins from now on end its connection, so that the caller sends no further request there. */
-    void closeConnectionsAfterAnswers() {
+    public void closeConnectionsAfterAnswers() {
         closesConnections = true;
     }
 
