Don't count a broken answer that its server has survived

Callers got 503 for a sound request as one that ends servers. A server reset its connection, accepted other connections for a while and was then ended by something else; the watch of servers' ends counted that end against the request. It kept every unresolved answer until content of another answer arrived 3 s later, and used the connections that its checks open for nothing but to judge expired heartbeats. Class of fault: evidence for a request that was collected and not used.

An answer whose connection ended amid it no longer counts once a check that began 500 ms later or more has found that the server accepts connections. Answers that were silent, rejected or given up are judged as before. Where a later start of the server is registered, the connection may have been accepted by that start, before its first heartbeat arrived; such an answer counts as before, unless a later check has found that no connection was accepted. A server with other answers under way was not checked at all; it now is, once, when a check can show that it has survived a broken answer. The decision is made in UnresolvedAnswers. The result of a check that belongs to dropped answers of a server is ignored.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/UnresolvedAnswers.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/UnresolvedAnswers.java
@@ -23,6 +23,12 @@
     /** A server that works this long after an answer ended did not end because of its request. */
     private static final long SURVIVAL_NANOS = Duration.ofSeconds(3).toNanos();
 
+    /**
+     * A server that accepts a connection this long after an answer broke off did not end because of its request: one
+     * that ends may accept connections for a moment after it has closed those that it has.
+     */
+    private static final long ACCEPTANCE_NANOS = Duration.ofMillis(500).toNanos();
+
     /** Times of the checks of a server after an answer of it ended. */
     private static final long[] CHECKS_AFTER_NANOS = Arrays.stream(new long[] {100, 200, 350, 600, 1_200, 2_100})
             .map(millis -> Duration.ofMillis(millis).toNanos())
@@ -38,6 +44,9 @@
         private final List<Unresolved<T>> answers = new ArrayList<>();
         private long checksSinceNanos;
         private long lastLifeNanos = Long.MIN_VALUE;
+        private long checkStartedNanos;
+        private long lastAcceptedNanos;
+        private boolean hasAccepted;
         private int checks;
         private boolean checking;
         private boolean acceptedConnection;
@@ -52,21 +61,48 @@
             long sinceNanos = checksSinceNanos + (checks == 0 ? 0 : CHECKS_AFTER_NANOS[checks - 1]);
             return lastLifeNanos != Long.MIN_VALUE && lastLifeNanos - sinceNanos > 0;
         }
+
+        private void endCheck(boolean accepted) {
+            checking = false;
+            acceptedConnection = accepted;
+            if (accepted) {
+                hasAccepted = true;
+                lastAcceptedNanos = checkStartedNanos;
+            }
+        }
+
+        /** Whether the server has accepted a connection too late to have ended because of the answer. */
+        private boolean hasAcceptedAfter(Unresolved<T> answer) {
+            return hasAccepted && answer.brokenOff() && lastAcceptedNanos - answer.endedAtNanos() >= ACCEPTANCE_NANOS;
+        }
+
+        /** Whether a check that accepts a connection now would show that the server has survived an answer. */
+        private boolean canShowSurvival(long now) {
+            return answers.stream()
+                    .anyMatch(each -> each.brokenOff()
+                            && now - each.endedAtNanos() >= ACCEPTANCE_NANOS
+                            && !hasAcceptedAfter(each));
+        }
     }
 
     /**
      * An answer that ended before it was complete.
      *
+     * @param brokenOff whether its connection ended amid it; if not, it was silent, rejected or given up
      * @param endedAtNanos when it broke off or was given up
      */
-    public record Unresolved<T>(T answer, long endedAtNanos) {}
+    public record Unresolved<T>(T answer, boolean brokenOff, long endedAtNanos) {}
 
     public boolean isEmpty() {
         return servers.isEmpty();
     }
 
-    /** Adds an answer that has just ended. */
-    public void add(ServerStart start, T answer, long now) {
+    /**
+     * Adds an answer that has just ended.
+     *
+     * @param brokenOff whether its connection ended amid it
+     */
+    public void add(ServerStart start, T answer, boolean brokenOff, long now) {
         Server<T> server = servers.computeIfAbsent(start, each -> new Server<>());
         if (server.answers.isEmpty() || server.checks > 0) {
             // Answers that follow closely would put off the first check for good.
@@ -76,7 +112,7 @@
         if (server.answers.size() >= MAX_ANSWERS_PER_SERVER) {
             server.answers.remove(0);
         }
-        server.answers.add(new Unresolved<>(answer, now));
+        server.answers.add(new Unresolved<>(answer, brokenOff, now));
         if (servers.size() > MAX_SERVERS) {
             servers.remove(servers.keySet().iterator().next());
         }
@@ -102,10 +138,11 @@
             if (!server.isCheckDue(now)) {
                 return;
             }
-            boolean lives = server.hasLivedSinceLastCheck();
+            boolean needed = !server.hasLivedSinceLastCheck() || server.canShowSurvival(now);
             server.checks++;
-            if (!lives) {
+            if (needed) {
                 server.checking = true;
+                server.checkStartedNanos = now;
                 due.add(start);
             }
         });
@@ -115,9 +152,8 @@
     /** Records the end of a check, and whether the server accepted a connection. */
     public void endCheck(ServerStart start, boolean acceptedConnection) {
         Server<T> server = servers.get(start);
-        if (server != null) {
-            server.checking = false;
-            server.acceptedConnection = acceptedConnection;
+        if (server != null && server.checking) {
+            server.endCheck(acceptedConnection);
         }
     }
 
@@ -145,10 +181,27 @@
         return List.copyOf(servers.keySet());
     }
 
-    /** The answers of a server that is found ended; they are resolved with that. */
+    /** The answers that may have ended a server that is found ended; all are resolved with that. */
     public List<Unresolved<T>> resolve(ServerStart start) {
         Server<T> ended = servers.remove(start);
-        return ended == null ? List.of() : ended.answers;
+        if (ended == null) {
+            return List.of();
+        }
+        ended.answers.removeIf(ended::hasAcceptedAfter);
+        return ended.answers;
+    }
+
+    /**
+     * The same for a server of which a later start is registered. That start may be the one that accepted connections,
+     * unless a check has found since then that none were accepted.
+     */
+    public List<Unresolved<T>> resolveStartedAgain(ServerStart start) {
+        Server<T> ended = servers.get(start);
+        if (ended == null || !ended.acceptedConnection) {
+            return resolve(start);
+        }
+        servers.remove(start);
+        return ended.answers;
     }
 
     /** Drops the answers whose servers have shown no end for too long. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/AnswerObserver.java
@@ -69,7 +69,14 @@
             onDone.run();
             return;
         }
-        quarantine.reportBroken(endedAnswer(AttemptEnd.BROKEN), onDone);
+        quarantine.reportBroken(endedAnswer(AttemptEnd.BROKEN, true), onDone);
+    }
+
+    /** Records that an answer that is no success broke off: its server may end because of the request later. */
+    void onErrorBroken() {
+        if (service != null) {
+            quarantine.watch(endedAnswer(AttemptEnd.BROKEN, true));
+        }
     }
 
     /**
@@ -78,11 +85,11 @@
      */
     void onUnresolved(AttemptEnd how) {
         if (service != null) {
-            quarantine.watch(endedAnswer(how));
+            quarantine.watch(endedAnswer(how, false));
         }
     }
 
-    private BrokenAnswer endedAnswer(AttemptEnd how) {
+    private BrokenAnswer endedAnswer(AttemptEnd how, boolean brokenOff) {
         return new BrokenAnswer(
                 request,
                 parts.request(),
@@ -91,6 +98,7 @@
                 target,
                 serverStart.bornMillis(),
                 progress.isAtBeginning(),
+                brokenOff,
                 how);
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Attempt.java
@@ -455,7 +455,7 @@
         if (backendCall.isRelayed()) {
             proceed.run();
         } else if (head != null && !isSuccess()) {
-            observer.onUnresolved(AttemptEnd.BROKEN);
+            observer.onErrorBroken();
             proceed.run();
         } else {
             observer.onBroken(proceed);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BrokenAnswer.java
@@ -16,6 +16,7 @@
  * @param request the whole request, as the body of the call may be gone when the answer is reported
  * @param bornMillis start of the server, in milliseconds since 1970
  * @param atBeginning whether the answer had not gone past its beginning
+ * @param brokenOff whether its connection ended amid it; if not, it was silent, rejected or given up
  * @param end how the attempt ended: by its server or link, or because this entry cancelled it
  */
 record BrokenAnswer(
@@ -26,6 +27,7 @@
         BackendTarget target,
         long bornMillis,
         boolean atBeginning,
+        boolean brokenOff,
         AttemptEnd end) {
     /** The start of the server that was sent the request. */
     ServerStart serverStart() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EndWatch.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EndWatch.java
@@ -1,5 +1,6 @@
 package org.elmline.daemon.gateway;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.elmline.core.common.Address;
@@ -63,7 +64,7 @@
 
     /** Adds an answer that has just ended before it was complete, or has been silent for long. */
     void add(BrokenAnswer answer) {
-        unresolved.add(answer.serverStart(), answer, clock.nanos());
+        unresolved.add(answer.serverStart(), answer, answer.brokenOff(), clock.nanos());
         if (!ticking) {
             ticking = true;
             scheduleTick();
@@ -85,7 +86,10 @@
     /** Resolves the answers of a server that this entry has found ended. */
     void resolve(ServerStart start, CrashCheck.Finding finding) {
         long now = clock.nanos();
-        for (Unresolved<BrokenAnswer> each : unresolved.resolve(start)) {
+        List<Unresolved<BrokenAnswer>> suspects = finding == CrashCheck.Finding.STARTED_AGAIN
+                ? unresolved.resolveStartedAgain(start)
+                : unresolved.resolve(start);
+        for (Unresolved<BrokenAnswer> each : suspects) {
             listener.onServerEnded(each.answer(), finding, (now - each.endedAtNanos()) / NANOS_PER_MILLI);
         }
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -163,7 +163,7 @@
         answerEnded = true;
         Runnable end = answer == null ? this::stateNoAnswer : answer::abort;
         if (hasHead && !success) {
-            observer.onUnresolved(AttemptEnd.BROKEN);
+            observer.onErrorBroken();
             end.run();
         } else {
             observer.onBroken(end);
