Reject MessagePack bytes that state more than the message holds

Seen: decoding bytes that are no message could end a process. A text, binary or extension whose length is stated as 2 GB makes the MessagePack library allocate that much before it looks for the bytes (OutOfMemoryError). After a map key that is no text the parser takes values for keys and lengths. Other bytes (such as 0xc1) give MessageFormatException, a RuntimeException that JacksonCodec did not catch, so it left Codec.decode. The first frame of a connection is decoded before the peer has authenticated itself.

Class: a reader trusts a length that the sender states.

Change: MessagePackCodec checks, without allocating, that the stated lengths lie within the message, that map keys are texts and that the nesting is at most 1,000, as for JSON. JacksonCodec reports every RuntimeException as malformed.

--- a/elmline-wire/src/main/java/org/elmline/wire/codec/Codecs.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/Codecs.java
@@ -20,8 +20,8 @@
      * For messages between elmline processes. Unknown fields are ignored, so that two releases can run side by side
      * during a rolling upgrade.
      */
-    public static final Codec MESSAGE_PACK = new ShapeCodec(
-            withReadLimits(messagePackFactory()), false, () -> lenient(new ObjectMapper(messagePackFactory())));
+    public static final Codec MESSAGE_PACK = new MessagePackCodec(new ShapeCodec(
+            withReadLimits(messagePackFactory()), false, () -> lenient(new ObjectMapper(messagePackFactory()))));
 
     /**
      * For documents that people write (settings, tickets). An unknown field is an error, since it is most likely a
--- a/elmline-wire/src/main/java/org/elmline/wire/codec/JacksonCodec.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/JacksonCodec.java
@@ -32,7 +32,8 @@
             return value == null ? new Decoded.Malformed<>("empty") : new Decoded.Value<>(value);
         } catch (JsonProcessingException e) {
             return new Decoded.Malformed<>(JacksonErrors.describe(e));
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException | RuntimeException e) {
+            // The MessagePack library reports some malformed bytes by exceptions of its own.
             return new Decoded.Malformed<>(String.valueOf(e.getMessage()));
         }
     }
