Ignore heartbeats of other control hosts with an age out of range

Cause: RegistryService.merge computes the time of a heartbeat as now minus the reported age; a negative age, or one that overflows in nanoseconds, gives a time in the future, and ServerRegistry keeps the latest time. Such a server would not expire.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RegistryService.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import org.elmline.core.quarantine.QuarantineNews;
 import org.elmline.core.registry.FollowAnswer;
 import org.elmline.core.registry.FollowRequest;
+import org.elmline.core.registry.HeartbeatAge;
 import org.elmline.core.registry.LiveEntries;
 import org.elmline.core.registry.PendingPoll;
 import org.elmline.core.registry.Registration;
@@ -237,7 +239,7 @@
         long now = clock.nanos();
         synchronized (this) {
             answer.servers().forEach(each -> servers.merge(each, now));
-            answer.heard().forEach(each -> servers.merge(each, now - each.ageMillis() * NANOS_PER_MILLI));
+            answer.heard().forEach(each -> merge(each, now));
         }
         if (answer.quarantine() != null) {
             quarantine.merge(answer.quarantine().records());
@@ -245,6 +247,18 @@
         answerPolls();
     }
 
+    private void merge(HeartbeatAge heartbeat, long now) {
+        OptionalLong receivedAtNanos = heartbeat.receivedAtNanos(now);
+        if (receivedAtNanos.isPresent()) {
+            servers.merge(heartbeat, receivedAtNanos.getAsLong());
+        } else {
+            log.line("heartbeat age out of range")
+                    .with("server", heartbeat.id())
+                    .with("ageMs", heartbeat.ageMillis())
+                    .write();
+        }
+    }
+
     /** Applies what an entry reports on crashed servers. Returns all that this host holds then. */
     QuarantineNews applyEvidence(EvidenceReport report) {
         QuarantineNews news = quarantine.apply(report);
