Skip unusable items of lists of servers and entries

Seen: one item that can't be decoded made the whole message malformed: a follower dropped each answer of a control host that held it, and a control host restarted without its persisted servers. An item without its inner record was decoded and caused a NullPointerException where the list is applied. The MessagePack library cuts a number off that is too long for its field, so that places became another number.

Class: one item decides about the whole list.

Change: IndependentItemsShape reads lists of servers, heartbeats, entries, addresses and quarantine records without the items that don't form a value, and logs each. Only lenient codecs use it, never the entries of the log. Records reject missing parts in their constructors, Registration also an address that is not an IPv4 number and a port: BackendDialer throws for a name with a space, and the name of a host would be resolved on the I/O thread. Whole numbers that do not fit their field are errors.

After: green, with 37 odd servers in each of two kinds of lists.

--- a/elmline-core/src/main/java/org/elmline/core/common/Address.java
+++ b/elmline-core/src/main/java/org/elmline/core/common/Address.java
@@ -6,6 +6,8 @@
 /** An IP address and TCP port, written {@code 127.0.0.1:8080}. */
 public record Address(String ip, int port) {
     private static final int MAX_PORT = 65_535;
+    private static final int IPV4_PARTS = 4;
+    private static final int MAX_IPV4_PART = 255;
 
     public Address {
         if (ip == null || ip.isEmpty()) {
@@ -29,6 +31,27 @@
         }
     }
 
+    /** Whether the IP is an IPv4 number in dotted decimal form, without leading zeros. */
+    public boolean isIpv4() {
+        int parts = 1;
+        int value = -1;
+        for (int i = 0; i < ip.length(); i++) {
+            char each = ip.charAt(i);
+            if (each == '.' && value >= 0) {
+                parts++;
+                value = -1;
+            } else if (each >= '0' && each <= '9' && value != 0) {
+                value = 10 * Math.max(0, value) + each - '0';
+            } else {
+                return false;
+            }
+            if (value > MAX_IPV4_PART) {
+                return false;
+            }
+        }
+        return parts == IPV4_PARTS && value >= 0;
+    }
+
     @Override
     public boolean equals(Object other) {
         return other instanceof Address that && port == that.port && ip.equals(that.ip);
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRecord.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRecord.java
@@ -27,6 +27,12 @@
     /** Revisions by which an operator's decision goes before those made on the other side of a cut. */
     private static final int OPERATOR_REVISIONS = 1_000;
 
+    public QuarantineRecord {
+        if (service == null || group == null || stage == null) {
+            throw new IllegalArgumentException("a record needs service, group and stage");
+        }
+    }
+
     /** The state of a group that nothing was decided on. */
     static QuarantineRecord unrestricted(ServiceName service, PartGroup group) {
         return new QuarantineRecord(
--- a/elmline-core/src/main/java/org/elmline/core/registry/EntryRecord.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/EntryRecord.java
@@ -24,6 +24,12 @@
         Region region,
         boolean serving,
         boolean overloaded) {
+    public EntryRecord {
+        if (host == null || callers == null || peers == null || failureDomain == null || region == null) {
+            throw new IllegalArgumentException("an entry needs host, addresses, failure domain and region");
+        }
+    }
+
     /**
      * Written by hand because control hosts compare entries at each poll: the method that the compiler generates for a
      * record is linked on its first call, which would delay that poll.
--- a/elmline-core/src/main/java/org/elmline/core/registry/Registration.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/Registration.java
@@ -8,6 +8,7 @@
 /**
  * The registration of a backend server, as each of its heartbeats carries it.
  *
+ * @param address IPv4 number and port
  * @param places number of requests that it executes concurrently
  * @param bornMillis start of the server by its own clock, in milliseconds since 1970; a later start under the same id
  *     or address replaces an earlier one
@@ -42,6 +43,10 @@
         if (id == null || service == null || address == null || failureDomain == null || state == null) {
             throw new IllegalArgumentException("a registration needs id, service, address, domain and state");
         }
+        if (!address.isIpv4()) {
+            // Connecting to a name would block the thread that resolves it, or fail where the address is parsed.
+            throw new IllegalArgumentException("not an IPv4 address: " + address);
+        }
     }
 
     /** Returns the registration of the same server in another state. */
--- a/elmline-core/src/main/java/org/elmline/core/registry/ServerUpdate.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/ServerUpdate.java
@@ -8,4 +8,10 @@
  * @param remembered whether the server was restored after the control host's restart and no heartbeat of it has arrived
  *     since
  */
-public record ServerUpdate(Registration registration, boolean silent, boolean remembered) {}
+public record ServerUpdate(Registration registration, boolean silent, boolean remembered) {
+    public ServerUpdate {
+        if (registration == null) {
+            throw new IllegalArgumentException("an update of a server needs its registration");
+        }
+    }
+}
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
@@ -1,5 +1,6 @@
 package org.elmline.wire.shape;
 
+import java.lang.reflect.Type;
 import java.util.Map;
 import java.util.Set;
 
@@ -23,8 +24,15 @@
 import org.elmline.core.control.IdempotencyKey;
 import org.elmline.core.dispatch.DispatchAnswer;
 import org.elmline.core.quarantine.PromptPart;
+import org.elmline.core.quarantine.QuarantineRecord;
+import org.elmline.core.quarantine.SuspectParts;
 import org.elmline.core.raft.Message;
 import org.elmline.core.raft.ReplicaId;
+import org.elmline.core.registry.EntryRecord;
+import org.elmline.core.registry.EntryUpdate;
+import org.elmline.core.registry.HeartbeatAge;
+import org.elmline.core.registry.Registration;
+import org.elmline.core.registry.ServerUpdate;
 import org.elmline.core.timeline.HybridTime;
 
 /**
@@ -74,6 +82,21 @@
     /** Enums whose constants are annotated with their names in lower case. */
     static final Set<Class<?>> LOWER_CASE_ENUMS = Set.of(AdmissionMode.class);
 
+    /**
+     * Types whose lists are read without the items that can't be used, where unknown fields are ignored, too: each item
+     * states something of its own, and without this, one of them would hide all others. Never types whose order or
+     * completeness matters, such as entries of a log.
+     */
+    static final Set<Type> INDEPENDENT_ITEMS = Set.of(
+            Address.class,
+            EntryRecord.class,
+            EntryUpdate.class,
+            HeartbeatAge.class,
+            QuarantineRecord.class,
+            Registration.class,
+            ServerUpdate.class,
+            SuspectParts.class);
+
     /** Type names that differ from the record's name. */
     private static final Map<Class<?>, String> SPECIAL_NAMES = Map.ofEntries(
             Map.entry(Message.PreVoteRequest.class, "pre-vote"),
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/ScalarShape.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/ScalarShape.java
@@ -29,8 +29,7 @@
 
         @Override
         public Object read(JsonParser from) throws IOException {
-            expect(from, JsonToken.VALUE_NUMBER_INT);
-            return from.getIntValue();
+            return Math.toIntExact(wholeNumber(from));
         }
     },
     LONG {
@@ -41,8 +40,7 @@
 
         @Override
         public Object read(JsonParser from) throws IOException {
-            expect(from, JsonToken.VALUE_NUMBER_INT);
-            return from.getLongValue();
+            return wholeNumber(from);
         }
     },
     DOUBLE {
@@ -104,6 +102,15 @@
         }
     };
 
+    /** Reads a number that fits into 64 bits. The MessagePack library would cut a longer one off. */
+    private static long wholeNumber(JsonParser from) throws IOException {
+        expect(from, JsonToken.VALUE_NUMBER_INT);
+        if (from.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+            throw new MismatchException("number out of range");
+        }
+        return from.getLongValue();
+    }
+
     private static void expect(JsonParser from, JsonToken token) throws MismatchException {
         if (from.currentToken() != token) {
             throw new MismatchException(from.currentToken() + " found where " + token + " was expected");
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/Shapes.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/Shapes.java
@@ -55,7 +55,9 @@
 
     private Shape createShape(Type type) {
         if (type instanceof ParameterizedType list && list.getRawType() == List.class) {
-            return new ListShape(of(list.getActualTypeArguments()[0]));
+            Type item = list.getActualTypeArguments()[0];
+            boolean independent = !strict && AnnotatedTypes.INDEPENDENT_ITEMS.contains(item);
+            return independent ? new IndependentItemsShape(item, of(item)) : new ListShape(of(item));
         }
         if (!(type instanceof Class<?> rawType)) {
             throw new UnsupportedTypeException(type);
--- /dev/null
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
@@ -0,0 +1,182 @@
+package org.elmline.wire.codec;
+
+import java.math.BigInteger;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.elmline.core.quarantine.QuarantineRecord;
+import org.elmline.core.registry.FollowAnswer;
+import org.elmline.core.registry.Registration;
+import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+/** Messages of another release, or another writer, of which some items can't be used. */
+class UnusableItemsTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+
+    private record Servers(List<Registration> servers) {}
+
+    private record Records(List<QuarantineRecord> records) {}
+
+    private static Map<String, Object> server(String id) {
+        Map<String, Object> fields = new HashMap<>();
+        fields.put("id", id);
+        fields.put("service", "s");
+        fields.put("address", "10.0.0.1:80");
+        fields.put("failureDomain", "a");
+        fields.put("places", 4);
+        fields.put("state", "READY");
+        fields.put("bornMillis", 5);
+        fields.put("sequence", 7);
+        return fields;
+    }
+
+    private static Map<String, Object> server(String field, Object value) {
+        Map<String, Object> fields = server("odd");
+        fields.put(field, value);
+        return fields;
+    }
+
+    private static Object nested() {
+        Object nested = List.of();
+        for (int i = 0; i < 900; i++) {
+            nested = List.of(nested);
+        }
+        return nested;
+    }
+
+    private static List<Object> oddServers() {
+        List<Object> odd = new ArrayList<>(Arrays.asList(null, 7, "text", List.of(), Map.of(), nested(), true, 1.5));
+        for (String address : List.of(
+                "10.0.0.1:99999",
+                "10.0.0.1:-1",
+                "10.0.0.1:x",
+                "10.0.0.1",
+                "",
+                ":80",
+                "host:80",
+                "a b:80",
+                "[::1]:80",
+                "10.0.0.256:80",
+                "10.0.0:80",
+                "10.0.0.1:80:80",
+                "010.0.0.1:80",
+                " 10.0.0.1:80",
+                "10.0.0.1:99999999999999")) {
+            odd.add(server("address", address));
+        }
+        odd.add(server("address", null));
+        odd.add(server("address", List.of("10.0.0.1:80")));
+        odd.add(server("places", new BigInteger("99999999999")));
+        odd.add(server("places", 1.5));
+        odd.add(server("places", "4"));
+        odd.add(server("bornMillis", new BigInteger("18446744073709551615")));
+        odd.add(server("bornMillis", Double.POSITIVE_INFINITY));
+        odd.add(server("sequence", nested()));
+        odd.add(server("state", "UNKNOWN"));
+        odd.add(server("state", 7));
+        odd.add(server("service", "a b"));
+        odd.add(server("id", null));
+        odd.add(server("cold", Map.of("stated", true, "millis", -1)));
+        odd.add(server("cold", "warm"));
+        return odd;
+    }
+
+    private static <T> T decode(Object message, Class<T> type) throws JsonProcessingException {
+        Decoded<T> decoded = Codecs.MESSAGE_PACK.decode(MAPPER.writeValueAsBytes(message), type);
+        return assertInstanceOf(Decoded.Value.class, decoded, () -> String.valueOf(message))
+                        instanceof Decoded.Value<?> v
+                ? type.cast(v.value())
+                : null;
+    }
+
+    /** Guards against a control host that starts without servers, as one persisted server can't be used. */
+    @Test
+    void listOfServersSkipsUnusableOnes() throws Exception {
+        for (Object odd : oddServers()) {
+            List<Object> list = Arrays.asList(server("r1"), odd, server("r2"));
+            List<Registration> read =
+                    decode(Map.of("servers", list), Servers.class).servers();
+            assertEquals(
+                    List.of("r1", "r2"),
+                    read.stream().map(each -> each.id().value()).toList(),
+                    () -> "" + odd);
+        }
+    }
+
+    /** Guards against a follower that drops each answer of a control host, as one of its servers can't be used. */
+    @Test
+    void answerToPollSkipsUnusableServers() throws Exception {
+        for (Object odd : oddServers()) {
+            Map<String, Object> update = new HashMap<>();
+            update.put("registration", odd);
+            List<Object> list =
+                    Arrays.asList(Map.of("registration", server("r1")), update, Map.of("registration", server("r2")));
+            FollowAnswer read = decode(Map.of("epoch", 9, "servers", list, "serversNow", 3), FollowAnswer.class);
+            assertEquals(2, read.servers().size(), () -> "" + odd);
+            assertEquals(3, read.serversNow());
+        }
+    }
+
+    /** Guards against the loss of whole answers by entries, heartbeats or control hosts that can't be used. */
+    @Test
+    void answerToPollSkipsOtherUnusableItems() throws Exception {
+        Map<String, Object> entry = new HashMap<>(Map.of(
+                "host",
+                "10.0.0.1",
+                "incarnation",
+                1,
+                "callers",
+                "10.0.0.1:80",
+                "peers",
+                "10.0.0.1:81",
+                "failureDomain",
+                "a",
+                "region",
+                "r",
+                "serving",
+                true));
+        Map<String, Object> heartbeat = Map.of("id", "r1", "bornMillis", 5, "sequence", 7, "ageMillis", 20);
+        for (String field : entry.keySet().stream()
+                .filter(each -> !each.equals("incarnation"))
+                .toList()) {
+            Map<String, Object> odd = new HashMap<>(entry);
+            odd.put(field, nested());
+            Map<String, Object> message = Map.of(
+                    "entries", List.of(entry, odd),
+                    "entryNews", List.of(Map.of("entry", odd), Map.of(), Map.of("entry", entry)),
+                    "heard", List.of(Map.of("ageMillis", 3), heartbeat),
+                    "controls", Arrays.asList("10.0.0.7:99999", null, "10.0.0.8:90", 7));
+            FollowAnswer read = decode(message, FollowAnswer.class);
+            assertEquals(1, read.entries().size(), field);
+            assertEquals(1, read.entryNews().size(), field);
+            assertEquals(1, read.heard().size(), field);
+            assertEquals("[10.0.0.8:90]", read.controls().toString(), field);
+        }
+    }
+
+    /** Guards against a control host that can't start, as a persisted record of the quarantine lacks a field. */
+    @Test
+    void listOfQuarantineRecordsSkipsUnusableOnes() throws Exception {
+        Map<String, Object> sound =
+                Map.of("service", "s", "group", Map.of("parts", List.of()), "stage", "RELEASED", "reason", "UNUSED");
+        for (String field : List.of("service", "group", "stage")) {
+            Map<String, Object> odd = new HashMap<>(sound);
+            odd.remove(field);
+            assertEquals(
+                    1,
+                    decode(Map.of("records", List.of(odd, sound)), Records.class)
+                            .records()
+                            .size(),
+                    field);
+        }
+    }
+}
