Keep following a control host after an answer that can't be applied

Seen: an exception in the listener of an answer was swallowed by the future that delivers it, and the next poll was never sent: the process no longer followed this control host, without a log line.

Change: RegistryPoller logs the exception and polls again after the longest backoff.

Before: pollsAgainAfterAnswerThatCannotBeApplied failed with NoSuchElementException, as no poll was scheduled. After: green.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
@@ -19,6 +19,7 @@
 import org.elmline.core.registry.FollowAnswer;
 import org.elmline.core.registry.FollowRequest;
 import org.elmline.core.registry.RegistryChannels;
+import org.jboss.logging.Logger;
 
 /**
  * Polls one control host for registry updates and polls again as soon as it has answered. Each poll reports up to which
@@ -158,8 +159,22 @@
             backoffMillis = INITIAL_BACKOFF_MILLIS;
             consecutiveFailures = 0;
         }
-        answerListener.accept(answer);
-        poll();
+        if (apply(answer)) {
+            poll();
+        } else {
+            schedulePoll(MAX_BACKOFF_MILLIS);
+        }
+    }
+
+    /** Returns false when the listener failed; this process must go on following the control host. */
+    private boolean apply(FollowAnswer answer) {
+        try {
+            answerListener.accept(answer);
+            return true;
+        } catch (RuntimeException e) {
+            Logger.getLogger(RegistryPoller.class).errorf(e, "answer of control host %s not applied", controlHost);
+            return false;
+        }
     }
 
     /** Exponential backoff with jitter, so that not all entries poll a restarted host at the same moment. */
--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
@@ -16,9 +16,11 @@
 import org.elmline.core.evacuation.EvacuationProgress;
 import org.elmline.core.peer.Channel;
 import org.elmline.core.peer.PeerNetwork;
+import org.elmline.core.registry.FollowAnswer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Backoff between polls of a control host that does not answer. */
@@ -103,4 +105,50 @@
         long delayMillis = lastDelayMillis(7);
         assertTrue(delayMillis >= 200 && delayMillis <= 600, delayMillis + " ms");
     }
+
+    /** Answers each poll at once. */
+    private static final class AnsweringNetwork implements PeerNetwork {
+        private int polls;
+
+        @Override
+        public <Q> boolean send(Address to, Channel<Q, ?> channel, Q message) {
+            throw new UnsupportedOperationException("only calls are expected");
+        }
+
+        @Override
+        public <Q, R> CompletableFuture<CallResult<R>> call(
+                Address to, Channel<Q, R> channel, Q request, Duration timeout) {
+            polls++;
+            FollowAnswer answer = new FollowAnswer(1, 0, null, 0, null, null, null, 0, null, -1, null, null, 0, null);
+            return CompletableFuture.completedFuture(
+                    new CallResult.Answered<>(channel.response().cast(answer)));
+        }
+    }
+
+    /** Guards against a process that no longer follows a control host after an answer that it could not apply. */
+    @Test
+    void pollsAgainAfterAnswerThatCannotBeApplied() {
+        AnsweringNetwork network = new AnsweringNetwork();
+        RegistryPoller poller = new RegistryPoller(
+                network,
+                new Address("10.0.0.9", 7000),
+                HostId.of("10.0.0.1"),
+                () -> null,
+                () -> 7,
+                () -> 500,
+                () -> false,
+                () -> EvacuationProgress.NOT_FOLLOWED,
+                answer -> {
+                    throw new ArithmeticException("unusable answer");
+                },
+                timer);
+        poller.start();
+        assertEquals(1, network.polls);
+        for (int i = 0; i < POLLS; i++) {
+            timer.tasks.remove().run();
+        }
+        poller.close();
+        assertEquals(1 + POLLS, network.polls);
+        assertEquals(0, poller.consecutiveFailures());
+    }
 }
