Keep reading the settings file after values that can't be applied

Seen: valid JSON with a port out of range (peerPort 99999) or an ip that is no id passed the checks and threw where it was used: at a reload inside the periodic task, which then never ran again, so that the process did not follow later changes of the file.

SettingsFileWatcher logs "settings not applied" when the listener fails.

Before: unusableValuesAreRefusedAndTheNextFileIsRead failed with IllegalArgumentException (port out of range: 99999), readsTheNextFileAfterOneThatCouldNotBeApplied with IllegalStateException. After: green.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/NodeSettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/NodeSettings.java
@@ -73,6 +73,8 @@
         NameList failureDomains,
         MemorySettings memory,
         AdmissionMode admission) {
+    private static final int MAX_PORT = 65_535;
+    private static final int MAX_DRAIN_SECONDS = 86_400;
     private static final double DEFAULT_DRAIN_SECONDS = 8.0;
     private static final int DEFAULT_HEARTBEAT_MILLIS = 1_200;
     private static final int DEFAULT_ROUTING_UPDATE_MILLIS = 2_000;
@@ -131,7 +133,11 @@
         require(ip != null, "/ip is missing", problems);
         require(region != null, "/region is missing", problems);
         require(failureDomain != null, "/failureDomain is missing", problems);
+        require(ip == null || isHostId(ip), "/ip is not an address", problems);
         require(peerPort > 0, "/peerPort is missing", problems);
+        require(peerPort <= MAX_PORT, "/peerPort is out of range", problems);
+        require(relayPort >= 0 && relayPort <= MAX_PORT, "/relayPort is out of range", problems);
+        require(metricsPort >= 0 && metricsPort <= MAX_PORT, "/metricsPort is out of range", problems);
         require(peerKey != null && peerKey.length() >= 16, "/peerKey needs 16 characters or more", problems);
         require(!controlHosts.isEmpty(), "/controlHosts names none", problems);
         boolean gateway = callers != null;
@@ -140,6 +146,7 @@
         require(gateway || dataFolder != null, "/dataFolder is missing", problems);
         require(gateway || directory == null, "/directory belongs to an entry", problems);
         require(drainSeconds > 0, "/drainSeconds must be above 0", problems);
+        require(drainSeconds <= MAX_DRAIN_SECONDS, "/drainSeconds must be at most a day", problems);
         require(directoryEntries >= 0, "/directoryEntries must not be negative", problems);
         require(routingUpdateMillis > 0, "/routingUpdateMillis must be above 0", problems);
         require(unconfirmedRoutingMillis > 0, "/unconfirmedRoutingMillis must be above 0", problems);
@@ -155,6 +162,15 @@
         return problems;
     }
 
+    private static boolean isHostId(String ip) {
+        try {
+            HostId.of(ip);
+            return true;
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+
     private static boolean isFailureDomain(String name) {
         try {
             FailureDomain.of(name);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/SettingsFileWatcher.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/SettingsFileWatcher.java
@@ -61,7 +61,7 @@
             log.line("settings reloaded")
                     .with("controlHosts", valid.settings().controlHosts())
                     .write();
-            onChange.accept(valid.settings());
+            apply(valid.settings());
         } else {
             log.line("settings refused")
                     .with("why", ((NodeSettings.ParseResult.Invalid) read).problems())
@@ -69,6 +69,15 @@
         }
     }
 
+    /** An exception would end the periodic check of the file. */
+    private void apply(NodeSettings settings) {
+        try {
+            onChange.accept(settings);
+        } catch (RuntimeException e) {
+            log.line("settings not applied").with("why", e).write();
+        }
+    }
+
     @Override
     public void close() {
         timer.shutdownNow();
--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/SettingsFileWatcherTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/SettingsFileWatcherTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -80,4 +81,65 @@
         return assertInstanceOf(NodeSettings.ParseResult.Valid.class, NodeSettings.read(json.getBytes()))
                 .settings();
     }
+
+    /** Guards against a process that stops reading its settings after values that no part of it can use. */
+    @Test
+    void unusableValuesAreRefusedAndTheNextFileIsRead() throws Exception {
+        Path file = folder.resolve("settings.json");
+        String sound = settings("10.0.0.2:90");
+        Files.writeString(file, sound);
+        List<NodeSettings> reloaded = new ArrayList<>();
+        DecisionLog log = new DecisionLog("n", "entry", new SystemClock(), OutputStream.nullOutputStream());
+        String nested = "[".repeat(20_000) + "]".repeat(20_000);
+        List<String> unusable = List.of(
+                sound.replace("\"peerPort\":7000", "\"peerPort\":99999"),
+                sound.replace("\"peerPort\":7000", "\"peerPort\":7000,\"relayPort\":99999"),
+                sound.replace("\"peerPort\":7000", "\"peerPort\":7000,\"relayPort\":-1"),
+                sound.replace("\"peerPort\":7000", "\"peerPort\":7000,\"metricsPort\":70000"),
+                sound.replace("\"peerPort\":7000", "\"peerPort\":7000,\"drainSeconds\":1e400"),
+                sound.replace("\"peerPort\":7000", "\"peerPort\":" + "9".repeat(2_000)),
+                sound.replace("\"peerPort\":7000", "\"peerPort\":7000,\"memory\":" + nested),
+                sound.replace("\"ip\":\"10.0.0.1\"", "\"ip\":\"a b\""),
+                sound.replace("[\"10.0.0.2:90\"]", "[null]"),
+                sound.replace("[\"10.0.0.2:90\"]", nested),
+                sound.replace("10.0.0.2:90", "10.0.0.2:99999"),
+                "null",
+                "[]",
+                "\u0000");
+        try (log;
+                SettingsFileWatcher watcher = new SettingsFileWatcher(file, log, next -> {
+                    next.controlPeerAddresses();
+                    next.host();
+                    reloaded.add(next);
+                })) {
+            for (String each : unusable) {
+                Files.writeString(file, each);
+                assertDoesNotThrow(watcher::reloadIfChanged, each.substring(0, Math.min(each.length(), 300)));
+                assertEquals(0, reloaded.size(), each.substring(0, Math.min(each.length(), 300)));
+            }
+            Files.writeString(file, settings("10.0.0.3:90"));
+            watcher.reloadIfChanged();
+            assertEquals(1, reloaded.size());
+        }
+    }
+
+    /** Guards against a process that stops reading its settings after a change that could not be applied. */
+    @Test
+    void readsTheNextFileAfterOneThatCouldNotBeApplied() throws Exception {
+        Path file = folder.resolve("settings.json");
+        Files.writeString(file, settings("10.0.0.2:90"));
+        List<NodeSettings> reloaded = new ArrayList<>();
+        DecisionLog log = new DecisionLog("n", "entry", new SystemClock(), OutputStream.nullOutputStream());
+        try (log;
+                SettingsFileWatcher watcher = new SettingsFileWatcher(file, log, next -> {
+                    reloaded.add(next);
+                    throw new IllegalStateException("cannot be applied");
+                })) {
+            Files.writeString(file, settings("10.0.0.3:90"));
+            assertDoesNotThrow(watcher::reloadIfChanged);
+            Files.writeString(file, settings("10.0.0.4:90"));
+            assertDoesNotThrow(watcher::reloadIfChanged);
+            assertEquals(2, reloaded.size());
+        }
+    }
 }
