End a process whose I/O thread has ended or has met an error

Cause: no handler of uncaught exceptions; the HTTP server's loop catches errors of tasks and listeners, logs them and goes on, but what the error interrupted is not resumed (a periodic task such as MemoryGuard's is not scheduled again); the runtime's timer keeps an error in the task's future. Class of fault: a process that cannot continue keeps running.

Change: FatalErrors, installed by PlatformMain for entries and control hosts alike, logs "fatal error" and ends the process with exit code 1 on an Error that ends any thread, on anything that ends an I/O thread or the main thread, and on an Error that a library catches and logs. A StackOverflowError that a library catches is left to it, as one input may cause it and would end each process that reads it. TaskTimer passes errors of timer tasks to the handler. Other uncaught exceptions are logged as "thread failed".

--- a/elmline-daemon/src/main/java/org/elmline/daemon/log/LibraryLogHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/log/LibraryLogHandler.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
 import java.util.logging.Handler;
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
@@ -16,6 +17,7 @@
     private static final String CONFIG_CLASS_PROPERTY = "java.util.logging.config.class";
 
     private static volatile DecisionLog target;
+    private static volatile Consumer<Throwable> thrownListener = thrown -> {};
 
     private static final String CONFIGURATION =
             "handlers=" + LibraryLogHandler.class.getName() + "\n.level=WARNING\norg.elmline.level=INFO\n";
@@ -37,8 +39,23 @@
         System.setProperty(CONFIG_CLASS_PROPERTY, Configuration.class.getName());
     }
 
+    /** Passes what libraries catch and log to this listener from now on. */
+    public static void onThrown(Consumer<Throwable> listener) {
+        thrownListener = listener;
+    }
+
     /** Writes one record; it is dropped when no log was installed. */
     static void write(String logger, String level, String message, Throwable thrown) {
+        try {
+            writeLine(logger, level, message, thrown);
+        } finally {
+            if (thrown != null) {
+                thrownListener.accept(thrown);
+            }
+        }
+    }
+
+    private static void writeLine(String logger, String level, String message, Throwable thrown) {
         DecisionLog log = target;
         if (log == null) {
             return;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/SettingsFileWatcher.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/SettingsFileWatcher.java
@@ -4,12 +4,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.elmline.daemon.log.DecisionLog;
+import org.elmline.daemon.runtime.TaskTimer;
 
 /**
  * Reads the settings file again on request, such as after a signal, and periodically; notifies a listener when valid
@@ -34,7 +34,7 @@
         this.log = log;
         this.onChange = onChange;
         this.lastContent = Files.readAllBytes(file);
-        this.timer = Executors.newSingleThreadScheduledExecutor(task -> {
+        this.timer = new TaskTimer(1, task -> {
             Thread thread = new Thread(task, "settings");
             thread.setDaemon(true);
             return thread;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/runtime/ProcessExecutors.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/runtime/ProcessExecutors.java
@@ -41,7 +41,7 @@
                 TimeUnit.SECONDS,
                 new SynchronousQueue<>(),
                 namedThreadFactory(name + "-stream"));
-        timer = new ScheduledThreadPoolExecutor(TIMER_THREADS, namedThreadFactory(name + "-timer"));
+        timer = new TaskTimer(TIMER_THREADS, namedThreadFactory(name + "-timer"));
         timer.setRemoveOnCancelPolicy(true);
         channelGroup = openChannelGroup(name);
     }
