Read the rest of a body whose call is refused for want of memory

Cause: the refusal closes the connection, and the HTTP server does not read the rest of a body on a connection that it does not keep open; the bytes that arrive afterwards reset it. Class of fault: a closed connection in place of an answer.

Change: the refusal is sent at once, the rest of the body is read and discarded (Undertow bounds it by maxBodyBytes), and the connection is closed then. Other refusals before a body are as before.

After: SlowReadersTest 10 of 10, streamOfPausedCallerStaysAtItsServer included.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -118,13 +118,20 @@
         refuse(exchange, head, UNAVAILABLE, why);
     }
 
-    /** The connection is closed after the answer, as the rest of the body is not read. */
+    /** The rest of the body is discarded. */
     private void refuseForMemory(HttpServerExchange exchange, CallHead head) {
-        exchange.setPersistent(false);
-        refuseWithRetryAfter(exchange, head, "no memory for the body", FULL_RETRY_AFTER_MILLIS);
+        String why = "no memory for the body";
+        context.protocol().setRetryAfter(exchange.getResponseHeaders(), FULL_RETRY_AFTER_MILLIS);
+        logRefusal(head, UNAVAILABLE, why);
+        Refusals.sendBeforeBody(exchange, UNAVAILABLE, why);
     }
 
     private void refuse(HttpServerExchange exchange, CallHead head, int status, String why) {
+        logRefusal(head, status, why);
+        Refusals.send(exchange, status, why, false);
+    }
+
+    private void logRefusal(CallHead head, int status, String why) {
         context.log()
                 .line("turned away")
                 .with("request", head == null ? null : head.requestId())
@@ -135,7 +142,6 @@
                         context.deployment().table().map(RoutingTable::version).orElse(-1L))
                 .with("controlCurrent", context.deployment().isCurrent())
                 .write();
-        Refusals.send(exchange, status, why, false);
     }
 
     private void onBodyUnreadable(HttpServerExchange exchange, CallHead head, IOException failure) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Refusals.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Refusals.java
@@ -11,6 +11,11 @@
         JsonResponses.send(exchange, status, new Body(why, mayHaveRun ? "unknown" : "no"));
     }
 
+    /** Sends the refusal of a call that did not run, while its caller may still send the body. */
+    static void sendBeforeBody(HttpServerExchange exchange, int status, String why) {
+        JsonResponses.sendBeforeBody(exchange, status, new Body(why, "no"));
+    }
+
     /** Body of a refusal. {@code ran} is {@code no} where the call did not run and never will, else {@code unknown}. */
     record Body(String error, String ran) {}
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/JsonResponses.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/JsonResponses.java
@@ -20,9 +20,19 @@
     }
 
     public static void send(HttpServerExchange exchange, int status, Object body) {
+        exchange.getResponseSender().send(prepare(exchange, status, body));
+    }
+
+    /** Sends an answer at once, although the request's body has not arrived, and closes the connection after the body. */
+    public static void sendBeforeBody(HttpServerExchange exchange, int status, Object body) {
+        exchange.setPersistent(false);
+        exchange.getResponseSender().send(prepare(exchange, status, body), new EarlyAnswer());
+    }
+
+    private static ByteBuffer prepare(HttpServerExchange exchange, int status, Object body) {
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
-        exchange.getResponseSender().send(ByteBuffer.wrap(Codecs.JSON.encode(body)));
+        return ByteBuffer.wrap(Codecs.JSON.encode(body));
     }
 
     /**
