--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/SettingsFileWatcherTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/SettingsFileWatcherTest.java
@@ -108,7 +108,7 @@
                 "[]",
                 "\u0000");
         try (log;
-                SettingsFileWatcher watcher = new SettingsFileWatcher(file, log, next -> {
+                SettingsFileWatcher watcher = new SettingsFileWatcher(file, Files.readAllBytes(file), log, next -> {
                     next.controlPeerAddresses();
                     next.host();
                     reloaded.add(next);
@@ -132,7 +132,7 @@
         List<NodeSettings> reloaded = new ArrayList<>();
         DecisionLog log = new DecisionLog("n", "entry", new SystemClock(), OutputStream.nullOutputStream());
         try (log;
-                SettingsFileWatcher watcher = new SettingsFileWatcher(file, log, next -> {
+                SettingsFileWatcher watcher = new SettingsFileWatcher(file, Files.readAllBytes(file), log, next -> {
                     reloaded.add(next);
                     throw new IllegalStateException("cannot be applied");
                 })) {
