Let a control host's stop go on when its I/O thread decides nothing

Found by review, by reading: the stop waited without a bound for a decision of the I/O thread, so that a thread that had ended, or an exception there, kept the host from transferring its leadership until it was killed. A decision has one second now, and its failure is logged (stop not decided). StoppingControlTest: 5 of 5; there is no test of the ended thread.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
@@ -3,7 +3,9 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 
 import io.undertow.server.HttpHandler;
@@ -28,6 +30,9 @@
     /** Limit on the time to write the last answers, in which nothing else is open. */
     private static final long WRITE_TIMEOUT_MILLIS = 200;
 
+    /** Time after which the I/O thread is taken for ended. */
+    private static final long DECISION_TIMEOUT_MILLIS = 1_000;
+
     private final HttpPorts ports;
     private final OpenRequests openRequests;
     private final MonotonicClock clock;
@@ -109,10 +114,24 @@
         }
     }
 
-    /** Decides on the I/O thread, where requests are read, so that none is read between a decision and its effect. */
-    private boolean onIoThread(BooleanSupplier decision) {
+    /**
+     * Decides on the I/O thread, where requests are read, so that none is read between a decision and its effect. An I/O
+     * thread that does not run any more decides nothing; the stop goes on.
+     */
+    private boolean onIoThread(BooleanSupplier decision) throws InterruptedException {
         CompletableFuture<Boolean> result = new CompletableFuture<>();
-        ports.worker().getIoThread().execute(() -> result.complete(decision.getAsBoolean()));
-        return result.join();
+        ports.worker().getIoThread().execute(() -> {
+            try {
+                result.complete(decision.getAsBoolean());
+            } catch (RuntimeException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        try {
+            return result.get(DECISION_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            log.line("stop not decided").with("why", e).write();
+            return true;
+        }
     }
 }
