Poll control hosts on an entry's own thread also after a failed poll

A repeated poll ran on the timer's thread, and its answer was there before the listener was attached.

A poller repeats its polls on an executor that is given: the I/O thread on entries, the timer as before on control hosts, whose registry has a lock.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -326,6 +326,7 @@
                         () -> false,
                         () -> EvacuationProgress.NOT_FOLLOWED,
                         registry::merge,
+                        Runnable::run,
                         peers.timer());
                 pollers.put(each, poller);
                 poller.start();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/DeploymentFollower.java
@@ -78,6 +78,7 @@
 
     private final NodeSettings settings;
     private final PeerEndpoint peers;
+    private final XnioExecutor thread;
     private final RoutingFormat routingFormat;
     private final MonotonicClock clock;
     private final DecisionLog log;
@@ -138,6 +139,7 @@
             EvacuationView evacuations) {
         this.settings = settings;
         this.peers = peers;
+        this.thread = thread;
         this.routingFormat = routingFormat;
         this.clock = clock;
         this.log = log;
@@ -187,6 +189,7 @@
                 () -> !primaries.contains(control),
                 evacuations::progress,
                 answer -> handleAnswer(control, answer),
+                thread,
                 timer);
         pollers.put(control, poller);
         choosePrimaries();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
@@ -1,6 +1,7 @@
 package org.elmline.daemon.node;
 
 import java.time.Duration;
+import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -55,6 +56,7 @@
     private final BooleanSupplier heldEntryChanges;
     private final Supplier<EvacuationProgress> evacuationProgress;
     private final Consumer<FollowAnswer> answerListener;
+    private final Executor executor;
     private final ScheduledExecutorService timer;
     private long epoch;
     private long serversSeen;
@@ -72,6 +74,7 @@
      * @param heldEntryChanges supplies whether changes of entries may wait for the end of the hold
      * @param evacuationProgress supplies what this process reports on evacuations
      * @param answerListener receives each answer, on the thread that completes calls
+     * @param executor runs the polls that follow a failed one, whose answer may be there before the poll returns
      */
     public RegistryPoller(
             PeerNetwork network,
@@ -83,6 +86,7 @@
             BooleanSupplier heldEntryChanges,
             Supplier<EvacuationProgress> evacuationProgress,
             Consumer<FollowAnswer> answerListener,
+            Executor executor,
             ScheduledExecutorService timer) {
         this.network = network;
         this.controlHost = controlHost;
@@ -93,6 +97,7 @@
         this.heldEntryChanges = heldEntryChanges;
         this.evacuationProgress = evacuationProgress;
         this.answerListener = answerListener;
+        this.executor = executor;
         this.timer = timer;
     }
 
@@ -189,7 +194,7 @@
 
     private void schedulePoll(long millis) {
         try {
-            timer.schedule(this::poll, millis, TimeUnit.MILLISECONDS);
+            timer.schedule(() -> executor.execute(this::poll), millis, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
             // The timer was shut down because the process is stopping; no more updates are needed.
             closed = true;
--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
@@ -76,6 +76,7 @@
                 () -> false,
                 () -> EvacuationProgress.NOT_FOLLOWED,
                 answer -> {},
+                Runnable::run,
                 timer);
         poller.start();
         for (int i = 0; i < POLLS; i++) {
@@ -141,6 +142,7 @@
                 answer -> {
                     throw new ArithmeticException("unusable answer");
                 },
+                Runnable::run,
                 timer);
         poller.start();
         assertEquals(1, network.polls);
@@ -151,4 +153,28 @@
         assertEquals(1 + POLLS, network.polls);
         assertEquals(0, poller.consecutiveFailures());
     }
+
+    /** Guards against state of one thread that an answer to a repeated poll changes on the timer's thread. */
+    @Test
+    void repeatsPollsOnTheExecutor() {
+        Deque<Runnable> queued = new ArrayDeque<>();
+        RegistryPoller poller = new RegistryPoller(
+                new UnreachableNetwork(),
+                new Address("10.0.0.9", 7000),
+                HostId.of("10.0.0.1"),
+                () -> null,
+                () -> 7,
+                () -> 500,
+                () -> false,
+                () -> EvacuationProgress.NOT_FOLLOWED,
+                answer -> {},
+                queued::add,
+                timer);
+        poller.start();
+        timer.tasks.remove().run();
+        assertEquals(1, poller.consecutiveFailures());
+        queued.remove().run();
+        assertEquals(2, poller.consecutiveFailures());
+        poller.close();
+    }
 }
