Refuse requests that a stopping control host has not read before it closes

Callers see: operators and backend servers whose request is on an open connection, but not read by a busy control host when it closes its connections, get a closed connection in place of 503.

Cause: RequestDrain.closeConnections took a moment without an open request for the end, as entries did before; and it closed the connections in a later task of the I/O thread than the one that found none open, so that a request could be read in between.

Change: connections are closed in the task that finds no request open and none received since the check before, at the latest after 200 ms as before.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
@@ -39,6 +39,9 @@
     private final DecisionLog log;
     private volatile boolean isRefusing;
 
+    /** Used on the I/O thread only. */
+    private long receivedAtLastCheck = -1;
+
     RequestDrain(HttpPorts ports, MonotonicClock clock, DecisionLog log) {
         this.ports = ports;
         this.openRequests = ports.openRequests();
@@ -85,12 +88,13 @@
         });
     }
 
-    /** Accepts no connections any more and closes the open ones once all answers are written. */
+    /** Accepts no connections any more and closes the open ones once all answers are written and no request comes. */
     void closeConnections() throws InterruptedException {
-        await(WRITE_TIMEOUT_MILLIS, () -> {
+        onIoThread(() -> {
             ports.stopAccepting();
-            return openRequests.isEmpty();
+            return true;
         });
+        await(WRITE_TIMEOUT_MILLIS, this::closeIfQuiet);
         onIoThread(() -> {
             openRequests.all().forEach(this::logUnanswered);
             ports.closeConnections();
@@ -98,6 +102,19 @@
         });
     }
 
+    /**
+     * Closes all connections if none has an open request, or has sent one since the last check: a busy thread has not
+     * read all that have arrived.
+     */
+    private boolean closeIfQuiet() {
+        boolean isQuiet = openRequests.isEmpty() && openRequests.received() == receivedAtLastCheck;
+        receivedAtLastCheck = openRequests.received();
+        if (isQuiet) {
+            ports.closeConnections();
+        }
+        return isQuiet;
+    }
+
     private void logUnanswered(HttpServerExchange exchange) {
         log.line("request unanswered at the stop")
                 .with("method", exchange.getRequestMethod())
