Do not retry a held call that has ended since its retry was due

By reading, a held call that ends between the queuing of its retry and the retry itself (deadline, stop, caller left) is decided on again. If the entry is the one to make the trial of its prompt, the ended call takes the trial and makes none, and the other calls with that prompt are held or refused until the next one.

Cause: since HeldCalls.retryAll empties its map and queues the retries as commands of the I/O thread, where HeldCalls.remove does not reach them.

Change: a call stays in the map until its queued retry runs.

HeldCallsTest, before: the ended call was retried; after: green.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/HeldCalls.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/HeldCalls.java
@@ -1,6 +1,5 @@
 package org.elmline.daemon.gateway;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,11 +47,17 @@
 
     /** Decides on all held calls again. */
     void retryAll() {
-        List<Runnable> due = new ArrayList<>(retries.values());
-        retries.clear();
-        for (Runnable each : due) {
+        for (Object each : List.copyOf(retries.keySet())) {
             // Each one on its own: if it fails, the others are retried all the same.
-            thread.execute(each);
+            thread.execute(() -> retry(each));
+        }
+    }
+
+    /** Does nothing for a call that has ended, or was retried, since its retry was due. */
+    private void retry(Object call) {
+        Runnable retry = retries.remove(call);
+        if (retry != null) {
+            retry.run();
         }
     }
 }
