Send a stream with the head of the server that sends its first event

Callers see: the headers of one server, its signature header included, before events of another, where the first one has sent a head and no event.

Cause: since nothing is written before the first event, but the forwarder kept the head of the first server that had sent one.

Change: as long as the stream has not begun, each head replaces the one before. A stream that has not begun runs on one server only: Call.onGranted ends the attempts before.

StreamWithoutEventTest.streamHasTheHeadOfTheServerThatSendsIt, before: header of the first server; after: of the second.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -127,9 +127,9 @@
         return stream == null ? head.lastEventId() : Math.max(head.lastEventId(), stream.lastEventId());
     }
 
-    /** The stream to the caller, with the head of the first server's answer. */
+    /** The stream to the caller, with the head of the first server that has something for it; until then only one runs it. */
     StreamForwarder stream(int status, HeaderMap headers) {
-        if (stream == null) {
+        if (!hasBegunStream()) {
             stream = new StreamForwarder(this, status, headers);
         }
         return stream;
