Read the body of a call that a stopping entry refuses before reading it

Callers see: a reset connection (broken pipe while they send) in place of 503, when an entry without a current routing table stops, or is stopping, and their body is longer than the sockets hold. By reading, the same for 400 because of an invalid header, and for callers that ask to close the connection.

Cause: these refusals are sent before the body is read, on a connection that is closed with its answer. Calls that already waited for a table kept their connection before (and their body was discarded by the HTTP server).

Change: the body is read and discarded before the connection is closed, as for a call that is refused for want of memory.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -51,20 +51,20 @@
         try {
             head = context.protocol().read(exchange.getRequestHeaders());
         } catch (IllegalArgumentException e) {
-            refuse(exchange, null, BAD_REQUEST, e.getMessage());
+            refuseBeforeBody(exchange, null, BAD_REQUEST, e.getMessage());
             return;
         }
         boolean noTable = context.deployment().table().isEmpty();
         if (noTable || context.deployment().isTableOutdated()) {
             if (context.shutdown().isStopping()) {
-                refuseWithRetryAfter(exchange, head, STOPS, context.retryElsewhereMillis());
+                refuseBeforeBody(exchange, head, STOPS, context.retryElsewhereMillis());
                 return;
             }
             String why = noTable ? "no routing table yet" : "the routing table is outdated";
             tableWaitQueue.add(
                     head.deadlineMillis(),
                     () -> readBody(exchange, head, receivedAtNanos),
-                    () -> refuseWithRetryAfter(exchange, head, why, RETRY_AFTER_MILLIS));
+                    () -> refuseBeforeBody(exchange, head, why, RETRY_AFTER_MILLIS));
             return;
         }
         readBody(exchange, head, receivedAtNanos);
@@ -131,6 +131,21 @@
         Refusals.sendBeforeBody(exchange, UNAVAILABLE, why);
     }
 
+    private void refuseBeforeBody(HttpServerExchange exchange, CallHead head, String why, long retryAfterMillis) {
+        context.protocol().setRetryAfter(exchange.getResponseHeaders(), retryAfterMillis);
+        refuseBeforeBody(exchange, head, UNAVAILABLE, why);
+    }
+
+    /** Refuses a call whose body is not read. A connection that ends with the answer is closed after the body only. */
+    private void refuseBeforeBody(HttpServerExchange exchange, CallHead head, int status, String why) {
+        if (context.shutdown().isStopping() || !exchange.isPersistent()) {
+            logRefusal(head, status, why);
+            Refusals.sendBeforeBody(exchange, status, why);
+        } else {
+            refuse(exchange, head, status, why);
+        }
+    }
+
     private void refuse(HttpServerExchange exchange, CallHead head, int status, String why) {
         logRefusal(head, status, why);
         Refusals.send(exchange, status, why, false);
