Leave a complete stream to its caller when a stop ends the calls

Callers see: a stream that its server has ended is cut 7.3 s after SIGTERM if the caller has not read all of it, although answers are written until 7.8 s. A plain answer is not cut there.

Cause: a plain call ends when its answer begins to be written, a stream when it is written; Call.abort closed the connection in both states of a stream.

Change: abort leaves a stream alone of which only the rest is to be written. Its request stays open, so the stop waits for it as for any answer.

StreamAtStopTest (entry with a memory bound, callers that pause), before, in two forms of the test: "stream broken off ... unreadBytes=8788 ... attemptEnd=DONE" and unreadBytes=10653. After: 1 of 1 in one run. An earlier form whose callers had receive buffers of 8 KB and read one after another failed after the change, too: it reads slower than 500 ms allow. StoppingEntryTest, SlowReadersTest and PlannedStopTest: green after the change.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -459,8 +459,12 @@
         return attempts.isEmpty() && !hasBegunStream() && !history.mayHaveRun();
     }
 
+    /** A stream that its server has ended is left to its caller, who may still read the rest. */
     @Override
     public void abort() {
+        if (stream != null && stream.isCompleting()) {
+            return;
+        }
         endBy("the entry stops", context.retryElsewhereMillis());
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/StreamForwarder.java
@@ -134,6 +134,11 @@
         callerChannel().complete();
     }
 
+    /** Whether the whole stream is here, and only its rest is to be written. */
+    boolean isCompleting() {
+        return completing;
+    }
+
     /** Closes the connection to a caller that has part of the stream. */
     void abort() {
         completing = true;
