Leave a complete forwarded answer to the entry that reads it when a stop ends the calls

Callers see: by reading, an answer that is forwarded by a stopping entry is cut 7.3 s after SIGTERM if its server has ended it and the entry that sent the call has not read all of it; that entry answers 502 or breaks a stream off.

Change: abort leaves an answer alone that has ended. A caller that reads nothing while its memory is needed still loses its connection.

No test reaches this state. LostServerPathTest (18 cases, forwarded calls): green after the change.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayedCall.java
@@ -55,7 +55,7 @@
         this.requestId = requestId;
         this.memory = memory;
         this.exchange = memory.exchange();
-        memory.onEnded(this::abort);
+        memory.onEnded(this::end);
         this.onEnd = onEnd;
         this.disconnectDetector = new CallerDisconnectDetector(exchange);
         ClientRequest request = BackendCall.newRequest(
@@ -229,9 +229,16 @@
         // Nothing to do here.
     }
 
-    /** States whether the request may have run, unless part of the answer was passed back. */
+    /** An answer that its server has ended is left to the entry that reads it. */
     @Override
     public void abort() {
+        if (answer == null || !answerEnded) {
+            end();
+        }
+    }
+
+    /** States whether the request may have run, unless part of the answer was passed back. */
+    private void end() {
         if (answer != null) {
             closeConnection();
         } else if (tryGiveUp()) {
