Acknowledge an answer of a control host once it is applied only

Callers see: by reading, calls sent to a server that has left. A server's leave is acknowledged once all entries state that they have applied it; an entry that could not apply the answer stated that all the same, and was never sent the changes again: servers, entries and quarantine records of that answer were missing until the control host restarted or they changed again.

Cause: RegistryPoller took over the numbers of an answer before it was applied.

Change: the numbers are taken over after the answer is applied.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/RegistryPoller.java
@@ -155,22 +155,27 @@
         }
         FollowAnswer answer = answered.value();
         synchronized (this) {
-            epoch = answer.epoch();
-            serversSeen = answer.serversNow();
-            entriesSeen = answer.entriesNow();
-            quarantineSeen = answer.quarantine() == null
-                    ? quarantineSeen
-                    : answer.quarantine().number();
             backoffMillis = INITIAL_BACKOFF_MILLIS;
             consecutiveFailures = 0;
         }
         if (apply(answer)) {
+            acknowledge(answer);
             poll();
         } else {
             schedulePoll(MAX_BACKOFF_MILLIS);
         }
     }
 
+    /** Lets the next poll state that an answer is applied; one that is not is sent again. */
+    private synchronized void acknowledge(FollowAnswer answer) {
+        epoch = answer.epoch();
+        serversSeen = answer.serversNow();
+        entriesSeen = answer.entriesNow();
+        quarantineSeen = answer.quarantine() == null
+                ? quarantineSeen
+                : answer.quarantine().number();
+    }
+
     /** Returns false when the listener failed; this process must go on following the control host. */
     private boolean apply(FollowAnswer answer) {
         try {
--- a/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/node/RegistryPollerTest.java
@@ -17,6 +17,7 @@
 import org.elmline.core.peer.Channel;
 import org.elmline.core.peer.PeerNetwork;
 import org.elmline.core.registry.FollowAnswer;
+import org.elmline.core.registry.FollowRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -154,6 +155,59 @@
         assertEquals(0, poller.consecutiveFailures());
     }
 
+    /** Answers each poll at once, and records the numbers up to which the poll acknowledges changes of servers. */
+    private static final class RecordingNetwork implements PeerNetwork {
+        private final List<Long> serversSeen = new ArrayList<>();
+
+        @Override
+        public <Q> boolean send(Address to, Channel<Q, ?> channel, Q message) {
+            throw new UnsupportedOperationException("only calls are expected");
+        }
+
+        @Override
+        public <Q, R> CompletableFuture<CallResult<R>> call(
+                Address to, Channel<Q, R> channel, Q request, Duration timeout) {
+            serversSeen.add(((FollowRequest) request).serversSeen());
+            if (serversSeen.size() > 2) {
+                return CompletableFuture.completedFuture(new CallResult.NotSent<>("refused"));
+            }
+            FollowAnswer answer = new FollowAnswer(1, 0, null, 5, null, null, null, 0, null, -1, null, null, 0, null);
+            return CompletableFuture.completedFuture(
+                    new CallResult.Answered<>(channel.response().cast(answer)));
+        }
+    }
+
+    /**
+     * Guards against changes that are acknowledged and not applied: they would not be sent again, and a server would
+     * take its leave for known to all entries.
+     */
+    @Test
+    void answerThatCannotBeAppliedIsNotAcknowledged() {
+        RecordingNetwork network = new RecordingNetwork();
+        List<FollowAnswer> received = new ArrayList<>();
+        RegistryPoller poller = new RegistryPoller(
+                network,
+                new Address("10.0.0.9", 7000),
+                HostId.of("10.0.0.1"),
+                () -> null,
+                () -> 7,
+                () -> 500,
+                () -> false,
+                () -> EvacuationProgress.NOT_FOLLOWED,
+                answer -> {
+                    received.add(answer);
+                    if (received.size() == 1) {
+                        throw new ArithmeticException("unusable answer");
+                    }
+                },
+                Runnable::run,
+                timer);
+        poller.start();
+        timer.tasks.remove().run();
+        poller.close();
+        assertEquals(List.of(0L, 0L, 5L), network.serversSeen);
+    }
+
     /** Guards against state of one thread that an answer to a repeated poll changes on the timer's thread. */
     @Test
     void repeatsPollsOnTheExecutor() {
