--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/Call.java
@@ -127,9 +127,9 @@
         return stream == null ? head.lastEventId() : Math.max(head.lastEventId(), stream.lastEventId());
     }
 
-    /** The stream to the caller, with the head of the first server's answer. */
+    /** The stream to the caller, with the head of the first server that has something for it; until then only one runs it. */
     StreamForwarder stream(int status, HeaderMap headers) {
-        if (stream == null) {
+        if (!hasBegunStream()) {
             stream = new StreamForwarder(this, status, headers);
         }
         return stream;
@@ -459,8 +459,12 @@
         return attempts.isEmpty() && !hasBegunStream() && !history.mayHaveRun();
     }
 
+    /** A stream that its server has ended is left to its caller, who may still read the rest. */
     @Override
     public void abort() {
+        if (stream != null && stream.isCompleting()) {
+            return;
+        }
         endBy("the entry stops", context.retryElsewhereMillis());
     }
 
