Answer the open requests of the product's control host before its stop closes them

Seen by operators: a control host of the product's own API that was told to stop closed the connections of requests that it had begun to read, and served new requests until their connections were cut. One that was handled as the ports closed got no answer.

Cause: ControlDaemon.stop transferred leadership and closed the ports at once.

HttpListener refuses new requests with 503 and Retry-After on connections that close, and waits at most 2,000 ms for those that were open at the signal. Then leadership is transferred, the last refusals get 200 ms to be written, and the process ends. Peers are served until the leadership is transferred. The refusal moved from RequestDrain to RefusableHandler, which both use. A request that is read between the last check and the close of the ports may still be cut: the listener has two I/O threads, and the check is not made on them.

--- a/elmline-cli/src/main/java/org/elmline/cli/role/ControlRunCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/role/ControlRunCommand.java
@@ -24,7 +24,7 @@
             }
 
             @Override
-            public void stop() {
+            public void stop() throws InterruptedException {
                 daemon.stop();
             }
         };
--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlDaemon.java
@@ -49,6 +49,12 @@
     private static final int MAX_BLOCKING_TASKS = 16;
     private static final long LEASE_EXPIRY_GRACE_MILLIS = 500;
 
+    /** Limit on the time to answer the operators' requests that are open when a stop begins. */
+    private static final long FINISH_TIMEOUT_MILLIS = 2_000;
+
+    /** Limit on the time to write the last refusals, in which nothing else is open. */
+    private static final long WRITE_TIMEOUT_MILLIS = 200;
+
     private final Closer closer = new Closer();
     private final ControlSettings settings;
     private final ProcessComponent process;
@@ -201,10 +207,16 @@
         return operators.address();
     }
 
-    /** Transfers leadership, then closes. */
-    public void stop() {
+    /**
+     * Answers the open requests of operators and refuses new ones, transfers leadership, then closes. Peers are served
+     * until the leadership is transferred.
+     */
+    public void stop() throws InterruptedException {
         events.record(new HostEvent.Stopping(settings.host()));
+        LOG.infof("control host %s is stopping", settings.host());
+        operators.finishOpenRequests(FINISH_TIMEOUT_MILLIS);
         log.transferLeadership();
+        operators.finishRequests(WRITE_TIMEOUT_MILLIS);
         close();
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -230,10 +230,10 @@
         evacuationService.register(peers.handlers());
         peers.timer().scheduleWithFixedDelay(this::checkStatus, 0, STATUS_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         HttpPorts ports = closer.register(new HttpPorts());
-        requests = new RequestDrain(ports, process.clock(), log);
         HttpHandler operators =
                 new QuarantineHandler(quarantine, protocol.operatorHandler(routing, registry, evacuationService));
-        ports.addPort(settings.operators(), requests.refusable(operators));
+        requests = new RequestDrain(ports, operators, process.clock(), log);
+        ports.addPort(settings.operators(), requests.handler());
         if (settings.metricsPort() > 0) {
             ports.addPort(new Address(settings.ip(), settings.metricsPort()), process.metricsHandler());
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
@@ -11,14 +11,12 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import org.elmline.core.common.MonotonicClock;
-import org.elmline.daemon.http.IoThreadBodyReader;
+import org.elmline.daemon.http.RefusableHandler;
 import org.elmline.daemon.log.DecisionLog;
 import org.elmline.daemon.node.HttpPorts;
 import org.elmline.daemon.node.OpenRequests;
-import org.xnio.IoUtils;
 
 /**
  * Ends the HTTP requests of a control host that stops: open ones are finished, and new ones are refused with 503 on a
@@ -37,30 +35,20 @@
     private final OpenRequests openRequests;
     private final MonotonicClock clock;
     private final DecisionLog log;
-    private volatile boolean isRefusing;
+    private final RefusableHandler handler;
 
-    RequestDrain(HttpPorts ports, MonotonicClock clock, DecisionLog log) {
+    /** @param operators handles requests until they are refused */
+    RequestDrain(HttpPorts ports, HttpHandler operators, MonotonicClock clock, DecisionLog log) {
         this.ports = ports;
         this.openRequests = ports.openRequests();
         this.clock = clock;
         this.log = log;
+        this.handler = new RefusableHandler(operators, RequestDrain::sendUnavailable);
     }
 
-    /** Returns a handler that passes requests on to another one until they are refused. */
-    HttpHandler refusable(HttpHandler next) {
-        return exchange -> {
-            if (isRefusing) {
-                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> refuse(exchange));
-            } else {
-                next.handleRequest(exchange);
-            }
-        };
-    }
-
-    /** Reads the body first: closing a connection with unread bytes would discard the answer. */
-    private static void refuse(HttpServerExchange exchange) {
-        IoThreadBodyReader.read(
-                exchange, body -> sendUnavailable(exchange), failure -> IoUtils.safeClose(exchange.getConnection()));
+    /** The handler of operators' requests. */
+    HttpHandler handler() {
+        return handler;
     }
 
     private static void sendUnavailable(HttpServerExchange exchange) {
@@ -75,7 +63,7 @@
     void finishOpenRequests(long timeoutMillis) throws InterruptedException {
         Set<HttpServerExchange> unanswered = new HashSet<>();
         onIoThread(() -> {
-            isRefusing = true;
+            handler.refuseRequests();
             ports.closeConnectionsAfterAnswers();
             return unanswered.addAll(openRequests.all());
         });
--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
@@ -1,12 +1,18 @@
 package org.elmline.daemon.http;
 
 import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
 import org.elmline.core.common.Address;
+import org.elmline.core.common.Refusal;
+import org.elmline.core.common.RefusalReason;
 import org.elmline.daemon.node.OpenRequests;
 
 /** One bound HTTP port with its limits. */
@@ -14,13 +20,17 @@
     private static final int IO_THREADS = 2;
     private static final int WORKER_THREADS = 2;
     private static final long CHECK_INTERVAL_MILLIS = 10;
+    private static final Refusal STOPPING =
+            Refusal.retryLater(RefusalReason.LEAVING, "this host is stopping; use another one", 1_000);
 
     private final Undertow server;
+    private final RefusableHandler handler;
     private final OpenRequests openRequests;
     private final String ip;
 
-    private HttpListener(Undertow server, OpenRequests openRequests, String ip) {
+    private HttpListener(Undertow server, RefusableHandler handler, OpenRequests openRequests, String ip) {
         this.server = server;
+        this.handler = handler;
         this.openRequests = openRequests;
         this.ip = ip;
     }
@@ -28,6 +38,8 @@
     /** Binds at once; port 0 selects a free one. */
     public static HttpListener start(String ip, int port, HttpLimits limits, HttpHandler handler) {
         OpenRequests openRequests = new OpenRequests();
+        RefusableHandler refusable =
+                new RefusableHandler(handler, exchange -> JsonResponses.sendRefusal(exchange, STOPPING));
         Undertow server = Undertow.builder()
                 .addHttpListener(port, ip)
                 .setIoThreads(IO_THREADS)
@@ -40,10 +52,10 @@
                 .setSocketOption(org.xnio.Options.READ_TIMEOUT, limits.readTimeoutMillis())
                 .setSocketOption(org.xnio.Options.CONNECTION_HIGH_WATER, limits.maxConnections())
                 .setSocketOption(org.xnio.Options.CONNECTION_LOW_WATER, limits.maxConnections())
-                .setHandler(openRequests.track(handler))
+                .setHandler(openRequests.track(refusable))
                 .build();
         server.start();
-        return new HttpListener(server, openRequests, ip);
+        return new HttpListener(server, refusable, openRequests, ip);
     }
 
     public Address address() {
@@ -52,14 +64,33 @@
         return new Address(ip, bound.getPort());
     }
 
+    /**
+     * Refuses new requests with 503 on connections that close, and returns once the requests that were open are answered,
+     * or after the time limit.
+     */
+    public void finishOpenRequests(long timeoutMillis) throws InterruptedException {
+        openRequests.closeConnectionsAfterAnswers();
+        handler.refuseRequests();
+        // A request counts as open before it is handled, so one that is added after this look-up is refused.
+        Set<HttpServerExchange> unanswered = new HashSet<>(openRequests.all());
+        await(timeoutMillis, () -> {
+            unanswered.retainAll(openRequests.all());
+            return unanswered.isEmpty();
+        });
+    }
+
     /**
      * Ends the connection of each answer that begins from now on, and returns once all requests are answered, or after the
-     * time limit. Requests are served on meanwhile.
+     * time limit. New requests are served on meanwhile unless they are refused already.
      */
     public void finishRequests(long timeoutMillis) throws InterruptedException {
         openRequests.closeConnectionsAfterAnswers();
+        await(timeoutMillis, openRequests::isEmpty);
+    }
+
+    private static void await(long timeoutMillis, BooleanSupplier condition) throws InterruptedException {
         long startNanos = System.nanoTime();
-        while (!openRequests.isEmpty()
+        while (!condition.getAsBoolean()
                 && System.nanoTime() - startNanos < TimeUnit.MILLISECONDS.toNanos(timeoutMillis)) {
             Thread.sleep(CHECK_INTERVAL_MILLIS);
         }
