Stop the control host of a local deployment gracefully too

Seen by operators: `elmline local`, when told to stop, answered the requests of its entry, and closed the connections of its control host's port without an answer.

Cause: LocalCommand stopped the entry gracefully, and then closed the rest of the deployment.

Change: after the entry, the control host is stopped in the same way as one in a process of its own.

--- a/elmline-cli/src/main/java/org/elmline/cli/local/LocalCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/local/LocalCommand.java
@@ -50,7 +50,7 @@
         return ExitCode.OK;
     }
 
-    private static RunningRole role(LocalDeployment deployment) {
+    static RunningRole role(LocalDeployment deployment) {
         return new RunningRole() {
             @Override
             public String readyLine() {
@@ -62,6 +62,7 @@
             @Override
             public void stop() throws InterruptedException {
                 deployment.entries().get(0).stop();
+                deployment.controlHosts().get(0).stop();
                 deployment.close();
             }
         };
--- a/elmline-cli/src/test/java/org/elmline/cli/local/StoppingControlTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/local/StoppingControlTest.java
@@ -90,4 +90,10 @@
     void newRequestIsRefusedAndItsConnectionClosed() throws Exception {
         assertRefusesUntilStopped(() -> deployment.controlHosts().get(0).stop());
     }
+
+    /** Guards against a deployment in one process that stops its entry gracefully, but not its control host. */
+    @Test
+    void controlHostOfALocalDeploymentRefusesRequestsToo() throws Exception {
+        assertRefusesUntilStopped(() -> LocalCommand.role(deployment).stop());
+    }
 }
