End an entry whose parts can't be created

Seen by callers: an entry whose start fails on its I/O thread keeps its ports open and serves nobody, and a stop of it waits for the whole drain time.

Cause: EntryGateway.assemble runs as a task of the I/O thread. The thread's loop catches and logs an exception (XNIO000011), and FatalErrors ends the process only for an Error that a library has caught. The latch for which stop waits never opened.

Change: the task passes the exception to the handler of uncaught exceptions of its thread, which FatalErrors is. It logs the error and ends the process, as for one that ends the I/O thread.

EntryGatewayTest before: entryThatCannotBeAssembledExits failed after 30 s, "keeps running". After, one run: passed, as did FatalErrorsTest (7), StartSignalsTest (3) and StoppingEntryTest of platform (3). FailingProcessTest in that run: 6 of 7 passed; controlHostEnds(END_OF_LOOP) failed, as the line "fatal error" was not in the process's output, although the process ended and had printed the stack trace. This commit does not change control hosts; the failure is not traced yet.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -143,10 +143,7 @@
         thread = ports.worker().getIoThread();
         peers = closer.register(new PeerEndpoint(settings, "gateway", thread, process.hybridClock()));
         // Following the control hosts starts before the ports open: their answers take longer than opening the ports.
-        thread.execute(() -> {
-            assemble();
-            assembled.countDown();
-        });
+        thread.execute(this::assembleOrEndProcess);
         ports.addPort(settings.callers(), new HttpContinueReadHandler(this::handleCall))
                 .addPort(settings.ready(), this::handleReady);
         if (settings.relayPort() > 0) {
@@ -163,6 +160,19 @@
         ports.start();
     }
 
+    /**
+     * Passes on what the thread's loop would only log. A process without its parts would keep its ports open, and would
+     * neither answer nor stop before the drain time ends.
+     */
+    private void assembleOrEndProcess() {
+        try {
+            assemble();
+            assembled.countDown();
+        } catch (RuntimeException | Error e) {
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
+        }
+    }
+
     /** Creates the parts of the gateway. Runs on the I/O thread, which owns them all. */
     private void assemble() {
         EvacuationView evacuations =
