Wait for open requests at a stop in one class

PlannedStop, RequestDrain and HttpListener each waited in steps for their open requests, and two of them logged unanswered ones. RequestCompletion, next to OpenRequests, does both. Callers that decide on their own thread, or on the I/O thread with a time limit, pass a runner of checks; PlannedStop's checks stay scheduled on the I/O thread, since a busy thread between two of them would let requests go unread for longer than it counts as quiet.

Intervals, time limits, the threads of the checks and what follows a check that throws or that the I/O thread does not run are as before. In the line "request unanswered at the stop" of an entry, answerBytes now precedes read and answerBegun.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
@@ -1,7 +1,5 @@
 package org.elmline.daemon.coordinator;
 
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -15,16 +13,15 @@
 import org.elmline.core.common.MonotonicClock;
 import org.elmline.daemon.http.RefusableHandler;
 import org.elmline.daemon.log.DecisionLog;
+import org.elmline.daemon.log.LogLine;
 import org.elmline.daemon.node.HttpPorts;
-import org.elmline.daemon.node.OpenRequests;
+import org.elmline.daemon.node.RequestCompletion;
 
 /**
  * Ends the HTTP requests of a control host that stops: open ones are finished, and new ones are refused with 503 on a
  * connection that closes, so that their senders use another control host.
  */
 final class RequestDrain {
-    private static final long CHECK_INTERVAL_MILLIS = 10;
-
     /** Limit on the time to write the last answers, in which nothing else is open. */
     private static final long WRITE_TIMEOUT_MILLIS = 200;
 
@@ -32,18 +29,16 @@
     private static final long DECISION_TIMEOUT_MILLIS = 1_000;
 
     private final HttpPorts ports;
-    private final OpenRequests openRequests;
-    private final MonotonicClock clock;
     private final DecisionLog log;
     private final RefusableHandler handler;
+    private final RequestCompletion completion;
 
     /** @param operators handles requests until they are refused */
     RequestDrain(HttpPorts ports, HttpHandler operators, MonotonicClock clock, DecisionLog log) {
         this.ports = ports;
-        this.openRequests = ports.openRequests();
-        this.clock = clock;
         this.log = log;
         this.handler = new RefusableHandler(operators, RequestDrain::sendUnavailable);
+        this.completion = new RequestCompletion(ports.openRequests(), clock, this::onIoThread);
     }
 
     /** The handler of operators' requests. */
@@ -61,45 +56,24 @@
 
     /** Refuses new requests and returns once the open ones are answered, or after the time limit. */
     void finishOpenRequests(long timeoutMillis) throws InterruptedException {
-        Set<HttpServerExchange> unanswered = new HashSet<>();
-        onIoThread(() -> {
+        completion.awaitOpen(timeoutMillis, () -> {
             handler.refuseRequests();
             ports.closeConnectionsAfterAnswers();
-            return unanswered.addAll(openRequests.all());
-        });
-        await(timeoutMillis, () -> {
-            unanswered.retainAll(openRequests.all());
-            return unanswered.isEmpty();
         });
     }
 
     /** Accepts no connections any more and closes the open ones once all answers are written. */
     void closeConnections() throws InterruptedException {
-        await(WRITE_TIMEOUT_MILLIS, () -> {
-            ports.stopAccepting();
-            return openRequests.isEmpty();
-        });
+        completion.awaitAll(WRITE_TIMEOUT_MILLIS, ports::stopAccepting);
         onIoThread(() -> {
-            openRequests.all().forEach(this::logUnanswered);
+            RequestCompletion.logUnanswered(ports.openRequests(), log, RequestDrain::identify);
             ports.closeConnections();
             return true;
         });
     }
 
-    private void logUnanswered(HttpServerExchange exchange) {
-        log.line("request unanswered at the stop")
-                .with("method", exchange.getRequestMethod())
-                .with("path", exchange.getRequestURI())
-                .with("read", exchange.isRequestComplete())
-                .with("answerBegun", exchange.isResponseStarted())
-                .write();
-    }
-
-    private void await(long timeoutMillis, BooleanSupplier condition) throws InterruptedException {
-        long deadlineNanos = clock.nanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-        while (!onIoThread(condition) && clock.nanos() - deadlineNanos < 0) {
-            Thread.sleep(CHECK_INTERVAL_MILLIS);
-        }
+    private static void identify(LogLine line, HttpServerExchange exchange) {
+        line.with("method", exchange.getRequestMethod()).with("path", exchange.getRequestURI());
     }
 
     /**
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/PlannedStop.java
@@ -1,14 +1,14 @@
 package org.elmline.daemon.gateway;
 
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import org.elmline.daemon.log.DecisionLog;
+import org.elmline.daemon.log.LogLine;
 import org.elmline.daemon.node.HttpPorts;
 import org.elmline.daemon.node.OpenRequests;
+import org.elmline.daemon.node.RequestCompletion;
 import org.xnio.XnioIoThread;
 
 /** The planned stop of an entry, from its signal to the moment at which its process may end. */
@@ -29,7 +29,6 @@
     private final Runnable onBegin;
     private final XnioIoThread thread;
     private final DecisionLog log;
-    private final CountDownLatch finished = new CountDownLatch(1);
     private boolean callsEnded;
     private long receivedAtLastCheck = -1;
     private long lastCheckMillis;
@@ -68,10 +67,10 @@
                 .with("unanswered", openRequests.size())
                 .write();
         thread.execute(onBegin);
-        thread.execute(this::check);
-        boolean isFinished = finished.await(shutdown.millisToExit() + CHECK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        boolean isFinished = RequestCompletion.awaitOnThread(
+                thread, this::tryFinish, CHECK_INTERVAL_MILLIS, shutdown.millisToExit() + CHECK_TIMEOUT_MILLIS);
         if (!isFinished) {
-            openRequests.all().forEach(this::logUnanswered);
+            RequestCompletion.logUnanswered(openRequests, log, this::identify);
         }
         log.line("stopped")
                 .with("open", openCalls.size())
@@ -84,19 +83,6 @@
      * Runs on the I/O thread, where requests are read, so that none is read between the last check and the end of the
      * process.
      */
-    private void check() {
-        boolean done = false;
-        try {
-            done = tryFinish();
-        } finally {
-            if (done) {
-                finished.countDown();
-            } else {
-                thread.executeAfter(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-            }
-        }
-    }
-
     private boolean tryFinish() {
         if (!shutdown.tryEnd(openCalls.size() + openRequests.size())) {
             openCalls.forEach(OpenCall::checkAdmission);
@@ -109,7 +95,7 @@
         if (!isQuiet() && shutdown.millisToExit() > 0) {
             return false;
         }
-        openRequests.all().forEach(this::logUnanswered);
+        RequestCompletion.logUnanswered(openRequests, log, this::identify);
         ports.closeConnections();
         return true;
     }
@@ -133,13 +119,8 @@
         openCalls.forEach(OpenCall::abort);
     }
 
-    private void logUnanswered(HttpServerExchange exchange) {
-        log.line("request unanswered at the stop")
-                .with("request", requestId(exchange))
-                .with("read", exchange.isRequestComplete())
-                .with("answerBegun", exchange.isResponseStarted())
-                .with("answerBytes", exchange.getResponseBytesSent())
-                .write();
+    private void identify(LogLine line, HttpServerExchange exchange) {
+        line.with("request", requestId(exchange)).with("answerBytes", exchange.getResponseBytesSent());
     }
 
     private String requestId(HttpServerExchange exchange) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
@@ -1,37 +1,35 @@
 package org.elmline.daemon.http;
 
 import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
-import io.undertow.server.HttpServerExchange;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
 import org.elmline.daemon.node.OpenRequests;
+import org.elmline.daemon.node.RequestCompletion;
 
 /** One bound HTTP port with its limits. */
 public final class HttpListener implements AutoCloseable {
     private static final int IO_THREADS = 2;
     private static final int WORKER_THREADS = 2;
-    private static final long CHECK_INTERVAL_MILLIS = 10;
     private static final Refusal STOPPING =
             Refusal.retryLater(RefusalReason.LEAVING, "this host is stopping; use another one", 1_000);
 
     private final Undertow server;
     private final RefusableHandler handler;
     private final OpenRequests openRequests;
+    private final RequestCompletion completion;
     private final String ip;
 
     private HttpListener(Undertow server, RefusableHandler handler, OpenRequests openRequests, String ip) {
         this.server = server;
         this.handler = handler;
         this.openRequests = openRequests;
+        this.completion = new RequestCompletion(openRequests, System::nanoTime, BooleanSupplier::getAsBoolean);
         this.ip = ip;
     }
 
@@ -69,13 +67,10 @@
      * or after the time limit.
      */
     public void finishOpenRequests(long timeoutMillis) throws InterruptedException {
-        openRequests.closeConnectionsAfterAnswers();
-        handler.refuseRequests();
-        // A request counts as open before it is handled, so one that is added after this look-up is refused.
-        Set<HttpServerExchange> unanswered = new HashSet<>(openRequests.all());
-        await(timeoutMillis, () -> {
-            unanswered.retainAll(openRequests.all());
-            return unanswered.isEmpty();
+        // A request counts as open before it is handled, so one that is added after the look-up is refused.
+        completion.awaitOpen(timeoutMillis, () -> {
+            openRequests.closeConnectionsAfterAnswers();
+            handler.refuseRequests();
         });
     }
 
@@ -85,15 +80,7 @@
      */
     public void finishRequests(long timeoutMillis) throws InterruptedException {
         openRequests.closeConnectionsAfterAnswers();
-        await(timeoutMillis, openRequests::isEmpty);
-    }
-
-    private static void await(long timeoutMillis, BooleanSupplier condition) throws InterruptedException {
-        long startNanos = System.nanoTime();
-        while (!condition.getAsBoolean()
-                && System.nanoTime() - startNanos < TimeUnit.MILLISECONDS.toNanos(timeoutMillis)) {
-            Thread.sleep(CHECK_INTERVAL_MILLIS);
-        }
+        completion.awaitAll(timeoutMillis, () -> {});
     }
 
     @Override
