Answer requests whose bodies are being received when an entry stops

Seen by callers: a request whose body was still arriving when the calls of a stopping entry had ended (7,300 ms after SIGTERM) got no answer; its connection was closed 500 ms later. The same for a request that another entry forwards.

Cause: OpenCalls, whose calls a stop refuses or ends, got a request only after its body was complete.

Change: an intake that waits for its caller is in OpenCalls. A caller's request gets 503 with Retry-After, in the same way as for lack of memory, as soon as the stop does not admit its route any more, also where it begins after that. One that no route matches counts as a plain call. Another entry's request is refused (NO_PATH) when the calls end, not before: that refusal closes the connection without reading the rest of the body, so its sender may miss it, and until then the body may still arrive. One that begins between the end of the calls and the end of the process, and whose body does not arrive in that time, still gets no answer.

The refused exchange is open until the rest of its body has arrived, so a caller that never sends it keeps the stop waiting to 200 ms before the end of the drain time, as before, and is logged as unanswered with answerBegun.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/CallHandler.java
@@ -86,15 +86,32 @@
         CallMemory memory = context.memory().open(exchange, head.requestId());
         BodyIntake.read(
                 memory,
+                new BodyIntake.StopRule(
+                        context.openCalls(),
+                        () -> isAdmitted(exchange, head),
+                        () -> refuseBeforeBody(exchange, head, STOPS, context.retryElsewhereMillis())),
                 body -> route(exchange, head, memory, receivedAtNanos),
                 failure -> onBodyUnreadable(exchange, head, failure),
-                () -> refuseForMemory(exchange, head));
+                () -> refuseBeforeBody(exchange, head, "no memory for the body", FULL_RETRY_AFTER_MILLIS));
+    }
+
+    /** Whether a stop still admits a request; one without a route counts as a plain call. */
+    private boolean isAdmitted(HttpServerExchange exchange, CallHead head) {
+        return context.deployment()
+                .table()
+                .map(table -> match(table, exchange, head))
+                .filter(RouteMatch.Allowed.class::isInstance)
+                .map(match -> context.shutdown().admits(((RouteMatch.Allowed) match).route()))
+                .orElseGet(() -> context.shutdown().admitsPlainCall());
+    }
+
+    private static RouteMatch match(RoutingTable table, HttpServerExchange exchange, CallHead head) {
+        return table.match(exchange.getRequestHeaders().getFirst(Headers.HOST), exchange.getRequestURI(), head.key());
     }
 
     private void route(HttpServerExchange exchange, CallHead head, CallMemory memory, long receivedAtNanos) {
         RoutingTable table = context.deployment().table().orElseThrow();
-        RouteMatch match =
-                table.match(exchange.getRequestHeaders().getFirst(Headers.HOST), exchange.getRequestURI(), head.key());
+        RouteMatch match = match(table, exchange, head);
         if (match instanceof RouteMatch.Allowed allowed) {
             if (!context.shutdown().admits(allowed.route())) {
                 memory.close();
@@ -124,9 +141,8 @@
     }
 
     /** The rest of the body is discarded. */
-    private void refuseForMemory(HttpServerExchange exchange, CallHead head) {
-        String why = "no memory for the body";
-        context.protocol().setRetryAfter(exchange.getResponseHeaders(), FULL_RETRY_AFTER_MILLIS);
+    private void refuseBeforeBody(HttpServerExchange exchange, CallHead head, String why, long retryAfterMillis) {
+        context.protocol().setRetryAfter(exchange.getResponseHeaders(), retryAfterMillis);
         logRefusal(head, UNAVAILABLE, why);
         Refusals.sendBeforeBody(exchange, UNAVAILABLE, why);
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/GracefulShutdown.java
@@ -65,7 +65,12 @@
 
     /** Whether a call that has no place yet is admitted: one that is can usually be finished within the stop. */
     boolean admits(CallRoute route) {
-        return route.isStreaming() ? admitsStream() : hasTimeFor(PLAIN_CALL_MILLIS);
+        return route.isStreaming() ? admitsStream() : admitsPlainCall();
+    }
+
+    /** Whether a plain call that has no place yet is admitted. */
+    boolean admitsPlainCall() {
+        return hasTimeFor(PLAIN_CALL_MILLIS);
     }
 
     /** Whether a stream is admitted; one that another entry forwards counts as a stream. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/RelayHandler.java
@@ -70,6 +70,10 @@
         CallMemory callMemory = memory.open(exchange, null);
         BodyIntake.read(
                 callMemory,
+                // This refusal does not wait for the rest of the body, so its sender may miss it: it is the last
+                // resort.
+                new BodyIntake.StopRule(
+                        openCalls, () -> true, () -> refuse(exchange.setPersistent(false), RelayRefusal.NO_PATH)),
                 body -> forward(callMemory, request.get()),
                 failure -> onBodyUnreadable(exchange, failure),
                 () -> refuse(exchange.setPersistent(false), RelayRefusal.BUSY));
