--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RequestDrain.java
@@ -1,7 +1,5 @@
 package org.elmline.daemon.coordinator;
 
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -11,22 +9,19 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import org.elmline.core.common.MonotonicClock;
-import org.elmline.daemon.http.IoThreadBodyReader;
+import org.elmline.daemon.http.RefusableHandler;
 import org.elmline.daemon.log.DecisionLog;
+import org.elmline.daemon.log.LogLine;
 import org.elmline.daemon.node.HttpPorts;
-import org.elmline.daemon.node.OpenRequests;
-import org.xnio.IoUtils;
+import org.elmline.daemon.node.RequestCompletion;
 
 /**
  * Ends the HTTP requests of a control host that stops: open ones are finished, and new ones are refused with 503 on a
  * connection that closes, so that their senders use another control host.
  */
 final class RequestDrain {
-    private static final long CHECK_INTERVAL_MILLIS = 10;
-
     /** Limit on the time to write the last answers, in which nothing else is open. */
     private static final long WRITE_TIMEOUT_MILLIS = 200;
 
@@ -34,36 +29,21 @@
     private static final long DECISION_TIMEOUT_MILLIS = 1_000;
 
     private final HttpPorts ports;
-    private final OpenRequests openRequests;
-    private final MonotonicClock clock;
     private final DecisionLog log;
-    private volatile boolean isRefusing;
-
-    /** Used on the I/O thread only. */
-    private long receivedAtLastCheck = -1;
+    private final RefusableHandler handler;
+    private final RequestCompletion completion;
 
-    RequestDrain(HttpPorts ports, MonotonicClock clock, DecisionLog log) {
+    /** @param operators handles requests until they are refused */
+    RequestDrain(HttpPorts ports, HttpHandler operators, MonotonicClock clock, DecisionLog log) {
         this.ports = ports;
-        this.openRequests = ports.openRequests();
-        this.clock = clock;
         this.log = log;
+        this.handler = new RefusableHandler(operators, RequestDrain::sendUnavailable);
+        this.completion = new RequestCompletion(ports.openRequests(), clock, this::onIoThread);
     }
 
-    /** Returns a handler that passes requests on to another one until they are refused. */
-    HttpHandler refusable(HttpHandler next) {
-        return exchange -> {
-            if (isRefusing) {
-                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> refuse(exchange));
-            } else {
-                next.handleRequest(exchange);
-            }
-        };
-    }
-
-    /** Reads the body first: closing a connection with unread bytes would discard the answer. */
-    private static void refuse(HttpServerExchange exchange) {
-        IoThreadBodyReader.read(
-                exchange, body -> sendUnavailable(exchange), failure -> IoUtils.safeClose(exchange.getConnection()));
+    /** The handler of operators' requests. */
+    HttpHandler handler() {
+        return handler;
     }
 
     private static void sendUnavailable(HttpServerExchange exchange) {
@@ -76,15 +56,9 @@
 
     /** Refuses new requests and returns once the open ones are answered, or after the time limit. */
     void finishOpenRequests(long timeoutMillis) throws InterruptedException {
-        Set<HttpServerExchange> unanswered = new HashSet<>();
-        onIoThread(() -> {
-            isRefusing = true;
+        completion.awaitOpen(timeoutMillis, () -> {
+            handler.refuseRequests();
             ports.closeConnectionsAfterAnswers();
-            return unanswered.addAll(openRequests.all());
-        });
-        await(timeoutMillis, () -> {
-            unanswered.retainAll(openRequests.all());
-            return unanswered.isEmpty();
         });
     }
 
@@ -94,41 +68,16 @@
             ports.stopAccepting();
             return true;
         });
-        await(WRITE_TIMEOUT_MILLIS, this::closeIfQuiet);
+        completion.awaitQuiet(WRITE_TIMEOUT_MILLIS, ports::closeConnections);
         onIoThread(() -> {
-            openRequests.all().forEach(this::logUnanswered);
+            RequestCompletion.logUnanswered(ports.openRequests(), log, RequestDrain::identify);
             ports.closeConnections();
             return true;
         });
     }
 
-    /**
-     * Closes all connections if none has an open request, or has sent one since the last check: a busy thread has not
-     * read all that have arrived.
-     */
-    private boolean closeIfQuiet() {
-        boolean isQuiet = openRequests.isEmpty() && openRequests.received() == receivedAtLastCheck;
-        receivedAtLastCheck = openRequests.received();
-        if (isQuiet) {
-            ports.closeConnections();
-        }
-        return isQuiet;
-    }
-
-    private void logUnanswered(HttpServerExchange exchange) {
-        log.line("request unanswered at the stop")
-                .with("method", exchange.getRequestMethod())
-                .with("path", exchange.getRequestURI())
-                .with("read", exchange.isRequestComplete())
-                .with("answerBegun", exchange.isResponseStarted())
-                .write();
-    }
-
-    private void await(long timeoutMillis, BooleanSupplier condition) throws InterruptedException {
-        long deadlineNanos = clock.nanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-        while (!onIoThread(condition) && clock.nanos() - deadlineNanos < 0) {
-            Thread.sleep(CHECK_INTERVAL_MILLIS);
-        }
+    private static void identify(LogLine line, HttpServerExchange exchange) {
+        line.with("method", exchange.getRequestMethod()).with("path", exchange.getRequestURI());
     }
 
     /**
--- a/elmline-daemon/src/test/java/org/elmline/daemon/coordinator/RequestDrainTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/coordinator/RequestDrainTest.java
@@ -40,9 +40,8 @@
         }
         ports = new HttpPorts();
         log = new DecisionLog("control", "test", new SystemClock(), logOutput);
-        drain = new RequestDrain(ports, new SystemClock(), log);
-        ports.addPort(new Address(HOST, port), drain.refusable(exchange -> exchange.endExchange()))
-                .start();
+        drain = new RequestDrain(ports, exchange -> exchange.endExchange(), new SystemClock(), log);
+        ports.addPort(new Address(HOST, port), drain.handler()).start();
     }
 
     @AfterEach
