Answer requests that a role has read before a stop during its start

Seen by operators and callers: a process of the product's roles that got SIGTERM before its ready line ended at once, and closed the connections of requests that it had begun to read. In `elmline local` this lasts until the first ticket is in force, in an entry from the opening of its ports to the end of its start.

Cause: RoleCommand.run registered the shutdown hook after the start.

--- a/elmline-cli/src/main/java/org/elmline/cli/local/LocalCommand.java
+++ b/elmline-cli/src/main/java/org/elmline/cli/local/LocalCommand.java
@@ -1,6 +1,6 @@
 package org.elmline.cli.local;
 
-import java.io.PrintWriter;
+import java.io.IOException;
 import java.nio.file.Path;
 
 import org.elmline.cli.ExitCode;
@@ -39,15 +39,17 @@
 
     @Override
     public ExitCode execute() throws Exception {
-        LocalDeployment deployment = LocalDeployment.builder()
+        RoleCommand.run(() -> role(start()), spec.commandLine().getOut());
+        return ExitCode.OK;
+    }
+
+    private LocalDeployment start() throws IOException, InterruptedException {
+        return LocalDeployment.builder()
                 .callerPort(callerPort)
                 .operatorPort(operatorPort)
                 .dataFolder(data)
                 .keepSeconds(1)
                 .start();
-        PrintWriter out = spec.commandLine().getOut();
-        RoleCommand.run(role(deployment), out);
-        return ExitCode.OK;
     }
 
     static RunningRole role(LocalDeployment deployment) {
