Kill the entry in a test once the service has received the call

Seen: EntryFailureTest.retryAfterAKilledEntryRunsTheCallOnce failed once alongside other load: the service had run the call 0 times instead of once. The product's answers (409, unknown) were correct.

Cause: the test killed the entry once its counter service_claims_sent was 1. ServiceGateway.callOnce counts before it selects a replica and connects, so an entry that is killed at that moment may have sent nothing.

Change: the stand-in service counts a state-changing call as received when it has read the whole body, before its configured delay, and GET /runs returns the count. The tests of a killed and of a frozen entry wait for it as well as for the entry's counter. No assertion is changed. With the old order the body was read after the delay, when its sender may be gone.

--- a/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
+++ b/elmline-cli/src/test/java/org/elmline/cli/process/EntryFailureTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import okhttp3.MediaType;
 import okhttp3.Request;
 import okhttp3.RequestBody;
@@ -53,7 +54,7 @@
         deployment.caller.put(deployment.service.ready("service") + "/standin/faults", "{\"delayMillis\":3000}");
         CompletableFuture<Client.Reply> first = holdAsync(0, key);
         // Waits for the claim of the first entry: a retry that came before it would own the claim itself.
-        Client.await("the call is sent", () -> sentClaims(0) == 1);
+        awaitReceived(0);
         assertEquals(409, hold(1, key).status());
         deployment.entries.get(0).freeze();
         Thread.sleep(5_000);
@@ -74,7 +75,7 @@
         String key = issueKey();
         deployment.caller.put(deployment.service.ready("service") + "/standin/faults", "{\"delayMillis\":2000}");
         CompletableFuture<Client.Reply> interrupted = holdAsync(0, key);
-        Client.await("the call is sent", () -> sentClaims(0) == 1);
+        awaitReceived(0);
         deployment.entries.get(0).kill();
         interrupted.handle((reply, failure) -> reply).get();
         for (int i = 0; i < 3; i++) {
@@ -201,13 +202,23 @@
                 .sum();
     }
 
-    private int runs(String key) throws IOException {
-        int runs = 0;
-        for (com.fasterxml.jackson.databind.JsonNode each : deployment
+    /** Waits until the service has received the call: an entry counts a claim as sent before it sends the call. */
+    private void awaitReceived(int entry) throws Exception {
+        Client.await("the call is sent", () -> sentClaims(entry) == 1);
+        Client.await(
+                "the call is received", () -> serviceRuns().path("received").asInt() == 1);
+    }
+
+    private JsonNode serviceRuns() throws IOException {
+        return deployment
                 .caller
                 .get(deployment.service.ready("service") + "/runs")
-                .json()
-                .path("runs")) {
+                .json();
+    }
+
+    private int runs(String key) throws IOException {
+        int runs = 0;
+        for (JsonNode each : serviceRuns().path("runs")) {
             runs += each.path("idempotencyKey").asText().equals(key)
                     ? each.path("count").asInt()
                     : 0;
--- a/elmline-standin/src/main/java/org/elmline/standin/service/ServiceServer.java
+++ b/elmline-standin/src/main/java/org/elmline/standin/service/ServiceServer.java
@@ -32,7 +32,7 @@
 /**
  * Stand-in booking service without deduplication: {@code GET /seats/{id}} and {@code GET /schedule} are idempotent,
  * {@code POST /seats/{id}/hold} and {@code POST /fees} aren't, and {@code GET /runs} returns how often each of the
- * latter ran. {@link #close()} stops it as a crash does, {@link #leave} gracefully. Thread-safe.
+ * latter ran and how many of them were received. {@link #close()} stops it as a crash does, {@link #leave} gracefully. Thread-safe.
  */
 public final class ServiceServer implements AutoCloseable {
     private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
@@ -53,6 +53,7 @@
     private final RunCounts runs = new RunCounts();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger refusals = new AtomicInteger();
+    private final AtomicInteger received = new AtomicInteger();
     private final AtomicBoolean closed = new AtomicBoolean();
     private final StandinHttpServer http;
     private final Announcer announcer;
@@ -144,11 +145,11 @@
 
     private HttpHandler handler() {
         return Handlers.routing()
-                .get("/schedule", onWorker(exchange -> StandinHttpResponses.send(exchange, Schedule.today())))
+                .get("/schedule", onWorker(this::handleSchedule))
                 .get("/seats/{seat}", onWorker(this::handleSeat))
                 .post("/seats/{seat}/hold", onWorker(this::handleMutation))
                 .post("/fees", onWorker(this::handleMutation))
-                .get(RUNS_PATH, exchange -> StandinHttpResponses.send(exchange, new Runs(runs.runs())))
+                .get(RUNS_PATH, exchange -> StandinHttpResponses.send(exchange, new Runs(runs.runs(), received.get())))
                 .put(FAULTS_PATH, this::setFaults);
     }
 
@@ -169,7 +170,12 @@
         thread.start();
     }
 
-    private record Runs(List<RunCounts.Run> runs) {}
+    /**
+     * The runs so far.
+     *
+     * @param received number of state-changing calls that were read completely, whether or not they have run
+     */
+    private record Runs(List<RunCounts.Run> runs, int received) {}
 
     /** The available seats, always the same. */
     private record Schedule(List<String> seats) {
@@ -188,7 +194,6 @@
             }
             try {
                 dispatched.startBlocking();
-                Thread.sleep(faults.delayMillis() + (faults.cold().leftMillis() > 0 ? COLD_DELAY_MILLIS : 0));
                 handler.handleRequest(dispatched);
             } finally {
                 inFlight.decrementAndGet();
@@ -196,11 +201,24 @@
         });
     }
 
-    private void handleSeat(HttpServerExchange exchange) {
+    private void delay() throws InterruptedException {
+        Thread.sleep(faults.delayMillis() + (faults.cold().leftMillis() > 0 ? COLD_DELAY_MILLIS : 0));
+    }
+
+    private void handleSchedule(HttpServerExchange exchange) throws InterruptedException {
+        delay();
+        StandinHttpResponses.send(exchange, Schedule.today());
+    }
+
+    private void handleSeat(HttpServerExchange exchange) throws InterruptedException {
+        delay();
         StandinHttpResponses.send(exchange, new Seat(StandinHttpResponses.queryParameter(exchange, "seat")));
     }
 
-    private void handleMutation(HttpServerExchange exchange) throws IOException {
+    private void handleMutation(HttpServerExchange exchange) throws IOException, InterruptedException {
+        String body = new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        received.incrementAndGet();
+        delay();
         if (faults.mode() == ServiceFaults.Mode.FAIL_BEFORE_RUNNING) {
             refusals.incrementAndGet();
             exchange.getResponseHeaders().put(RAN, "no");
@@ -210,7 +228,6 @@
             StandinHttpResponses.sendProblem(exchange, 503, "refused before running");
             return;
         }
-        String body = new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         String key = exchange.getRequestHeaders().getFirst(IDEMPOTENCY_KEY);
         String keyOrNone = key == null ? "" : key;
         int count = runs.recordRun(keyOrNone, exchange.getRequestPath(), body);
--- a/elmline-standin/src/test/java/org/elmline/standin/service/ServiceServerTest.java
+++ b/elmline-standin/src/test/java/org/elmline/standin/service/ServiceServerTest.java
@@ -1,12 +1,15 @@
 package org.elmline.standin.service;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -27,6 +30,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ServiceServerTest {
+    private static final int MAX_POLLS = 3_000;
+
     private final OkHttpClient client =
             new OkHttpClient.Builder().retryOnConnectionFailure(false).build();
 
@@ -104,6 +109,33 @@
         }
     }
 
+    /** Guards against tests that end the sender of a call before the service has received all of it. */
+    @Test
+    void callCountsAsReceivedWithItsWholeBody() throws Exception {
+        try (ServiceServer service = ServiceServer.builder().id("booking-1").start();
+                Socket caller =
+                        new Socket(service.address().ip(), service.address().port())) {
+            write(caller, "POST /seats/a1/hold HTTP/1.1\r\nHost: s\r\nContent-Length: 2\r\n\r\n{");
+            await(() -> service.announcement().load().streams() == 1);
+            assertEquals(
+                    "{\"runs\":[],\"received\":0}", get(service, "/runs").body().string());
+            write(caller, "}");
+            await(() -> service.announcement().load().streams() == 0);
+            assertTrue(get(service, "/runs").body().string().endsWith("\"count\":1}],\"received\":1}"));
+        }
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        for (int i = 0; i < MAX_POLLS && !condition.getAsBoolean(); i++) {
+            Thread.sleep(10);
+        }
+        assertTrue(condition.getAsBoolean());
+    }
+
     /**
      * One seed address is unreachable and one answers: the service must announce itself to the latter, also that it
      * leaves.
