Skip unusable records of evacuations, but not in the replicated log

Seen: one evacuation that can't be decoded made each answer to a poll that held it malformed. The entry then got no servers, entries or routing documents from that control host either, and a control host that restarted with such a file held no evacuations until its log was open.

Cause: lists of evacuations were not among the lists that are read without their unusable items.

Change: they are.

Tolerance names the three ways of reading.

Before: UnusableItemsTest.evacuationsSkipUnusableRecords failed (the answer was Malformed).

--- a/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlStateMachine.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/control/ControlStateMachine.java
@@ -17,7 +17,7 @@
  * short steps only, and no other lock is acquired under it. Thread-safe.
  */
 public final class ControlStateMachine implements StateMachine {
-    private static final Codec CODEC = Codecs.MESSAGE_PACK;
+    private static final Codec CODEC = Codecs.REPLICATED_STATE;
 
     private ControlState state = new ControlState();
     private BiConsumer<Command, CommandResult> onApplied = (command, result) -> {};
--- a/elmline-wire/src/main/java/org/elmline/wire/codec/Codecs.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/Codecs.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.module.SimpleModule;
+import org.elmline.wire.shape.Tolerance;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** The codecs of elmline. Each is safe for use by many threads. */
@@ -20,21 +21,31 @@
      * For messages between elmline processes. Unknown fields are ignored, so that two releases can run side by side
      * during a rolling upgrade.
      */
-    public static final Codec MESSAGE_PACK = new MessagePackCodec(new ShapeCodec(
-            withReadLimits(messagePackFactory()), false, () -> lenient(new ObjectMapper(messagePackFactory()))));
+    public static final Codec MESSAGE_PACK = messagePack(Tolerance.LENIENT);
+
+    /** For commands and snapshots of the replicated log: like {@link #MESSAGE_PACK}, but no item is skipped. */
+    public static final Codec REPLICATED_STATE = messagePack(Tolerance.COMPLETE);
 
     /**
      * For documents that people write (settings, tickets). An unknown field is an error, since it is most likely a
      * typing mistake.
      */
     public static final Codec STRICT_JSON =
-            new ShapeCodec(withReadLimits(new JsonFactory()), true, Codecs::strictMapper);
+            new ShapeCodec(withReadLimits(new JsonFactory()), Tolerance.STRICT, Codecs::strictMapper);
 
     /** For JSON that other programs send: unknown fields are ignored. */
-    public static final Codec JSON = new ShapeCodec(withReadLimits(new JsonFactory()), false, Codecs::jsonMapper);
+    public static final Codec JSON =
+            new ShapeCodec(withReadLimits(new JsonFactory()), Tolerance.LENIENT, Codecs::jsonMapper);
 
     private Codecs() {}
 
+    private static Codec messagePack(Tolerance tolerance) {
+        return new MessagePackCodec(new ShapeCodec(
+                withReadLimits(messagePackFactory()),
+                tolerance,
+                () -> lenient(new ObjectMapper(messagePackFactory()))));
+    }
+
     /** Creates a mapper for trees and bodies of the OpenAI API, configured like {@link #JSON}. */
     public static ObjectMapper jsonMapper() {
         return lenient(JsonMapper.builder().build());
--- a/elmline-wire/src/main/java/org/elmline/wire/codec/ShapeCodec.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/codec/ShapeCodec.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.elmline.wire.shape.Shape;
 import org.elmline.wire.shape.Shapes;
+import org.elmline.wire.shape.Tolerance;
 import org.elmline.wire.shape.UnsupportedTypeException;
 
 /**
@@ -22,20 +23,20 @@
  */
 final class ShapeCodec implements Codec {
     private final JsonFactory factory;
-    private final boolean strict;
+    private final Tolerance tolerance;
     private final Shapes shapes;
     private final Supplier<ObjectMapper> mapperSupplier;
     private final ConcurrentMap<Class<?>, Optional<Shape>> shapesByType = new ConcurrentHashMap<>();
     private volatile Codec jacksonCodec;
 
     /**
-     * @param strict whether unknown fields, absent numbers and bytes after the value are errors
+     * @param tolerance which deviations are accepted; if strict, bytes after the value are an error, too
      * @param mapper creates the mapper of data binding for the same format
      */
-    ShapeCodec(JsonFactory factory, boolean strict, Supplier<ObjectMapper> mapper) {
+    ShapeCodec(JsonFactory factory, Tolerance tolerance, Supplier<ObjectMapper> mapper) {
         this.factory = factory;
-        this.strict = strict;
-        this.shapes = new Shapes(strict);
+        this.tolerance = tolerance;
+        this.shapes = new Shapes(tolerance);
         this.mapperSupplier = mapper;
     }
 
@@ -66,7 +67,7 @@
         try (JsonParser from = factory.createParser(bytes)) {
             from.nextToken();
             T value = type.cast(shape.get().read(from));
-            if (!strict || from.nextToken() == null) {
+            if (tolerance != Tolerance.STRICT || from.nextToken() == null) {
                 return new Decoded.Value<>(value);
             }
         } catch (IOException | RuntimeException e) {
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
@@ -23,6 +23,7 @@
 import org.elmline.core.control.CommandResult;
 import org.elmline.core.control.IdempotencyKey;
 import org.elmline.core.dispatch.DispatchAnswer;
+import org.elmline.core.evacuation.EvacuationRecord;
 import org.elmline.core.quarantine.PromptPart;
 import org.elmline.core.quarantine.QuarantineRecord;
 import org.elmline.core.quarantine.SuspectParts;
@@ -91,6 +92,7 @@
             Address.class,
             EntryRecord.class,
             EntryUpdate.class,
+            EvacuationRecord.class,
             HeartbeatAge.class,
             QuarantineRecord.class,
             Registration.class,
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/Shapes.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/Shapes.java
@@ -31,11 +31,10 @@
             Map.entry(Path.class, ScalarShape.PATH));
 
     private final Map<Type, Shape> shapesByType = new ConcurrentHashMap<>();
-    private final boolean strict;
+    private final Tolerance tolerance;
 
-    /** @param strict whether unknown fields and absent numbers are errors */
-    public Shapes(boolean strict) {
-        this.strict = strict;
+    public Shapes(Tolerance tolerance) {
+        this.tolerance = tolerance;
     }
 
     /**
@@ -56,7 +55,7 @@
     private Shape createShape(Type type) {
         if (type instanceof ParameterizedType list && list.getRawType() == List.class) {
             Type item = list.getActualTypeArguments()[0];
-            boolean independent = !strict && AnnotatedTypes.INDEPENDENT_ITEMS.contains(item);
+            boolean independent = tolerance.skipsUnusableItems() && AnnotatedTypes.INDEPENDENT_ITEMS.contains(item);
             return independent ? new IndependentItemsShape(item, of(item)) : new ListShape(of(item));
         }
         if (!(type instanceof Class<?> rawType)) {
@@ -89,6 +88,7 @@
     }
 
     private Shape primitive(Class<?> type) {
+        boolean strict = tolerance.requiresAllFields();
         if (type == boolean.class) {
             return new PrimitiveShape(ScalarShape.BOOLEAN, false);
         }
@@ -193,7 +193,7 @@
             types[i] = components[i].getType();
             shapes[i] = of(components[i].getGenericType());
         }
-        return new RecordShape(constructor(type, types), accessors, shapes, strict);
+        return new RecordShape(constructor(type, types), accessors, shapes, tolerance.requiresAllFields());
     }
 
     private static Constructor<?> constructor(Class<?> type, Class<?>[] parameters) {
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
@@ -9,6 +9,8 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.elmline.core.evacuation.EvacuationRecord;
+import org.elmline.core.evacuation.Evacuations;
 import org.elmline.core.quarantine.QuarantineRecord;
 import org.elmline.core.registry.FollowAnswer;
 import org.elmline.core.registry.Registration;
@@ -179,4 +181,36 @@
                     field);
         }
     }
+
+    /** Guards against an entry that drops each answer of a control host, as one of its evacuations can't be used. */
+    @Test
+    void evacuationsSkipUnusableRecords() throws Exception {
+        List<Object> odd = new ArrayList<>(Arrays.asList(null, 7, "text", List.of(), Map.of(), nested()));
+        for (Object value : Arrays.asList(null, "", "a b", "a".repeat(1_000_000), 7, nested())) {
+            odd.add(evacuation("domain", value));
+        }
+        for (String field : List.of("evacuated", "change", "wallMillis", "acceptedBy")) {
+            odd.add(evacuation(field, "a b"));
+        }
+        odd.add(evacuation("change", new BigInteger("18446744073709551615")));
+        for (Object each : odd) {
+            List<Object> records = Arrays.asList(evacuation("domain", "a"), each, evacuation("domain", "b"));
+            Map<String, Object> message = Map.of("evacuation", Map.of("version", 9, "records", records));
+            Evacuations read = decode(message, FollowAnswer.class).evacuation();
+            assertEquals(9, read.version(), () -> "" + each);
+            assertEquals(
+                    "[a, b]",
+                    read.records().stream()
+                            .map(EvacuationRecord::domain)
+                            .toList()
+                            .toString());
+        }
+    }
+
+    private static Map<String, Object> evacuation(String field, Object value) {
+        Map<String, Object> fields = new HashMap<>(
+                Map.of("domain", "odd", "evacuated", true, "change", 3, "wallMillis", 5, "acceptedBy", "10.0.0.1"));
+        fields.put(field, value);
+        return fields;
+    }
 }
