Reject a confirmed reading of evacuations without the evacuations

Seen by reading: GET of the evacuations got no response at all, and an order was not decided, if the leader's answer said that it is confirmed and held no evacuations: the list is built from null, and nothing completes the request.

Change: such an answer is malformed, so the host that asked shows what it holds itself, as for a leader that does not answer.

Before: RequiredFieldsTest.confirmedReadingNeedsEvacuations failed (decoded).

--- a/elmline-core/src/main/java/org/elmline/core/evacuation/EvacuationChannels.java
+++ b/elmline-core/src/main/java/org/elmline/core/evacuation/EvacuationChannels.java
@@ -33,6 +33,12 @@
      */
     public record EvacuationReading(boolean known, Evacuations evacuations) {
         public static final EvacuationReading UNKNOWN = new EvacuationReading(false, null);
+
+        public EvacuationReading {
+            if (known && evacuations == null) {
+                throw new IllegalArgumentException("a confirmed reading needs evacuations");
+            }
+        }
     }
 
     /**
--- /dev/null
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
@@ -0,0 +1,37 @@
+package org.elmline.wire.codec;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.elmline.core.evacuation.EvacuationChannels.EvacuationReading;
+import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+/** Messages of another writer that lack a field which their receivers use without a check. */
+class RequiredFieldsTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+
+    private static void assertRequired(Class<?> type, Map<String, Object> sound, List<String> fields) throws Exception {
+        assertInstanceOf(Decoded.Value.class, decode(sound, type));
+        for (String each : fields) {
+            Map<String, Object> message = new HashMap<>(sound);
+            message.remove(each);
+            assertInstanceOf(Decoded.Malformed.class, decode(message, type), type + " without " + each);
+        }
+    }
+
+    private static Decoded<?> decode(Map<String, Object> message, Class<?> type) throws Exception {
+        return Codecs.MESSAGE_PACK.decode(MAPPER.writeValueAsBytes(message), type);
+    }
+
+    /** Guards against a list of evacuations that gets no response, as the leader's reading has no evacuations. */
+    @Test
+    void confirmedReadingNeedsEvacuations() throws Exception {
+        Map<String, Object> sound = Map.of("known", true, "evacuations", Map.of("version", 3));
+        assertRequired(EvacuationReading.class, sound, List.of("evacuations"));
+    }
+}
