Reject an order of evacuation without a failure domain before it is committed

Cause, found by reading: the leader proposed an order of another control host as it was. Applied without a domain, the command throws a NullPointerException in the state machine, which ends each control host, and again at each start when the log is replayed.

Change: the order and the command reject a missing domain in their constructors, so the order is refused as malformed.

Before: RequiredFieldsTest.orderOfEvacuationNeedsItsDomain failed (decoded).

--- a/elmline-core/src/main/java/org/elmline/core/control/Command.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/Command.java
@@ -75,5 +75,11 @@
     @JsonTypeName("set-evacuation")
     record SetEvacuation(
             FailureDomain domain, boolean evacuated, long expectedChange, long wallMillis, HostId acceptedBy)
-            implements Command {}
+            implements Command {
+        public SetEvacuation {
+            if (domain == null) {
+                throw new IllegalArgumentException("a change of an evacuation needs its failure domain");
+            }
+        }
+    }
 }
--- a/elmline-core/src/main/java/org/elmline/core/evacuation/EvacuationChannels.java
+++ b/elmline-core/src/main/java/org/elmline/core/evacuation/EvacuationChannels.java
@@ -47,7 +47,13 @@
      * @param expectedChange number of the failure domain's latest change when it was read, 0 for none
      * @param acceptedBy the control host that received the order
      */
-    public record EvacuationOrder(FailureDomain domain, boolean evacuated, long expectedChange, HostId acceptedBy) {}
+    public record EvacuationOrder(FailureDomain domain, boolean evacuated, long expectedChange, HostId acceptedBy) {
+        public EvacuationOrder {
+            if (domain == null) {
+                throw new IllegalArgumentException("an order needs its failure domain");
+            }
+        }
+    }
 
     /** The outcome of a proposed change. */
     public enum EvacuationOutcome {
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.elmline.core.evacuation.EvacuationChannels.EvacuationOrder;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationReading;
 import org.junit.jupiter.api.Test;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -34,4 +35,12 @@
         Map<String, Object> sound = Map.of("known", true, "evacuations", Map.of("version", 3));
         assertRequired(EvacuationReading.class, sound, List.of("evacuations"));
     }
+
+    /** Guards against an order that ends every control host when it is applied, and again at each start. */
+    @Test
+    void orderOfEvacuationNeedsItsDomain() throws Exception {
+        Map<String, Object> sound =
+                Map.of("domain", "a", "evacuated", true, "expectedChange", 0, "acceptedBy", "10.0.0.1");
+        assertRequired(EvacuationOrder.class, sound, List.of("domain"));
+    }
 }
