Read the rest of an answer whose routing document can't be used

Seen by reading: a routing document with a version and no text caused a NullPointerException in DeploymentFollower.apply at each poll. The quarantine and the change of servers of that answer were not passed on, and the entry polled every 400 ms only. A document of another type made the whole answer malformed, so its servers were lost.

Change: RoutingText needs its text if it has a version. A record's component of a type in INDEPENDENT_PARTS is read as absent, and logged, if it can't be used; the entry then fetches the document by a call of its own. The evacuations and the quarantine are not among these types: an entry that lacks them is answered at once, so a poll that ignores them would be repeated without a pause.

RoutingProviderTest writes the file as a map, as the record can't be built any more; RoutingProvider's own check is dropped. Two documents in ShapeCodecTest get a text for the same reason; what they check is unchanged.

Before: UnusableItemsTest.answerToPollSkipsUnusableDocument failed (routing was RoutingText[known=true, version=7, text=null]).

--- a/elmline-core/src/main/java/org/elmline/core/registry/RegistryChannels.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/RegistryChannels.java
@@ -41,6 +41,12 @@
     public record RoutingText(boolean known, long version, String text) {
         public static final RoutingText UNKNOWN = new RoutingText(false, -1, null);
         public static final RoutingText NONE = new RoutingText(true, -1, null);
+
+        public RoutingText {
+            if (version >= 0 && text == null) {
+                throw new IllegalArgumentException("a routing document needs its text");
+            }
+        }
     }
 
     /** Submits a valid document, to be put in force under its version. */
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RoutingProvider.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/RoutingProvider.java
@@ -25,8 +25,7 @@
 
     RoutingProvider(PersistedValue<RoutingText> persistedRouting) {
         this.persistedRouting = persistedRouting;
-        this.restored =
-                persistedRouting.read().filter(each -> each.text() != null).orElse(RoutingText.NONE);
+        this.restored = persistedRouting.read().orElse(RoutingText.NONE);
         this.persistedVersion = restored.version();
     }
 
--- a/elmline-daemon/src/test/java/org/elmline/daemon/coordinator/RoutingProviderTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/coordinator/RoutingProviderTest.java
@@ -2,15 +2,17 @@
 
 import java.io.OutputStream;
 import java.nio.file.Path;
+import java.util.Map;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.elmline.core.registry.RegistryChannels.RoutingText;
 import org.elmline.daemon.log.DecisionLog;
 import org.elmline.daemon.runtime.SystemClock;
 import org.elmline.storage.ChecksummedFile;
 import org.elmline.storage.SystemFiles;
-import org.elmline.wire.codec.Codecs;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -23,7 +25,7 @@
     @Test
     void persistedVersionWithoutDocumentIsNotRestored() throws Exception {
         ChecksummedFile file = new ChecksummedFile(new SystemFiles(), folder.resolve("routing"));
-        file.write(Codecs.MESSAGE_PACK.encode(new RoutingText(true, 7, null)));
+        file.write(new ObjectMapper(new MessagePackFactory()).writeValueAsBytes(Map.of("known", true, "version", 7)));
         DecisionLog log = new DecisionLog("c", "control", new SystemClock(), OutputStream.nullOutputStream());
         try (log;
                 PersistedValue<RoutingText> value = new PersistedValue<>("routing", RoutingText.class, file, log)) {
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
@@ -32,7 +32,9 @@
 import org.elmline.core.registry.EntryRecord;
 import org.elmline.core.registry.EntryUpdate;
 import org.elmline.core.registry.HeartbeatAge;
+import org.elmline.core.registry.PackedRouting;
 import org.elmline.core.registry.Registration;
+import org.elmline.core.registry.RegistryChannels.RoutingText;
 import org.elmline.core.registry.ServerUpdate;
 import org.elmline.core.timeline.HybridTime;
 
@@ -99,6 +101,12 @@
             ServerUpdate.class,
             SuspectParts.class);
 
+    /**
+     * Types whose components are null if they can't be used, where unknown fields are ignored, too. Never types that a
+     * follower requests again at once while it lacks them.
+     */
+    static final Set<Type> INDEPENDENT_PARTS = Set.of(PackedRouting.class, RoutingText.class);
+
     /** Type names that differ from the record's name. */
     private static final Map<Class<?>, String> SPECIAL_NAMES = Map.ofEntries(
             Map.entry(Message.PreVoteRequest.class, "pre-vote"),
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/IndependentItemsShape.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/IndependentItemsShape.java
@@ -9,12 +9,9 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonStreamContext;
 import com.fasterxml.jackson.core.JsonToken;
-import org.jboss.logging.Logger;
 
 /** Lists of values that are independent of each other: an item that can't be used is logged and skipped. */
 final class IndependentItemsShape implements Shape {
-    private static final int MAX_LOGGED_CHARS = 200;
-
     private final Type type;
     private final Shape element;
     private final ListShape list;
@@ -38,37 +35,14 @@
         JsonStreamContext context = from.getParsingContext();
         List<Object> items = new ArrayList<>();
         while (from.nextToken() != JsonToken.END_ARRAY) {
-            requireToken(from);
+            UnusableValue.requireToken(from);
             try {
                 items.add(element.read(from));
             } catch (IOException | RuntimeException e) {
-                skipItem(from, context);
-                logSkipped(e);
+                UnusableValue.skip(from, context);
+                UnusableValue.log(type, e);
             }
         }
         return items;
     }
-
-    /** Moves to the last token of the current item of the list with this context. */
-    private static void skipItem(JsonParser from, JsonStreamContext context) throws IOException {
-        while (from.getParsingContext() != context) {
-            from.nextToken();
-            requireToken(from);
-        }
-    }
-
-    private static void requireToken(JsonParser from) throws MismatchException {
-        if (from.currentToken() == null) {
-            throw new MismatchException("the list has no end");
-        }
-    }
-
-    /** Creates the logger when it is needed, as loading its classes would delay the start of each process. */
-    private void logSkipped(Exception why) {
-        String text = String.valueOf(why.getMessage());
-        Logger.getLogger(IndependentItemsShape.class)
-                .warnf(
-                        "unusable item of a list skipped: %s, %s",
-                        type.getTypeName(), text.substring(0, Math.min(text.length(), MAX_LOGGED_CHARS)));
-    }
 }
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/RecordShape.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/RecordShape.java
@@ -9,6 +9,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonStreamContext;
 import com.fasterxml.jackson.core.JsonToken;
 
 /** Writes a record as an object with one field for each component that is not null. */
@@ -81,12 +82,13 @@
     /** Reads the remaining fields of an object. The parser is positioned before the first of them. */
     Object readFields(JsonParser from) throws IOException {
         Object[] components = new Object[names.length];
+        JsonStreamContext object = from.getParsingContext();
         while (from.nextToken() != JsonToken.END_OBJECT) {
             Integer position = positions.get(from.currentName());
             JsonToken token = from.nextToken();
             if (position != null) {
                 boolean acceptedNull = token == JsonToken.VALUE_NULL && !strict;
-                components[position] = acceptedNull ? null : shapes[position].read(from);
+                components[position] = acceptedNull ? null : shapes[position].readComponent(from, object);
             } else if (strict) {
                 throw new MismatchException("unknown field");
             } else {
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/Shape.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/Shape.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonStreamContext;
 
 /** How values of one type are written as tokens and read from them. Safe for use by many threads. */
 public interface Shape {
@@ -17,6 +18,15 @@
      */
     Object read(JsonParser from) throws IOException;
 
+    /**
+     * Reads a component of a record, positioned as for {@link #read}.
+     *
+     * @param object context of the object that holds the component
+     */
+    default Object readComponent(JsonParser from, JsonStreamContext object) throws IOException {
+        return read(from);
+    }
+
     /** The value of a component that is absent or null. */
     default Object absentValue() throws MismatchException {
         return null;
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/Shapes.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/Shapes.java
@@ -191,11 +191,16 @@
                 throw new UnsupportedTypeException(type);
             }
             types[i] = components[i].getType();
-            shapes[i] = of(components[i].getGenericType());
+            shapes[i] = component(components[i].getGenericType());
         }
         return new RecordShape(constructor(type, types), accessors, shapes, tolerance.requiresAllFields());
     }
 
+    private Shape component(Type type) {
+        boolean independent = tolerance.skipsUnusableItems() && AnnotatedTypes.INDEPENDENT_PARTS.contains(type);
+        return independent ? new IndependentPartShape(type, of(type)) : of(type);
+    }
+
     private static Constructor<?> constructor(Class<?> type, Class<?>[] parameters) {
         for (Constructor<?> each : type.getDeclaredConstructors()) {
             if (each.isAnnotationPresent(JsonCreator.class)) {
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/ShapeCodecTest.java
@@ -118,9 +118,9 @@
         for (String each : malformed) {
             assertInstanceOf(Decoded.Malformed.class, Codecs.JSON.decode(each.getBytes(), RoutingText.class), each);
         }
-        String withUnknownField = "{\"known\":true,\"new\":{\"x\":[1]},\"version\":4}";
+        String withUnknownField = "{\"known\":true,\"new\":{\"x\":[1]},\"version\":4,\"text\":\"t\"}";
         assertEquals(
-                new RoutingText(true, 4, null),
+                new RoutingText(true, 4, "t"),
                 value(Codecs.JSON.decode(withUnknownField.getBytes(), RoutingText.class)));
     }
 
@@ -165,7 +165,7 @@
     @Test
     void strictDecodingRejectsTrailingBytesAndAbsentNumbers() {
         Codec strict = new ShapeCodec(new JsonFactory(), Tolerance.STRICT, ObjectMapper::new);
-        String document = "{\"known\":true,\"version\":4}";
+        String document = "{\"known\":true,\"version\":4,\"text\":\"t\"}";
         assertInstanceOf(Decoded.Value.class, strict.decode(document.getBytes(), RoutingText.class));
         assertInstanceOf(
                 Decoded.Malformed.class,
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
@@ -19,6 +19,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
 /** Messages of another release, or another writer, of which some items can't be used. */
 class UnusableItemsTest {
@@ -213,4 +214,20 @@
         fields.put(field, value);
         return fields;
     }
+
+    /** Guards against an answer to a poll that is lost with its servers, as its routing document can't be used. */
+    @Test
+    void answerToPollSkipsUnusableDocument() throws Exception {
+        List<Object> servers = List.of(Map.of("registration", server("r1")));
+        List<Object> odd = List.of(Map.of("known", true, "version", 7), Map.of("known", 1), List.of(), nested(), 7);
+        for (Object each : odd) {
+            for (String field : List.of("routing", "packedRouting")) {
+                Map<String, Object> message = Map.of("a", 1, field, each, "servers", servers, "serversNow", 3);
+                FollowAnswer read = decode(message, FollowAnswer.class);
+                assertNull(read.routing(), () -> field + each);
+                assertEquals(1, read.servers().size(), () -> field + each);
+                assertEquals(3, read.serversNow(), () -> field + each);
+            }
+        }
+    }
 }
