Skip unusable items of reports on crashes

Seen by reading: an entry's report with one crash, pass or demand that lacks a field failed as a whole at each control host (malformed, or a NullPointerException halfway through), was sent three times and given up. The other crashes in it did not count. An age out of range, such as Long.MIN_VALUE, put a pass into the future, where it voids later crashes.

Change: the three lists are read without their unusable items; the records need what control hosts use, and an age in the range that AgeRange states for heartbeats, too. A report needs its entry, as a trial is granted to it.

Before: UnusableItemsTest.reportOfEvidenceSkipsUnusableItems (Malformed) and RequiredFieldsTest.reportOfEvidenceNeedsItsEntry (decoded) failed.

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/EvidenceReport.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/EvidenceReport.java
@@ -16,6 +16,9 @@
         List<GroupDemand> demands,
         List<QuarantineRecord> records) {
     public EvidenceReport {
+        if (entry == null) {
+            throw new IllegalArgumentException("a report needs its entry");
+        }
         crashes = crashes == null ? List.of() : List.copyOf(crashes);
         passes = passes == null ? List.of() : List.copyOf(passes);
         demands = demands == null ? List.of() : List.copyOf(demands);
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/PartPass.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/PartPass.java
@@ -1,5 +1,6 @@
 package org.elmline.core.quarantine;
 
+import org.elmline.core.common.AgeRange;
 import org.elmline.core.common.ServiceName;
 
 /**
@@ -9,4 +10,10 @@
  * @param part null for an answer that only shows that the service works
  * @param ageMillis time since then, in milliseconds
  */
-public record PartPass(ServiceName service, PromptPart part, long ageMillis) {}
+public record PartPass(ServiceName service, PromptPart part, long ageMillis) {
+    public PartPass {
+        if (service == null || !AgeRange.contains(ageMillis)) {
+            throw new IllegalArgumentException("a pass needs a service and an age in range");
+        }
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/quarantine/ServerCrash.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/ServerCrash.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.elmline.core.common.AgeRange;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.ServiceName;
 
@@ -23,6 +24,9 @@
         List<PromptPart> parts,
         long ageMillis) {
     public ServerCrash {
+        if (request == null || service == null || server == null || !AgeRange.contains(ageMillis)) {
+            throw new IllegalArgumentException("a crash needs request, service, server and an age in range");
+        }
         parts = parts == null ? List.of() : List.copyOf(parts);
     }
 
--- a/elmline-core/src/main/java/org/elmline/core/registry/HeartbeatAge.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/HeartbeatAge.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 
+import org.elmline.core.common.AgeRange;
 import org.elmline.core.common.BackendServerId;
 
 /** How long ago a control host directly received a server's latest heartbeat, in milliseconds. */
@@ -19,7 +20,6 @@
      * of range. A server with a heartbeat in the future would not expire.
      */
     public OptionalLong receivedAtNanos(long now) {
-        boolean inRange = ageMillis >= 0 && ageMillis <= Long.MAX_VALUE / NANOS_PER_MILLI / 2;
-        return inRange ? OptionalLong.of(now - ageMillis * NANOS_PER_MILLI) : OptionalLong.empty();
+        return AgeRange.contains(ageMillis) ? OptionalLong.of(now - ageMillis * NANOS_PER_MILLI) : OptionalLong.empty();
     }
 }
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
@@ -24,8 +24,11 @@
 import org.elmline.core.control.IdempotencyKey;
 import org.elmline.core.dispatch.DispatchAnswer;
 import org.elmline.core.evacuation.EvacuationRecord;
+import org.elmline.core.quarantine.GroupDemand;
+import org.elmline.core.quarantine.PartPass;
 import org.elmline.core.quarantine.PromptPart;
 import org.elmline.core.quarantine.QuarantineRecord;
+import org.elmline.core.quarantine.ServerCrash;
 import org.elmline.core.quarantine.SuspectParts;
 import org.elmline.core.raft.Message;
 import org.elmline.core.raft.ReplicaId;
@@ -95,9 +98,12 @@
             EntryRecord.class,
             EntryUpdate.class,
             EvacuationRecord.class,
+            GroupDemand.class,
             HeartbeatAge.class,
+            PartPass.class,
             QuarantineRecord.class,
             Registration.class,
+            ServerCrash.class,
             ServerUpdate.class,
             SuspectParts.class);
 
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationOrder;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationReading;
+import org.elmline.core.quarantine.EvidenceReport;
 import org.junit.jupiter.api.Test;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -43,4 +44,10 @@
                 Map.of("domain", "a", "evacuated", true, "expectedChange", 0, "acceptedBy", "10.0.0.1");
         assertRequired(EvacuationOrder.class, sound, List.of("domain"));
     }
+
+    /** Guards against a trial that is granted to no entry. */
+    @Test
+    void reportOfEvidenceNeedsItsEntry() throws Exception {
+        assertRequired(EvidenceReport.class, Map.of("entry", "10.0.0.1"), List.of("entry"));
+    }
 }
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.elmline.core.evacuation.EvacuationRecord;
 import org.elmline.core.evacuation.Evacuations;
+import org.elmline.core.quarantine.EvidenceReport;
 import org.elmline.core.quarantine.QuarantineRecord;
 import org.elmline.core.registry.FollowAnswer;
 import org.elmline.core.registry.Registration;
@@ -230,4 +231,39 @@
             }
         }
     }
+
+    /** Guards against a report that is lost, and sent again in vain, as one of its items can't be used. */
+    @Test
+    void reportOfEvidenceSkipsUnusableItems() throws Exception {
+        Map<String, Object> crash =
+                Map.of("request", "q", "service", "s", "server", "r1", "parts", List.of("p"), "ageMillis", 3);
+        Map<String, Object> pass = Map.of("service", "s", "part", "p", "ageMillis", 3);
+        Map<String, Object> demand = Map.of("service", "s", "group", Map.of("parts", List.of("p")));
+        List<Object> ages = List.of(-1, Long.MIN_VALUE, Long.MAX_VALUE, Long.MAX_VALUE / 1_000_000, "3");
+        Map<String, Object> message = Map.of(
+                "entry", "10.0.0.1",
+                "crashes", withOdd(crash, List.of("request", "service", "server"), ages),
+                "passes", withOdd(pass, List.of("service"), ages),
+                "demands", withOdd(demand, List.of("service", "group"), List.of()));
+        EvidenceReport read = decode(message, EvidenceReport.class);
+        assertEquals(1, read.crashes().size());
+        assertEquals(1, read.passes().size());
+        assertEquals(1, read.demands().size());
+    }
+
+    /** A sound item between others that lack a field or have an odd age. */
+    private static List<Object> withOdd(Map<String, Object> sound, List<String> required, List<Object> ages) {
+        List<Object> items = new ArrayList<>(Arrays.asList(null, 7, List.of(), sound, nested()));
+        for (String each : required) {
+            Map<String, Object> odd = new HashMap<>(sound);
+            odd.remove(each);
+            items.add(odd);
+        }
+        for (Object each : ages) {
+            Map<String, Object> odd = new HashMap<>(sound);
+            odd.put("ageMillis", each);
+            items.add(odd);
+        }
+        return items;
+    }
 }
