Skip records of the quarantine without a reason

Seen by reading: a control host whose file held a released record without a reason did not start, as QuarantineRegistry.adopt throws a NullPointerException in its constructor. From another control host, such a record interrupted the merge of all later ones at each answer.

Change: a record needs its reason.

Before: UnusableItemsTest.listOfQuarantineRecordsSkipsUnusableOnes failed for "reason" (2 records instead of 1).

--- a/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRecord.java
+++ b/elmline-core/src/main/java/org/elmline/core/quarantine/QuarantineRecord.java
@@ -28,8 +28,8 @@
     private static final int OPERATOR_REVISIONS = 1_000;
 
     public QuarantineRecord {
-        if (service == null || group == null || stage == null) {
-            throw new IllegalArgumentException("a record needs service, group and stage");
+        if (service == null || group == null || stage == null || reason == null) {
+            throw new IllegalArgumentException("a record needs service, group, stage and reason");
         }
     }
 
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
@@ -172,7 +172,7 @@
     void listOfQuarantineRecordsSkipsUnusableOnes() throws Exception {
         Map<String, Object> sound =
                 Map.of("service", "s", "group", Map.of("parts", List.of()), "stage", "RELEASED", "reason", "UNUSED");
-        for (String field : List.of("service", "group", "stage")) {
+        for (String field : List.of("service", "group", "stage", "reason")) {
             Map<String, Object> odd = new HashMap<>(sound);
             odd.remove(field);
             assertEquals(
