--- a/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
@@ -209,6 +209,28 @@
         }
     }
 
+    /** Guards against numbers of a record that overflow when its next revision or trial is computed. */
+    @Test
+    void quarantineRecordsWithNumbersOutOfRangeAreSkipped() throws Exception {
+        Map<String, Object> sound =
+                Map.of("service", "s", "group", Map.of("parts", List.of()), "stage", "RELEASED", "reason", "UNUSED");
+        List<Object> records = new ArrayList<>(List.of(sound));
+        for (Object each : List.of(Long.MIN_VALUE, -2, Long.MAX_VALUE, Long.MAX_VALUE / 1_000_000)) {
+            for (String field : List.of("revision", "untilTrialMillis")) {
+                Map<String, Object> odd = new HashMap<>(sound);
+                odd.put(field, each);
+                records.add(odd);
+            }
+        }
+        for (String field : List.of("servers", "trials")) {
+            Map<String, Object> odd = new HashMap<>(sound);
+            odd.put(field, Integer.MIN_VALUE);
+            records.add(odd);
+        }
+        assertEquals(
+                1, decode(Map.of("records", records), Records.class).records().size());
+    }
+
     private static Map<String, Object> evacuation(String field, Object value) {
         Map<String, Object> fields = new HashMap<>(
                 Map.of("domain", "odd", "evacuated", true, "change", 3, "wallMillis", 5, "acceptedBy", "10.0.0.1"));
