Refuse a request to join the replicas without an identity

Cause, found by reading: RaftLoop.handleJoin throws a NullPointerException for it, which ends the control host on a broken invariant.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftChannels.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/raft/RaftChannels.java
@@ -30,7 +30,13 @@
     }
 
     /** Request to become a member. */
-    public record Join(ReplicaId replica) {}
+    public record Join(ReplicaId replica) {
+        public Join {
+            if (replica == null) {
+                throw new IllegalArgumentException("a request to join needs its replica");
+            }
+        }
+    }
 
     /**
      * The request was received, but not yet handled; only the leader can add a replica.
