Reject claims without key, digest or owner before they are committed

Cause, found by reading: a claim of an entry was put into the log as it was. Applied without a key, it throws a NullPointerException in the state machine, which ends every control host, and again at each start when the log is replayed; without digest or owner this happens at the second claim of the key.

Change: the records check what the state machine uses, so the leader refuses the claim as malformed. All fields exist since the first release, so no valid log holds one without them.

Before: RequiredFieldsTest.claimNeedsKeyDigestAndOwner failed (decoded).

--- a/elmline-core/src/main/java/org/elmline/core/control/ClaimKey.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/ClaimKey.java
@@ -12,6 +12,12 @@
     private static final Comparator<ClaimKey> ORDER =
             Comparator.comparing(ClaimKey::key).thenComparing(ClaimKey::organisation);
 
+    public ClaimKey {
+        if (organisation == null || key == null) {
+            throw new IllegalArgumentException("a claim key needs organisation and key");
+        }
+    }
+
     @Override
     public int compareTo(ClaimKey other) {
         return ORDER.compare(this, other);
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
@@ -5,6 +5,10 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.elmline.core.control.ClaimBegin;
+import org.elmline.core.control.ClaimFinish;
+import org.elmline.core.control.ClaimKey;
+import org.elmline.core.control.ClaimOwner;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationOrder;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationReading;
 import org.elmline.core.quarantine.EvidenceReport;
@@ -45,6 +49,20 @@
         assertRequired(EvacuationOrder.class, sound, List.of("domain"));
     }
 
+    /** Guards against a claim that ends every control host when it is applied, and again at each start. */
+    @Test
+    void claimNeedsKeyDigestAndOwner() throws Exception {
+        Map<String, Object> key = Map.of("organisation", "o", "key", "0-00000000-0000000000");
+        Map<String, Object> owner = Map.of("host", "10.0.0.1", "incarnation", 3, "session", 1);
+        Map<String, Object> begin = Map.of("key", key, "requestDigest", "d", "owner", owner);
+        assertRequired(ClaimBegin.class, begin, List.of("key", "requestDigest", "owner"));
+        assertRequired(ClaimFinish.class, Map.of("key", key, "owner", owner), List.of("key", "owner"));
+        for (String each : List.of("organisation", "key")) {
+            assertRequired(ClaimKey.class, key, List.of(each));
+        }
+        assertRequired(ClaimOwner.class, owner, List.of("host", "incarnation"));
+    }
+
     /** Guards against a trial that is granted to no entry. */
     @Test
     void reportOfEvidenceNeedsItsEntry() throws Exception {
