Reject recorded answers with a header that has no name or value

Cause, found by reading: RecordedAnswer.truncatedTo, which the state machine calls for the end of each claim, throws a NullPointerException for it, which ends every control host.

Before: RequiredFieldsTest.headerOfRecordedAnswerNeedsNameAndValue failed (decoded).

--- a/elmline-core/src/main/java/org/elmline/core/control/RecordedAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/RecordedAnswer.java
@@ -21,7 +21,13 @@
     }
 
     /** One header field of an answer. */
-    public record Header(String name, String value) {}
+    public record Header(String name, String value) {
+        public Header {
+            if (name == null || value == null) {
+                throw new IllegalArgumentException("a header needs name and value");
+            }
+        }
+    }
 
     /**
      * Returns this answer reduced to a limit: a longer body is dropped, and so are all headers when their total length
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
@@ -9,6 +9,7 @@
 import org.elmline.core.control.ClaimFinish;
 import org.elmline.core.control.ClaimKey;
 import org.elmline.core.control.ClaimOwner;
+import org.elmline.core.control.RecordedAnswer;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationOrder;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationReading;
 import org.elmline.core.quarantine.EvidenceReport;
@@ -68,4 +69,11 @@
     void reportOfEvidenceNeedsItsEntry() throws Exception {
         assertRequired(EvidenceReport.class, Map.of("entry", "10.0.0.1"), List.of("entry"));
     }
+
+    /** Guards against an answer that ends every control host when it is recorded, and again at each start. */
+    @Test
+    void headerOfRecordedAnswerNeedsNameAndValue() throws Exception {
+        Map<String, Object> header = Map.of("name", "Location", "value", "/x");
+        assertRequired(RecordedAnswer.Header.class, header, List.copyOf(header.keySet()));
+    }
 }
