Reject renewals of hosts that lack a field

Cause, found by reading: the leader put the host of a renewal into the log as it was. Without an id, or without an incarnation or peer address for a host that is a member, the state machine throws a NullPointerException, which ends every control host, and again at each start.

Change: HostRecord and LeaseRequest need their fields.

Before: RequiredFieldsTest.hostNeedsItsFields failed (decoded).

--- a/elmline-core/src/main/java/org/elmline/core/control/HostRecord.java
+++ b/elmline-core/src/main/java/org/elmline/core/control/HostRecord.java
@@ -22,4 +22,13 @@
         Address callers,
         Address peers,
         Address operators,
-        boolean leaving) {}
+        boolean leaving) {
+    public HostRecord {
+        if (id == null || incarnation == null || failureDomain == null || region == null) {
+            throw new IllegalArgumentException("a host needs id, incarnation, failure domain and region");
+        }
+        if (callers == null || peers == null || operators == null) {
+            throw new IllegalArgumentException("a host needs its addresses");
+        }
+    }
+}
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
@@ -9,6 +9,8 @@
 import org.elmline.core.control.ClaimFinish;
 import org.elmline.core.control.ClaimKey;
 import org.elmline.core.control.ClaimOwner;
+import org.elmline.core.control.HostRecord;
+import org.elmline.core.control.LeaseRequest;
 import org.elmline.core.control.RecordedAnswer;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationOrder;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationReading;
@@ -64,6 +66,28 @@
         assertRequired(ClaimOwner.class, owner, List.of("host", "incarnation"));
     }
 
+    /** Guards against a host that ends every control host when it joins, and again at each start. */
+    @Test
+    void hostNeedsItsFields() throws Exception {
+        Map<String, Object> host = Map.of(
+                "id",
+                "10.0.0.1",
+                "incarnation",
+                3,
+                "failureDomain",
+                "a",
+                "region",
+                "r",
+                "callers",
+                "10.0.0.1:80",
+                "peers",
+                "10.0.0.1:81",
+                "operators",
+                "10.0.0.1:82");
+        assertRequired(HostRecord.class, host, List.copyOf(host.keySet()));
+        assertRequired(LeaseRequest.class, Map.of("host", host, "inForce", 1), List.of("host", "inForce"));
+    }
+
     /** Guards against a trial that is granted to no entry. */
     @Test
     void reportOfEvidenceNeedsItsEntry() throws Exception {
