Refuse calls to place that lack an id

Cause, found by reading: a call without an attempt id could be queued at the dispatcher. Dispatcher.queuePosition then throws a NullPointerException for each further call of the service, until the call's deadline.

Change: a call needs attempt, host, failure domain and service, so the dispatcher refuses it as malformed.

Before: RequiredFieldsTest.callNeedsIdsForItsDispatcher failed (decoded).

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchCall.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchCall.java
@@ -46,6 +46,9 @@
         boolean repeated,
         List<BackendServerId> avoid) {
     public DispatchCall {
+        if (attempt == null || host == null || failureDomain == null || service == null) {
+            throw new IllegalArgumentException("a call needs attempt, host, failure domain and service");
+        }
         shard = shard == null ? Shard.WHOLE : shard;
         avoid = avoid == null ? List.of() : List.copyOf(avoid);
     }
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
@@ -12,6 +12,7 @@
 import org.elmline.core.control.HostRecord;
 import org.elmline.core.control.LeaseRequest;
 import org.elmline.core.control.RecordedAnswer;
+import org.elmline.core.dispatch.DispatchCall;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationOrder;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationReading;
 import org.elmline.core.quarantine.EvidenceReport;
@@ -88,6 +89,13 @@
         assertRequired(LeaseRequest.class, Map.of("host", host, "inForce", 1), List.of("host", "inForce"));
     }
 
+    /** Guards against a dispatcher that fails for each call of a service, as one without an id waits there. */
+    @Test
+    void callNeedsIdsForItsDispatcher() throws Exception {
+        Map<String, Object> call = Map.of("attempt", "a1", "host", "10.0.0.1", "failureDomain", "a", "service", "s");
+        assertRequired(DispatchCall.class, call, List.copyOf(call.keySet()));
+    }
+
     /** Guards against a trial that is granted to no entry. */
     @Test
     void reportOfEvidenceNeedsItsEntry() throws Exception {
