Skip unusable items of the reports that dispatchers receive

Seen by reading: one report of an attempt that can't be used, of those that ReportQueue batches for 2 ms, made the whole message malformed, or ended its processing halfway. The places of the other calls then stayed taken until two seconds after their deadlines. The same holds for open grants and rate limits that a new dispatcher adopts.

Change: the three lists are read without their unusable items. An open grant that can't be used is not counted; before, none of the entry's grants were.

Before: UnusableItemsTest.reportsToDispatcherSkipUnusableItems (Malformed) and RequiredFieldsTest.callNeedsIdsForItsDispatcher (reports without a service were decoded) failed.

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/AttemptReport.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/AttemptReport.java
@@ -19,6 +19,12 @@
         BackendServerId faultyHelper,
         boolean leaving,
         boolean silent) {
+    public AttemptReport {
+        if (attempt == null) {
+            throw new IllegalArgumentException("a report needs its attempt");
+        }
+    }
+
     /** Creates a report with the notice in the server's answer; null without an answer. */
     public static AttemptReport of(String attempt, AttemptEnd end, ServerNotice notice) {
         return notice == null
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchChannels.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchChannels.java
@@ -27,7 +27,14 @@
     private DispatchChannels() {}
 
     /** First tokens and ends of attempts of one service. */
-    public record Reports(ServiceName service, List<AttemptReport> reports) {}
+    public record Reports(ServiceName service, List<AttemptReport> reports) {
+        public Reports {
+            if (service == null) {
+                throw new IllegalArgumentException("reports need their service");
+            }
+            reports = reports == null ? List.of() : List.copyOf(reports);
+        }
+    }
 
     /**
      * Attempts that one incarnation of an entry runs on one shard of a service.
@@ -46,6 +53,9 @@
             List<OpenGrant> open,
             List<ServerRateLimits.ReportedLimit> limits) {
         public Adoption {
+            if (service == null || host == null) {
+                throw new IllegalArgumentException("an adoption needs service and host");
+            }
             shard = shard == null ? Shard.WHOLE : shard;
             open = open == null ? List.of() : List.copyOf(open);
             limits = limits == null ? List.of() : List.copyOf(limits);
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/OpenGrant.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/OpenGrant.java
@@ -5,4 +5,10 @@
  *
  * @param writing whether its first token has arrived
  */
-public record OpenGrant(DispatchCall call, DispatchAnswer.Granted granted, boolean writing) {}
+public record OpenGrant(DispatchCall call, DispatchAnswer.Granted granted, boolean writing) {
+    public OpenGrant {
+        if (call == null || granted == null) {
+            throw new IllegalArgumentException("an open grant needs its call and the grant");
+        }
+    }
+}
--- a/elmline-core/src/main/java/org/elmline/core/dispatch/ServerRateLimits.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/ServerRateLimits.java
@@ -24,7 +24,13 @@
     private record ObservedLimit(ServerRateLimit limit, long observedAtNanos) {}
 
     /** A server and the limit that it reports. */
-    public record ReportedLimit(BackendServerId server, ServerRateLimit limit) {}
+    public record ReportedLimit(BackendServerId server, ServerRateLimit limit) {
+        public ReportedLimit {
+            if (server == null) {
+                throw new IllegalArgumentException("a reported limit needs its server");
+            }
+        }
+    }
 
     /**
      * Records the limit stated in an answer.
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/AnnotatedTypes.java
@@ -22,7 +22,10 @@
 import org.elmline.core.control.Command;
 import org.elmline.core.control.CommandResult;
 import org.elmline.core.control.IdempotencyKey;
+import org.elmline.core.dispatch.AttemptReport;
 import org.elmline.core.dispatch.DispatchAnswer;
+import org.elmline.core.dispatch.OpenGrant;
+import org.elmline.core.dispatch.ServerRateLimits;
 import org.elmline.core.evacuation.EvacuationRecord;
 import org.elmline.core.quarantine.GroupDemand;
 import org.elmline.core.quarantine.PartPass;
@@ -95,15 +98,18 @@
      */
     static final Set<Type> INDEPENDENT_ITEMS = Set.of(
             Address.class,
+            AttemptReport.class,
             EntryRecord.class,
             EntryUpdate.class,
             EvacuationRecord.class,
             GroupDemand.class,
             HeartbeatAge.class,
             Message.class,
+            OpenGrant.class,
             PartPass.class,
             QuarantineRecord.class,
             Registration.class,
+            ServerRateLimits.ReportedLimit.class,
             ServerCrash.class,
             ServerUpdate.class,
             SuspectParts.class);
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
@@ -13,6 +13,7 @@
 import org.elmline.core.control.LeaseRequest;
 import org.elmline.core.control.RecordedAnswer;
 import org.elmline.core.dispatch.DispatchCall;
+import org.elmline.core.dispatch.DispatchChannels;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationOrder;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationReading;
 import org.elmline.core.quarantine.EvidenceReport;
@@ -94,6 +95,9 @@
     void callNeedsIdsForItsDispatcher() throws Exception {
         Map<String, Object> call = Map.of("attempt", "a1", "host", "10.0.0.1", "failureDomain", "a", "service", "s");
         assertRequired(DispatchCall.class, call, List.copyOf(call.keySet()));
+        assertRequired(DispatchChannels.Reports.class, Map.of("service", "s"), List.of("service"));
+        Map<String, Object> adoption = Map.of("service", "s", "host", "10.0.0.1");
+        assertRequired(DispatchChannels.Adoption.class, adoption, List.copyOf(adoption.keySet()));
     }
 
     /** Guards against a trial that is granted to no entry. */
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/UnusableItemsTest.java
@@ -10,6 +10,8 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.elmline.core.dispatch.DispatchChannels.Adoption;
+import org.elmline.core.dispatch.DispatchChannels.Reports;
 import org.elmline.core.evacuation.EvacuationRecord;
 import org.elmline.core.evacuation.Evacuations;
 import org.elmline.core.quarantine.EvidenceReport;
@@ -322,4 +324,30 @@
     }
 
     private record Messages(List<Message> messages) {}
+
+    /** Guards against places that stay taken, as the ends of calls are reported beside one that can't be used. */
+    @Test
+    void reportsToDispatcherSkipUnusableItems() throws Exception {
+        List<Object> reports = withOdd(Map.of("attempt", "a1", "end", "DONE"), List.of("attempt"), List.of());
+        assertEquals(
+                1,
+                decode(Map.of("service", "s", "reports", reports), Reports.class)
+                        .reports()
+                        .size());
+        Map<String, Object> call = Map.of("attempt", "a1", "host", "10.0.0.1", "failureDomain", "a", "service", "s");
+        Map<String, Object> granted =
+                typed("granted", Map.of("attempt", "a1", "server", "r1", "address", "10.0.0.1:80"));
+        Map<String, Object> message = Map.of(
+                "service",
+                "s",
+                "host",
+                "10.0.0.1",
+                "open",
+                withOdd(Map.of("call", call, "granted", granted), List.of("call", "granted"), List.of()),
+                "limits",
+                withOdd(Map.of("server", "r1"), List.of("server"), List.of()));
+        Adoption read = decode(message, Adoption.class);
+        assertEquals(1, read.open().size());
+        assertEquals(1, read.limits().size());
+    }
 }
