Reject granted places without a server

Cause, found by reading: the entry used the address of a grant without a check, so a call that got one without a server failed with an exception in the completion of the request for a place. As a malformed answer it counts as none, and the entry asks another dispatcher.

Before: RequiredFieldsTest.grantNeedsItsServer failed (decoded).

--- a/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/dispatch/DispatchAnswer.java
@@ -46,6 +46,9 @@
         }
 
         public Granted {
+            if (attempt == null || server == null || address == null) {
+                throw new IllegalArgumentException("a grant needs attempt, server and address");
+            }
             helpers = helpers == null ? List.of() : List.copyOf(helpers);
         }
     }
--- a/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/codec/RequiredFieldsTest.java
@@ -12,6 +12,7 @@
 import org.elmline.core.control.HostRecord;
 import org.elmline.core.control.LeaseRequest;
 import org.elmline.core.control.RecordedAnswer;
+import org.elmline.core.dispatch.DispatchAnswer;
 import org.elmline.core.dispatch.DispatchCall;
 import org.elmline.core.dispatch.DispatchChannels;
 import org.elmline.core.evacuation.EvacuationChannels.EvacuationOrder;
@@ -112,4 +113,12 @@
         Map<String, Object> header = Map.of("name", "Location", "value", "/x");
         assertRequired(RecordedAnswer.Header.class, header, List.copyOf(header.keySet()));
     }
+
+    /** Guards against an entry that fails for a call, as the granted place has no server. */
+    @Test
+    void grantNeedsItsServer() throws Exception {
+        Map<String, Object> grant =
+                Map.of("type", "granted", "attempt", "a1", "server", "r1", "address", "10.0.0.1:80");
+        assertRequired(DispatchAnswer.class, grant, List.copyOf(grant.keySet()));
+    }
 }
