Take times of a control host that are out of range as the longest ones

Cause, found by reading: RegistryView converts the time for which no leader has confirmed a control host's table to nanoseconds. Long.MAX_VALUE and other large values overflow, so that the table counts as confirmed in the future, and an entry goes on serving by a table that may be outdated. The same holds for the time for which the host has been up.

Change: FollowAnswer takes both as the nearest time in the range of AgeRange. The answer is not rejected: its servers are valid.

Before: RegistryViewTest.timesOutOfRangeCountAsLong failed for Long.MAX_VALUE.

--- a/elmline-core/src/main/java/org/elmline/core/common/AgeRange.java
+++ b/elmline-core/src/main/java/org/elmline/core/common/AgeRange.java
@@ -13,4 +13,9 @@
     public static boolean contains(long millis) {
         return millis >= 0 && millis <= MAX_MILLIS;
     }
+
+    /** The age in range that is nearest to an age in milliseconds. */
+    public static long nearest(long millis) {
+        return Math.max(0, Math.min(MAX_MILLIS, millis));
+    }
 }
--- a/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
+++ b/elmline-core/src/main/java/org/elmline/core/registry/FollowAnswer.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.elmline.core.common.Address;
+import org.elmline.core.common.AgeRange;
 import org.elmline.core.evacuation.Evacuations;
 import org.elmline.core.quarantine.QuarantineNews;
 import org.elmline.core.registry.RegistryChannels.RoutingText;
@@ -47,6 +48,8 @@
         QuarantineNews quarantine,
         Evacuations evacuation) {
     public FollowAnswer {
+        upMillis = AgeRange.nearest(upMillis);
+        unconfirmedMillis = AgeRange.nearest(unconfirmedMillis);
         servers = servers == null ? List.of() : List.copyOf(servers);
         heard = heard == null ? List.of() : List.copyOf(heard);
         entryNews = entryNews == null ? List.of() : List.copyOf(entryNews);
--- a/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
+++ b/elmline-core/src/test/java/org/elmline/core/registry/RegistryViewTest.java
@@ -209,4 +209,13 @@
         view.apply(B, answer(1, false, ServerState.READY), 0);
         assertFalse(view.isExpired(BackendServerId.of("s"), 0));
     }
+
+    /** Guards against an entry that serves by an outdated table, as the time without a leader overflows. */
+    @Test
+    void timesOutOfRangeCountAsLong() {
+        for (long millis : new long[] {Long.MAX_VALUE, Long.MAX_VALUE / 1_000, Long.MAX_VALUE / 1_000_000 + 1}) {
+            view.apply(A, unconfirmedAnswer(millis), SECOND);
+            assertTrue(view.isUnconfirmedFor(2 * SECOND, 1, SECOND), () -> "" + millis);
+        }
+    }
 }
