Count the values that are skipped as unusable

Seen: a value of a list that can't be used was logged, but not counted. Log lines are bounded in number, so an operator could not tell how many there were.

Change: the metric wire.values.skipped of every process.

Before: ProcessMetricsTest failed (no such metric). After: green.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/operator/ProcessMetrics.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/operator/ProcessMetrics.java
@@ -7,8 +7,9 @@
 import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.timeline.EventRing;
 import org.elmline.core.timeline.HybridClock;
+import org.elmline.wire.shape.UnusableValue;
 
-/** Metrics that every process reports of itself: memory, threads, garbage collection, time line. */
+/** Metrics that every process reports of itself: memory, threads, garbage collection, time line, unusable values. */
 public final class ProcessMetrics {
     private ProcessMetrics() {}
 
@@ -28,6 +29,7 @@
         registerGauge(registry, "process.uptime.millis", () -> ManagementFactory.getRuntimeMXBean()
                 .getUptime());
         registerGauge(registry, "process.collection.millis", ProcessMetrics::garbageCollectionMillis);
+        registerGauge(registry, "wire.values.skipped", UnusableValue::skipped);
     }
 
     public static void register(MetricRegistry registry, EventRing ring, HybridClock clock) {
--- a/elmline-wire/src/main/java/org/elmline/wire/shape/UnusableValue.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/shape/UnusableValue.java
@@ -2,17 +2,25 @@
 
 import java.io.IOException;
 import java.lang.reflect.Type;
+import java.util.concurrent.atomic.LongAdder;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonStreamContext;
 import org.jboss.logging.Logger;
 
-/** Skips and logs values that can't be used. */
-final class UnusableValue {
+/** Skips, logs and counts values that can't be used. Safe for use by many threads. */
+public final class UnusableValue {
     private static final int MAX_LOGGED_CHARS = 200;
 
+    private static final LongAdder SKIPPED = new LongAdder();
+
     private UnusableValue() {}
 
+    /** Number of values skipped by this process. */
+    public static long skipped() {
+        return SKIPPED.sum();
+    }
+
     /** Moves to the last token of the current value of the list or object with this context. */
     static void skip(JsonParser from, JsonStreamContext context) throws IOException {
         while (from.getParsingContext() != context) {
@@ -27,12 +35,17 @@
         }
     }
 
-    /** Creates the logger when it is needed, as loading its classes would delay the start of each process. */
     static void log(Type type, Exception why) {
-        String text = String.valueOf(why.getMessage());
+        log(type, String.valueOf(why.getMessage()));
+    }
+
+    /** Logs and counts a value, or a whole message, that can't be used. */
+    public static void log(Type type, String why) {
+        SKIPPED.increment();
+        // The logger is created when it is needed, as loading its classes would delay the start of each process.
         Logger.getLogger(UnusableValue.class)
                 .warnf(
                         "unusable value skipped: %s, %s",
-                        type.getTypeName(), text.substring(0, Math.min(text.length(), MAX_LOGGED_CHARS)));
+                        type.getTypeName(), why.substring(0, Math.min(why.length(), MAX_LOGGED_CHARS)));
     }
 }
