Log and count messages between processes that are rejected as malformed

Seen: a request or an answer that can't be decoded left no trace on either side. A follower whose control host sends such answers polled it again and again and logged nothing.

Change: the process that can't decode a message logs the type and the reason, and counts it with the values that are skipped.

Before: TcpPeerNetworkTest.malformedRequestsAndAnswersAreLogged failed (no lines instead of 2). After: TcpPeerNetworkTest is green (21 tests).

--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/PeerHandlers.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/PeerHandlers.java
@@ -12,6 +12,7 @@
 import org.elmline.core.peer.PeerHandler;
 import org.elmline.wire.codec.Codecs;
 import org.elmline.wire.codec.Decoded;
+import org.elmline.wire.shape.UnusableValue;
 
 /** The channels a process serves, and the workers that run their handlers. */
 public final class PeerHandlers implements HandlerRegistry {
@@ -69,6 +70,7 @@
                         .thenApply(answer -> new Answer.Body(Codecs.MESSAGE_PACK.encode(answer)));
             }
             String why = ((Decoded.Malformed<Q>) decoded).reason();
+            UnusableValue.log(channel.request(), why);
             return CompletableFuture.completedFuture(new Answer.Refused("malformed " + channel.name() + ": " + why));
         }
     }
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerNetwork.java
@@ -24,6 +24,7 @@
 import org.elmline.core.timeline.HybridClock;
 import org.elmline.wire.codec.Codecs;
 import org.elmline.wire.codec.Decoded;
+import org.elmline.wire.shape.UnusableValue;
 
 /**
  * Calls other elmline processes over one connection per address, which is opened on first use and reopened after a
@@ -238,9 +239,12 @@
             }
             byte[] body = ((CallResult.Answered<byte[]>) answer).value();
             Decoded<R> decoded = Codecs.MESSAGE_PACK.decode(body, type);
-            return decoded instanceof Decoded.Value<R> value
-                    ? new CallResult.Answered<>(value.value())
-                    : new CallResult.Unknown<>("malformed answer: " + ((Decoded.Malformed<R>) decoded).reason());
+            if (decoded instanceof Decoded.Value<R> value) {
+                return new CallResult.Answered<>(value.value());
+            }
+            String why = ((Decoded.Malformed<R>) decoded).reason();
+            UnusableValue.log(type, why);
+            return new CallResult.Unknown<>("malformed answer: " + why);
         }
     }
 
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -11,12 +11,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Filter;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
 
 import org.elmline.core.common.Address;
 import org.elmline.core.common.CallResult;
@@ -95,6 +100,33 @@
         }
     }
 
+    record OtherRequest(List<String> text) {}
+
+    record OtherReply(List<String> text) {}
+
+    /** Guards against messages of another release that are rejected and leave no trace. */
+    @Test
+    void malformedRequestsAndAnswersAreLogged() throws Exception {
+        List<String> lines = new CopyOnWriteArrayList<>();
+        Logger logger = Logger.getLogger("org.elmline.wire");
+        Filter collector = line -> lines.add(line.getMessage());
+        Handler handler = new ConsoleHandler();
+        handler.setFilter(collector);
+        logger.addHandler(handler);
+        TcpPeerNetwork network = network(SECRET, PeerLimits.DEFAULT);
+        Channel<OtherRequest, Reply> otherRequest = new Channel<>("test.echo", OtherRequest.class, Reply.class);
+        Channel<Request, OtherReply> otherReply = new Channel<>("test.echo", Request.class, OtherReply.class);
+        CallResult<Reply> rejected =
+                await(network.call(address, otherRequest, new OtherRequest(List.of("a", "b")), LONG_TIMEOUT));
+        CallResult<OtherReply> unread = await(network.call(address, otherReply, new Request("x"), LONG_TIMEOUT));
+        logger.removeHandler(handler);
+        assertInstanceOf(CallResult.NotSent.class, rejected);
+        assertInstanceOf(CallResult.Unknown.class, unread);
+        assertEquals(2, lines.size(), lines.toString());
+        assertTrue(lines.get(0).contains(Request.class.getName()), lines.get(0));
+        assertTrue(lines.get(1).contains(OtherReply.class.getName()), lines.get(1));
+    }
+
     @Test
     void reportsNotSentWhenNoProcessListens() throws Exception {
         Address unusedAddress;
