Write the queued log lines also when an interrupted thread closes the log

Cause: DecisionLog.close waits for its writer with join, which throws at once on an interrupted thread, and the writer was then interrupted with its lines queued. Change: the flag is cleared for the wait and set again.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/log/DecisionLog.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/log/DecisionLog.java
@@ -157,15 +157,19 @@
                 + ",\"successesLeftOut\":" + sampledOutLines.get() + "}\n";
     }
 
-    /** Writes the queued lines, for up to 300 ms. */
+    /** Writes the queued lines, for up to 300 ms, also on a thread that is interrupted. */
     @Override
     public void close() {
         closed = true;
+        boolean wasInterrupted = Thread.interrupted();
         try {
             writer.join(CLOSE_TIMEOUT_MILLIS);
         } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            wasInterrupted = true;
         }
         writer.interrupt();
+        if (wasInterrupted) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/elmline-daemon/src/test/java/org/elmline/daemon/log/DecisionLogTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/log/DecisionLogTest.java
@@ -18,6 +18,8 @@
 
 /** Log lines are complete JSON, limited in rate and number, and never block the deciding thread. */
 class DecisionLogTest {
+    private static final long SLOW_WRITE_NANOS = 20_000_000;
+
     @Test
     void aLineIsOneJsonObject() throws Exception {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -36,6 +38,29 @@
         assertEquals(null, line.get("left"));
     }
 
+    /** Guards against an error that ends a process and is missing in its log, as the ending thread is interrupted. */
+    @Test
+    void writesQueuedLinesWhenClosedByAnInterruptedThread() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream() {
+            @Override
+            public synchronized void write(byte[] bytes, int offset, int length) {
+                long endNanos = System.nanoTime() + SLOW_WRITE_NANOS;
+                while (System.nanoTime() - endNanos < 0) {
+                    Thread.onSpinWait();
+                }
+                super.write(bytes, offset, length);
+            }
+        };
+        DecisionLog log = new DecisionLog("h", "entry", new ManualClock(), out);
+        for (int i = 0; i < 200; i++) {
+            log.line("refused").write();
+        }
+        Thread.currentThread().interrupt();
+        log.close();
+        assertTrue(Thread.interrupted(), "the thread is still interrupted");
+        assertEquals(200, out.toString().lines().count());
+    }
+
     /** A flood of lines of one kind leaves room for other kinds, and the number of dropped lines is logged. */
     @Test
     void limitsLinesOfOneKindAndCountsDroppedOnes() {
