Bound the memory of an entry by a share of its heap without a setting

Cause: without "memory" in the settings the account of held bytes was unbounded, and bodies that servers read slowly filled the heap of 96 MB. Settings could hold 0.4 of the heap at most, which pauses the reading of answers that a shutdown must still deliver.

Change: an entry without a setting may hold 0.6 of its largest heap, 58,392,576 bytes with the deploy file's flags; settings may lower it. Passing over servers with many unanswered bytes still needs a setting. The bound is always logged.

Figures that decided the share. Three answers of 14 MB must stay below 0.75 of the bound, where reading is paused: 56 MB of 97.3 MB, a share of 0.576. A fixed reserve gives the same bound at 96 MB, but not at other heaps. The share keeps the old generation sufficient for every heap and is chosen for that.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -288,12 +288,10 @@
 
     private MemoryGuard newMemoryGuard() {
         MemoryAccount account = new MemoryAccount(settings.memory().heldBoundBytes(maxHeapBytes()));
-        if (account.isBounded()) {
-            log.line("memory bound")
-                    .with("bytes", account.boundBytes())
-                    .with("maxHeap", maxHeapBytes())
-                    .write();
-        }
+        log.line("memory bound")
+                .with("bytes", account.boundBytes())
+                .with("maxHeap", maxHeapBytes())
+                .write();
         return new MemoryGuard(account, thread, process.clock(), log, process.metrics());
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/MemorySettings.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/MemorySettings.java
@@ -6,7 +6,7 @@
 
 /**
  * Bounds on the memory that an entry holds for callers and servers that read slowly. All are optional; an entry with
- * neither of the first two has no bound.
+ * neither of the first two may hold a share of its heap.
  *
  * @param hostMegabytes memory of the host, of which a quarter may be held
  * @param heldBytes most bytes held, in place of the quarter
@@ -25,9 +25,10 @@
 
     /**
      * Share of the largest heap that may be held, whatever the settings say. Held bytes are on the heap, and a process
-     * that exceeds it ends.
+     * that exceeds it ends. A full account fits into the old generation, two thirds of the heap. With a smaller share,
+     * reading is paused for three answers of 14 MB in a heap of 96 MB, which then end too late for a shutdown.
      */
-    private static final double HEAP_SHARE = 0.4;
+    private static final double HEAP_SHARE = 0.6;
 
     /** Share of the bound that one server may have unanswered: less than bodies may take, so that other calls go on. */
     private static final double SERVER_SHARE = 0.25;
@@ -44,13 +45,20 @@
         }
     }
 
-    /** Most bytes that the entry may hold; {@link MemoryAccount#UNBOUNDED} without a bound. */
+    /** Most bytes that the entry may hold. */
     public long heldBoundBytes(long maxHeapBytes) {
-        if (heldBytes == null && hostMegabytes == null) {
-            return MemoryAccount.UNBOUNDED;
+        return Math.max(MIN_HELD_BYTES, Math.min(wantedBytes(), (long) (maxHeapBytes * HEAP_SHARE)));
+    }
+
+    private long wantedBytes() {
+        if (heldBytes != null) {
+            return heldBytes;
         }
-        long wanted = heldBytes == null ? (long) (hostMegabytes * BYTES_PER_MEGABYTE * HELD_SHARE) : heldBytes;
-        return Math.max(MIN_HELD_BYTES, Math.min(wanted, (long) (maxHeapBytes * HEAP_SHARE)));
+        return hasBoundSetting() ? (long) (hostMegabytes * BYTES_PER_MEGABYTE * HELD_SHARE) : Long.MAX_VALUE;
+    }
+
+    private boolean hasBoundSetting() {
+        return heldBytes != null || hostMegabytes != null;
     }
 
     /** Bytes of unanswered requests above which a server is passed over; {@link MemoryAccount#UNBOUNDED} for never. */
@@ -58,7 +66,6 @@
         if (serverBytes != null) {
             return serverBytes;
         }
-        long bound = heldBoundBytes(maxHeapBytes);
-        return bound == MemoryAccount.UNBOUNDED ? bound : (long) (bound * SERVER_SHARE);
+        return hasBoundSetting() ? (long) (heldBoundBytes(maxHeapBytes) * SERVER_SHARE) : MemoryAccount.UNBOUNDED;
     }
 }
