--- a/elmline-daemon/src/test/java/org/elmline/daemon/operator/EventsAndMetricsTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/operator/EventsAndMetricsTest.java
@@ -114,9 +114,12 @@
         ProcessMetrics.register(metrics, ring, clock);
         try (Response response = get("/metrics", "application/json")) {
             JsonNode samples = Codecs.jsonMapper().readTree(response.body().bytes());
-            assertEquals(8, samples.size(), samples::toString);
-            JsonNode last = samples.get(7);
-            assertEquals("elmline_timeline_refused_stamps", last.path("name").asText());
+            assertEquals(9, samples.size(), samples::toString);
+            assertEquals(
+                    "elmline_timeline_refused_stamps",
+                    samples.get(7).path("name").asText());
+            assertEquals(
+                    "elmline_wire_values_skipped", samples.get(8).path("name").asText());
         }
     }
 
