Bound what a peer without the key can make a process hold

What was seen: a sender that connects to the peer port and sends the four bytes of a length gets a buffer of 8 MB, before any proof; 24 of them ended an entry and a control host (heap 48 MB). 2,600 connections that send nothing took all 1,024 places for five seconds at a time, and the backlog of 50 made others wait for a second and more.

Cause: the longest frame, the number of connections and the time-out held for proved peers and for unknown senders alike, and the time-out of a connection was kept after its end.

--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/Connection.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/Connection.java
@@ -48,7 +48,7 @@
         this.receivedAtNanos = clock.nanos();
         this.unansweredSinceNanos = receivedAtNanos;
         this.onClose = onClose;
-        this.frames = new FrameChannel(socket, limits, this::onFrame, this::onFramesClosed);
+        this.frames = new FrameChannel(socket, limits, this::maxReceivedBytes, this::onFrame, this::onFramesClosed);
     }
 
     void start() {
@@ -114,6 +114,11 @@
         return receivedAtNanos;
     }
 
+    /** A peer that has not proved its key can make this process reserve no more than the handshake needs. */
+    private int maxReceivedBytes() {
+        return handshake.completed() ? limits.maxFrameBytes() : Handshake.MAX_FRAME_BYTES;
+    }
+
     private void onFrame(byte[] frame) {
         receivedAtNanos = clock.nanos();
         if (!handshake.completed()) {
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/FrameChannel.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/FrameChannel.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 
 /**
  * Frames over one TCP connection: four bytes of length, big-endian, then that many bytes. Never blocks the caller.
@@ -22,6 +23,7 @@
 
     private final AsynchronousSocketChannel socket;
     private final PeerLimits limits;
+    private final IntSupplier maxReceivedBytes;
     private final Consumer<byte[]> onFrame;
     private final Consumer<String> onClose;
     private final Deque<ByteBuffer> writeQueue = new ArrayDeque<>();
@@ -30,10 +32,16 @@
     private boolean writing;
     private boolean closed;
 
+    /** @param maxReceivedBytes longest frame that the peer may send at present */
     FrameChannel(
-            AsynchronousSocketChannel socket, PeerLimits limits, Consumer<byte[]> onFrame, Consumer<String> onClose) {
+            AsynchronousSocketChannel socket,
+            PeerLimits limits,
+            IntSupplier maxReceivedBytes,
+            Consumer<byte[]> onFrame,
+            Consumer<String> onClose) {
         this.socket = socket;
         this.limits = limits;
+        this.maxReceivedBytes = maxReceivedBytes;
         this.onFrame = onFrame;
         this.onClose = onClose;
     }
@@ -145,7 +153,7 @@
     }
 
     private boolean isValidLength(int length) {
-        return length > 0 && length <= limits.maxFrameBytes();
+        return length > 0 && length <= maxReceivedBytes.getAsInt();
     }
 
     /**
@@ -155,7 +163,7 @@
     private boolean prepareReadBuffer() {
         int length = readBuffer.remaining() >= HEADER_BYTES ? readBuffer.getInt(readBuffer.position()) : 1;
         if (!isValidLength(length)) {
-            close("frame of " + length + " bytes; 1 to " + limits.maxFrameBytes() + " are allowed");
+            close("frame of " + length + " bytes; 1 to " + maxReceivedBytes.getAsInt() + " are allowed");
             return false;
         }
         int neededBytes = Math.max(READ_BUFFER_BYTES, HEADER_BYTES + length);
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/Handshake.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/Handshake.java
@@ -12,6 +12,9 @@
  * that made it nor replayed on another connection.
  */
 final class Handshake {
+    /** Longest frame of a handshake, in bytes. */
+    static final int MAX_FRAME_BYTES = 1_024;
+
     private static final SecureRandom RANDOM = new SecureRandom();
 
     private final PeerKey key;
--- a/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerServer.java
+++ b/elmline-wire/src/main/java/org/elmline/wire/tcp/TcpPeerServer.java
@@ -8,9 +8,11 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.elmline.core.common.Address;
@@ -18,6 +20,8 @@
 
 /** Accepts connections of other elmline processes and answers their calls. */
 public final class TcpPeerServer implements AutoCloseable {
+    private static final int ACCEPT_BACKLOG_CONNECTIONS = 1_024;
+
     private final AsynchronousServerSocketChannel server;
     private final PeerHandlers handlers;
     private final PeerKey key;
@@ -25,6 +29,7 @@
     private final ScheduledExecutorService timer;
     private final HybridClock hybridClock;
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+    private final Set<Connection> unproved = new LinkedHashSet<>();
     private volatile boolean closed;
 
     private TcpPeerServer(
@@ -55,7 +60,7 @@
         AsynchronousServerSocketChannel socket = AsynchronousServerSocketChannel.open(group);
         try {
             socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            socket.bind(bind);
+            socket.bind(bind, ACCEPT_BACKLOG_CONNECTIONS);
         } catch (IOException e) {
             socket.close();
             throw new IOException("can't listen on " + bind + ": " + e.getMessage(), e);
@@ -118,6 +123,7 @@
     private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(5);
 
     private void serve(AsynchronousSocketChannel socket) {
+        closeOldestUnproved();
         if (connections.size() >= limits.maxConnections() || closed) {
             closeQuietly(socket);
             return;
@@ -133,16 +139,32 @@
                 System::nanoTime,
                 connections::remove);
         connections.add(connection);
-        connection.start();
+        synchronized (unproved) {
+            unproved.add(connection);
+        }
         // A peer that connects and sends nothing would otherwise occupy one of the limited connections for ever.
-        timer.schedule(
-                () -> {
-                    if (!connection.ready().isDone()) {
-                        connection.close("handshake timed out");
-                    }
-                },
-                HANDSHAKE_TIMEOUT.toMillis(),
-                TimeUnit.MILLISECONDS);
+        ScheduledFuture<?> timeout = timer.schedule(
+                () -> connection.close("handshake timed out"), HANDSHAKE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        connection.ready().thenAccept(proved -> {
+            timeout.cancel(false);
+            synchronized (unproved) {
+                unproved.remove(connection);
+            }
+        });
+        connection.start();
+    }
+
+    /** Keeps room for peers beside connections that prove nothing. */
+    private void closeOldestUnproved() {
+        Connection oldest;
+        synchronized (unproved) {
+            oldest = unproved.size() < limits.maxUnproved()
+                    ? null
+                    : unproved.iterator().next();
+        }
+        if (oldest != null) {
+            oldest.close("others connect");
+        }
     }
 
     private static void closeQuietly(AsynchronousSocketChannel socket) {
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/FrameChannelTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/FrameChannelTest.java
@@ -40,8 +40,9 @@
                 Socket socket = new Socket("127.0.0.1", ((InetSocketAddress) server.getLocalAddress()).getPort());
                 AsynchronousSocketChannel accepted = server.accept().get(20, TimeUnit.SECONDS)) {
             socket.setTcpNoDelay(true);
-            PeerLimits limits = new PeerLimits(MAX_FRAME, 2 * MAX_FRAME, 10, 10);
-            FrameChannel channel = new FrameChannel(accepted, limits, each -> onFrame.accept(each), closed::add);
+            PeerLimits limits = new PeerLimits(MAX_FRAME, 2 * MAX_FRAME, 10, 10, 10);
+            FrameChannel channel = new FrameChannel(
+                    accepted, limits, limits::maxFrameBytes, each -> onFrame.accept(each), closed::add);
             onStart.accept(channel);
             channel.start();
             sender.send(socket.getOutputStream());
--- a/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
+++ b/elmline-wire/src/test/java/org/elmline/wire/tcp/TcpPeerNetworkTest.java
@@ -315,7 +315,7 @@
 
     @Test
     void rejectsFrameOverTheLimitBeforeSending() throws Exception {
-        PeerLimits small = new PeerLimits(1024, 4096, 10, 10);
+        PeerLimits small = new PeerLimits(1024, 4096, 10, 10, 10);
         CallResult<Reply> result =
                 await(network(SECRET, small).call(address, ECHO, new Request("x".repeat(2000)), LONG_TIMEOUT));
         assertInstanceOf(CallResult.NotSent.class, result);
@@ -323,7 +323,7 @@
 
     @Test
     void limitsCallsInFlight() throws Exception {
-        TcpPeerNetwork network = network(SECRET, new PeerLimits(1024, 4096, 2, 10));
+        TcpPeerNetwork network = network(SECRET, new PeerLimits(1024, 4096, 2, 10, 10));
         await(network.call(address, ECHO, new Request("connect first"), LONG_TIMEOUT));
         network.call(address, UNANSWERED, new Request("1"), LONG_TIMEOUT);
         network.call(address, UNANSWERED, new Request("2"), LONG_TIMEOUT);
