Bound what clients of all HTTP ports hold together, before a route or key is known

Cause: only the bodies and answers of calls had an account. Nobody counted what the HTTP server itself keeps (trailers, which have no limit in the library; heads over all connections), bodies and answers on the other ports, or connections; and connections are accepted on a thread of their own, faster than they are served.

Change: one guard below the HTTP server sees all bytes of all ports. - Connections: each port has its share (PortRole). At its limit the connection that has waited for its client for longest, for a head, the rest of a body or an answer to be read, is closed for the new one.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -26,6 +26,7 @@
 import org.elmline.core.registry.PendingPoll;
 import org.elmline.core.registry.RegistryChannels;
 import org.elmline.core.registry.RegistryChannels.RoutingText;
+import org.elmline.core.routing.CallerLimits;
 import org.elmline.daemon.component.DaggerProcessComponent;
 import org.elmline.daemon.component.ProcessComponent;
 import org.elmline.daemon.control.ControlStateMachine;
@@ -33,6 +34,7 @@
 import org.elmline.daemon.node.HttpPorts;
 import org.elmline.daemon.node.NodeSettings;
 import org.elmline.daemon.node.PeerEndpoint;
+import org.elmline.daemon.node.PortRole;
 import org.elmline.daemon.node.RegistryPoller;
 import org.elmline.daemon.operator.QuarantineHandler;
 import org.elmline.daemon.raft.RaftDriver;
@@ -62,6 +64,8 @@
      */
     private static final int MAX_COMMAND_BYTES = 5 * 1024 * 1024;
 
+    private static final CallerLimits OPERATOR_LIMITS = new CallerLimits(64 * 1024, MAX_COMMAND_BYTES, 30_000, 60_000);
+
     /** Log size in bytes that triggers a compaction: a sixteenth of the smallest disk. */
     private static final long SNAPSHOT_BYTES = 8L * 1024 * 1024;
 
@@ -229,13 +233,15 @@
                 log);
         evacuationService.register(peers.handlers());
         peers.timer().scheduleWithFixedDelay(this::checkStatus, 0, STATUS_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-        HttpPorts ports = closer.register(new HttpPorts());
+        HttpPorts ports = closer.register(new HttpPorts(process.clock(), process.metrics()));
         HttpHandler operators =
                 new QuarantineHandler(quarantine, protocol.operatorHandler(routing, registry, evacuationService));
+        ports.applyLimits(OPERATOR_LIMITS);
         requests = new RequestDrain(ports, operators, process.clock(), log);
-        ports.addPort(settings.operators(), requests.handler());
+        ports.addPort(PortRole.OPERATORS, settings.operators(), requests.handler());
         if (settings.metricsPort() > 0) {
-            ports.addPort(new Address(settings.ip(), settings.metricsPort()), process.metricsHandler());
+            ports.addPort(
+                    PortRole.METRICS, new Address(settings.ip(), settings.metricsPort()), process.metricsHandler());
         }
         ports.start();
         registry.onPortOpened();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/EntryGateway.java
@@ -10,6 +10,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
+import io.undertow.util.StatusCodes;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.BackendServerId;
 import org.elmline.core.common.CallResult;
@@ -39,6 +40,7 @@
 import org.elmline.daemon.node.HttpPorts;
 import org.elmline.daemon.node.NodeSettings;
 import org.elmline.daemon.node.PeerEndpoint;
+import org.elmline.daemon.node.PortRole;
 import org.elmline.daemon.settings.TimelineSettings;
 import org.elmline.wire.tcp.PeerKey;
 import org.xnio.XnioExecutor;
@@ -49,8 +51,6 @@
  * handled on one I/O thread; {@link #stop} blocks and must run on another one.
  */
 public final class EntryGateway implements AutoCloseable {
-    private static final int READY_STATUS = 200;
-    private static final int NOT_READY_STATUS = 503;
     private static final int EVENT_CAPACITY = 1_024;
 
     /** Delay of an update of the deployment, in which further changes are collected. */
@@ -139,23 +139,25 @@
     }
 
     private void open() throws IOException {
-        ports = closer.register(new HttpPorts());
+        ports = closer.register(new HttpPorts(process.clock(), process.metrics()));
         thread = ports.worker().getIoThread();
         peers = closer.register(new PeerEndpoint(settings, "gateway", thread, process.hybridClock()));
         // Following the control hosts starts before the ports open: their answers take longer than opening the ports.
         thread.execute(this::assembleOrEndProcess);
-        ports.addPort(settings.callers(), new HttpContinueReadHandler(this::handleCall))
-                .addPort(settings.ready(), this::handleReady);
+        ports.addPort(PortRole.CALLERS, settings.callers(), new HttpContinueReadHandler(this::handleCall))
+                .addPort(PortRole.READY, settings.ready(), this::handleReady);
         if (settings.relayPort() > 0) {
-            ports.addRelayPort(new Address(settings.ip(), settings.relayPort()), this::handleRelayed);
+            ports.addPort(PortRole.RELAY, new Address(settings.ip(), settings.relayPort()), this::handleRelayed);
         }
         if (settings.directory() != null) {
             ports.addPort(
+                    PortRole.DIRECTORY,
                     settings.directory(),
                     directory.directoryHandler(this::callerAddresses, settings.directoryKeepSeconds()));
         }
         if (settings.metricsPort() > 0) {
-            ports.addPort(new Address(settings.ip(), settings.metricsPort()), process.metricsHandler());
+            ports.addPort(
+                    PortRole.METRICS, new Address(settings.ip(), settings.metricsPort()), process.metricsHandler());
         }
         ports.start();
     }
@@ -368,7 +370,7 @@
     }
 
     private void handleReady(HttpServerExchange exchange) {
-        exchange.setStatusCode(isServing() ? READY_STATUS : NOT_READY_STATUS);
+        exchange.setStatusCode(isServing() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
     }
 
     private boolean isServing() {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import com.codahale.metrics.MetricRegistry;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
@@ -12,6 +13,7 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.Closer;
+import org.elmline.core.common.MonotonicClock;
 import org.elmline.core.routing.CallerLimits;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -37,8 +39,8 @@
 
     private static final int BUFFER_BYTES = 8 * 1024;
 
-    /** Bytes of the headers that entries add to those of a caller. */
-    private static final int RELAY_HEADER_BYTES = 4 * 1024;
+    /** Connections above a port's limit that may be accepted before the guard has closed others. */
+    private static final int ACCEPTED_AHEAD = 16;
 
     private static final OptionMap SOCKET_OPTIONS = OptionMap.builder()
             .set(Options.BACKLOG, ACCEPT_BACKLOG_CONNECTIONS)
@@ -52,17 +54,17 @@
     private final List<AcceptingChannel<StreamConnection>> servers = new CopyOnWriteArrayList<>();
     private final OpenRequests openRequests = new OpenRequests();
     private final XnioWorker worker;
+    private final ConnectionGuard guard;
     private volatile CallerLimits callerLimits = CallerLimits.DEFAULT;
 
-    /** @param additionalHeaderBytes bytes of headers accepted beyond the callers' limit */
-    private record HttpPort(Address address, HttpOpenListener listener, int additionalHeaderBytes) {
+    private record HttpPort(PortRole role, Address address, HttpOpenListener listener) {
         void apply(CallerLimits limits) {
-            listener.setUndertowOptions(options(limits, additionalHeaderBytes));
+            listener.setUndertowOptions(options(limits, role.additionalHeaderBytes()));
         }
     }
 
     /** Starts the threads; binds no port yet. */
-    public HttpPorts() throws IOException {
+    public HttpPorts(MonotonicClock clock, MetricRegistry metrics) throws IOException {
         worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, 1)
@@ -71,22 +73,16 @@
                         .set(Options.TCP_NODELAY, true)
                         .getMap());
         closer.register(worker::shutdownNow);
+        guard = new ConnectionGuard(
+                worker.getIoThread(), clock, Runtime.getRuntime().maxMemory(), metrics);
+        guard.maxHeaderBytes(callerLimits.maxHeaderBytes());
     }
 
     /** Adds a port with its handler. Must be called before {@link #start()}. */
-    public HttpPorts addPort(Address address, HttpHandler handler) {
-        return addPort(address, handler, 0);
-    }
-
-    /** Adds the port on which other entries send requests of their callers. Must be called before {@link #start()}. */
-    public HttpPorts addRelayPort(Address address, HttpHandler handler) {
-        return addPort(address, handler, RELAY_HEADER_BYTES);
-    }
-
-    private HttpPorts addPort(Address address, HttpHandler handler, int additionalHeaderBytes) {
+    public HttpPorts addPort(PortRole role, Address address, HttpHandler handler) {
         HttpOpenListener listener = new HttpOpenListener(buffers);
-        listener.setRootHandler(openRequests.track(handler));
-        HttpPort port = new HttpPort(address, listener, additionalHeaderBytes);
+        listener.setRootHandler(guard.track(openRequests.track(handler)));
+        HttpPort port = new HttpPort(role, address, listener);
         ports.add(port);
         port.apply(callerLimits);
         return this;
@@ -106,8 +102,16 @@
     private void bind(HttpPort port) throws IOException {
         InetSocketAddress address =
                 new InetSocketAddress(port.address().ip(), port.address().port());
+        int highWater = port.role().maxConnections() + ACCEPTED_AHEAD;
+        OptionMap socketOptions = OptionMap.builder()
+                .addAll(SOCKET_OPTIONS)
+                .set(Options.CONNECTION_HIGH_WATER, highWater)
+                .set(Options.CONNECTION_LOW_WATER, highWater)
+                .getMap();
         AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
-                address, ChannelListeners.openListenerAdapter(port.listener()), SOCKET_OPTIONS);
+                address,
+                ChannelListeners.openListenerAdapter(guard.guard(port.role(), port.listener())),
+                socketOptions);
         closer.register(server);
         servers.add(server);
         server.resumeAccepts();
@@ -152,6 +156,7 @@
      */
     public void applyLimits(CallerLimits limits) {
         callerLimits = limits;
+        guard.maxHeaderBytes(limits.maxHeaderBytes());
         ports.forEach(each -> each.apply(limits));
     }
 
--- a/elmline-daemon/src/test/java/org/elmline/daemon/coordinator/RequestDrainTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/coordinator/RequestDrainTest.java
@@ -10,9 +10,11 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 
+import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.common.Address;
 import org.elmline.daemon.log.DecisionLog;
 import org.elmline.daemon.node.HttpPorts;
+import org.elmline.daemon.node.PortRole;
 import org.elmline.daemon.runtime.SystemClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -38,10 +40,11 @@
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
-        ports = new HttpPorts();
+        ports = new HttpPorts(new SystemClock(), new MetricRegistry());
         log = new DecisionLog("control", "test", new SystemClock(), logOutput);
         drain = new RequestDrain(ports, exchange -> exchange.endExchange(), new SystemClock(), log);
-        ports.addPort(new Address(HOST, port), drain.handler()).start();
+        ports.addPort(PortRole.CALLERS, new Address(HOST, port), drain.handler())
+                .start();
     }
 
     @AfterEach
--- a/elmline-daemon/src/test/java/org/elmline/daemon/gateway/PlannedStopTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/gateway/PlannedStopTest.java
@@ -10,12 +10,14 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 
+import com.codahale.metrics.MetricRegistry;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.SameThreadExecutor;
 import org.elmline.core.common.Address;
 import org.elmline.daemon.log.DecisionLog;
 import org.elmline.daemon.node.HttpPorts;
+import org.elmline.daemon.node.PortRole;
 import org.elmline.daemon.runtime.SystemClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -47,11 +49,12 @@
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
-        ports = new HttpPorts();
+        ports = new HttpPorts(new SystemClock(), new MetricRegistry());
         thread = ports.worker().getIoThread();
         log = new DecisionLog("entry", "test", new SystemClock(), logOutput);
         openCalls = new OpenCalls(thread, log);
         ports.addPort(
+                        PortRole.CALLERS,
                         new Address(HOST, port),
                         exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
                             openCalls.add(new WaitingCall(exchange));
--- a/elmline-daemon/src/test/java/org/elmline/daemon/http/EarlyAnswerTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/http/EarlyAnswerTest.java
@@ -5,10 +5,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
+import com.codahale.metrics.MetricRegistry;
 import org.elmline.core.common.Address;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
 import org.elmline.daemon.node.HttpPorts;
+import org.elmline.daemon.node.PortRole;
+import org.elmline.daemon.runtime.SystemClock;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -25,8 +28,9 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
             port = free.getLocalPort();
         }
-        try (HttpPorts ports = new HttpPorts()) {
+        try (HttpPorts ports = new HttpPorts(new SystemClock(), new MetricRegistry())) {
             ports.addPort(
+                            PortRole.CALLERS,
                             new Address(IP, port),
                             exchange -> JsonResponses.sendBeforeBody(exchange, 503, ErrorBody.of(BUSY)))
                     .start();
