Guard the listeners of the product's own API like the platform's ports

By reading: the callers' API and the operators' listener had the same fault as the platform's ports, as trailers have no limit in the library, and up to 1,024 bodies of 64 MB had no common bound. Not shown by a crowd of its own.

Cause: these listeners are opened through the library's builder, below which no guard can be set.

Change: HttpListener binds its port itself, on one I/O thread, which the guard needs; handlers use workers as before. Its limit of connections stays, at which further ones wait.

Evidence: HttpListenerTest, EventsAndMetricsTest and the tests of HttpPorts pass as before.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
@@ -1,31 +1,56 @@
 package org.elmline.daemon.http;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 
-import io.undertow.Undertow;
+import com.codahale.metrics.MetricRegistry;
 import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import org.elmline.core.common.Address;
+import org.elmline.core.common.Closer;
 import org.elmline.core.common.Refusal;
 import org.elmline.core.common.RefusalReason;
+import org.elmline.daemon.node.ConnectionGuard;
 import org.elmline.daemon.node.OpenRequests;
+import org.elmline.daemon.node.PortRole;
 import org.elmline.daemon.node.RequestCompletion;
+import org.xnio.ChannelListeners;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /** One bound HTTP port with its limits. */
 public final class HttpListener implements AutoCloseable {
-    private static final int IO_THREADS = 2;
+    /** The guard's state belongs to one thread. */
+    private static final int IO_THREADS = 1;
+
     private static final int WORKER_THREADS = 2;
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int ACCEPT_BACKLOG_CONNECTIONS = 1_024;
     private static final Refusal STOPPING =
             Refusal.retryLater(RefusalReason.LEAVING, "this host is stopping; use another one", 1_000);
 
-    private final Undertow server;
+    private final Closer closer;
+    private final AcceptingChannel<StreamConnection> server;
     private final RefusableHandler handler;
     private final OpenRequests openRequests;
     private final RequestCompletion completion;
     private final String ip;
 
-    private HttpListener(Undertow server, RefusableHandler handler, OpenRequests openRequests, String ip) {
+    private HttpListener(
+            Closer closer,
+            AcceptingChannel<StreamConnection> server,
+            RefusableHandler handler,
+            OpenRequests openRequests,
+            String ip) {
+        this.closer = closer;
         this.server = server;
         this.handler = handler;
         this.openRequests = openRequests;
@@ -38,28 +63,60 @@
         OpenRequests openRequests = new OpenRequests();
         RefusableHandler refusable =
                 new RefusableHandler(handler, exchange -> JsonResponses.sendRefusal(exchange, STOPPING));
-        Undertow server = Undertow.builder()
-                .addHttpListener(port, ip)
-                .setIoThreads(IO_THREADS)
-                .setWorkerThreads(WORKER_THREADS)
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMillis())
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.readTimeoutMillis())
-                .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-                .setSocketOption(org.xnio.Options.READ_TIMEOUT, limits.readTimeoutMillis())
-                .setSocketOption(org.xnio.Options.CONNECTION_HIGH_WATER, limits.maxConnections())
-                .setSocketOption(org.xnio.Options.CONNECTION_LOW_WATER, limits.maxConnections())
-                .setHandler(openRequests.track(refusable))
-                .build();
-        server.start();
-        return new HttpListener(server, refusable, openRequests, ip);
+        Closer closer = new Closer();
+        try {
+            XnioWorker worker = startWorker();
+            closer.register(worker::shutdownNow);
+            ConnectionGuard guard = new ConnectionGuard(
+                    worker.getIoThread(), System::nanoTime, Runtime.getRuntime().maxMemory(), new MetricRegistry());
+            guard.maxHeaderBytes(limits.maxHeaderBytes());
+            HttpOpenListener http =
+                    new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER_BYTES), httpOptions(limits));
+            http.setRootHandler(guard.track(openRequests.track(refusable)));
+            AcceptingChannel<StreamConnection> server = closer.register(worker.createStreamConnectionServer(
+                    new InetSocketAddress(ip, port),
+                    ChannelListeners.openListenerAdapter(guard.guard(PortRole.API, http)),
+                    socketOptions(limits)));
+            server.resumeAccepts();
+            return new HttpListener(closer, server, refusable, openRequests, ip);
+        } catch (IOException e) {
+            closer.close();
+            throw new UncheckedIOException("can't listen on " + ip + ":" + port, e);
+        }
+    }
+
+    private static XnioWorker startWorker() throws IOException {
+        return Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                        .set(Options.WORKER_TASK_CORE_THREADS, WORKER_THREADS)
+                        .set(Options.WORKER_TASK_MAX_THREADS, WORKER_THREADS)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
+    }
+
+    private static OptionMap httpOptions(HttpLimits limits) {
+        return OptionMap.builder()
+                .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
+                .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMillis())
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.readTimeoutMillis())
+                .getMap();
+    }
+
+    private static OptionMap socketOptions(HttpLimits limits) {
+        return OptionMap.builder()
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.BACKLOG, ACCEPT_BACKLOG_CONNECTIONS)
+                .set(Options.READ_TIMEOUT, limits.readTimeoutMillis())
+                .set(Options.CONNECTION_HIGH_WATER, limits.maxConnections())
+                .set(Options.CONNECTION_LOW_WATER, limits.maxConnections())
+                .getMap();
     }
 
     public Address address() {
-        InetSocketAddress bound =
-                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
-        return new Address(ip, bound.getPort());
+        return new Address(ip, server.getLocalAddress(InetSocketAddress.class).getPort());
     }
 
     /**
@@ -85,6 +142,6 @@
 
     @Override
     public void close() {
-        server.stop();
+        closer.close();
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/ConnectionGuard.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/ConnectionGuard.java
@@ -29,7 +29,7 @@
  * the bytes of requests and answers that no other account counts. Without room, the connection that has waited for its
  * client for longest is closed, so that a new client is served however many send nothing. Used on the I/O thread only.
  */
-final class ConnectionGuard {
+public final class ConnectionGuard {
     /** Share of the largest heap that all connections hold together; an entry's account of its calls has 0.6 of it. */
     private static final double HEAP_SHARE = 1.0 / 6;
 
@@ -64,7 +64,7 @@
         private int open;
     }
 
-    ConnectionGuard(XnioExecutor thread, MonotonicClock clock, long maxHeapBytes, MetricRegistry metrics) {
+    public ConnectionGuard(XnioExecutor thread, MonotonicClock clock, long maxHeapBytes, MetricRegistry metrics) {
         this.thread = thread;
         this.clock = clock;
         this.boundBytes = (long) (maxHeapBytes * HEAP_SHARE);
@@ -78,12 +78,12 @@
         return clock.nanos();
     }
 
-    void maxHeaderBytes(int bytes) {
+    public void maxHeaderBytes(int bytes) {
         maxHeaderBytes = bytes;
     }
 
     /** A listener that guards each connection before the HTTP server serves it. */
-    ChannelListener<StreamConnection> guard(PortRole role, HttpOpenListener server) {
+    public ChannelListener<StreamConnection> guard(PortRole role, HttpOpenListener server) {
         ports.put(role, new Port());
         return connection -> open(connection, role, server);
     }
@@ -114,7 +114,7 @@
     }
 
     /** Returns a handler that lets the guard see each request of another one. */
-    HttpHandler track(HttpHandler next) {
+    public HttpHandler track(HttpHandler next) {
         return exchange -> {
             GuardedConnection guarded = connectionOf(exchange);
             if (guarded != null) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/PortRole.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/PortRole.java
@@ -13,7 +13,9 @@
     DIRECTORY(160, 0, true),
     METRICS(32, 0, true),
     /** Operators and the heartbeats of backend servers, on control hosts, which have 4,096 descriptors. */
-    OPERATORS(3_000, 0, true);
+    OPERATORS(3_000, 0, true),
+    /** A listener that has a limit of connections of its own, at which further ones wait. */
+    API(Integer.MAX_VALUE, 0, true);
 
     private final int maxConnections;
     private final int additionalHeaderBytes;
