Hold one buffer at most of requests that are pipelined behind an open call

What was seen: each check of whether a caller is still connected, every 120 ms, read up to 16 KB more of what it sends behind its request and kept it, for as long as the call is open.

Change: nothing more is read while bytes wait behind the request. A caller that pipelines is not noticed to have left before its answer is written.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/CallerDisconnectDetector.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/CallerDisconnectDetector.java
@@ -27,6 +27,10 @@
         if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
             return;
         }
+        if (connection.getExtraBytes() != null) {
+            // Each further read would add to the bytes that wait behind the request.
+            return;
+        }
         PooledByteBuffer buffer = connection.getByteBufferPool().allocate();
         boolean pushedBack = false;
         try {
