Free closed connections at once, whatever time limits they had

Cause: a histogram of the heap shows 14,847 connections of the HTTP server, each held by a timer (XNIO's TimeKey), while the process had 100 descriptors: the library's limits on idle time and on the time of a head keep a closed connection of about 3 KB until they have passed, 20 to 65 s.

Change: the guard applies both limits, which it can as it knows what each connection waits for, and the library's are not set. They now hold for open connections too when a configuration changes them.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/HttpListener.java
@@ -69,7 +69,7 @@
             closer.register(worker::shutdownNow);
             ConnectionGuard guard = new ConnectionGuard(
                     worker.getIoThread(), System::nanoTime, Runtime.getRuntime().maxMemory(), new MetricRegistry());
-            guard.maxHeaderBytes(limits.maxHeaderBytes());
+            guard.limits(limits.maxHeaderBytes(), limits.readTimeoutMillis(), limits.idleTimeoutMillis());
             HttpOpenListener http =
                     new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER_BYTES), httpOptions(limits));
             http.setRootHandler(guard.track(openRequests.track(refusable)));
@@ -99,8 +99,6 @@
         return OptionMap.builder()
                 .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
                 .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMillis())
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.readTimeoutMillis())
                 .getMap();
     }
 
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/ConnectionGuard.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/ConnectionGuard.java
@@ -45,7 +45,7 @@
     /** Time for one body, at which 4 MB arrive over 0.3 Mbit/s. */
     private static final long BODY_NANOS = TimeUnit.SECONDS.toNanos(120);
 
-    private static final long CHECK_SECONDS = 5;
+    private static final long CHECK_SECONDS = 1;
 
     private final MonotonicClock clock;
     private final XnioExecutor thread;
@@ -55,6 +55,8 @@
     private final Map<StreamConnection, GuardedConnection> connections = new IdentityHashMap<>();
     private final Map<PortRole, Port> ports = new EnumMap<>(PortRole.class);
     private int maxHeaderBytes;
+    private long headNanos;
+    private long requestIdleNanos;
     private long heldBytes;
     private boolean checking;
 
@@ -78,8 +80,14 @@
         return clock.nanos();
     }
 
-    public void maxHeaderBytes(int bytes) {
-        maxHeaderBytes = bytes;
+    /**
+     * Sets the limits on heads and on connections without a request, also of open connections. The times are the guard's,
+     * as those of the HTTP server keep each closed connection in memory until they have passed.
+     */
+    public void limits(int headBytes, long headMillis, long requestIdleMillis) {
+        maxHeaderBytes = headBytes;
+        headNanos = TimeUnit.MILLISECONDS.toNanos(headMillis);
+        requestIdleNanos = TimeUnit.MILLISECONDS.toNanos(requestIdleMillis);
     }
 
     /** A listener that guards each connection before the HTTP server serves it. */
@@ -100,6 +108,7 @@
         connections.put(connection, guarded);
         port.open++;
         port.waiting.add(guarded);
+        startChecking();
         server.handleEvent(connection);
         ChannelListener<? super StreamConnection> onClose = connection.getCloseListener();
         connection.setCloseListener(closed -> {
@@ -151,9 +160,6 @@
         if (guarded.phase().waitsForClient()) {
             waiting.add(guarded);
         }
-        if (guarded.phase() == Phase.BODY || guarded.phase() == Phase.BLOCKED) {
-            startChecking();
-        }
         count(guarded);
     }
 
@@ -220,21 +226,28 @@
         }
     }
 
-    /** Closes connections whose clients owe a body, or do not read, for too long. */
+    /** Closes connections whose clients send nothing, or do not read, for too long. */
     private void check() {
         long now = now();
-        List<GuardedConnection> owing = connections.values().stream()
-                .filter(each -> each.phase() == Phase.BODY || each.phase() == Phase.BLOCKED)
+        List<GuardedConnection> overdue = connections.values().stream()
+                .filter(each -> isOverdue(each, now))
                 .toList();
-        owing.stream().filter(each -> isOverdue(each, now)).forEach(this::close);
+        overdue.forEach(each -> {
+            remove(each);
+            IoUtils.safeClose(each.connection());
+        });
         checking = false;
-        if (!owing.isEmpty()) {
+        if (!connections.isEmpty()) {
             startChecking();
         }
     }
 
-    private static boolean isOverdue(GuardedConnection guarded, long now) {
-        return guarded.idleNanos(now) > IDLE_NANOS
-                || guarded.phase() == Phase.BODY && guarded.phaseNanos(now) > BODY_NANOS;
+    private boolean isOverdue(GuardedConnection guarded, long now) {
+        return switch (guarded.phase()) {
+            case HEAD -> guarded.headNanos(now) > headNanos || guarded.phaseNanos(now) > requestIdleNanos;
+            case BODY -> guarded.idleNanos(now) > IDLE_NANOS || guarded.phaseNanos(now) > BODY_NANOS;
+            case BLOCKED -> guarded.idleNanos(now) > IDLE_NANOS;
+            case ANSWER -> false;
+        };
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/GuardedConnection.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/GuardedConnection.java
@@ -28,6 +28,7 @@
     private Phase phase = Phase.HEAD;
     private long phaseSinceNanos;
     private long progressAtNanos;
+    private long headSinceNanos;
     private boolean chunked;
     private boolean bodyProgressed;
     private long lastReadBytes;
@@ -92,6 +93,11 @@
         return now - phaseSinceNanos;
     }
 
+    /** Nanoseconds since the first byte of a head that is not complete; 0 without one. */
+    long headNanos(long now) {
+        return elementBytes == 0 ? 0 : now - headSinceNanos;
+    }
+
     /** Nanoseconds without a byte from or to the client. */
     long idleNanos(long now) {
         return now - Math.max(progressAtNanos, phaseSinceNanos);
@@ -165,6 +171,9 @@
         lastReadBytes = Math.max(0, count);
         if (count > 0) {
             progressAtNanos = guard.now();
+            if (elementBytes == 0) {
+                headSinceNanos = progressAtNanos;
+            }
             elementBytes += count;
             check();
         }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/HttpPorts.java
@@ -75,7 +75,7 @@
         closer.register(worker::shutdownNow);
         guard = new ConnectionGuard(
                 worker.getIoThread(), clock, Runtime.getRuntime().maxMemory(), metrics);
-        guard.maxHeaderBytes(callerLimits.maxHeaderBytes());
+        applyToGuard(callerLimits);
     }
 
     /** Adds a port with its handler. Must be called before {@link #start()}. */
@@ -151,15 +151,20 @@
     }
 
     /**
-     * Applies limits to new connections; open connections keep theirs. A first routing table may bring them before the
+     * Applies limits: times at once, sizes to new connections. A first routing table may bring them before the
      * ports are added.
      */
     public void applyLimits(CallerLimits limits) {
         callerLimits = limits;
-        guard.maxHeaderBytes(limits.maxHeaderBytes());
+        applyToGuard(limits);
         ports.forEach(each -> each.apply(limits));
     }
 
+    private void applyToGuard(CallerLimits limits) {
+        guard.limits(
+                limits.maxHeaderBytes(), limits.headerTimeoutMillis(), limits.idleTimeoutMillis() + IDLE_GRACE_MILLIS);
+    }
+
     private static OptionMap options(CallerLimits limits, int additionalHeaderBytes) {
         return OptionMap.builder()
                 .set(UndertowOptions.DECODE_URL, false)
@@ -167,8 +172,6 @@
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes() + additionalHeaderBytes)
                 .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMillis() + IDLE_GRACE_MILLIS)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headerTimeoutMillis())
                 .getMap();
     }
 
