Take a server for unreachable only after a last look at its connection

Cause: a thread that was held up for longer than the 250 ms of a connection runs the timer before it looks at its sockets, so that a connection that was made long ago counts as failed. The trial connections that would end the state fail in the same way for as long as the thread is busy.

Change: the time-out waits 5 ms more, within which the thread looks at its sockets. The checks of crashed servers and of paths use the same connections.

Evidence: HeldUpConnectTest failed before ("no connection within 250 ms") and passes.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
@@ -31,6 +31,9 @@
      */
     private static final long CONNECT_TIMEOUT_MILLIS = 250;
 
+    /** Time beyond it in which the thread looks at its sockets once more. */
+    private static final long LAST_LOOK_MILLIS = 5;
+
     /** Time for which an idle connection is used when its server states no keep-alive time. */
     private static final long DEFAULT_KEEP_ALIVE_MILLIS = 2_500;
 
@@ -122,7 +125,7 @@
         opened.inc();
         ConnectAttempt connectAttempt = new ConnectAttempt(callback, opener);
         connectAttempt.timer =
-                thread.executeAfter(connectAttempt::expire, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                thread.executeAfter(connectAttempt::expireSoon, CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         dialer.connect(address, opener, buffers, connectAttempt);
     }
 
@@ -155,6 +158,11 @@
             }
         }
 
+        /** A thread that was held up runs its timers before it looks at its sockets, one of which may be connected. */
+        private void expireSoon() {
+            timer = opener.executeAfter(this::expire, LAST_LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
         private void expire() {
             if (tryEnd()) {
                 callback.onFailed("no connection within " + CONNECT_TIMEOUT_MILLIS + " ms");
