--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionOpener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionOpener.java
@@ -12,9 +12,9 @@
 import org.xnio.XnioIoThread;
 
 /**
- * An I/O thread as the HTTP client sees it, which reaches the sockets that it opens, as the client offers no other
- * way to them: puts a bound below the client on each one, and records its use. Never started; all work is done by the thread behind it, on which alone it
- * is used.
+ * An I/O thread as the HTTP client sees it, which reaches the sockets that it opens, as the client offers no other way to
+ * them: puts a bound below the client on each one, and records its use. Never started; all work is done by the thread behind
+ * it, on which alone it is used.
  */
 final class ConnectionOpener extends XnioIoThread {
     private final XnioIoThread thread;
