Count a body that no handler reads as received

What callers would have seen: with the guard, a caller that sends a long body in chunks gets a reset in place of a refusal that does not wait for its body, as at an entry that has no routing table yet.

Cause: the HTTP server drops such a body by transferTo, which passed the guard of bodies by, so that its data counted as chunk framing and was cut after 24 KB.

Change: the guard reads in parts there too.

Evidence: ConnectionGuardTest (4 MB in chunks of 1 KB, then a second request on the connection) failed with "Connection reset by peer" and passes.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/GuardedConnection.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/GuardedConnection.java
@@ -2,12 +2,16 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpAttachments;
+import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSinkConduit;
 import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitReadableByteChannel;
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -254,6 +258,17 @@
             return onRead(next.read(targets, offset, length));
         }
 
+        /** Reads in parts, as the HTTP server does to drop a body that no handler reads. */
+        @Override
+        public long transferTo(long position, long count, FileChannel target) throws IOException {
+            return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
+        }
+
+        @Override
+        public long transferTo(long count, ByteBuffer through, StreamSinkChannel target) throws IOException {
+            return IoUtils.transfer(new ConduitReadableByteChannel(this), count, through, target);
+        }
+
         private long onRead(long count) throws IOException {
             if (count < 0) {
                 onBodyEnd(exchange);
