Leave each call of a full port a descriptor for its server

Cause: the share of the callers' port, 800, counted connections of callers only. Each call holds a connection to its server as well.

Change: callers 440, relay 96, so that twice these and all other ports fit into a host of 2,069 descriptors. A node of the size to design for has 13 requests a second of 15 s at most, 195 at once; idle connections give way to new ones.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/PortRole.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/PortRole.java
@@ -1,14 +1,14 @@
 package org.elmline.daemon.node;
 
 /**
- * What an HTTP port serves, with its share of the process's connections. Together they leave a host of 2,069 descriptors a
- * third for its own connections to servers and other processes.
+ * What an HTTP port serves, with its share of the process's connections. A call may hold a second descriptor, for its
+ * server, so that all shares together fit into 2,069 descriptors, with a rest for other processes of the deployment.
  */
 public enum PortRole {
     /** Calls of callers, whose bodies and answers have an account of their own. */
-    CALLERS(800, 0, false),
+    CALLERS(440, 0, false),
     /** Calls that other entries forward, in the same account. */
-    RELAY(160, 4 * 1024, false),
+    RELAY(96, 4 * 1024, false),
     READY(64, 0, true),
     DIRECTORY(160, 0, true),
     METRICS(32, 0, true),
