--- a/elmline-core/src/main/java/org/elmline/core/routing/CallerLimits.java
+++ b/elmline-core/src/main/java/org/elmline/core/routing/CallerLimits.java
@@ -11,6 +11,11 @@
 public record CallerLimits(int maxHeaderBytes, long maxBodyBytes, int headerTimeoutMillis, int idleTimeoutMillis) {
     public static final CallerLimits DEFAULT = new CallerLimits(64 * 1024, 64L * 1024 * 1024, 30_000, 60_000);
 
+    /** The same limits with another one on bodies. */
+    public CallerLimits withMaxBodyBytes(long bytes) {
+        return new CallerLimits(maxHeaderBytes, bytes, headerTimeoutMillis, idleTimeoutMillis);
+    }
+
     /** Whether all limits are equal; false for null. */
     public boolean sameAs(CallerLimits other) {
         return other != null
--- a/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/coordinator/Coordinator.java
@@ -64,7 +64,7 @@
      */
     private static final int MAX_COMMAND_BYTES = 5 * 1024 * 1024;
 
-    private static final CallerLimits OPERATOR_LIMITS = new CallerLimits(64 * 1024, MAX_COMMAND_BYTES, 30_000, 60_000);
+    private static final CallerLimits OPERATOR_LIMITS = CallerLimits.DEFAULT.withMaxBodyBytes(MAX_COMMAND_BYTES);
 
     /** Log size in bytes that triggers a compaction: a sixteenth of the smallest disk. */
     private static final long SNAPSHOT_BYTES = 8L * 1024 * 1024;
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/UnproductiveBytes.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/UnproductiveBytes.java
@@ -1,12 +1,11 @@
 package org.elmline.daemon.gateway;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 
 import io.undertow.client.ClientConnection;
 import io.undertow.util.Attachable;
 import io.undertow.util.AttachmentKey;
-import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.elmline.daemon.http.CountedSource;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
@@ -14,7 +13,7 @@
  * HTTP client has no bound of its own on a header, the size of a chunk or the end of a body: a server that sends one of
  * these without end would fill the memory of the process. Used on the I/O thread only.
  */
-final class UnproductiveBytes extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class UnproductiveBytes extends CountedSource {
     /** Bytes of a head with room to spare, and of a read buffer that ends with the next head. */
     private static final long MAX_BYTES = 64 * 1024;
 
@@ -42,20 +41,10 @@
     }
 
     @Override
-    public int read(ByteBuffer target) throws IOException {
-        return (int) count(super.read(target));
-    }
-
-    @Override
-    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-        return count(super.read(targets, offset, length));
-    }
-
-    private long count(long read) throws IOException {
-        bytes += Math.max(0, read);
+    protected void onRead(long count) throws IOException {
+        bytes += Math.max(0, count);
         if (bytes > MAX_BYTES) {
             throw new IOException("over " + MAX_BYTES + " bytes without a head or content of an answer");
         }
-        return read;
     }
 }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/ConnectionGuard.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/ConnectionGuard.java
@@ -215,6 +215,10 @@
 
     private void close(GuardedConnection guarded) {
         displaced.inc();
+        end(guarded);
+    }
+
+    private void end(GuardedConnection guarded) {
         remove(guarded);
         IoUtils.safeClose(guarded.connection());
     }
@@ -232,10 +236,7 @@
         List<GuardedConnection> overdue = connections.values().stream()
                 .filter(each -> isOverdue(each, now))
                 .toList();
-        overdue.forEach(each -> {
-            remove(each);
-            IoUtils.safeClose(each.connection());
-        });
+        overdue.forEach(this::end);
         checking = false;
         if (!connections.isEmpty()) {
             startChecking();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/node/GuardedConnection.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/node/GuardedConnection.java
@@ -2,16 +2,13 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpAttachments;
-import org.xnio.IoUtils;
+import org.elmline.daemon.http.CountedSource;
+import org.xnio.Buffers;
 import org.xnio.StreamConnection;
-import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSinkConduit;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.ConduitReadableByteChannel;
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -219,28 +216,19 @@
     }
 
     /** Counts all bytes of the client. */
-    private final class Source extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    private final class Source extends CountedSource {
         Source(StreamSourceConduit next) {
             super(next);
         }
 
         @Override
-        public int read(ByteBuffer target) throws IOException {
-            int count = next.read(target);
+        protected void onRead(long count) throws IOException {
             onReceived(count);
-            return count;
-        }
-
-        @Override
-        public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-            long count = next.read(targets, offset, length);
-            onReceived(count);
-            return count;
         }
     }
 
     /** Counts the data of a request's body. */
-    private final class Body extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    private final class Body extends CountedSource {
         private final HttpServerExchange exchange;
 
         Body(StreamSourceConduit next, HttpServerExchange exchange) {
@@ -249,33 +237,12 @@
         }
 
         @Override
-        public int read(ByteBuffer target) throws IOException {
-            return (int) onRead(next.read(target));
-        }
-
-        @Override
-        public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-            return onRead(next.read(targets, offset, length));
-        }
-
-        /** Reads in parts, as the HTTP server does to drop a body that no handler reads. */
-        @Override
-        public long transferTo(long position, long count, FileChannel target) throws IOException {
-            return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
-        }
-
-        @Override
-        public long transferTo(long count, ByteBuffer through, StreamSinkChannel target) throws IOException {
-            return IoUtils.transfer(new ConduitReadableByteChannel(this), count, through, target);
-        }
-
-        private long onRead(long count) throws IOException {
+        protected void onRead(long count) throws IOException {
             if (count < 0) {
                 onBodyEnd(exchange);
             } else if (count > 0) {
                 onBody(count);
             }
-            return count;
         }
     }
 
@@ -295,7 +262,7 @@
         @Override
         public long write(ByteBuffer[] sources, int offset, int length) throws IOException {
             long count = next.write(sources, offset, length);
-            onSent(count, remain(sources, offset, length));
+            onSent(count, Buffers.hasRemaining(sources, offset, length));
             return count;
         }
 
@@ -309,17 +276,8 @@
         @Override
         public long writeFinal(ByteBuffer[] sources, int offset, int length) throws IOException {
             long count = next.writeFinal(sources, offset, length);
-            onSent(count, remain(sources, offset, length));
+            onSent(count, Buffers.hasRemaining(sources, offset, length));
             return count;
         }
-
-        private static boolean remain(ByteBuffer[] sources, int offset, int length) {
-            for (int i = offset; i < offset + length; i++) {
-                if (sources[i].hasRemaining()) {
-                    return true;
-                }
-            }
-            return false;
-        }
     }
 }
