Check the syntax of servers' answers before the HTTP client parses them

What callers saw: a server in trouble sent a head that was spoilt where it gives the length of the body, that held a line that is no field, or a field name with a blank or a control byte. The caller got a 200 with the signature, framed as whole, and with a body that was not the server's (chunk framing as content, 10 of 42 bytes, bytes that chunks lack) or with the line passed on. A status such as 2000 got the caller no answer at all: nothing within 10 s, where the route's time limit is 6 s.

Cause: the HTTP client's parser repairs or skips what breaks HTTP. A blank or a line end ends a name, a line without a colon becomes a field, the first of several lengths counts, a Transfer-Encoding other than "chunked" counts as none, so that the answer ends with its connection; "+200" and "0200" are 200; what follows a chunk up to the line end is dropped. Once parsed, the spoilt bytes cannot be seen any more, so a check of the parsed head would not be enough.

Change: AnswerSyntax checks status line, fields, framing, chunk lines and trailers of each answer, byte by byte but for the content, which it skips. AnswerCheck places it below the HTTP client on every connection to a server or to another entry, beside UnproductiveBytes; what is malformed fails the read and takes the path of any broken answer (retry where the call may be repeated, else 502). Statuses outside 100 to 599 are malformed too.

An answer is accepted as before where HTTP allows it: names in any case, white space around values, chunk extensions, trailers, 1.0, no length.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -198,6 +198,7 @@
         bodySent = false;
         ServerLink used = link;
         UnproductiveBytes.reset(used.connection());
+        AnswerCheck.expectAnswer(used.connection(), request.getMethod());
         boolean usedBefore = ConnectionUse.recordRequest(used.connection());
         // The entry that forwards a request checks the answers of its own connection to the server.
         connectionReused = usedBefore && !used.isRelayed();
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionOpener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionOpener.java
@@ -13,11 +13,12 @@
 
 /**
  * An I/O thread as the HTTP client sees it, which reaches the sockets that it opens, as the client offers no other way to
- * them: puts a bound below the client on each one, and records its use. Never started; all work is done by the thread behind
+ * them: puts a check and a bound below the client on each one, and records its use. Never started; all work is done by the thread behind
  * it, on which alone it is used.
  */
 final class ConnectionOpener extends XnioIoThread {
     private final XnioIoThread thread;
+    private AnswerCheck latestCheck;
     private UnproductiveBytes latestBound;
     private ConnectionUse latestUse;
 
@@ -31,6 +32,7 @@
      * opened.
      */
     void attachLatestTo(ClientConnection connection) {
+        latestCheck.attachTo(connection);
         latestBound.attachTo(connection);
         latestUse.attachTo(connection);
     }
@@ -39,7 +41,8 @@
     public IoFuture<StreamConnection> openStreamConnection(
             SocketAddress destination, ChannelListener<? super StreamConnection> openListener, OptionMap options) {
         ChannelListener<StreamConnection> listener = connection -> {
-            latestBound = new UnproductiveBytes(connection.getSourceChannel().getConduit());
+            latestCheck = new AnswerCheck(connection.getSourceChannel().getConduit());
+            latestBound = new UnproductiveBytes(latestCheck);
             connection.getSourceChannel().setConduit(latestBound);
             latestUse = new ConnectionUse(connection);
             openListener.handleEvent(connection);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/CountedSource.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/CountedSource.java
@@ -24,17 +24,33 @@
      */
     protected abstract void onRead(long count) throws IOException;
 
+    /**
+     * Called with the bytes of each read: those from an index of the buffer to its position.
+     *
+     * @throws IOException to fail the read
+     */
+    protected void onBytes(ByteBuffer buffer, int from) throws IOException {}
+
     @Override
     public final int read(ByteBuffer target) throws IOException {
+        int from = target.position();
         int count = next.read(target);
         onRead(count);
+        onBytes(target, from);
         return count;
     }
 
     @Override
     public final long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+        int[] from = new int[length];
+        for (int i = 0; i < length; i++) {
+            from[i] = targets[offset + i].position();
+        }
         long count = next.read(targets, offset, length);
         onRead(count);
+        for (int i = 0; i < length; i++) {
+            onBytes(targets[offset + i], from[i]);
+        }
         return count;
     }
 
