Take an answer without a length for whole only after its request was sent

What callers saw: a server answered a long request at once with a 200 that had no length, sent a part of its body and closed the connection, which resets it while the rest of the request is still on its way. The caller got the part as a complete answer, directly and where another entry forwards the call.

Cause: such an answer ends with its connection, and BackendCall took the end for the answer's at once. The error of the reset is seen only by the next write of the request, which was not waited for.

Change: the end of an answer without a length counts once the request has been sent whole. If a write fails before, the answer is broken. A server that ends its answer first and reads the request then is served as before.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -39,12 +39,14 @@
     private StreamSourceChannel responseChannel;
     private AnswerHead head;
     private long serverBornMillis;
+    private boolean endsWithConnection;
     private boolean needsContent;
     private boolean hasContent;
     private List<ByteBuffer> unsent = List.of();
     private int unsentIndex;
     private long unansweredBytes;
     private boolean bodySent;
+    private boolean endedBeforeBody;
     private boolean connectionReused;
     private boolean refusal;
     private boolean paused;
@@ -268,7 +270,7 @@
                 return;
             }
             sink.suspendWrites();
-            bodySent = true;
+            onBodySent();
         } catch (IOException e) {
             fail(link, e);
         }
@@ -278,13 +280,20 @@
         try {
             if (sink.flush()) {
                 sink.suspendWrites();
-                bodySent = true;
+                onBodySent();
             }
         } catch (IOException e) {
             fail(link, e);
         }
     }
 
+    private void onBodySent() {
+        bodySent = true;
+        if (endedBeforeBody && !ended) {
+            complete();
+        }
+    }
+
     private ClientCallback<ClientExchange> responseCallback(ServerLink used) {
         return new ClientCallback<>() {
             @Override
@@ -312,7 +321,8 @@
                 refusal = head.isRefusal(status);
                 countUnanswered(0);
                 access.gate().onAnswer(target.server(), serverBornMillis, head);
-                needsContent = endsOnlyWithConnection(headers) && AnswerHead.isSuccess(status) && mayHaveBody(status);
+                endsWithConnection = endsOnlyWithConnection(headers) && mayHaveBody(status);
+                needsContent = endsWithConnection && AnswerHead.isSuccess(status);
                 responseChannel = exchange.getResponseChannel();
                 responseChannel.getReadSetter().set((ChannelListener<StreamSourceChannel>) each -> read());
                 listener.onHead(status, headers, head);
@@ -372,7 +382,7 @@
     }
 
     private void read() {
-        if (ended || paused || responseChannel == null) {
+        if (ended || paused || endedBeforeBody || responseChannel == null) {
             return;
         }
         try (PooledByteBuffer pooled = link.connection().getBufferPool().allocate()) {
@@ -403,6 +413,11 @@
     }
 
     private void complete() {
+        if (endsWithConnection && !bodySent) {
+            // A server that closed a connection with unread bytes has reset it: sending the rest shows whether it did.
+            endedBeforeBody = true;
+            return;
+        }
         if (needsContent && !hasContent) {
             // A server that ends right after the head of an answer without a length leaves the same bytes.
             fail(link, new IOException("the connection ended right after the head"));
