Check the syntax of answers from services and engines of the product's API

Cause: as for the platform's calls, in another client: OkHttp adds fields leniently, takes a length that it cannot read for none, statuses such as 000 and +20 for numbers, and drops what follows a chunk.

Change: CheckedAnswers gives OkHttp connections that run the same AnswerSyntax on the bytes as they are read, and starts it with each request. ServiceClient and StandinEngineProtocol use it; the result of a malformed answer is "unknown".

--- a/elmline-daemon/src/main/java/org/elmline/daemon/engine/StandinEngineProtocol.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/engine/StandinEngineProtocol.java
@@ -13,6 +13,7 @@
 import org.elmline.core.common.Address;
 import org.elmline.core.engine.EngineClient;
 import org.elmline.core.engine.EngineProtocol;
+import org.elmline.daemon.http.CheckedAnswers;
 
 /**
  * Protocol of the stand-in engines over HTTP, see docs/ENGINE-PROTOCOL.md. Streams and short calls have separate
@@ -50,7 +51,7 @@
      * @param maxCalls maximum number of concurrent short calls; further ones wait for a thread
      */
     public StandinEngineProtocol(ExecutorService streamReaders, int maxStreams, ExecutorService callers, int maxCalls) {
-        OkHttpClient common = new OkHttpClient.Builder()
+        OkHttpClient common = CheckedAnswers.addTo(new OkHttpClient.Builder())
                 .connectTimeout(CONNECT_TIMEOUT)
                 .eventListenerFactory(call -> SendTracker.of(call.request()))
                 // OkHttp must not retry by itself: a call that this process counts as sent once could then run twice.
--- a/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceClient.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/service/ServiceClient.java
@@ -23,6 +23,7 @@
 import org.elmline.core.dispatch.ServerRateLimit;
 import org.elmline.daemon.engine.SendTracker;
 import org.elmline.daemon.http.BoundedBody;
+import org.elmline.daemon.http.CheckedAnswers;
 import org.elmline.wire.engine.EnginePaths;
 import org.jboss.logging.Logger;
 
@@ -40,7 +41,7 @@
 
     private static final Set<String> EXCLUDED_ANSWER_HEADERS = hopByHopHeaders();
 
-    private final OkHttpClient http = new OkHttpClient.Builder()
+    private final OkHttpClient http = CheckedAnswers.addTo(new OkHttpClient.Builder())
             .connectTimeout(CONNECT_TIMEOUT)
             .eventListenerFactory(call -> SendTracker.of(call.request()))
             // OkHttp must not retry by itself: a call that this process counts as sent once could then run twice.
--- a/elmline-daemon/src/test/java/org/elmline/daemon/engine/StandinEngineProtocolTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/engine/StandinEngineProtocolTest.java
@@ -25,6 +25,7 @@
 import org.elmline.core.engine.PromptBlocks;
 import org.elmline.core.engine.StreamEvent;
 import org.elmline.core.engine.StreamInfo;
+import org.elmline.daemon.http.RawServer;
 import org.elmline.standin.AnswerText;
 import org.elmline.standin.engine.EngineServer;
 import org.elmline.standin.engine.PieceFault;
@@ -32,6 +33,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -68,6 +71,16 @@
         assertTrue(found);
     }
 
+    /** Guards against an engine's answer with fields or a length that are not the engine's. */
+    @ParameterizedTest
+    @ValueSource(strings = {"garbage", "Content-Length : 2", "X Y: a", "Content-Length: 2\r\nContent-Length: 3"})
+    void malformedAnswerIsNone(String field) throws Exception {
+        try (RawServer server = new RawServer("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n[]", false)) {
+            EngineClient troubled = protocol.connect(server.address());
+            assertInstanceOf(CallResult.Unknown.class, troubled.streams().get(10, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     void streamsExactlyTheAnswer() throws Exception {
         StreamLog log = new StreamLog();
