Take no part of a service's answer for whole after its upload failed

What callers saw, by the trial below: a service answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The caller of the product's API got the part as a complete answer.

Cause: after a failed write OkHttp still reads an answer. The failed write has taken the socket's error, so that the end of what had arrived reads like an orderly close, which ends an answer without a length.

Change: CheckedSocket keeps that a write has failed; the end of its input is an error then. An answer with a length, or in chunks, that arrived whole counts as before.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/CheckedSocket.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/CheckedSocket.java
@@ -1,14 +1,17 @@
 package org.elmline.daemon.http;
 
 import java.io.FilterInputStream;
+import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 
-/** A connection of an HTTP client on which reading fails once an answer is malformed. */
+/** A connection of an HTTP client on which reading fails once an answer is malformed or may have been cut. */
 final class CheckedSocket extends Socket {
     private final AnswerSyntax syntax = new AnswerSyntax();
+    private volatile boolean writeFailed;
 
     /** Expects an answer to a request that is sent next. */
     void expectAnswer(String method) {
@@ -21,6 +24,12 @@
         return new CheckedInput(super.getInputStream());
     }
 
+    @Override
+    @SuppressWarnings("checkstyle:RegexpSingleline")
+    public OutputStream getOutputStream() throws IOException {
+        return new WatchedOutput(super.getOutputStream());
+    }
+
     private final class CheckedInput extends FilterInputStream {
         CheckedInput(InputStream in) {
             super(in);
@@ -35,10 +44,35 @@
         @Override
         public int read(byte[] bytes, int from, int length) throws IOException {
             int count = super.read(bytes, from, length);
+            if (count < 0 && writeFailed) {
+                // The failed write has taken the error of a reset, so that the end looks like a close.
+                throw new IOException("the connection failed while the request was sent");
+            }
             if (count > 0) {
                 syntax.check(ByteBuffer.wrap(bytes), from, from + count);
             }
             return count;
         }
     }
+
+    private final class WatchedOutput extends FilterOutputStream {
+        WatchedOutput(OutputStream out) {
+            super(out);
+        }
+
+        @Override
+        public void write(int value) throws IOException {
+            write(new byte[] {(byte) value}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int from, int length) throws IOException {
+            try {
+                out.write(bytes, from, length);
+            } catch (IOException e) {
+                writeFailed = true;
+                throw e;
+            }
+        }
+    }
 }
--- a/elmline-daemon/src/test/java/org/elmline/daemon/service/ServiceClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/service/ServiceClientTest.java
@@ -7,6 +7,7 @@
 import org.elmline.core.common.CallResult;
 import org.elmline.core.control.RecordedAnswer;
 import org.elmline.daemon.http.RawServer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -18,6 +19,9 @@
     private static final String CHUNKED = SUCCESS + "Transfer-Encoding: chunked\r\n\r\n";
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
+    /** More than the sockets of client and server hold. */
+    private static final int LONG_BODY_BYTES = 12_000_000;
+
     private static CallResult<RecordedAnswer> send(String answer, boolean resets, int bodyBytes) throws Exception {
         try (RawServer server = new RawServer(answer, resets);
                 ServiceClient client = new ServiceClient()) {
@@ -50,6 +54,12 @@
         assertInstanceOf(CallResult.Unknown.class, send(answer, false, 1));
     }
 
+    /** Guards against a part of an answer that looks whole, as the failed write has taken the error of the reset. */
+    @Test
+    void partOfAnswerBeforeTheResetOfAnUploadIsNone() throws Exception {
+        assertInstanceOf(CallResult.Unknown.class, send(SUCCESS + "\r\npart", true, LONG_BODY_BYTES));
+    }
+
     /** Guards against checks that reject whole answers. */
     @ParameterizedTest
     @ValueSource(
