Test that services cannot make a process keep bytes without end

Cause: OkHttp bounds heads and trailers, and the product bounds bodies, but lines of chunks have no bound.

--- a/elmline-daemon/src/test/java/org/elmline/daemon/engine/StandinEngineProtocolTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/engine/StandinEngineProtocolTest.java
@@ -75,7 +75,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"garbage", "Content-Length : 2", "X Y: a", "Content-Length: 2\r\nContent-Length: 3"})
     void malformedAnswerIsNone(String field) throws Exception {
-        try (RawServer server = new RawServer("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n[]", false)) {
+        try (RawServer server = new RawServer("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n[]", RawServer.End.CLOSE)) {
             EngineClient troubled = protocol.connect(server.address());
             assertInstanceOf(CallResult.Unknown.class, troubled.streams().get(10, TimeUnit.SECONDS));
         }
--- a/elmline-daemon/src/test/java/org/elmline/daemon/service/ServiceClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/service/ServiceClientTest.java
@@ -13,6 +13,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ServiceClientTest {
     private static final String SUCCESS = "HTTP/1.1 200 OK\r\n";
@@ -22,8 +23,11 @@
     /** More than the sockets of client and server hold. */
     private static final int LONG_BODY_BYTES = 12_000_000;
 
-    private static CallResult<RecordedAnswer> send(String answer, boolean resets, int bodyBytes) throws Exception {
-        try (RawServer server = new RawServer(answer, resets);
+    /** The longest answer that is kept, and what both sockets hold. */
+    private static final long MAX_SENT_BYTES = 32L << 20;
+
+    private static CallResult<RecordedAnswer> send(String answer, RawServer.End end, int bodyBytes) throws Exception {
+        try (RawServer server = new RawServer(answer, end);
                 ServiceClient client = new ServiceClient()) {
             ServiceCall call = new ServiceCall("POST", "seats", List.of(), new byte[bodyBytes]);
             return client.send(server.address(), call, TIMEOUT).result();
@@ -51,13 +55,36 @@
                 CHUNKED + "5\r\nwhole\r\n0\r\ngarbage\r\n\r\n"
             })
     void malformedAnswerIsNone(String answer) throws Exception {
-        assertInstanceOf(CallResult.Unknown.class, send(answer, false, 1));
+        assertInstanceOf(CallResult.Unknown.class, send(answer, RawServer.End.CLOSE, 1));
     }
 
     /** Guards against a part of an answer that looks whole, as the failed write has taken the error of the reset. */
     @Test
     void partOfAnswerBeforeTheResetOfAnUploadIsNone() throws Exception {
-        assertInstanceOf(CallResult.Unknown.class, send(SUCCESS + "\r\npart", true, LONG_BODY_BYTES));
+        assertInstanceOf(CallResult.Unknown.class, send(SUCCESS + "\r\npart", RawServer.End.RESET, LONG_BODY_BYTES));
+    }
+
+    /** Guards against a process that keeps in memory what a service sends without end. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "HTTP/1.1 200 O",
+                SUCCESS + "X: ",
+                SUCCESS + "\r\n",
+                CHUNKED + "5;",
+                CHUNKED + "5\r\nwhole",
+                CHUNKED + "5\r\nwhole\r\n0\r\nX: "
+            })
+    void answerWithoutEndIsCut(String beginning) throws Exception {
+        try (RawServer server = new RawServer(beginning, RawServer.End.NONE);
+                ServiceClient client = new ServiceClient()) {
+            ServiceCall call = new ServiceCall("POST", "seats", List.of(), new byte[1]);
+            assertInstanceOf(
+                    CallResult.Unknown.class,
+                    client.send(server.address(), call, TIMEOUT).result());
+            assertTrue(server.sentBytes() <= MAX_SENT_BYTES, "sent: " + server.sentBytes());
+        }
     }
 
     /** Guards against checks that reject whole answers. */
@@ -69,7 +96,8 @@
                 "HTTP/1.1 100 Continue\r\n\r\n" + SUCCESS + "Content-Length: 5\r\n\r\nwhole"
             })
     void wholeAnswerIsPassedOn(String answer) throws Exception {
-        CallResult.Answered<RecordedAnswer> result = (CallResult.Answered<RecordedAnswer>) send(answer, false, 1);
+        CallResult.Answered<RecordedAnswer> result =
+                (CallResult.Answered<RecordedAnswer>) send(answer, RawServer.End.CLOSE, 1);
         assertEquals("whole", new String(result.value().body(), StandardCharsets.UTF_8));
     }
 }
