Pass on a 304 at once, whose length is that of a body it leaves out

What callers saw: 504 at their route's time limit, although a server had answered a conditional request at once with a 304 that stated a Content-Length, as HTTP allows it to.

Cause: the HTTP client waits for as many bytes as the field says; none come.

Change: BackendCall ends an answer of 304 with its head, and gives up the connection, on which the client still waits.

Evidence: UnusualAnswerTest.answerWithoutABodyIsPassedOn, the 304 of 3 cases failed before (504 after 6 s); now 3 of 3 directly and 3 of 3 through another entry. HEAD and 204 passed before. Found by the tests of malformed answers.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -323,6 +323,12 @@
                 access.gate().onAnswer(target.server(), serverBornMillis, head);
                 endsWithConnection = endsOnlyWithConnection(headers) && mayHaveBody(status);
                 needsContent = endsWithConnection && AnswerHead.isSuccess(status);
+                if (status == StatusCodes.NOT_MODIFIED) {
+                    // It may state the length of the body that it leaves out, which the HTTP client would wait for.
+                    listener.onHead(status, headers, head);
+                    complete();
+                    return;
+                }
                 responseChannel = exchange.getResponseChannel();
                 responseChannel.getReadSetter().set((ChannelListener<StreamSourceChannel>) each -> read());
                 listener.onHead(status, headers, head);
@@ -341,7 +347,9 @@
     }
 
     private boolean mayHaveBody(int status) {
-        return status != StatusCodes.NO_CONTENT && !request.getMethod().equals(Methods.HEAD);
+        return status != StatusCodes.NO_CONTENT
+                && status != StatusCodes.NOT_MODIFIED
+                && !request.getMethod().equals(Methods.HEAD);
     }
 
     /** Searches the next link: the entry states that it did not forward the request. */
@@ -426,9 +434,8 @@
         if (!tryEnd()) {
             return;
         }
-        if (!bodySent || head.closesConnection()) {
-            // A server that answered before it read the whole body may still wait for the rest of it, so the connection
-            // cannot be reused.
+        if (!bodySent || head.closesConnection() || responseChannel == null) {
+            // The server may still wait for the rest of the body, or the HTTP client for that of the answer.
             BackendConnectionPool.closeNow(link.connection());
         } else {
             access.links().release(link, head.keepAliveSeconds());
