One attachment for the guards of a connection to a server

AnswerCheck, UnproductiveBytes and ConnectionUse each had an attachment of their own with the same lookup; ConnectionGuards now installs the three and finds them. CountedSource's callbacks do nothing by default, as no subclass needs both.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendCall.java
@@ -199,9 +199,7 @@
         countUnanswered(body.length());
         bodySent = false;
         ServerLink used = link;
-        UnproductiveBytes.reset(used.connection());
-        AnswerCheck.expectAnswer(used.connection(), request.getMethod());
-        boolean usedBefore = ConnectionUse.recordRequest(used.connection());
+        boolean usedBefore = used.guards().recordRequest(request.getMethod().toString());
         // The entry that forwards a request checks the answers of its own connection to the server.
         connectionReused = usedBefore && !used.isRelayed();
         used.connection().sendRequest(requestOn(used), new ClientCallback<>() {
@@ -301,7 +299,7 @@
                 if (ended || used != link) {
                     return;
                 }
-                UnproductiveBytes.reset(used.connection());
+                used.guards().bytes().reset();
                 int status = exchange.getResponse().getResponseCode();
                 HeaderMap headers = exchange.getResponse().getResponseHeaders();
                 if (isRelayed() && headers.contains(RelayRequest.REFUSAL)) {
@@ -410,7 +408,7 @@
                     complete();
                     return;
                 }
-                UnproductiveBytes.reset(link.connection());
+                link.guards().bytes().reset();
                 buffer.flip();
                 hasContent = true;
                 listener.onData(buffer);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/BackendConnectionPool.java
@@ -112,7 +112,7 @@
                     : newest.expiresAtNanos();
             if (newest.connection().isOpen()
                     && now - usableUntilNanos < 0
-                    && ConnectionUse.isQuiet(newest.connection())) {
+                    && ConnectionGuards.of(newest.connection()).use().isQuiet()) {
                 return newest;
             }
             closeNow(newest.connection());
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionOpener.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionOpener.java
@@ -13,14 +13,12 @@
 
 /**
  * An I/O thread as the HTTP client sees it, which reaches the sockets that it opens, as the client offers no other way to
- * them: puts a check and a bound below the client on each one, and records its use. Never started; all work is done by the thread behind
- * it, on which alone it is used.
+ * them: places guards below the client on each one. Never started; all work is done by the thread behind it, on which
+ * alone it is used.
  */
 final class ConnectionOpener extends XnioIoThread {
     private final XnioIoThread thread;
-    private AnswerCheck latestCheck;
-    private UnproductiveBytes latestBound;
-    private ConnectionUse latestUse;
+    private ConnectionGuards latestGuards;
 
     ConnectionOpener(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
@@ -28,23 +26,18 @@
     }
 
     /**
-     * Attaches what belongs to the socket that was opened last; the client reports each connection before the next is
+     * Attaches the guards of the socket that was opened last; the client reports each connection before the next is
      * opened.
      */
     void attachLatestTo(ClientConnection connection) {
-        latestCheck.attachTo(connection);
-        latestBound.attachTo(connection);
-        latestUse.attachTo(connection);
+        latestGuards.attachTo(connection);
     }
 
     @Override
     public IoFuture<StreamConnection> openStreamConnection(
             SocketAddress destination, ChannelListener<? super StreamConnection> openListener, OptionMap options) {
         ChannelListener<StreamConnection> listener = connection -> {
-            latestCheck = new AnswerCheck(connection.getSourceChannel().getConduit());
-            latestBound = new UnproductiveBytes(latestCheck);
-            connection.getSourceChannel().setConduit(latestBound);
-            latestUse = new ConnectionUse(connection);
+            latestGuards = ConnectionGuards.install(connection);
             openListener.handleEvent(connection);
         };
         return thread.openStreamConnection(destination, listener, options);
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionUse.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ConnectionUse.java
@@ -3,9 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
-import io.undertow.client.ClientConnection;
-import io.undertow.util.Attachable;
-import io.undertow.util.AttachmentKey;
 import org.xnio.StreamConnection;
 
 /**
@@ -14,8 +11,6 @@
  * Used on the I/O thread only.
  */
 final class ConnectionUse {
-    private static final AttachmentKey<ConnectionUse> KEY = AttachmentKey.create(ConnectionUse.class);
-
     private final StreamConnection socket;
     private boolean used;
 
@@ -23,35 +18,18 @@
         this.socket = socket;
     }
 
-    void attachTo(ClientConnection connection) {
-        if (connection instanceof Attachable attachable) {
-            attachable.putAttachment(KEY, this);
-        }
-    }
-
-    private static ConnectionUse of(ClientConnection connection) {
-        return connection instanceof Attachable attachable ? attachable.getAttachment(KEY) : null;
-    }
-
-    /** Records that a request is sent on a connection. Returns whether one was sent on it before. */
-    static boolean recordRequest(ClientConnection connection) {
-        ConnectionUse use = of(connection);
-        if (use == null) {
-            return false;
-        }
-        boolean before = use.used;
-        use.used = true;
+    /** Records that a request is sent. Returns whether one was sent before. */
+    boolean recordRequest() {
+        boolean before = used;
+        used = true;
         return before;
     }
 
-    /** Whether an idle connection can carry a request: nothing has arrived on it, not even its end. */
-    static boolean isQuiet(ClientConnection connection) {
-        ConnectionUse use = of(connection);
-        return use == null || use.hasNothingToRead();
-    }
-
-    /** The client reads idle connections too, but only in a later turn of the I/O thread. */
-    private boolean hasNothingToRead() {
+    /**
+     * Whether an idle connection can carry a request: nothing has arrived on it, not even its end. The client reads idle
+     * connections too, but only in a later turn of the I/O thread.
+     */
+    boolean isQuiet() {
         try {
             return socket.getSourceChannel().read(ByteBuffer.allocate(1)) == 0;
         } catch (IOException e) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ServerLink.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/ServerLink.java
@@ -11,6 +11,10 @@
  * @param relay the entry that forwards the request; null on a connection to the server itself
  */
 record ServerLink(ClientConnection connection, Address peer, HostId relay) {
+    ConnectionGuards guards() {
+        return ConnectionGuards.of(connection);
+    }
+
     boolean isRelayed() {
         return relay != null;
     }
--- a/elmline-daemon/src/main/java/org/elmline/daemon/gateway/UnproductiveBytes.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/gateway/UnproductiveBytes.java
@@ -2,9 +2,6 @@
 
 import java.io.IOException;
 
-import io.undertow.client.ClientConnection;
-import io.undertow.util.Attachable;
-import io.undertow.util.AttachmentKey;
 import org.elmline.daemon.http.CountedSource;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -17,27 +14,15 @@
     /** Bytes of a head with room to spare, and of a read buffer that ends with the next head. */
     private static final long MAX_BYTES = 64 * 1024;
 
-    private static final AttachmentKey<UnproductiveBytes> KEY = AttachmentKey.create(UnproductiveBytes.class);
-
     private long bytes;
 
     UnproductiveBytes(StreamSourceConduit next) {
         super(next);
     }
 
-    /** Attaches the bound of a connection to it. */
-    void attachTo(ClientConnection connection) {
-        if (connection instanceof Attachable attachable) {
-            attachable.putAttachment(KEY, this);
-        }
-    }
-
-    /** Records that a head or content of a body has arrived on a connection, or that a request is sent on it. */
-    static void reset(ClientConnection connection) {
-        UnproductiveBytes bound = connection instanceof Attachable attachable ? attachable.getAttachment(KEY) : null;
-        if (bound != null) {
-            bound.bytes = 0;
-        }
+    /** Records that a head or content of a body has arrived, or that a request is sent. */
+    void reset() {
+        bytes = 0;
     }
 
     @Override
--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/CountedSource.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/CountedSource.java
@@ -22,7 +22,7 @@
      * @param count bytes read, negative at the end
      * @throws IOException to fail the read
      */
-    protected abstract void onRead(long count) throws IOException;
+    protected void onRead(long count) throws IOException {}
 
     /**
      * Called with the bytes of each read: those from an index of the buffer to its position.
