Give back the room for a long line of an answer's head

AnswerSyntax kept a buffer as long as the longest line of a connection, up to 64 KB: 800 kept connections to a server that sent one such line would hold 52 MB of a heap of 96 MB (by reading; no run). A buffer of over 1 KB is now dropped after its line.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/AnswerSyntax.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/AnswerSyntax.java
@@ -14,6 +14,7 @@
     private static final int MAX_LINE_BYTES = 64 * 1024;
 
     private static final int INITIAL_LINE_BYTES = 256;
+    private static final int MAX_KEPT_LINE_BYTES = 1_024;
     private static final String HTTP_1_0 = "HTTP/1.0";
     private static final String HTTP_1_1 = "HTTP/1.1";
     private static final int STATUS_START = HTTP_1_1.length() + 1;
@@ -136,6 +137,10 @@
     private void endLine() throws IOException {
         String text = new String(line, 0, lineLength, StandardCharsets.ISO_8859_1);
         lineLength = 0;
+        if (line.length > MAX_KEPT_LINE_BYTES) {
+            // An idle connection would keep the room for its longest line.
+            line = new byte[INITIAL_LINE_BYTES];
+        }
         switch (part) {
             case STATUS_LINE -> readStatusLine(text);
             case FIELD -> readField(text);
