Send no call of the product's API on a connection with bytes that belong to no answer

What callers saw, by the trial below: a service sent a whole answer and a second one behind it, as one that is late. The next call on the connection, of another caller, got the second as its answer at once.

Cause: OkHttp keeps bytes that it has read beyond an answer, and does not look for more before it sends on a kept connection. They also passed AnswerSyntax by, which checks what is read after a request.

Change: CheckedSocket sends no request after bytes that belong to no answer, read or waiting in the socket. The call counts as not sent, so that it goes to another replica, and the connection is given up.

Evidence: ServiceClientTest.surplusAnswerIsNotThatOfTheNextCall is answered with "other" without the change, not sent with it.

--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/AnswerSyntax.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/AnswerSyntax.java
@@ -45,6 +45,7 @@
     private byte[] line = new byte[INITIAL_LINE_BYTES];
     private int lineLength;
     private Part part = Part.SURPLUS;
+    private boolean surplus;
     private boolean headOnly;
     private boolean oldProtocol;
     private int status;
@@ -63,6 +64,11 @@
         startHead();
     }
 
+    /** Whether bytes have been read that belong to no answer; a client may keep them for the next one. */
+    boolean hasSurplus() {
+        return surplus;
+    }
+
     private void startHead() {
         part = Part.STATUS_LINE;
         lineLength = 0;
@@ -79,6 +85,7 @@
         int at = from;
         while (at < to) {
             if (part == Part.SURPLUS) {
+                surplus = true;
                 return;
             }
             if (part == Part.CONTENT || part == Part.CHUNK) {
--- a/elmline-daemon/src/main/java/org/elmline/daemon/http/CheckedSocket.java
+++ b/elmline-daemon/src/main/java/org/elmline/daemon/http/CheckedSocket.java
@@ -13,8 +13,15 @@
     private final AnswerSyntax syntax = new AnswerSyntax();
     private volatile boolean writeFailed;
 
-    /** Expects an answer to a request that is sent next. */
-    void expectAnswer(String method) {
+    /**
+     * Expects an answer to a request that is sent next.
+     *
+     * @throws IOException if bytes have arrived already, which would be taken for it
+     */
+    void expectAnswer(String method) throws IOException {
+        if (syntax.hasSurplus() || super.getInputStream().available() > 0) {
+            throw new IOException("bytes have arrived before the request");
+        }
         syntax.expectAnswer(method);
     }
 
--- a/elmline-daemon/src/test/java/org/elmline/daemon/http/RawServer.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/http/RawServer.java
@@ -37,6 +37,13 @@
                 socket.setSoLinger(true, 0);
             }
         },
+        /** Nothing, whatever is received. */
+        SILENCE {
+            @Override
+            void apply(Socket socket, AtomicLong sentBytes) throws IOException {
+                socket.getInputStream().readAllBytes();
+            }
+        },
         /** The letter "a" until the connection is closed. */
         NONE {
             @Override
--- a/elmline-daemon/src/test/java/org/elmline/daemon/service/ServiceClientTest.java
+++ b/elmline-daemon/src/test/java/org/elmline/daemon/service/ServiceClientTest.java
@@ -17,6 +17,7 @@
 
 class ServiceClientTest {
     private static final String SUCCESS = "HTTP/1.1 200 OK\r\n";
+    private static final String WHOLE = SUCCESS + "Content-Length: 5\r\n\r\nwhole";
     private static final String CHUNKED = SUCCESS + "Transfer-Encoding: chunked\r\n\r\n";
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
@@ -64,6 +65,21 @@
         assertInstanceOf(CallResult.Unknown.class, send(SUCCESS + "\r\npart", RawServer.End.RESET, LONG_BODY_BYTES));
     }
 
+    /** Guards against bytes after an answer that are taken for the answer to the next call on the connection. */
+    @Test
+    void surplusAnswerIsNotThatOfTheNextCall() throws Exception {
+        try (RawServer server = new RawServer(WHOLE + WHOLE.replace("whole", "other"), RawServer.End.SILENCE);
+                ServiceClient client = new ServiceClient()) {
+            ServiceCall call = new ServiceCall("POST", "seats", List.of(), new byte[1]);
+            assertInstanceOf(
+                    CallResult.Answered.class,
+                    client.send(server.address(), call, TIMEOUT).result());
+            assertInstanceOf(
+                    CallResult.NotSent.class,
+                    client.send(server.address(), call, TIMEOUT).result());
+        }
+    }
+
     /** Guards against a process that keeps in memory what a service sends without end. */
     @ParameterizedTest
     @ValueSource(
@@ -91,9 +107,9 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
-                SUCCESS + "Content-Length: 5\r\n\r\nwhole",
+                WHOLE,
                 CHUNKED + "2;x=y\r\nwh\r\n3\r\nole\r\n0\r\nX: a\r\n\r\n",
-                "HTTP/1.1 100 Continue\r\n\r\n" + SUCCESS + "Content-Length: 5\r\n\r\nwhole"
+                "HTTP/1.1 100 Continue\r\n\r\n" + WHOLE
             })
     void wholeAnswerIsPassedOn(String answer) throws Exception {
         CallResult.Answered<RecordedAnswer> result =
